Start the workspace: configuration, wire types, test command

Cause: nothing stood yet. Every later part needs one number line, one set of rows and one set of messages. Change: kingcupbay_core with time, ids, arenas, configuration and messages. Measured: nothing yet.

--- /dev/null
+++ b/kingcupbay_bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/kingcupbay_core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of kingcupbay as plain structs and functions.
+//!
+//! Nothing here reads a clock, opens a socket, starts a thread or draws a
+//! random number: time comes in as [`time::Instant`], randomness as a seed.
+//! The daemon's shells turn sockets, timers and answers of the platform into
+//! calls, and carry out what the calls return.
+
+pub mod arena;
+pub mod config;
+pub mod id;
+pub mod ini;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/kingcupbay_core/tests/config.rs
@@ -0,0 +1,142 @@
+//! The configuration: patches are taken whole, numbered, and never merged.
+
+#![allow(clippy::unwrap_used)]
+
+use kingcupbay_core::{
+    config::{
+        change::{Change, Refusal},
+        model::{Config, KeyHash},
+        patch::{Patch, PatchError},
+    },
+    id::{Name, Number, RequestId},
+    ini,
+};
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+fn patch(against: u64, changes: Vec<Change>) -> Patch {
+    let id = RequestId([against as u8; 16]);
+    Patch { id, against: Number(against), author: "ops".into(), changes }
+}
+
+fn organisation(text: &str) -> Change {
+    Change::SetOrganisation { name: name(text), rate: 100, burst: 1000 }
+}
+
+fn adapter(text: &str, owner: &str, default: Option<&str>) -> Change {
+    Change::SetAdapter {
+        name: name(text),
+        organisation: name(owner),
+        base: name("base"),
+        default: default.map(name),
+    }
+}
+
+fn version(adapter: &str, label: &str) -> Change {
+    Change::SetVersion {
+        adapter: name(adapter),
+        label: name(label),
+        source: format!("weights/{adapter}/{label}"),
+    }
+}
+
+fn sample() -> Config {
+    let changes = vec![
+        organisation("winery"),
+        organisation("tours"),
+        adapter("tasting", "winery", None),
+        version("tasting", "v1"),
+        adapter("tasting", "winery", Some("v1")),
+    ];
+    Config::default().patched(&patch(0, changes)).unwrap()
+}
+
+#[test]
+fn stale_patch_names_the_number_in_force() {
+    let refused = sample().patched(&patch(0, vec![])).unwrap_err();
+    assert_eq!(refused, PatchError::Stale { against: Number(0), current: Number(1) });
+}
+
+#[test]
+fn a_patch_with_one_bad_change_changes_nothing() {
+    let config = sample();
+    let bad = patch(1, vec![organisation("third"), version("nowhere", "v1")]);
+    let refused = config.patched(&bad).unwrap_err();
+    let refusal = Refusal::Missing { kind: "adapter".into(), name: "nowhere".into() };
+    assert_eq!(refused, PatchError::Refused { index: 1, refusal });
+    assert_eq!(config, sample());
+}
+
+#[test]
+fn another_organisations_adapter_is_as_absent_as_an_unknown_one() {
+    let config = sample();
+    let winery = config.organisation_names[&name("winery")];
+    let tours = config.organisation_names[&name("tours")];
+    assert!(config.version(winery, "tasting@v1").is_some());
+    assert_eq!(config.version(winery, "tasting"), config.version(winery, "tasting@v1"));
+    assert_eq!(config.version(tours, "tasting@v1"), None);
+    assert_eq!(config.version(winery, "tasting@v2"), None);
+    assert_eq!(config.version(winery, "Tasting@v1"), None);
+}
+
+#[test]
+fn withdrawn_key_is_as_unknown_as_one_never_issued() {
+    let issue = Change::IssueKey {
+        label: name("desk"),
+        organisation: name("winery"),
+        hash: KeyHash::of("secret"),
+    };
+    let issued = sample().patched(&patch(1, vec![issue])).unwrap();
+    assert!(issued.key("secret").is_some());
+    let withdraw = Change::WithdrawKey { label: name("desk") };
+    let withdrawn = issued.patched(&patch(2, vec![withdraw])).unwrap();
+    assert!(withdrawn.key("secret").is_none());
+}
+
+#[test]
+fn a_versions_source_never_changes() {
+    let other = Change::SetVersion {
+        adapter: name("tasting"),
+        label: name("v1"),
+        source: "elsewhere".into(),
+    };
+    assert!(matches!(
+        sample().patched(&patch(1, vec![other])),
+        Err(PatchError::Refused { index: 0, refusal: Refusal::Value { .. } })
+    ));
+    assert!(sample().patched(&patch(1, vec![version("tasting", "v1")])).is_ok());
+}
+
+/// Ids travel between daemons. One daemon applied every patch, another began
+/// at a snapshot; both must give the next row the same id.
+#[test]
+fn ids_agree_between_replay_and_snapshot() {
+    let remove = Change::RemoveAdapter { name: name("tasting") };
+    let replayed = sample().patched(&patch(1, vec![remove])).unwrap();
+    let text = serde_json::to_string(&replayed).unwrap();
+    let restored: Config = serde_json::from_str(&text).unwrap();
+    let next = patch(2, vec![adapter("seats", "tours", None), version("seats", "v1")]);
+    assert_eq!(replayed.patched(&next).unwrap(), restored.patched(&next).unwrap());
+}
+
+#[test]
+fn ini_entries_know_their_line() {
+    let text = "# head\n\n[daemon]\nhost = a\n\n# note\nzone = z1\n[fleet]\ntable = 127.0.0.1:1\n";
+    let sections = ini::parse("x.ini", text).unwrap();
+    let lines: Vec<_> = sections
+        .iter()
+        .flat_map(|section| section.entries.iter().map(|entry| (entry.key.as_str(), entry.line)))
+        .collect();
+    assert_eq!(lines, [("host", 4), ("zone", 7), ("table", 9)]);
+    assert_eq!(sections[1].line, 3);
+    assert_eq!(sections[2].line, 8);
+}
+
+#[test]
+fn ini_mistakes_are_reported_all_at_once_with_their_line() {
+    let mistakes = ini::parse("x.ini", "[a]\njunk\nk = v\n[open\n").unwrap_err();
+    let lines: Vec<_> = mistakes.iter().map(|mistake| mistake.line).collect();
+    assert_eq!(lines, [2, 4]);
+}
--- /dev/null
+++ b/kingcupbay_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
