Lay out the folders of each subsystem

Cause: parts are built side by side and must not meet in one file. Ruled out: one folder made by whoever comes first; lib.rs would conflict. Change: a folder and head for each subsystem of the core and each experiment. Conclusion: each part has its own files.

--- /dev/null
+++ b/kingcupbay_bench/src/capacity/mod.rs
@@ -0,0 +1,8 @@
+//! State, messages and processor time against fleet size.
+
+/// Settings of the experiment.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Args {}
+
+/// Runs the experiment and prints its table.
+pub(crate) fn run(_args: &Args) {}
--- a/kingcupbay_bench/src/main.rs
+++ b/kingcupbay_bench/src/main.rs
@@ -1,2 +1,39 @@
-//! Placeholder.
-fn main() {}
+//! Load and experiment tool: seeded arrivals and small models of the served
+//! systems drive the decisions of the core, and tables of figures come out.
+
+mod capacity;
+mod path;
+mod serve;
+mod share;
+
+use clap::{Parser, Subcommand};
+
+/// Load and experiment tool of kingcupbay.
+#[derive(Debug, Parser)]
+#[command(name = "kingcupbay_bench", version)]
+struct Args {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+/// The experiments; each prints one table.
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// State, messages and processor time against fleet size.
+    Capacity(capacity::Args),
+    /// Latency and processor time of the running path.
+    Path(path::Args),
+    /// Routing, slots and queue against baselines, in simulated time.
+    Serve(serve::Args),
+    /// Rate shares against baselines, in simulated time.
+    Share(share::Args),
+}
+
+fn main() {
+    match Args::parse().experiment {
+        Experiment::Capacity(args) => capacity::run(&args),
+        Experiment::Path(args) => path::run(&args),
+        Experiment::Serve(args) => serve::run(&args),
+        Experiment::Share(args) => share::run(&args),
+    }
+}
--- /dev/null
+++ b/kingcupbay_core/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Calls that run at most once.
--- /dev/null
+++ b/kingcupbay_core/src/declare/mod.rs
@@ -0,0 +1,1 @@
+//! Declarations of operators, and the changes that carry them out.
--- /dev/null
+++ b/kingcupbay_core/src/gossip/mod.rs
@@ -0,0 +1,1 @@
+//! What daemons tell each other: vouches, numbers, loads, residency.
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -6,8 +6,16 @@
 //! calls, and carry out what the calls return.
 
 pub mod arena;
+pub mod claim;
 pub mod config;
+pub mod declare;
+pub mod gossip;
 pub mod id;
 pub mod ini;
+pub mod queue;
+pub mod route;
+pub mod share;
+pub mod slot;
+pub mod standing;
 pub mod time;
 pub mod wire;
--- /dev/null
+++ b/kingcupbay_core/src/queue/mod.rs
@@ -0,0 +1,1 @@
+//! Which request runs next, fair over organisations.
--- /dev/null
+++ b/kingcupbay_core/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Which upstream takes a request.
--- /dev/null
+++ b/kingcupbay_core/src/share/mod.rs
@@ -0,0 +1,1 @@
+//! Rate and burst of an organisation, divided over entries and conserved.
--- /dev/null
+++ b/kingcupbay_core/src/slot/mod.rs
@@ -0,0 +1,1 @@
+//! Adapter slots of one engine: pins, loads, eviction.
--- /dev/null
+++ b/kingcupbay_core/src/standing/mod.rs
@@ -0,0 +1,1 @@
+//! Whether this daemon may act on what it knows.
