--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -190,11 +190,15 @@
 
 impl Config {
     /// The access key a caller presented.
+    pub fn key(&self, secret: &str) -> Option<(KeyId, &Key)> {
+        self.key_by_hash(KeyHash::of(secret))
+    }
+
+    /// The access key with this hash.
     ///
     /// The comparison of each hash takes the same time wherever it differs,
     /// and every key is compared, so an attacker learns nothing by timing.
-    pub fn key(&self, secret: &str) -> Option<(KeyId, &Key)> {
-        let hash = KeyHash::of(secret);
+    pub fn key_by_hash(&self, hash: KeyHash) -> Option<(KeyId, &Key)> {
         let mut found = None;
         for (id, key) in self.keys.iter() {
             if bool::from(key.hash.0.ct_eq(&hash.0)) {
--- a/kingcupbay_core/src/wire/engine.rs
+++ b/kingcupbay_core/src/wire/engine.rs
@@ -5,6 +5,8 @@
 //! `POST /v1/unload_lora_adapter` with 200, `POST /v1/cancel` with 200,
 //! `GET /load` with a [`LoadReport`], `GET /events?after=N` with [`Events`].
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::RequestId;
@@ -33,6 +35,9 @@
     /// Higher goes first.
     #[serde(default)]
     pub priority: i32,
+    /// Sampling fields such as `temperature`.
+    #[serde(flatten)]
+    pub sampling: BTreeMap<String, serde_json::Value>,
 }
 
 /// One message of a chat.
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -3,7 +3,9 @@
 //! [`table`], [`object`], [`fleet`] and [`engine`] are the platform's and
 //! the engines' interfaces, spoken as JSON over HTTP. [`run`] is the project's own,
 //! spoken as MessagePack over HTTP between an entry and an upstream daemon.
+//! [`admin`] is what the operators' tool speaks to any daemon, as JSON.
 
+pub mod admin;
 pub mod engine;
 pub mod error;
 pub mod fleet;
--- a/kingcupbay_core/src/wire/run.rs
+++ b/kingcupbay_core/src/wire/run.rs
@@ -3,6 +3,8 @@
 //! `POST /run` carries a [`Run`]; the body of the answer is a sequence of
 //! length-delimited MessagePack [`Frame`]s.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -45,6 +47,8 @@
         max_tokens: u32,
         /// Tokens already delivered to the caller.
         offset: u32,
+        /// Sampling fields of the caller, passed on to the engine.
+        sampling: BTreeMap<String, serde_json::Value>,
     },
     /// Call a plain service.
     Call {
--- /dev/null
+++ b/kingcupbayd/src/admin/mod.rs
@@ -0,0 +1,163 @@
+//! The operators' port: configuration, state, metrics and probes.
+
+use std::rc::Rc;
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use kingcupbay_core::{
+    config::{
+        change::Change,
+        patch::{Patch, PatchError},
+    },
+    id::Number,
+    time::Span,
+    wire::{
+        admin::{
+            CONFIG_PATH, DUMP_PATH, HISTORY_PATH, History, Numbered, Outcome, PATCH_PATH, Refused,
+            STATUS_PATH, Taken, Undecided,
+        },
+        error::{Code, Failure},
+    },
+};
+use serde::Serialize;
+
+use crate::{
+    Daemon,
+    fleet::PatchOutcome,
+    http::{body, reply},
+};
+
+/// Longest patch: declarations of 67,000 adapters have some 20 MB.
+const PATCH_LIMIT: usize = 64 << 20;
+
+/// Time for a patch to arrive whole.
+const PATCH_TIME: Span = Span::from_secs(30);
+
+/// What `GET /admin/status` tells.
+#[derive(Serialize)]
+struct Status {
+    host: String,
+    zone: String,
+    role: kingcupbay_core::config::model::Role,
+    phase: String,
+    standing: bool,
+    number: Number,
+    members: usize,
+    connections: usize,
+}
+
+/// Answers one request of an operator or a probe.
+pub(crate) async fn handle(daemon: Rc<Daemon>, mut request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let get = request.method() == Method::GET;
+    match path.as_str() {
+        "/health" if get => reply::text(StatusCode::OK, "alive\n"),
+        "/ready" if get => ready(&daemon),
+        "/metrics" if get => reply::text(StatusCode::OK, daemon.metrics.text()),
+        CONFIG_PATH if get => reply::json(StatusCode::OK, &*daemon.fleet.config()),
+        HISTORY_PATH if get => history(&daemon, &request).await,
+        STATUS_PATH if get => reply::json(StatusCode::OK, &status(&daemon)),
+        DUMP_PATH if get => reply::text(StatusCode::OK, dump(&daemon)),
+        PATCH_PATH if request.method() == Method::POST => {
+            let payload = request.take_payload();
+            match body::read(payload, PATCH_LIMIT, PATCH_TIME).await {
+                Ok(bytes) => patch(&daemon, &bytes).await,
+                Err(failure) => reply::failure(&failure),
+            }
+        }
+        _ => reply::failure(&Failure::not_run(Code::NotFound, "no such path")),
+    }
+}
+
+fn ready(daemon: &Daemon) -> Response<BoxBody> {
+    match daemon.ready() {
+        true => reply::text(StatusCode::OK, "ready\n"),
+        false => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+fn status(daemon: &Daemon) -> Status {
+    let config = daemon.fleet.config();
+    let settings = &daemon.settings.daemon;
+    Status {
+        host: settings.host.to_string(),
+        zone: settings.zone.to_string(),
+        role: settings.role,
+        phase: format!("{:?}", daemon.drain.phase()).to_lowercase(),
+        standing: daemon.fleet.holds(crate::clock::now()),
+        number: config.number,
+        members: config.members.len(),
+        connections: daemon.drain.open(),
+    }
+}
+
+/// The state dump: one line for each thing, in a stable order, no secrets.
+fn dump(daemon: &Daemon) -> String {
+    let status = status(daemon);
+    let head = format!(
+        "host={} zone={} role={:?} phase={} standing={} number={} members={} connections={}\n",
+        status.host,
+        status.zone,
+        status.role,
+        status.phase,
+        status.standing,
+        status.number,
+        status.members,
+        status.connections
+    );
+    head.to_lowercase() + &daemon.dump()
+}
+
+async fn history(daemon: &Daemon, request: &Request) -> Response<BoxBody> {
+    let query = request.uri().query().unwrap_or("");
+    let after = query.strip_prefix("after=").and_then(|text| text.parse().ok()).unwrap_or(0);
+    match daemon.fleet.history(Number(after)).await {
+        Ok(patches) => {
+            let patches =
+                patches.into_iter().map(|(number, patch)| Numbered { number, patch }).collect();
+            reply::json(StatusCode::OK, &History { patches })
+        }
+        Err(error) => {
+            let failure = Failure::not_run(Code::StoreDown, error.to_string());
+            reply::failure(&failure.after(Span::from_secs(1)))
+        }
+    }
+}
+
+async fn patch(daemon: &Daemon, bytes: &[u8]) -> Response<BoxBody> {
+    let patch: Patch = match serde_json::from_slice(bytes) {
+        Ok(patch) => patch,
+        Err(error) => {
+            let message = format!("not a patch: {error}");
+            return reply::failure(&Failure::not_run(Code::BadRequest, message));
+        }
+    };
+    let undecided = |outcome, message| {
+        reply::json(StatusCode::SERVICE_UNAVAILABLE, &Undecided { outcome, message })
+    };
+    match daemon.fleet.patch(&patch).await {
+        PatchOutcome::Taken(number) => {
+            reply::json(StatusCode::OK, &Taken { number, acknowledged: true })
+        }
+        PatchOutcome::Refused(error) => {
+            let status = match error {
+                PatchError::Stale { .. } => StatusCode::CONFLICT,
+                PatchError::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            };
+            reply::json(status, &Refused { error })
+        }
+        PatchOutcome::NotTaken(message) => undecided(Outcome::NotTaken, message),
+        PatchOutcome::Unknown(message) => undecided(Outcome::Unknown, message),
+    }
+}
+
+/// The change by which this daemon joins the fleet.
+pub(crate) fn join(daemon: &Daemon, address: String) -> Change {
+    let settings = &daemon.settings.daemon;
+    Change::Join {
+        host: settings.host.clone(),
+        address,
+        zone: settings.zone.clone(),
+        role: settings.role,
+        incarnation: daemon.incarnation,
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/config/callers.rs
@@ -0,0 +1,41 @@
+//! `[callers]`: where and how callers connect to an entry.
+
+use std::net::SocketAddr;
+
+use kingcupbay_core::time::Span;
+
+use super::reader::Reader;
+
+/// Longest body by default, in bytes: a long conversation fits.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// Bounds on what callers send.
+#[derive(Clone, Debug)]
+pub struct Callers {
+    /// The address; port 0 lets the kernel choose.
+    pub listen: SocketAddr,
+    /// Longest body in bytes.
+    pub body_limit: usize,
+    /// Time for a request's head to arrive.
+    pub head_timeout: Span,
+    /// Time for a request's body to arrive.
+    pub body_timeout: Span,
+    /// Deadline of a request that names none; zero refuses such a request.
+    pub deadline: Span,
+    /// Most tokens generated when a request names no number.
+    pub max_tokens: u32,
+}
+
+impl Callers {
+    pub(crate) fn read(reader: &mut Reader) -> Callers {
+        let section = "callers";
+        Callers {
+            listen: reader.required(section, "listen", "IP:PORT", "127.0.0.1:0"),
+            body_limit: reader.number(section, "body_limit", 1_024..=64 << 20, BODY_LIMIT),
+            head_timeout: reader.millis(section, "head_timeout_ms", 100..=60_000, 5_000),
+            body_timeout: reader.millis(section, "body_timeout_ms", 100..=60_000, 10_000),
+            deadline: reader.millis(section, "deadline_ms", 0..=3_600_000, 0),
+            max_tokens: reader.number(section, "max_tokens", 1..=1_000_000, 256),
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/config/mod.rs
@@ -0,0 +1,78 @@
+//! Settings of a daemon: one INI file, checked whole at start.
+//!
+//! Each section has a file of its own with its struct and its defaults.
+//! [`reader`] turns entries into typed values and collects every mistake, so
+//! that one start reports all of them.
+
+use std::path::Path;
+
+use kingcupbay_core::{config::model::Role, ini, ini::Mistake};
+
+mod callers;
+mod daemon;
+mod listener;
+mod platform;
+mod reader;
+mod tuning;
+
+pub use callers::Callers;
+pub use daemon::Daemon;
+pub use listener::Listener;
+pub use platform::Platform;
+pub use tuning::Tuning;
+
+use reader::Reader;
+
+/// All settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Who and where this daemon is.
+    pub daemon: Daemon,
+    /// Where callers connect; entries only.
+    pub callers: Option<Callers>,
+    /// Where other daemons connect.
+    pub peers: Listener,
+    /// Where operators and probes connect.
+    pub operators: Listener,
+    /// Where the platform's services are.
+    pub platform: Platform,
+    /// Timeouts and bounds that seldom need a change.
+    pub tuning: Tuning,
+}
+
+impl Settings {
+    /// Reads and checks `path`.
+    pub fn load(path: &Path) -> Result<Settings, Vec<Mistake>> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Settings::parse(&file, &text),
+            Err(error) => Err(vec![Mistake {
+                file,
+                line: 0,
+                section: String::new(),
+                key: String::new(),
+                found: error.to_string(),
+                allowed: "a readable file".to_owned(),
+            }]),
+        }
+    }
+
+    /// Checks `text`, the content of `file`.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Mistake>> {
+        let sections = ini::parse(file, text)?;
+        let mut reader = Reader::new(file, sections);
+        let daemon = Daemon::read(&mut reader);
+        let entry = daemon.role == Role::Entry;
+        let callers = entry.then(|| Callers::read(&mut reader));
+        let settings = Settings {
+            daemon,
+            callers,
+            peers: Listener::read(&mut reader, "peers"),
+            operators: Listener::read(&mut reader, "operators"),
+            platform: Platform::read(&mut reader),
+            tuning: Tuning::read(&mut reader),
+        };
+        reader.finish()?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/config/tuning.rs
@@ -0,0 +1,52 @@
+//! `[tuning]`: timeouts and bounds that seldom need a change.
+
+use kingcupbay_core::time::Span;
+
+use super::reader::Reader;
+
+/// Timeouts and bounds.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// Time to connect to a daemon, an engine or the platform.
+    pub connect_timeout: Span,
+    /// Time for one answer of the platform.
+    pub platform_timeout: Span,
+    /// Pause between two reads of the configuration's head.
+    pub read_period: Span,
+    /// Pause after which a stream without news carries a heartbeat.
+    pub heartbeat: Span,
+    /// Silence after which a stream between daemons counts as dead; at least
+    /// two heartbeats, so that one late heartbeat does not end a stream.
+    pub silence: Span,
+    /// Silence after which an engine's stream counts as stalled.
+    pub engine_silence: Span,
+    /// Attempts for one request, the first included.
+    pub attempts: u32,
+    /// Requests an upstream daemon runs at once on one upstream.
+    pub batch: u32,
+    /// Requests that wait for one upstream before more are refused.
+    pub queue: u32,
+    /// How long readiness fails before a stopping daemon refuses requests.
+    pub drain_delay: Span,
+    /// Longest drain; zero waits for the last request however long it takes.
+    pub drain_limit: Span,
+}
+
+impl Tuning {
+    pub(crate) fn read(reader: &mut Reader) -> Tuning {
+        let section = "tuning";
+        Tuning {
+            connect_timeout: reader.millis(section, "connect_timeout_ms", 10..=10_000, 500),
+            platform_timeout: reader.millis(section, "platform_timeout_ms", 10..=60_000, 1_000),
+            read_period: reader.millis(section, "read_period_ms", 10..=60_000, 500),
+            heartbeat: reader.millis(section, "heartbeat_ms", 10..=10_000, 500),
+            silence: reader.millis(section, "silence_ms", 20..=60_000, 2_000),
+            engine_silence: reader.millis(section, "engine_silence_ms", 20..=600_000, 5_000),
+            attempts: reader.number(section, "attempts", 1..=10, 3),
+            batch: reader.number(section, "batch", 1..=4_096, 256),
+            queue: reader.number(section, "queue", 1..=65_536, 1_024),
+            drain_delay: reader.millis(section, "drain_delay_ms", 0..=600_000, 2_000),
+            drain_limit: reader.millis(section, "drain_limit_ms", 0..=86_400_000, 0),
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/entry/answer.rs
@@ -0,0 +1,289 @@
+//! Answers to generation, streamed or whole, in the shape the caller knows.
+
+use std::{
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use futures_util::stream;
+use kingcupbay_core::{
+    id::RequestId,
+    wire::{
+        engine::Usage,
+        error::{Code, Failure},
+        run::{Prompt, Work},
+    },
+};
+use serde::Serialize;
+
+use super::{
+    Entry, admission, head,
+    outcome::{Account, Ending},
+    prompt::{self, Ask, Shape},
+    relay::{Job, Relay, Step, Target},
+};
+use crate::{
+    clock,
+    http::{body, reply},
+    share::Reservation,
+};
+
+/// Bytes of text that count as one token before the engine has counted.
+const TOKEN_BYTES: u64 = 4;
+
+/// Ends a stream of events whose answer is whole.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// A running generation with everything that ends with it.
+struct Answer {
+    relay: Relay,
+    account: Account,
+    reservation: Reservation,
+    shape: Shape,
+    request: RequestId,
+    model: String,
+    created: u64,
+    prompt_tokens: u64,
+    tokens: u64,
+}
+
+/// `POST /v1/chat/completions` and `POST /v1/completions`.
+pub(crate) async fn generate(
+    entry: Rc<Entry>,
+    request: Request,
+    shape: Shape,
+) -> Response<BoxBody> {
+    match admit(entry, request, shape).await {
+        Ok((answer, true)) => streamed(answer).await,
+        Ok((answer, false)) => whole(answer).await,
+        Err(failure) => reply::failure(&failure),
+    }
+}
+
+async fn admit(
+    entry: Rc<Entry>,
+    mut request: Request,
+    shape: Shape,
+) -> Result<(Answer, bool), Failure> {
+    let caller = admission::caller(&entry, &request)?;
+    let callers = entry.settings.callers.as_ref().expect("an entry has [callers]");
+    let deadline = head::deadline(&request, callers, clock::now())?;
+    let payload = request.take_payload();
+    let bytes = body::read(payload, callers.body_limit, callers.body_timeout).await?;
+    let ask = prompt::read(shape, &bytes)?;
+    let config = entry.fleet.config();
+    let version = config.version(caller.organisation, &ask.model).ok_or_else(|| {
+        let message = format!("no model {} for this access key", ask.model);
+        Failure::not_run(Code::NotFound, message)
+    })?;
+    let model = config.model(version).expect("a resolved version exists");
+    let max_tokens = ask.max_tokens.unwrap_or(callers.max_tokens);
+    let prompt_tokens = estimate(&ask.prompt);
+    let tokens = prompt_tokens + u64::from(max_tokens);
+    let reservation = entry.shares.reserve(caller.organisation, tokens).await?;
+    let id = new_request();
+    let (metrics, log) = (entry.metrics.clone(), entry.log.clone());
+    let account = Account::open(id, caller.clone(), model.clone(), metrics, log);
+    let Ask { prompt, sampling, stream, .. } = ask;
+    let work = Work::Generate { version, prompt, max_tokens, offset: 0, sampling };
+    let job = Job { request: id, caller, deadline, target: Target::Model(version), work };
+    let answer = Answer {
+        relay: Relay::new(entry, job),
+        account,
+        reservation,
+        shape,
+        request: id,
+        model,
+        created: wall_seconds(),
+        prompt_tokens,
+        tokens: 0,
+    };
+    Ok((answer, stream))
+}
+
+/// A random identity.
+pub(crate) fn new_request() -> RequestId {
+    let mut id = [0; 16];
+    getrandom::fill(&mut id).expect("the system's random source works");
+    RequestId(id)
+}
+
+fn estimate(prompt: &Prompt) -> u64 {
+    let bytes: usize = match prompt {
+        Prompt::Text(text) => text.len(),
+        Prompt::Chat(messages) => messages.iter().map(|message| message.content.len()).sum(),
+    };
+    (bytes as u64).div_ceil(TOKEN_BYTES)
+}
+
+fn wall_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
+
+impl Answer {
+    async fn next(&mut self) -> Step {
+        let step = self.relay.next().await;
+        self.account.on_attempt(self.relay.upstream());
+        match &step {
+            Step::Token(_) => {
+                self.account.on_token();
+                self.tokens += 1;
+                self.reservation.used(self.prompt_tokens + self.tokens);
+            }
+            Step::Done { usage, .. } => {
+                self.reservation.used(u64::from(usage.total_tokens));
+                self.account.close(&Ending::Whole(*usage));
+            }
+            Step::Failed(failure) => self.account.close(&Ending::Failed(failure.clone())),
+            Step::Called { .. } => {}
+        }
+        step
+    }
+
+    fn chunk(&self, text: &str, reason: Option<&str>, usage: Option<Usage>) -> String {
+        let delta = Delta { content: text };
+        let choice = match self.shape {
+            Shape::Chat => {
+                ChunkChoice { index: 0, delta: Some(delta), text: None, finish_reason: reason }
+            }
+            Shape::Text => {
+                ChunkChoice { index: 0, delta: None, text: Some(text), finish_reason: reason }
+            }
+        };
+        let object = match self.shape {
+            Shape::Chat => "chat.completion.chunk",
+            Shape::Text => "text_completion",
+        };
+        self.json(object, [choice], usage)
+    }
+
+    fn full(&self, text: &str, reason: &str, usage: Usage) -> String {
+        let reason = Some(reason);
+        let message = FullMessage { role: "assistant", content: text };
+        match self.shape {
+            Shape::Chat => {
+                let choice = FullChoice {
+                    index: 0,
+                    message: Some(message),
+                    text: None,
+                    finish_reason: reason,
+                };
+                self.json("chat.completion", [choice], Some(usage))
+            }
+            Shape::Text => {
+                let choice =
+                    FullChoice { index: 0, message: None, text: Some(text), finish_reason: reason };
+                self.json("text_completion", [choice], Some(usage))
+            }
+        }
+    }
+
+    fn json<T: Serialize>(
+        &self,
+        object: &'static str,
+        choices: [T; 1],
+        usage: Option<Usage>,
+    ) -> String {
+        let body = Completion {
+            id: self.request,
+            object,
+            created: self.created,
+            model: &self.model,
+            choices,
+            usage,
+        };
+        serde_json::to_string(&body).expect("answers serialise")
+    }
+}
+
+/// A streamed answer. Its status depends on the first step, which is awaited:
+/// a refusal is an ordinary error answer, not a stream that breaks off.
+async fn streamed(mut answer: Answer) -> Response<BoxBody> {
+    let first = match answer.next().await {
+        Step::Failed(failure) => return reply::failure(&failure),
+        step => step,
+    };
+    let state = Some((answer, Some(first)));
+    let events = stream::unfold(state, |state| async move {
+        let (mut answer, first) = state?;
+        let step = match first {
+            Some(step) => step,
+            None => answer.next().await,
+        };
+        let (text, more) = event(&answer, &step);
+        Some((Ok(Bytes::from(text)), more.then_some((answer, None))))
+    });
+    reply::stream("text/event-stream", events)
+}
+
+/// The event of a step, and whether more follow.
+fn event(answer: &Answer, step: &Step) -> (String, bool) {
+    match step {
+        Step::Token(text) => (format!("data: {}\n\n", answer.chunk(text, None, None)), true),
+        Step::Done { reason, usage } => {
+            let last = answer.chunk("", Some(reason), Some(*usage));
+            (format!("data: {last}\n\n{DONE}"), false)
+        }
+        Step::Failed(failure) => (format!("data: {}\n\n", reply::failure_json(failure)), false),
+        Step::Called { .. } => unreachable!("a model's upstream answers with tokens"),
+    }
+}
+
+async fn whole(mut answer: Answer) -> Response<BoxBody> {
+    let mut text = String::new();
+    loop {
+        match answer.next().await {
+            Step::Token(token) => text.push_str(&token),
+            Step::Done { reason, usage } => {
+                let body = answer.full(&text, &reason, usage);
+                return reply::json_text(StatusCode::OK, body);
+            }
+            Step::Failed(failure) => return reply::failure(&failure),
+            Step::Called { .. } => unreachable!("a model's upstream answers with tokens"),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Completion<'a, T> {
+    id: RequestId,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [T; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct FullChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<FullMessage<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct FullMessage<'a> {
+    role: &'static str,
+    content: &'a str,
+}
--- /dev/null
+++ b/kingcupbayd/src/entry/models.rs
@@ -0,0 +1,36 @@
+//! The models that a key may name.
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use serde::Serialize;
+
+use super::{Entry, admission};
+use crate::http::reply;
+
+#[derive(Serialize)]
+struct List {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+#[derive(Serialize)]
+struct Model {
+    id: String,
+    object: &'static str,
+    owned_by: String,
+}
+
+/// `GET /v1/models`.
+pub(crate) fn list(entry: &Entry, request: &Request) -> Response<BoxBody> {
+    let caller = match admission::caller(entry, request) {
+        Ok(caller) => caller,
+        Err(failure) => return reply::failure(&failure),
+    };
+    let config = entry.fleet.config();
+    let own = config.adapters.iter().filter(|(_, row)| row.organisation == caller.organisation);
+    let versions = own.flat_map(|(_, row)| row.versions.values());
+    let data = versions
+        .filter_map(|&version| config.model(version))
+        .map(|id| Model { id, object: "model", owned_by: caller.name.clone() })
+        .collect();
+    reply::json(StatusCode::OK, &List { object: "list", data })
+}
--- /dev/null
+++ b/kingcupbayd/src/http/mod.rs
@@ -0,0 +1,8 @@
+//! HTTP as every part of the daemon speaks it.
+//!
+//! [`body`] reads bodies within bounds, [`reply`] makes answers, [`client`]
+//! calls other processes.
+
+pub(crate) mod body;
+pub(crate) mod client;
+pub(crate) mod reply;
--- /dev/null
+++ b/kingcupbayd/src/http/reply.rs
@@ -0,0 +1,81 @@
+//! Answers.
+
+use actix_http::{
+    Response, ResponseBuilder, StatusCode,
+    body::{BodyStream, BoxBody},
+    header,
+};
+use bytes::Bytes;
+use futures_util::Stream;
+use kingcupbay_core::wire::error::{Failure, Ran};
+use serde::Serialize;
+
+/// The error shape callers of model servers know, with two fields more.
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    code: &'static str,
+    ran: Ran,
+}
+
+/// The JSON text of a failure.
+pub(crate) fn failure_json(failure: &Failure) -> String {
+    let kind = match failure.code.status() {
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    };
+    let (message, code, ran) = (failure.message.as_str(), failure.code.as_str(), failure.ran);
+    let body = ErrorBody { error: ErrorDetail { message, kind, code, ran } };
+    serde_json::to_string(&body).expect("a failure has only strings")
+}
+
+/// The answer to a request that failed before its first byte.
+pub(crate) fn failure(failure: &Failure) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(failure.code.status()).expect("codes have valid statuses");
+    let mut builder = ResponseBuilder::new(status);
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    if let Some(span) = failure.retry_after {
+        builder.insert_header((header::RETRY_AFTER, span.as_secs_ceil().max(1).to_string()));
+    }
+    builder.body(failure_json(failure)).map_into_boxed_body()
+}
+
+/// A JSON answer.
+pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response<BoxBody> {
+    json_text(status, serde_json::to_string(body).expect("answers serialise"))
+}
+
+/// Text that is JSON already.
+pub(crate) fn json_text(status: StatusCode, text: String) -> Response<BoxBody> {
+    ResponseBuilder::new(status)
+        .insert_header((header::CONTENT_TYPE, "application/json"))
+        .body(text)
+        .map_into_boxed_body()
+}
+
+/// A plain text answer.
+pub(crate) fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
+    ResponseBuilder::new(status)
+        .insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"))
+        .body(body.into())
+        .map_into_boxed_body()
+}
+
+/// An answer whose bytes come as `stream` yields them.
+pub(crate) fn stream<S>(kind: &'static str, stream: S) -> Response<BoxBody>
+where
+    S: Stream<Item = Result<Bytes, std::io::Error>> + 'static,
+{
+    ResponseBuilder::new(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, kind))
+        .insert_header((header::CACHE_CONTROL, "no-store"))
+        .body(BodyStream::new(stream))
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/kingcupbayd/src/lib.rs
@@ -0,0 +1,89 @@
+//! The kingcupbay daemon: entry and upstream roles in one program.
+//!
+//! Sockets, timers and answers of the platform become calls of
+//! `kingcupbay_core`, and what it decides is carried out. Everything runs on
+//! one thread.
+
+mod admin;
+mod clock;
+pub mod config;
+mod entry;
+mod fleet;
+mod http;
+mod logging;
+mod metrics;
+mod platform;
+mod server;
+mod share;
+mod start;
+mod upstream;
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use actix_http::{Request, Response, body::BoxBody};
+use slog::Logger;
+
+pub use logging::logger;
+pub use start::{Running, start};
+
+use config::Settings;
+use entry::Entry;
+use fleet::Fleet;
+use metrics::Metrics;
+use server::drain::{Drain, Phase};
+use upstream::Upstream;
+
+/// Where a running daemon listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers; entries only.
+    pub callers: Option<SocketAddr>,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For operators and probes.
+    pub operators: SocketAddr,
+}
+
+/// State of one daemon, shared by its servers.
+pub(crate) struct Daemon {
+    settings: Rc<Settings>,
+    incarnation: u64,
+    fleet: Rc<Fleet>,
+    metrics: Rc<Metrics>,
+    drain: Drain,
+    role: RoleState,
+    log: Logger,
+    joined: RefCell<bool>,
+}
+
+/// What only one role has.
+enum RoleState {
+    Entry(Rc<Entry>),
+    Upstream(Rc<Upstream>),
+}
+
+impl Daemon {
+    /// Whether this daemon should get work.
+    fn ready(&self) -> bool {
+        let serving = self.drain.phase() == Phase::Serving;
+        serving && *self.joined.borrow() && self.fleet.holds(clock::now())
+    }
+
+    /// The role's part of the state dump.
+    fn dump(&self) -> String {
+        match &self.role {
+            RoleState::Entry(entry) => entry.dump(),
+            RoleState::Upstream(upstream) => upstream.dump(),
+        }
+    }
+}
+
+/// Answers one request of another daemon.
+async fn handle_peer(daemon: Rc<Daemon>, request: Request) -> Response<BoxBody> {
+    match (&daemon.role, request.path()) {
+        (RoleState::Upstream(upstream), "/run") => {
+            upstream::handle(upstream.clone(), request).await
+        }
+        _ => http::reply::text(actix_http::StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
--- a/kingcupbayd/src/main.rs
+++ b/kingcupbayd/src/main.rs
@@ -1,2 +1,55 @@
-//! Placeholder.
-fn main() {}
+//! The daemon's program: reads its settings, runs, stops on the first signal.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::Parser;
+use kingcupbayd::config::Settings;
+use slog::error;
+
+mod signal;
+
+/// Daemon of kingcupbay; its role stands in its settings.
+#[derive(Debug, Parser)]
+#[command(name = "kingcupbayd", version)]
+struct Args {
+    /// Settings, an INI file.
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Checks the settings and ends.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Exit code when the settings have mistakes.
+const MISTAKES: u8 = 2;
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let settings = match Settings::load(&args.config) {
+        Ok(settings) => settings,
+        Err(mistakes) => {
+            for mistake in mistakes {
+                eprintln!("{mistake}");
+            }
+            return ExitCode::from(MISTAKES);
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    let log = kingcupbayd::logger(settings.daemon.host.as_str());
+    match actix_rt::System::new().block_on(run(settings, log.clone())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(log, ""; "event" => "start_failed", "error" => %error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: Settings, log: slog::Logger) -> std::io::Result<()> {
+    let running = kingcupbayd::start(settings, log)?;
+    signal::stop().await?;
+    running.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/kingcupbayd/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Prometheus metrics of one daemon.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of latencies in seconds: from relaying to a cold start in a queue.
+const LATENCY: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Bounds of gaps between tokens in seconds, close around the aim of 43 ms.
+const GAP: &[f64] =
+    &[0.005, 0.01, 0.015, 0.02, 0.025, 0.03, 0.035, 0.043, 0.06, 0.1, 0.25, 0.5, 1.0, 5.0];
+
+/// Every metric of a daemon; those of the other role stay at zero.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by organisation and code; `ok` is a whole answer.
+    pub(crate) requests: IntCounterVec,
+    /// Answers that could not be delivered whole, by organisation.
+    pub(crate) undelivered: IntCounterVec,
+    /// Attempts beyond the first, by reason.
+    pub(crate) retries: IntCounterVec,
+    /// Time to the first token by organisation.
+    pub(crate) first_token: HistogramVec,
+    /// Time between tokens.
+    pub(crate) gap: Histogram,
+    /// Tokens relayed.
+    pub(crate) tokens: IntCounter,
+    /// Requests that waited on an adapter cold start.
+    pub(crate) load_stalls: IntCounter,
+    /// Adapter loads by outcome.
+    pub(crate) loads: IntCounterVec,
+    /// Streams running now.
+    pub(crate) streams: IntGauge,
+    /// Number of the configuration in use.
+    pub(crate) config_number: IntGauge,
+    /// Whether this daemon may act on what it knows.
+    pub(crate) standing: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels);
+            registered(&registry, metric)
+        };
+        let histogram = |name: &str, help: &str, bounds: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+            registered(&registry, Histogram::with_opts(options))
+        };
+        let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
+        let first = HistogramOpts::new("kingcupbay_first_token_seconds", "Time to first token")
+            .buckets(LATENCY.to_vec());
+        let first_token = registered(&registry, HistogramVec::new(first, &["organisation"]));
+        Metrics {
+            requests: counters(
+                "kingcupbay_requests_total",
+                "Requests by organisation and code",
+                &["organisation", "code"],
+            ),
+            undelivered: counters(
+                "kingcupbay_undelivered_total",
+                "Answers not delivered whole",
+                &["organisation"],
+            ),
+            retries: counters("kingcupbay_retries_total", "Attempts beyond the first", &["reason"]),
+            first_token,
+            gap: histogram("kingcupbay_token_gap_seconds", "Time between tokens", GAP),
+            tokens: counter("kingcupbay_tokens_total", "Tokens relayed"),
+            load_stalls: counter(
+                "kingcupbay_load_stalls_total",
+                "Requests that waited on an adapter cold start",
+            ),
+            loads: counters("kingcupbay_loads_total", "Adapter loads by outcome", &["outcome"]),
+            streams: gauge("kingcupbay_streams", "Streams running now"),
+            config_number: gauge("kingcupbay_config_number", "Configuration in use"),
+            standing: gauge("kingcupbay_standing", "1 while this daemon may act on what it knows"),
+            registry,
+        }
+    }
+
+    /// All metrics in Prometheus's text format.
+    pub(crate) fn text(&self) -> String {
+        let mut out = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut out)
+            .expect("writing to memory cannot fail");
+        String::from_utf8(out).expect("the text format is UTF-8")
+    }
+}
+
+fn registered<M>(registry: &Registry, metric: prometheus::Result<M>) -> M
+where
+    M: prometheus::core::Collector + Clone + 'static,
+{
+    let metric = metric.expect("the metric's name and labels are valid");
+    registry.register(Box::new(metric.clone())).expect("each metric is registered once");
+    metric
+}
--- /dev/null
+++ b/kingcupbayd/src/platform/mod.rs
@@ -0,0 +1,4 @@
+//! Clients of the platform's services.
+
+pub(crate) mod object;
+pub(crate) mod table;
--- /dev/null
+++ b/kingcupbayd/src/platform/object.rs
@@ -0,0 +1,69 @@
+//! Client of the platform's object store.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use kingcupbay_core::{time::Span, wire::object::PATH};
+use thiserror::Error;
+
+use crate::http::client::Clients;
+
+/// Longest object that is read: a snapshot of 67,000 adapters has some 20 MB.
+const OBJECT_LIMIT: usize = 256 << 20;
+
+/// Why an object could not be read or written.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the object store: {0}")]
+pub(crate) struct ObjectError(String);
+
+/// Client of the object store.
+#[derive(Clone)]
+pub(crate) struct Objects {
+    clients: Clients,
+    address: String,
+    timeout: Span,
+}
+
+impl Objects {
+    /// A client for the object store at `address`; `timeout` covers one call.
+    pub(crate) fn new(clients: Clients, address: SocketAddr, timeout: Span) -> Objects {
+        Objects { clients, address: address.to_string(), timeout }
+    }
+
+    /// Stores an object whole.
+    pub(crate) async fn put(&self, key: &str, body: Bytes) -> Result<(), ObjectError> {
+        let url = format!("http://{}{PATH}{key}", self.address);
+        let sent = self.clients.get(&self.address).put(url).send_body(body);
+        let response = self.bounded(sent).await?;
+        match response.status().is_success() {
+            true => Ok(()),
+            false => Err(ObjectError(response.status().to_string())),
+        }
+    }
+
+    /// Reads an object; `None` when there is none.
+    pub(crate) async fn get(&self, key: &str) -> Result<Option<Bytes>, ObjectError> {
+        let url = format!("http://{}{PATH}{key}", self.address);
+        let sent = self.clients.get(&self.address).get(url).send();
+        let mut response = self.bounded(sent).await?;
+        if response.status() == 404 {
+            return Ok(None);
+        }
+        if !response.status().is_success() {
+            return Err(ObjectError(response.status().to_string()));
+        }
+        let body = self.bounded(response.body().limit(OBJECT_LIMIT)).await?;
+        Ok(Some(body))
+    }
+
+    async fn bounded<T, E: std::fmt::Display>(
+        &self,
+        call: impl Future<Output = Result<T, E>>,
+    ) -> Result<T, ObjectError> {
+        match tokio::time::timeout(self.timeout.into(), call).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(error)) => Err(ObjectError(error.to_string())),
+            Err(_) => Err(ObjectError("no answer in time".to_owned())),
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/server/mod.rs
@@ -0,0 +1,77 @@
+//! HTTP servers on the daemon's one thread.
+//!
+//! [`drain`] counts connections and says when the daemon stops. The accept
+//! loop hands each connection to a task of its own; a planned stop closes the
+//! listener, lets every connection finish its request, and closes idle ones.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{HttpService, Request, Response, body::BoxBody};
+use actix_rt::net::TcpListener;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use kingcupbay_core::time::Span;
+
+pub(crate) mod drain;
+
+use drain::Drain;
+
+/// How long the other side may take to close after the last byte.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept: out of descriptors, it would spin otherwise.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Binds `address`. Port 0 lets the kernel choose.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    Ok((TcpListener::from_std(listener)?, bound))
+}
+
+/// Serves `listener` with `handle` until `drain` closes; returns when every
+/// connection has ended.
+pub(crate) async fn serve<F, Fut>(listener: TcpListener, head: Span, drain: Drain, handle: F)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    let closing = drain.clone();
+    let handle = fn_service(move |request: Request| {
+        let answer = handle(request);
+        async move { Ok::<_, Response<BoxBody>>(answer.await) }
+    });
+    let factory = HttpService::build()
+        .client_request_timeout(head.into())
+        .client_disconnect_timeout(CLOSE_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .graceful_shutdown_signal(move || closing.clone().closed())
+        .finish(handle.into_factory())
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        unreachable!("the service's factory has no failing part")
+    };
+    let service = Rc::new(service);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = drain.clone().closed() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let guard = drain.connection();
+                let service = service.clone();
+                actix_rt::spawn(async move {
+                    // A broken connection concerns its request, which has
+                    // noticed by itself; there is nothing more to do here.
+                    let _ = service.call(stream).await;
+                    drop(guard);
+                });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(listener);
+    drain.idle().await;
+}
--- /dev/null
+++ b/kingcupbayd/src/start.rs
@@ -0,0 +1,162 @@
+//! Start and planned stop of a daemon.
+
+use std::{cell::RefCell, rc::Rc};
+
+use kingcupbay_core::{
+    config::{
+        model::Role,
+        patch::{Patch, PatchError},
+    },
+    time::Span,
+};
+use slog::{Logger, info, warn};
+
+use crate::{
+    Addresses, Daemon, RoleState, admin,
+    config::Settings,
+    entry::{self, Entry},
+    fleet::{self, Fleet, PatchOutcome},
+    handle_peer,
+    http::client::Clients,
+    metrics::Metrics,
+    platform::{object::Objects, table::Table},
+    server::{
+        self,
+        drain::{Drain, Phase},
+    },
+    upstream::Upstream,
+};
+
+/// Time for the head of a request from an operator or another daemon.
+const HEAD_TIME: Span = Span::from_secs(5);
+
+/// Pause between two attempts to join.
+const JOIN_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// A running daemon.
+pub struct Running {
+    /// Where it listens.
+    pub addresses: Addresses,
+    daemon: Rc<Daemon>,
+    servers: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+/// Starts a daemon on the present thread's runtime.
+pub fn start(settings: Settings, log: Logger) -> std::io::Result<Running> {
+    let settings = Rc::new(settings);
+    let (peers, peers_at) = server::bind(settings.peers.listen)?;
+    let (operators, operators_at) = server::bind(settings.operators.listen)?;
+    let callers = settings.callers.as_ref().map(|callers| server::bind(callers.listen));
+    let callers = callers.transpose()?;
+    let addresses = Addresses {
+        callers: callers.as_ref().map(|(_, at)| *at),
+        peers: peers_at,
+        operators: operators_at,
+    };
+    let daemon = assemble(settings.clone(), log);
+    actix_rt::spawn(fleet::keep_fresh(daemon.fleet.clone(), settings.clone()));
+    actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
+    let mut servers = Vec::new();
+    if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
+        let entry = entry.clone();
+        let head = settings.callers.as_ref().map_or(HEAD_TIME, |callers| callers.head_timeout);
+        let handle = move |request| entry::handle(entry.clone(), request);
+        servers.push(actix_rt::spawn(server::serve(listener, head, daemon.drain.clone(), handle)));
+    }
+    let state = daemon.clone();
+    let handle = move |request| handle_peer(state.clone(), request);
+    servers.push(actix_rt::spawn(server::serve(peers, HEAD_TIME, daemon.drain.clone(), handle)));
+    // Operators watch a stop until its end, so nothing waits for them.
+    let state = daemon.clone();
+    let handle = move |request| admin::handle(state.clone(), request);
+    actix_rt::spawn(server::serve(operators, HEAD_TIME, Drain::new(), handle));
+    info!(daemon.log, ""; "event" => "listening", "role" => ?daemon.settings.daemon.role,
+        "callers" => addresses.callers.map(|at| at.to_string()),
+        "peers" => %addresses.peers, "operators" => %addresses.operators);
+    Ok(Running { addresses, daemon, servers })
+}
+
+fn assemble(settings: Rc<Settings>, log: Logger) -> Rc<Daemon> {
+    let tuning = &settings.tuning;
+    let clients = Clients::new(tuning.connect_timeout);
+    let table = Table::new(clients.clone(), settings.platform.table, tuning.platform_timeout);
+    let objects = Objects::new(clients.clone(), settings.platform.objects, Span::from_secs(30));
+    let metrics = Rc::new(Metrics::new());
+    let drain = Drain::new();
+    let fleet = Rc::new(Fleet::new(table, objects, metrics.clone(), log.clone()));
+    let role = match settings.daemon.role {
+        Role::Entry => RoleState::Entry(Rc::new(Entry::new(
+            settings.clone(),
+            fleet.clone(),
+            clients,
+            metrics.clone(),
+            drain.clone(),
+            log.clone(),
+        ))),
+        Role::Upstream => RoleState::Upstream(Rc::new(Upstream::new(
+            settings.clone(),
+            fleet.clone(),
+            clients,
+            metrics.clone(),
+            drain.clone(),
+            log.clone(),
+        ))),
+    };
+    let mut incarnation = [0; 8];
+    getrandom::fill(&mut incarnation).expect("the system's random source works");
+    let incarnation = u64::from_le_bytes(incarnation);
+    let joined = RefCell::new(false);
+    Rc::new(Daemon { settings, incarnation, fleet, metrics, drain, role, log, joined })
+}
+
+/// Enters this daemon into the configuration, again and again until it is in.
+async fn join(daemon: Rc<Daemon>, address: String) {
+    let change = admin::join(&daemon, address);
+    loop {
+        if daemon.fleet.refresh().await.is_ok() {
+            let patch = Patch {
+                id: entry::new_request(),
+                against: daemon.fleet.config().number,
+                author: daemon.settings.daemon.host.to_string(),
+                changes: vec![change.clone()],
+            };
+            match daemon.fleet.patch(&patch).await {
+                PatchOutcome::Taken(number) => {
+                    *daemon.joined.borrow_mut() = true;
+                    info!(daemon.log, ""; "event" => "joined", "number" => number.0);
+                    return;
+                }
+                PatchOutcome::Refused(PatchError::Stale { .. }) => continue,
+                other => warn!(daemon.log, ""; "event" => "join_failed", "outcome" => ?other),
+            }
+        }
+        tokio::time::sleep(JOIN_PAUSE).await;
+    }
+}
+
+impl Running {
+    /// Stops as planned: readiness fails first, running requests finish, then
+    /// this ends. Requests that still run after the operator's limit are cut.
+    pub async fn stop(self) {
+        let tuning = &self.daemon.settings.tuning;
+        let log = &self.daemon.log;
+        info!(log, ""; "event" => "stopping", "connections" => self.daemon.drain.open());
+        self.daemon.drain.advance(Phase::Leaving);
+        tokio::time::sleep(tuning.drain_delay.into()).await;
+        self.daemon.drain.advance(Phase::Closing);
+        let servers = async {
+            for server in self.servers {
+                let _ = server.await;
+            }
+        };
+        let whole = match tuning.drain_limit {
+            Span::ZERO => {
+                servers.await;
+                true
+            }
+            limit => tokio::time::timeout(limit.into(), servers).await.is_ok(),
+        };
+        let cut = self.daemon.drain.open();
+        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/upstream/call.rs
@@ -0,0 +1,78 @@
+//! Calls to plain services.
+
+use std::rc::Rc;
+
+use kingcupbay_core::{
+    config::model::Upstream as Row,
+    wire::{
+        error::{Code, Failure, Ran},
+        run::{Run, RunEvent, Work},
+    },
+};
+
+use super::{Upstream, run::check};
+
+/// Longest answer of a service.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Runs a call and tells how it ended.
+pub(super) async fn run(upstream: Rc<Upstream>, run: Run) -> RunEvent {
+    match attempt(upstream, run).await {
+        Ok(event) => event,
+        Err(failure) => RunEvent::Failed(failure),
+    }
+}
+
+async fn attempt(upstream: Rc<Upstream>, run: Run) -> Result<RunEvent, Failure> {
+    let row = check(&upstream, &run).await?;
+    let left = run.left;
+    let Work::Call { route, path, idempotency, body } = run.work else {
+        unreachable!("the order was matched")
+    };
+    let config = upstream.fleet.config();
+    let known = config.routes.get(route).filter(|known| known.organisation == run.organisation);
+    let Some(known) = known else {
+        return Err(Failure::not_run(Code::NotFound, "the route does not exist any more"));
+    };
+    if known.once {
+        return Err(Failure::not_run(Code::StoreDown, "once-only calls are not served yet"));
+    }
+    let sent = send(&upstream, &row, &path, idempotency.as_deref(), body);
+    match tokio::time::timeout(left.into(), sent).await {
+        Ok(result) => result,
+        Err(_) => {
+            let message = "the service did not answer in time";
+            Err(Failure { ran: Ran::Unknown, ..Failure::not_run(Code::Deadline, message) })
+        }
+    }
+}
+
+async fn send(
+    upstream: &Upstream,
+    row: &Row,
+    path: &str,
+    idempotency: Option<&str>,
+    body: Vec<u8>,
+) -> Result<RunEvent, Failure> {
+    let url = format!("http://{}/call/{path}", row.address);
+    let mut request = upstream.clients.get(&row.address).post(url);
+    if let Some(key) = idempotency {
+        request = request.insert_header(("idempotency-key", key));
+    }
+    let sent = request.insert_header(("content-type", "application/json")).send_body(body).await;
+    let mut response = sent.map_err(|error| failed(&error))?;
+    let status = response.status().as_u16();
+    let body = response.body().limit(ANSWER_LIMIT).await.map_err(|error| Failure {
+        ran: Ran::Ran,
+        ..Failure::not_run(Code::UpstreamFailed, error.to_string())
+    })?;
+    Ok(RunEvent::Called { status, body: body.to_vec(), replayed: false })
+}
+
+fn failed(error: &awc::error::SendRequestError) -> Failure {
+    let ran = match error {
+        awc::error::SendRequestError::Connect(_) => Ran::NotRun,
+        _ => Ran::Unknown,
+    };
+    Failure { ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
+}
--- /dev/null
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -0,0 +1,94 @@
+//! The upstream daemon: in the slot beside one upstream host.
+//!
+//! It alone speaks to the engines and plain services there, so each engine
+//! has one orderer and each adapter slot one owner. [`run`] answers orders of
+//! entries, [`runner`] keeps one engine's queue and slots, [`engine`] and
+//! [`call`] speak to engines and services.
+
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write as _, rc::Rc};
+
+use actix_http::{Request, Response, body::BoxBody};
+use kingcupbay_core::{
+    config::model::Upstream as Row,
+    id::{Name, UpstreamId},
+    wire::error::{Code, Failure},
+};
+use slog::Logger;
+
+use crate::{
+    config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics, server::drain::Drain,
+};
+
+mod call;
+mod engine;
+mod run;
+mod runner;
+
+use runner::Runner;
+
+/// State of an upstream daemon.
+pub(crate) struct Upstream {
+    settings: Rc<Settings>,
+    fleet: Rc<Fleet>,
+    clients: Clients,
+    metrics: Rc<Metrics>,
+    drain: Drain,
+    log: Logger,
+    runners: RefCell<BTreeMap<UpstreamId, Rc<Runner>>>,
+}
+
+impl Upstream {
+    /// An upstream daemon that has run nothing.
+    pub(crate) fn new(
+        settings: Rc<Settings>,
+        fleet: Rc<Fleet>,
+        clients: Clients,
+        metrics: Rc<Metrics>,
+        drain: Drain,
+        log: Logger,
+    ) -> Upstream {
+        let runners = RefCell::default();
+        Upstream { settings, fleet, clients, metrics, drain, log, runners }
+    }
+
+    /// The row of an upstream that this daemon owns.
+    fn own(&self, id: UpstreamId) -> Result<Row, Failure> {
+        let config = self.fleet.config();
+        match config.upstreams.get(id) {
+            Some(row) if self.owns(&row.host) && !row.leaving => Ok(row.clone()),
+            // Also where an entry missed the news that it leaves or moved.
+            _ => Err(Failure::not_run(Code::NoUpstream, "this upstream takes no new work here")),
+        }
+    }
+
+    fn owns(&self, host: &Name) -> bool {
+        *host == self.settings.daemon.host
+    }
+
+    fn runner(self: &Rc<Upstream>, id: UpstreamId, row: &Row) -> Rc<Runner> {
+        let mut runners = self.runners.borrow_mut();
+        let known = runners.get(&id).filter(|runner| runner.address() == row.address);
+        if let Some(runner) = known {
+            return runner.clone();
+        }
+        let runner = Rc::new(Runner::new(self.clone(), row.address.clone()));
+        runners.insert(id, runner.clone());
+        runner
+    }
+
+    /// One line for each upstream.
+    pub(crate) fn dump(&self) -> String {
+        let mut out = String::new();
+        let config = self.fleet.config();
+        for (id, runner) in self.runners.borrow().iter() {
+            let name = config.upstreams.get(*id).map_or("removed", |row| row.name.as_str());
+            let _ = writeln!(out, "upstream={name} {}", runner.dump());
+        }
+        out
+    }
+}
+
+/// `POST /run`.
+pub(crate) async fn handle(upstream: Rc<Upstream>, request: Request) -> Response<BoxBody> {
+    run::answer(upstream, request).await
+}
