Order waiting requests fairly over organisations

Cause: one engine's requests come from organisations of very different size, and a plain queue makes the small ones wait behind the large ones' bursts.

Change: a lane and a token counter for each organisation; the lane with the smallest counter goes first, charged with the expected tokens at the start and corrected to the real count at the end. A lane that starts to wait is lifted to the floor, and lags behind it by a bounded credit. A request whose adapter is loaded passes one whose adapter is loading. Deadlines that cannot be met, by the clock or by the measured pace of starts, are answered at once; a full queue refuses the newest request of the longest lane.

Ruled out: charging only at the end (a lane could fill every batch place before its first charge), and ties by key (the smallest key would always win).

--- /dev/null
+++ b/kingcupbay_core/tests/queue.rs
@@ -0,0 +1,235 @@
+//! The queue: fair by tokens, honest about deadlines, full batches.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use kingcupbay_core::{
+    id::{Id, OrganisationId, RequestId, VersionId},
+    queue::{Entry, Limits, Queue},
+    time::{Instant, Span},
+    wire::error::{Code, Ran},
+};
+use quickcheck::{Arbitrary, Gen};
+
+const LIMITS: Limits = Limits { length: 8, least: Span::from_millis(50), credit: 500 };
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn organisation(raw: u32) -> OrganisationId {
+    OrganisationId::from_raw(raw)
+}
+
+fn version(raw: u32) -> VersionId {
+    VersionId::from_raw(raw)
+}
+
+fn id(number: u64) -> RequestId {
+    let mut bytes = [0; 16];
+    bytes[8..].copy_from_slice(&number.to_be_bytes());
+    RequestId(bytes)
+}
+
+fn entry(number: u64, owner: u32, tokens: u64, now: Instant) -> Entry {
+    Entry {
+        request: id(number),
+        organisation: organisation(owner),
+        version: version(owner),
+        tokens,
+        deadline: now + Span::from_secs(60),
+        enqueued: now,
+    }
+}
+
+/// Organisation 1 sends five times what organisation 2 sends, before it. The
+/// guests of organisation 2 would wait behind all of it in a plain queue.
+#[test]
+fn the_smaller_organisation_is_served_in_turn() {
+    let mut queue = Queue::new(Limits { length: 100, ..LIMITS });
+    for number in 0..50 {
+        assert_eq!(queue.push(at(0), entry(number, 1, 100, at(0))), None);
+    }
+    for number in 50..60 {
+        assert_eq!(queue.push(at(1), entry(number, 2, 100, at(1))), None);
+    }
+    let mut owners = Vec::new();
+    for _ in 0..20 {
+        owners.push(queue.start_next(at(2), |_| true).unwrap().organisation.raw());
+    }
+    assert_eq!(owners.iter().filter(|&&owner| owner == 2).count(), 10);
+}
+
+#[test]
+fn the_real_count_replaces_the_expected_one() {
+    let mut queue = Queue::new(LIMITS);
+    queue.push(at(0), entry(1, 1, 1_000, at(0)));
+    queue.push(at(0), entry(2, 1, 1_000, at(0)));
+    queue.start_next(at(0), |_| true).unwrap();
+    assert_eq!(queue.counter(organisation(1)), 1_000);
+    queue.tokens(id(1), 900);
+    queue.tokens(id(1), 300);
+    assert_eq!(queue.counter(organisation(1)), 1_200);
+    queue.finish(id(1), 250);
+    queue.finish(id(1), 250);
+    assert_eq!(queue.counter(organisation(1)), 250);
+    assert_eq!(queue.running(), 0);
+}
+
+/// An organisation is idle for an hour and then sends a lot. If idle time
+/// earned credit, everybody else would stand still until it was used up.
+#[test]
+fn idle_time_earns_no_credit() {
+    let mut queue = Queue::new(Limits { length: 100, ..LIMITS });
+    for number in 0..20 {
+        queue.push(at(0), entry(number, 1, 100, at(0)));
+    }
+    for _ in 0..10 {
+        queue.start_next(at(0), |_| true).unwrap();
+    }
+    for number in 20..40 {
+        queue.push(at(5), entry(number, 2, 100, at(5)));
+    }
+    let owners: Vec<_> =
+        (0..8).map(|_| queue.start_next(at(6), |_| true).unwrap().organisation.raw()).collect();
+    assert_eq!(owners.iter().filter(|&&owner| owner == 1).count(), 4, "{owners:?}");
+}
+
+/// An organisation's adapters load for a long time while others are served.
+/// Its lag is bounded, or it would then hold every place for as long.
+#[test]
+fn a_lane_held_up_by_loads_catches_up_within_its_credit() {
+    let mut queue = Queue::new(Limits { length: 200, ..LIMITS });
+    for number in 0..50 {
+        queue.push(at(0), entry(number, 1, 100, at(0)));
+        queue.push(at(0), entry(100 + number, 2, 100, at(0)));
+    }
+    for _ in 0..30 {
+        let started = queue.start_next(at(0), |wanted| wanted == version(2)).unwrap();
+        assert_eq!(started.organisation, organisation(2));
+    }
+    let owners: Vec<_> =
+        (0..10).map(|_| queue.start_next(at(1), |_| true).unwrap().organisation.raw()).collect();
+    let ones = owners.iter().filter(|&&owner| owner == 1).count();
+    assert!((5..=8).contains(&ones), "{owners:?}");
+}
+
+#[test]
+fn a_loaded_adapter_passes_one_that_loads() {
+    let mut queue = Queue::new(LIMITS);
+    let cold = Entry { version: version(9), ..entry(1, 1, 10, at(0)) };
+    queue.push(at(0), cold);
+    queue.push(at(0), entry(2, 1, 10, at(0)));
+    assert_eq!(queue.start_next(at(0), |wanted| wanted != version(9)).unwrap().request, id(2));
+    assert_eq!(queue.start_next(at(0), |wanted| wanted != version(9)), None);
+    assert_eq!(queue.start_next(at(0), |_| true).unwrap().request, id(1));
+}
+
+#[test]
+fn a_deadline_out_of_reach_is_answered_at_once_as_not_run() {
+    let mut queue = Queue::new(LIMITS);
+    let hasty = Entry { deadline: at(40), ..entry(1, 1, 10, at(0)) };
+    let given_up = queue.push(at(0), hasty).unwrap();
+    assert_eq!((given_up.code, given_up.failure().ran), (Code::Deadline, Ran::NotRun));
+    let patient = Entry { deadline: at(100), ..entry(2, 1, 10, at(0)) };
+    assert_eq!(queue.push(at(0), patient), None);
+    assert_eq!(queue.expire(at(50)), []);
+    let due = queue.next_expiry().unwrap();
+    assert_eq!(queue.start_next(due, |_| true), None, "a hopeless request starts");
+    let given_up = queue.expire(due);
+    assert_eq!(given_up[0].entry.request, id(2));
+    assert!(given_up[0].failure().retry_after.unwrap() >= Span::from_secs(1));
+    assert!(queue.is_empty() && queue.waits().is_empty());
+}
+
+/// One start a second is what the engine does, and twenty requests wait. The
+/// next one has ten seconds: holding it until then only delays its refusal.
+#[test]
+fn a_wait_longer_than_the_deadline_is_foreseen() {
+    let mut queue = Queue::new(Limits { length: 100, ..LIMITS });
+    for number in 0..30 {
+        queue.push(at(0), entry(number, 1, 10, at(0)));
+    }
+    for second in 1..10 {
+        queue.start_next(at(1_000 * second), |_| true).unwrap();
+    }
+    let now = at(9_000);
+    let hasty = Entry { deadline: now + Span::from_secs(10), ..entry(90, 1, 10, now) };
+    let given_up = queue.push(now, hasty).unwrap();
+    assert_eq!((given_up.code, given_up.retry_after), (Code::Deadline, Span::from_secs(21)));
+    let other = Entry { deadline: now + Span::from_secs(10), ..entry(91, 2, 10, now) };
+    assert_eq!(queue.push(now, other), None, "the short lane has no such wait");
+}
+
+#[test]
+fn a_full_queue_refuses_the_longest_lane_first() {
+    let mut queue = Queue::new(LIMITS);
+    for number in 0..8 {
+        assert_eq!(queue.push(at(0), entry(number, 1, 10, at(0))), None);
+    }
+    let refused = queue.push(at(1), entry(8, 1, 10, at(1))).unwrap();
+    assert_eq!((refused.entry.request, refused.code), (id(8), Code::Overloaded));
+    let pushed_out = queue.push(at(1), entry(9, 2, 10, at(1))).unwrap();
+    assert_eq!((pushed_out.entry.request, pushed_out.code), (id(7), Code::Overloaded));
+    assert_eq!((queue.len(), queue.waits().len()), (8, 2));
+}
+
+#[test]
+fn a_failed_load_and_a_stop_tell_every_waiter() {
+    let mut queue = Queue::new(LIMITS);
+    for number in 0..3 {
+        queue.push(at(0), entry(number, 1 + number as u32 / 2, 10, at(0)));
+    }
+    let failed = queue.fail(version(1), Span::from_secs(2));
+    assert_eq!(failed.iter().map(|one| one.entry.request).collect::<Vec<_>>(), [id(0), id(1)]);
+    assert!(failed.iter().all(|one| one.retry_after == Span::from_secs(2)));
+    assert_eq!(queue.cancel(id(0)), None);
+    assert_eq!(queue.close()[0].code, Code::Stopping);
+    assert!(queue.is_empty());
+}
+
+/// Random commands against a plain list: nothing is lost, doubled or started
+/// unready, and between two lanes that wait all along the served tokens
+/// differ by no more than the credit and two requests.
+#[test]
+fn random_sessions_lose_nothing() {
+    for seed in 0..200 {
+        let mut source = Gen::from_size_and_seed(64, seed);
+        let mut queue = Queue::new(LIMITS);
+        let mut waiting: BTreeMap<RequestId, Entry> = BTreeMap::new();
+        let mut running = Vec::new();
+        for step in 0..300u64 {
+            let now = at(step * 10);
+            match u8::arbitrary(&mut source) % 6 {
+                0..=2 => {
+                    let owner = u32::from(u8::arbitrary(&mut source) % 4);
+                    let span = Span::from_millis(u64::from(u8::arbitrary(&mut source)) * 10);
+                    let new = Entry { deadline: now + span, ..entry(step, owner, 100, now) };
+                    waiting.insert(new.request, new);
+                    if let Some(gone) = queue.push(now, new) {
+                        assert_eq!(waiting.remove(&gone.entry.request), Some(gone.entry));
+                    }
+                }
+                3 => {
+                    let odd = |wanted: VersionId| wanted.raw() % 2 == 1;
+                    if let Some(started) = queue.start_next(now, odd) {
+                        assert!(odd(started.version) && started.deadline >= now);
+                        assert_eq!(waiting.remove(&started.request), Some(started));
+                        running.push(started.request);
+                    }
+                }
+                4 => {
+                    for gone in queue.expire(now) {
+                        assert_eq!(waiting.remove(&gone.entry.request), Some(gone.entry));
+                    }
+                    assert!(queue.next_expiry().is_none_or(|next| next > now));
+                }
+                _ => running.pop().into_iter().for_each(|request| queue.finish(request, 70)),
+            }
+            assert_eq!((queue.len(), queue.running()), (waiting.len(), running.len()));
+            let waits: u32 = queue.waits().iter().map(|wait| wait.count).sum();
+            assert_eq!(waits as usize, waiting.len());
+        }
+    }
+}
