--- /dev/null
+++ b/kingcupbay_core/src/route/group.rs
@@ -0,0 +1,25 @@
+//! Upstreams that serve the same, and the rendezvous choice among them.
+
+use super::{copies::Copies, holders::Place};
+use crate::id::{Id, UpstreamId, VersionId};
+
+/// The upstreams of one base model or of one service.
+#[derive(Debug, Default)]
+pub(super) struct Group {
+    pub(super) places: Vec<Place>,
+    pub(super) copies: Copies,
+}
+
+/// Mixes the bits of `value` so that each depends on all (the finaliser of
+/// SplitMix64).
+pub(super) const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Rank of `upstream` for `version`, the same on every entry.
+pub(super) fn rank(version: VersionId, upstream: UpstreamId) -> u64 {
+    let pair = (u64::from(version.raw()) << 32) | u64::from(upstream.raw());
+    mix(pair.wrapping_add(0x9e37_79b9_7f4a_7c15))
+}
