Run the core's queue, slots and router in the daemon

Cause: the daemon's place-holders loaded adapters one by one, never evicted, and chose upstreams blindly. Ruled out: one task per waiting request that polls the slots; a request is told through a channel of its own when the core has decided. Change: a runner per engine drives Queue and Slots, asks the engine for its report, and orders under a fencing number from the table; the entry routes by Router and retries within RetryBudget. Conclusion: pins, eviction and fairness are decided in one place.

--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -234,6 +234,14 @@
         Some(format!("{}@{}", adapter.name, version.label))
     }
 
+    /// The version that engines know as `adapter@version`.
+    pub fn version_of(&self, model: &str) -> Option<VersionId> {
+        let (adapter, label) = model.split_once('@')?;
+        let id = *self.adapter_names.get(&adapter.parse::<Name>().ok()?)?;
+        let row = self.adapters.get(id)?;
+        row.versions.get(&label.parse::<Name>().ok()?).copied()
+    }
+
     /// The route named `name` if `organisation` may use it.
     pub fn route(&self, organisation: OrganisationId, name: &str) -> Option<(RouteId, &Route)> {
         let id = *self.route_names.get(&name.parse::<Name>().ok()?)?;
--- a/kingcupbay_core/src/slot/table.rs
+++ b/kingcupbay_core/src/slot/table.rs
@@ -261,6 +261,11 @@
         self.count(|state| matches!(state, State::Loading(_))) as u32
     }
 
+    /// The number under which this daemon orders.
+    pub fn fencing(&self) -> u64 {
+        self.fencing
+    }
+
     /// Whether another daemon owns the engine.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/kingcupbay_core/src/wire/run.rs
+++ b/kingcupbay_core/src/wire/run.rs
@@ -72,6 +72,20 @@
     Chat(Vec<Message>),
 }
 
+/// Bytes of text that count as one token before the engine has counted.
+const TOKEN_BYTES: u64 = 4;
+
+impl Prompt {
+    /// Tokens of the prompt, as far as they can be told without the engine.
+    pub fn tokens(&self) -> u64 {
+        let bytes: usize = match self {
+            Prompt::Text(text) => text.len(),
+            Prompt::Chat(messages) => messages.iter().map(|message| message.content.len()).sum(),
+        };
+        (bytes as u64).div_ceil(TOKEN_BYTES)
+    }
+}
+
 /// One frame of the answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
--- a/kingcupbayd/src/config/tuning.rs
+++ b/kingcupbayd/src/config/tuning.rs
@@ -26,6 +26,9 @@
     pub batch: u32,
     /// Requests that wait for one upstream before more are refused.
     pub queue: u32,
+    /// Loads that a daemon has in flight on one engine. The weight store
+    /// serves eight at a time at full speed, over all engines together.
+    pub loads: u32,
     /// How long readiness fails before a stopping daemon refuses requests.
     pub drain_delay: Span,
     /// Longest drain; zero waits for the last request however long it takes.
@@ -45,6 +48,7 @@
             attempts: reader.number(section, "attempts", 1..=10, 3),
             batch: reader.number(section, "batch", 1..=4_096, 256),
             queue: reader.number(section, "queue", 1..=65_536, 1_024),
+            loads: reader.number(section, "loads", 1..=64, 1),
             drain_delay: reader.millis(section, "drain_delay_ms", 0..=600_000, 2_000),
             drain_limit: reader.millis(section, "drain_limit_ms", 0..=86_400_000, 0),
         }
--- a/kingcupbayd/src/entry/answer.rs
+++ b/kingcupbayd/src/entry/answer.rs
@@ -13,7 +13,7 @@
     wire::{
         engine::Usage,
         error::{Code, Failure},
-        run::{Prompt, Work},
+        run::Work,
     },
 };
 use serde::Serialize;
@@ -30,9 +30,6 @@
     share::Reservation,
 };
 
-/// Bytes of text that count as one token before the engine has counted.
-const TOKEN_BYTES: u64 = 4;
-
 /// Ends a stream of events whose answer is whole.
 const DONE: &str = "data: [DONE]\n\n";
 
@@ -80,7 +77,7 @@
     })?;
     let model = config.model(version).expect("a resolved version exists");
     let max_tokens = ask.max_tokens.unwrap_or(callers.max_tokens);
-    let prompt_tokens = estimate(&ask.prompt);
+    let prompt_tokens = ask.prompt.tokens();
     let tokens = prompt_tokens + u64::from(max_tokens);
     let reservation = entry.shares.reserve(caller.organisation, tokens).await?;
     let id = new_request();
@@ -110,14 +107,6 @@
     RequestId(id)
 }
 
-fn estimate(prompt: &Prompt) -> u64 {
-    let bytes: usize = match prompt {
-        Prompt::Text(text) => text.len(),
-        Prompt::Chat(messages) => messages.iter().map(|message| message.content.len()).sum(),
-    };
-    (bytes as u64).div_ceil(TOKEN_BYTES)
-}
-
 fn wall_seconds() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
 }
--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -12,6 +12,7 @@
 use futures_util::{Stream, StreamExt, TryStreamExt};
 use kingcupbay_core::{
     id::{Name, RequestId, UpstreamId, VersionId},
+    route::{InFlight, Progress, Work as Kind},
     time::{Instant, Span},
     wire::{
         engine::Usage,
@@ -25,7 +26,7 @@
     io::StreamReader,
 };
 
-use super::{Entry, admission::Caller, route::InFlight};
+use super::{Entry, admission::Caller};
 use crate::clock;
 
 /// When to come back if every upstream refused: a load report takes about as
@@ -111,7 +112,7 @@
 struct Attempt {
     frames: Frames,
     address: String,
-    _running: InFlight,
+    _running: Option<InFlight>,
 }
 
 /// A request on its way.
@@ -205,6 +206,9 @@
             let failure = Failure::not_run(Code::NoUpstream, "no upstream can take the request");
             return Err(failure.after(BUSY_RETRY));
         };
+        if self.attempts == 0 {
+            self.entry.routes.first_attempt();
+        }
         self.attempts += 1;
         self.tried.push(upstream);
         let config = self.entry.fleet.config();
@@ -315,8 +319,13 @@
                 | Code::NoStanding
                 | Code::UpstreamFailed
         );
-        let repeatable = failure.ran == Ran::NotRun || !self.once();
-        if elsewhere && repeatable && self.more() {
+        if failure.code == Code::LoadFailed
+            && let (Target::Model(version), Some(&upstream)) = (&self.job.target, self.tried.last())
+        {
+            self.entry.routes.on_load_failed(upstream, *version);
+        }
+        let not_run = failure.ran == Ran::NotRun;
+        if elsewhere && self.may_retry(not_run) {
             self.count_retry(failure.code.as_str());
             return Ok(());
         }
@@ -328,7 +337,10 @@
     fn broken(&mut self, broken: Broken, address: &str) -> Result<(), Failure> {
         self.attempt = None;
         self.entry.clients.forget(address);
-        if broken != Broken::Unreachable {
+        let not_run = broken == Broken::Unreachable;
+        if not_run {
+            self.tried.last().inspect(|&&upstream| self.entry.routes.on_unreachable(upstream));
+        } else {
             self.reached = true;
             if self.once() {
                 return Err(Failure {
@@ -340,7 +352,7 @@
                 });
             }
         }
-        if !self.more() {
+        if !self.may_retry(not_run) {
             let message = format!("the upstream's daemon is {broken}");
             let failure = Failure::not_run(Code::UpstreamFailed, message);
             return Err(failure.after(BUSY_RETRY));
@@ -353,8 +365,22 @@
         matches!(self.job.target, Target::Service { once: true, .. })
     }
 
-    fn more(&self) -> bool {
-        self.attempts < self.entry.settings.tuning.attempts
+    /// Whether another attempt may follow one that failed.
+    fn may_retry(&self, not_run: bool) -> bool {
+        let kind = match &self.job.target {
+            Target::Model(_) => Kind::Generate,
+            Target::Service { once: false, .. } => Kind::Call,
+            // Nothing was claimed yet where nothing was run.
+            Target::Service { once: true, .. } if not_run => Kind::Call,
+            Target::Service { once: true, .. } => Kind::Once,
+        };
+        let progress = match (self.offset, not_run) {
+            (0, true) => Progress::NotRun,
+            (0, false) => Progress::Sent,
+            (offset, _) => Progress::Streaming { offset },
+        };
+        let left = self.attempts < self.entry.settings.tuning.attempts;
+        left && self.entry.routes.may_retry(kind, progress)
     }
 
     fn count_retry(&self, reason: &str) {
--- a/kingcupbayd/src/entry/route.rs
+++ b/kingcupbayd/src/entry/route.rs
@@ -1,97 +1,123 @@
-//! Which upstream takes a request, and how many run on each.
+//! Which upstream takes a request: the core's router, kept up to date.
 
-use std::{cell::RefCell, collections::BTreeMap, fmt::Write as _, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt::Write as _,
+    rc::Rc,
+};
 
 use kingcupbay_core::{
-    config::model::{Config, Serves, Upstream},
-    id::{Id, Name, UpstreamId, VersionId},
+    id::{Name, Number, UpstreamId, VersionId},
+    route::{InFlight, Limits, Progress, Retry, RetryBudget, Router, Work},
+    time::{Instant, Span},
 };
 
-use crate::fleet::Fleet;
+use crate::{clock, fleet::Fleet};
 
-/// Running requests of this entry by upstream.
-type Running = Rc<RefCell<BTreeMap<UpstreamId, u32>>>;
+/// How long an upstream whose daemon could not be reached gets no request.
+/// Short, because the daemon of a restarted host is soon back.
+const UNREACHABLE: Span = Span::from_secs(1);
 
 /// The entry's view of all upstreams.
 pub(crate) struct Routes {
     fleet: Rc<Fleet>,
-    running: Running,
-}
-
-/// A request on an upstream; its drop ends it.
-pub(crate) struct InFlight {
-    upstream: UpstreamId,
-    running: Running,
+    router: RefCell<Router>,
+    budget: RefCell<RetryBudget>,
+    /// The configuration that the router knows.
+    number: Cell<Number>,
+    /// Upstreams taken for unreachable, and since when.
+    down: RefCell<BTreeMap<UpstreamId, Instant>>,
 }
 
 impl Routes {
     /// Routes under the configuration of `fleet`.
     pub(crate) fn new(fleet: Rc<Fleet>) -> Routes {
-        Routes { fleet, running: Running::default() }
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed).expect("the system's random source works");
+        Routes {
+            fleet,
+            router: RefCell::new(Router::new(Limits::default(), u64::from_le_bytes(seed))),
+            budget: RefCell::default(),
+            number: Cell::default(),
+            down: RefCell::default(),
+        }
     }
 
     /// An upstream for a version, other than those `tried`.
     pub(crate) fn model(&self, version: VersionId, tried: &[UpstreamId]) -> Option<UpstreamId> {
+        let now = self.refresh();
         let config = self.fleet.config();
-        let adapter = config.adapters.get(config.versions.get(version)?.adapter)?;
-        let base = &adapter.base;
-        let serves =
-            |row: &Upstream| matches!(&row.serves, Serves::Model { base: b, .. } if b == base);
-        self.choose(&config, u64::from(version.raw()), tried, serves)
+        let base = &config.adapters.get(config.versions.get(version)?.adapter)?.base;
+        self.router.borrow_mut().choose(now, version, base, tried)
     }
 
     /// An upstream for a plain service, other than those `tried`.
     pub(crate) fn service(&self, name: &Name, tried: &[UpstreamId]) -> Option<UpstreamId> {
-        let config = self.fleet.config();
-        let serves =
-            |row: &Upstream| matches!(&row.serves, Serves::Service { service } if service == name);
-        self.choose(&config, 0, tried, serves)
+        self.refresh();
+        self.router.borrow_mut().choose_service(name, tried)
     }
 
-    fn choose(
-        &self,
-        config: &Config,
-        seed: u64,
-        tried: &[UpstreamId],
-        serves: impl Fn(&Upstream) -> bool,
-    ) -> Option<UpstreamId> {
-        let open = config.upstreams.iter().filter(|(id, row)| {
-            !row.leaving && !tried.contains(id) && serves(row) && config.member(&row.host).is_some()
+    fn refresh(&self) -> Instant {
+        let now = clock::now();
+        let config = self.fleet.config();
+        let mut router = self.router.borrow_mut();
+        if self.number.replace(config.number) != config.number {
+            router.on_config(&config);
+        }
+        self.down.borrow_mut().retain(|&upstream, &mut since| {
+            let over = now.since(since) >= UNREACHABLE;
+            if over {
+                router.set_reachable(upstream, true);
+            }
+            !over
         });
-        open.max_by_key(|(id, _)| weight(seed, u64::from(id.raw()))).map(|(id, _)| id)
+        now
     }
 
     /// Counts a request on `upstream` until the guard is dropped.
-    pub(crate) fn begin(&self, upstream: UpstreamId) -> InFlight {
-        *self.running.borrow_mut().entry(upstream).or_default() += 1;
-        InFlight { upstream, running: self.running.clone() }
+    pub(crate) fn begin(&self, upstream: UpstreamId) -> Option<InFlight> {
+        self.router.borrow().begin(upstream)
+    }
+
+    /// Notes that the daemon of `upstream` could not be reached.
+    pub(crate) fn on_unreachable(&self, upstream: UpstreamId) {
+        self.router.borrow_mut().set_reachable(upstream, false);
+        self.down.borrow_mut().insert(upstream, clock::now());
+    }
+
+    /// Notes that `upstream` could not load `version`.
+    pub(crate) fn on_load_failed(&self, upstream: UpstreamId, version: VersionId) {
+        self.router.borrow_mut().on_load_failed(upstream, version);
+    }
+
+    /// Notes the first attempt of a request.
+    pub(crate) fn first_attempt(&self) {
+        self.budget.borrow_mut().first();
+    }
+
+    /// Whether another attempt may follow a failed one.
+    pub(crate) fn may_retry(&self, work: Work, progress: Progress) -> bool {
+        let retry = self.budget.borrow_mut().retry(work, progress);
+        matches!(retry, Retry::Again | Retry::Resume { .. })
     }
 
     /// One line for each upstream.
     pub(crate) fn dump(&self) -> String {
         let config = self.fleet.config();
-        let running = self.running.borrow();
+        let router = self.router.borrow();
+        let down = self.down.borrow();
         let mut out = String::new();
         for (id, row) in config.upstreams.iter() {
-            let count = running.get(&id).copied().unwrap_or(0);
-            let _ = writeln!(out, "upstream={} leaving={} running={count}", row.name, row.leaving);
+            let _ = writeln!(
+                out,
+                "upstream={} leaving={} reachable={} in_flight={}",
+                row.name,
+                row.leaving,
+                !down.contains_key(&id),
+                router.in_flight(id),
+            );
         }
         out
     }
 }
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(count) = self.running.borrow_mut().get_mut(&self.upstream) {
-            *count -= 1;
-        }
-    }
-}
-
-/// Rendezvous weight: the same at every entry.
-fn weight(seed: u64, id: u64) -> u64 {
-    let mut x = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ id.wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x ^= x >> 31;
-    x = x.wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 29)
-}
--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 };
 
 /// Age of the last good read after which this daemon starts nothing new.
-const FRESHNESS: Span = Span::from_secs(3);
+pub(crate) const FRESHNESS: Span = Span::from_secs(3);
 
 /// Most patches read in one step.
 const DELTAS: usize = 256;
@@ -273,10 +273,10 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> T {
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> T {
     serde_json::from_str(&row.value).expect("only this project writes its rows")
 }
 
-fn encode<T: serde::Serialize>(value: &T) -> String {
+pub(crate) fn encode<T: serde::Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("rows serialise")
 }
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) tokens: IntCounter,
     /// Requests that waited on an adapter cold start.
     pub(crate) load_stalls: IntCounter,
+    /// Time that such requests waited.
+    pub(crate) stall_wait: Histogram,
     /// Adapter loads by outcome.
     pub(crate) loads: IntCounterVec,
     /// Streams running now.
@@ -76,6 +78,11 @@
                 "kingcupbay_load_stalls_total",
                 "Requests that waited on an adapter cold start",
             ),
+            stall_wait: histogram(
+                "kingcupbay_stall_wait_seconds",
+                "Wait of stalled requests",
+                LATENCY,
+            ),
             loads: counters("kingcupbay_loads_total", "Adapter loads by outcome", &["outcome"]),
             streams: gauge("kingcupbay_streams", "Streams running now"),
             config_number: gauge("kingcupbay_config_number", "Configuration in use"),
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -56,6 +56,9 @@
     let daemon = assemble(settings.clone(), log);
     actix_rt::spawn(fleet::keep_fresh(daemon.fleet.clone(), settings.clone()));
     actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
+    if let RoleState::Upstream(upstream) = &daemon.role {
+        actix_rt::spawn(upstream.clone().keep_runners());
+    }
     let mut servers = Vec::new();
     if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
         let entry = entry.clone();
@@ -83,7 +86,7 @@
     let objects = Objects::new(clients.clone(), settings.platform.objects, Span::from_secs(30));
     let metrics = Rc::new(Metrics::new());
     let drain = Drain::new();
-    let fleet = Rc::new(Fleet::new(table, objects, metrics.clone(), log.clone()));
+    let fleet = Rc::new(Fleet::new(table.clone(), objects, metrics.clone(), log.clone()));
     let role = match settings.daemon.role {
         Role::Entry => RoleState::Entry(Rc::new(Entry::new(
             settings.clone(),
@@ -96,6 +99,7 @@
         Role::Upstream => RoleState::Upstream(Rc::new(Upstream::new(
             settings.clone(),
             fleet.clone(),
+            table,
             clients,
             metrics.clone(),
             drain.clone(),
--- a/kingcupbayd/src/upstream/engine.rs
+++ b/kingcupbayd/src/upstream/engine.rs
@@ -6,10 +6,11 @@
 use kingcupbay_core::{
     id::RequestId,
     wire::{
-        engine::{Cancel, Chunk, Generate, LoadAdapter},
+        engine::{Cancel, Chunk, Generate, LoadAdapter, LoadReport, UnloadAdapter},
         run::Prompt,
     },
 };
+use serde::Serialize;
 use thiserror::Error;
 use tokio_util::{
     codec::{FramedRead, LinesCodec},
@@ -103,7 +104,25 @@
     address: &str,
     order: &LoadAdapter,
 ) -> Result<(), EngineError> {
-    let url = format!("http://{address}/v1/load_lora_adapter");
+    command(clients, address, "v1/load_lora_adapter", order).await
+}
+
+/// Orders an unload.
+pub(crate) async fn unload(
+    clients: &Clients,
+    address: &str,
+    order: &UnloadAdapter,
+) -> Result<(), EngineError> {
+    command(clients, address, "v1/unload_lora_adapter", order).await
+}
+
+async fn command<T: Serialize>(
+    clients: &Clients,
+    address: &str,
+    path: &str,
+    order: &T,
+) -> Result<(), EngineError> {
+    let url = format!("http://{address}/{path}");
     let sent = clients.get(address).post(url).send_json(order).await;
     let mut response = sent.map_err(send_error)?;
     // The body is read to its end so that the connection can serve again.
@@ -114,14 +133,17 @@
     }
 }
 
+/// Asks for the engine's report.
+pub(crate) async fn report(clients: &Clients, address: &str) -> Result<LoadReport, EngineError> {
+    let url = format!("http://{address}/load");
+    let mut response = clients.get(address).get(url).send().await.map_err(send_error)?;
+    response.json().await.map_err(|error| EngineError::Broken(error.to_string()))
+}
+
 /// Cancels a stream. Nothing depends on the answer: closing the stream's
 /// connection cancels it too, unless that connection went silent.
 pub(crate) async fn cancel(clients: Clients, address: String, request: RequestId) {
-    let url = format!("http://{address}/v1/cancel");
-    let order = Cancel { request_id: request };
-    if let Ok(mut response) = clients.get(&address).post(url).send_json(&order).await {
-        let _ = response.body().await;
-    }
+    let _ = command(&clients, &address, "v1/cancel", &Cancel { request_id: request }).await;
 }
 
 /// The order for a prompt.
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -9,18 +9,20 @@
 
 use actix_http::{Request, Response, body::BoxBody};
 use kingcupbay_core::{
-    config::model::Upstream as Row,
+    config::model::{Serves, Upstream as Row},
     id::{Name, UpstreamId},
     wire::error::{Code, Failure},
 };
 use slog::Logger;
 
 use crate::{
-    config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics, server::drain::Drain,
+    config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics,
+    platform::table::Table, server::drain::Drain,
 };
 
 mod call;
 mod engine;
+mod fence;
 mod run;
 mod runner;
 
@@ -30,6 +32,7 @@
 pub(crate) struct Upstream {
     settings: Rc<Settings>,
     fleet: Rc<Fleet>,
+    table: Table,
     clients: Clients,
     metrics: Rc<Metrics>,
     drain: Drain,
@@ -42,13 +45,14 @@
     pub(crate) fn new(
         settings: Rc<Settings>,
         fleet: Rc<Fleet>,
+        table: Table,
         clients: Clients,
         metrics: Rc<Metrics>,
         drain: Drain,
         log: Logger,
     ) -> Upstream {
         let runners = RefCell::default();
-        Upstream { settings, fleet, clients, metrics, drain, log, runners }
+        Upstream { settings, fleet, table, clients, metrics, drain, log, runners }
     }
 
     /// The row of an upstream that this daemon owns.
@@ -67,15 +71,29 @@
 
     fn runner(self: &Rc<Upstream>, id: UpstreamId, row: &Row) -> Rc<Runner> {
         let mut runners = self.runners.borrow_mut();
-        let known = runners.get(&id).filter(|runner| runner.address() == row.address);
-        if let Some(runner) = known {
+        if let Some(runner) = runners.get(&id).filter(|runner| runner.row() == row) {
             return runner.clone();
         }
-        let runner = Rc::new(Runner::new(self.clone(), row.address.clone()));
+        let runner = Runner::start(self.clone(), row.clone());
         runners.insert(id, runner.clone());
         runner
     }
 
+    /// Starts the runners of the engines that the configuration gives to this
+    /// host, before the first request for one comes.
+    pub(crate) async fn keep_runners(self: Rc<Upstream>) {
+        loop {
+            let config = self.fleet.config();
+            for (id, row) in config.upstreams.iter() {
+                if self.owns(&row.host) && matches!(row.serves, Serves::Model { .. }) {
+                    self.runner(id, row);
+                }
+            }
+            self.runners.borrow_mut().retain(|id, _| config.upstreams.get(*id).is_some());
+            tokio::time::sleep(self.settings.tuning.read_period.into()).await;
+        }
+    }
+
     /// One line for each upstream.
     pub(crate) fn dump(&self) -> String {
         let mut out = String::new();
--- a/kingcupbayd/src/upstream/run.rs
+++ b/kingcupbayd/src/upstream/run.rs
@@ -8,6 +8,7 @@
 use kingcupbay_core::{
     config::model::Upstream as Row,
     id::{OrganisationId, RequestId},
+    queue::Entry,
     time::{Instant, Span},
     wire::{
         engine::Chunk,
@@ -80,7 +81,7 @@
     /// Waits for the engine to take the order.
     Starting(Place, LocalBoxFuture<'static, Result<Generation, EngineError>>),
     /// The engine generates; the place is held for as long.
-    Generating { _place: Place, generation: Generation },
+    Generating { place: Place, generation: Generation },
     /// A plain service is called.
     Calling(LocalBoxFuture<'static, RunEvent>),
     /// Nothing follows.
@@ -164,12 +165,21 @@
                 let result = place.await;
                 self.on_place(result)
             }
-            Phases::Starting(_, started) => {
-                let result = started.await;
+            Phases::Starting(place, started) => {
+                let result = tokio::select! {
+                    result = started => result,
+                    () = place.lost() => Err(restarted()),
+                };
                 self.on_start(result)
             }
-            Phases::Generating { generation, .. } => {
-                let result = generation.next().await;
+            Phases::Generating { place, generation } => {
+                let result = tokio::select! {
+                    result = generation.next() => result,
+                    () = place.lost() => Err(restarted()),
+                };
+                if matches!(result, Ok(Some(_))) {
+                    place.on_tokens(1);
+                }
                 self.on_chunk(result)
             }
             Phases::Calling(called) => {
@@ -197,11 +207,14 @@
     fn on_start(&mut self, result: Result<Generation, EngineError>) -> Option<RunEvent> {
         match (std::mem::replace(&mut self.phase, Phases::Over), result) {
             (Phases::Starting(place, _), Ok(generation)) => {
-                self.phase = Phases::Generating { _place: place, generation };
+                self.phase = Phases::Generating { place, generation };
                 None
             }
             (_, Ok(_)) => unreachable!("only a starting order starts"),
-            (_, Err(error)) => {
+            (phase, Err(error)) => {
+                if let Phases::Starting(place, _) = phase {
+                    place.runner().ask();
+                }
                 let ran = match error {
                     EngineError::Unreached(_) | EngineError::Refused(_) => Ran::NotRun,
                     EngineError::Broken(_) => Ran::Unknown,
@@ -275,6 +288,10 @@
     }
 }
 
+fn restarted() -> EngineError {
+    EngineError::Broken("it restarted".to_owned())
+}
+
 fn upstream_failed(ran: Ran, error: &EngineError) -> Failure {
     Failure { ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
 }
@@ -287,21 +304,22 @@
         unreachable!("the order was matched")
     };
     let config = upstream.fleet.config();
-    let known = config.versions.get(version).and_then(|known| {
-        let adapter = config.adapters.get(known.adapter)?;
-        (adapter.organisation == run.organisation).then_some(known)
-    });
-    let Some(known) = known else {
+    let adapter = config.versions.get(version).and_then(|row| config.adapters.get(row.adapter));
+    if adapter.is_none_or(|adapter| adapter.organisation != run.organisation) {
         return Err(Failure::not_run(Code::NotFound, "the version does not exist any more"));
-    };
+    }
     let model = config.model(version).expect("a known version has an adapter");
-    let source = known.source.clone();
-    let runner = upstream.runner(run.upstream, &row);
-    let place = runner.place(version, model.clone(), source);
-    let place = match tokio::time::timeout(run.left.into(), place).await {
-        Ok(place) => place?,
-        Err(_) => return Err(Failure::not_run(Code::Deadline, "the deadline has passed")),
+    let now = clock::now();
+    let entry = Entry {
+        request: run.request,
+        organisation: run.organisation,
+        version,
+        tokens: prompt.tokens() + u64::from(max_tokens.saturating_sub(offset)),
+        deadline: now + run.left,
+        enqueued: now,
     };
+    let place = upstream.runner(run.upstream, &row).place(entry).await?;
+    place.on_tokens(prompt.tokens());
     let generate = engine::order(run.request, model, prompt);
     let generate =
         kingcupbay_core::wire::engine::Generate { max_tokens, offset, sampling, ..generate };
