Add the stand-ins for platform, engines and plain services

The daemon needs something to speak to before its shells can be tried.

Each stand-in is a handle over one small HTTP server: actix-http's HttpService, driven from an accept loop on the current actix-rt thread, over a socket wrapper that can record, freeze or reset.

--- /dev/null
+++ b/kingcupbay_standin/src/engine/mod.rs
@@ -0,0 +1,253 @@
+//! A model engine without a model.
+//!
+//! Orders arrive as `kingcupbay_core::wire::engine` has them. [`state`]
+//! decides about slots, batch and queue; [`load`] takes weights from the
+//! store into a slot; [`stream`] generates; [`report`] tells of it, late and
+//! with gaps when asked to; [`record`] remembers it all for tests.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use actix_http::{Method, StatusCode, body::BodyStream};
+use futures_util::FutureExt;
+use kingcupbay_core::wire::engine::{Cancel, Event, Generate, LoadReport, UnloadAdapter};
+use serde::{Deserialize, Serialize};
+
+use self::{
+    record::{EngineRecord, Outcome},
+    state::{Refused, State},
+    stream::{Generation, Limit},
+};
+use crate::{
+    fault::{Book, Fault},
+    server::{
+        Behaviour, Server,
+        call::{self, Answer, Call},
+    },
+};
+
+mod load;
+pub(crate) mod record;
+mod report;
+mod state;
+mod stream;
+pub(crate) mod text;
+
+/// How an engine behaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Adapter slots.
+    pub slots: u32,
+    /// Streams generated at the same time; the rest wait by priority.
+    pub batch: u32,
+    /// Name of the base model, which needs no slot.
+    pub base: String,
+    /// Time from a stream's place in the batch to its first token.
+    pub first: Duration,
+    /// Time between tokens.
+    pub gap: Duration,
+    /// Most tokens of any answer; a longer order ends with `stop`.
+    pub length: u32,
+    /// Weight store to load from.
+    pub weights: Option<SocketAddr>,
+    /// Time of a load without a weight store.
+    pub load: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub fenced: bool,
+    /// First incarnation; from the host's clock when absent.
+    pub incarnation: Option<u64>,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            slots: 8,
+            batch: 256,
+            base: "base".to_owned(),
+            first: Duration::from_millis(20),
+            gap: Duration::from_millis(15),
+            length: u32::MAX,
+            weights: None,
+            load: Duration::from_millis(250),
+            fenced: false,
+            incarnation: None,
+        }
+    }
+}
+
+/// JSON body of a 409 that refuses an old fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fenced {
+    /// The newest number the engine has seen.
+    pub fencing: u64,
+}
+
+/// A running engine.
+pub struct Engine {
+    server: Server,
+    shared: Rc<Shared>,
+}
+
+pub(crate) struct Shared {
+    state: Rc<RefCell<State>>,
+    faults: Rc<RefCell<Book>>,
+    client: awc::Client,
+}
+
+impl Engine {
+    /// Starts an empty engine on `address`, on the current thread.
+    pub fn start(address: SocketAddr, settings: Settings) -> io::Result<Engine> {
+        let incarnation = settings.incarnation.unwrap_or_else(incarnation);
+        let shared = Rc::new(Shared {
+            state: Rc::new(RefCell::new(State::new(settings, incarnation))),
+            faults: Rc::default(),
+            // A load takes as long as the weight store makes it take.
+            client: awc::Client::builder().disable_timeout().finish(),
+        });
+        let server = Server::start(address, behaviour(&shared))?;
+        Ok(Engine { server, shared })
+    }
+
+    /// The server under it.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// The server under it, to open its control address.
+    pub fn server_mut(&mut self) -> &mut Server {
+        &mut self.server
+    }
+
+    /// What it recorded.
+    pub fn record(&self) -> EngineRecord {
+        self.shared.state.borrow().record().clone()
+    }
+
+    /// Its load as it is now, without lag.
+    pub fn load(&self) -> LoadReport {
+        self.shared.state.borrow().current()
+    }
+
+    /// All events of this incarnation that are not lost, without lag.
+    pub fn events(&self) -> Vec<Event> {
+        self.shared.state.borrow().events(Duration::ZERO, 0).events
+    }
+
+    /// Changes the pace of tokens, also of running streams.
+    pub fn set_pace(&self, first: Duration, gap: Duration) {
+        let mut state = self.shared.state.borrow_mut();
+        state.settings.first = first;
+        state.settings.gap = gap;
+    }
+}
+
+/// Differs after every restart of the process.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |since| since.as_micros() as u64)
+}
+
+impl Shared {
+    fn loses_event(&self) -> bool {
+        let loses = |fault| (fault == Fault::LoseEvents).then_some(());
+        !self.faults.borrow_mut().hit("", loses).is_empty()
+    }
+
+    fn lag(&self, path: &str, pick: impl Fn(Fault) -> Option<u64>) -> Duration {
+        let millis = self.faults.borrow_mut().hit(path, pick).into_iter().max();
+        Duration::from_millis(millis.unwrap_or(0))
+    }
+}
+
+fn behaviour(shared: &Rc<Shared>) -> Behaviour {
+    let handler = Rc::clone(shared);
+    let restarted = Rc::clone(shared);
+    Behaviour {
+        faults: Rc::clone(&shared.faults),
+        answer: Rc::new(move |call| {
+            let shared = Rc::clone(&handler);
+            async move { answer(&shared, &call).await.unwrap_or_else(|refusal| refusal) }
+                .boxed_local()
+        }),
+        restart: Rc::new(move || restarted.state.borrow_mut().restart()),
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, call: &Call) -> Result<Answer, Answer> {
+    match (&call.method, call.path.as_str()) {
+        (&Method::POST, "/v1/completions" | "/v1/chat/completions") => generate(shared, call),
+        (&Method::POST, "/v1/load_lora_adapter") => Ok(load::load(shared, call.json()?).await),
+        (&Method::POST, "/v1/unload_lora_adapter") => unload(shared, &call.json()?),
+        (&Method::POST, "/v1/cancel") => {
+            let order: Cancel = call.json()?;
+            shared.state.borrow_mut().end_request(order.request_id, Outcome::Cancelled);
+            Ok(call::empty(StatusCode::OK))
+        }
+        (&Method::GET, "/load") => Ok(report(shared, call)),
+        (&Method::GET, "/events") => events(shared, call),
+        (&Method::GET, "/state") => Ok(call::json(shared.state.borrow().record())),
+        _ => Err(call::unknown()),
+    }
+}
+
+fn generate(shared: &Shared, call: &Call) -> Result<Answer, Answer> {
+    let order: Generate = call.json()?;
+    let chat = call.path == "/v1/chat/completions";
+    let shape = if chat { order.messages.is_some() } else { order.prompt.is_some() };
+    if !shape || !order.stream {
+        return Err(call::text(StatusCode::BAD_REQUEST, "prompt or messages, and stream=true"));
+    }
+    let accepted = shared.state.borrow_mut().accept(&order);
+    let accepted = accepted.map_err(|refused| refusal(&refused))?;
+    let limits = shared.faults.borrow_mut().hit(&call.path, |fault| match fault {
+        Fault::StallStreams { tokens } => Some(Limit::Stall(tokens)),
+        Fault::CutStreams { tokens } => Some(Limit::Cut(tokens)),
+        _ => None,
+    });
+    let limit = limits.first().copied();
+    let generation = Generation::new(&shared.state, accepted, order, limit);
+    Ok(call::events(BodyStream::new(generation.events())))
+}
+
+fn unload(shared: &Shared, order: &UnloadAdapter) -> Result<Answer, Answer> {
+    let mut state = shared.state.borrow_mut();
+    match state.unload(&order.lora_name, order.fencing, || shared.loses_event()) {
+        Ok(()) => Ok(call::empty(StatusCode::OK)),
+        Err(refused) => Err(refusal(&refused)),
+    }
+}
+
+fn report(shared: &Shared, call: &Call) -> Answer {
+    let lag = shared.lag(&call.path, |fault| match fault {
+        Fault::LagReports { millis } => Some(millis),
+        _ => None,
+    });
+    let state = shared.state.borrow();
+    call::json(&state.reports().load(tokio::time::Instant::now(), lag))
+}
+
+fn events(shared: &Shared, call: &Call) -> Result<Answer, Answer> {
+    let lag = shared.lag(&call.path, |fault| match fault {
+        Fault::LagEvents { millis } => Some(millis),
+        _ => None,
+    });
+    let after = call.query.strip_prefix("after=").unwrap_or("0");
+    let after = after.parse().map_err(|err| call::text(StatusCode::BAD_REQUEST, &err))?;
+    Ok(call::json(&shared.state.borrow().events(lag, after)))
+}
+
+fn refusal(refused: &Refused) -> Answer {
+    match *refused {
+        Refused::Fenced { newest } => {
+            call::status_json(StatusCode::CONFLICT, &Fenced { fencing: newest })
+        }
+        Refused::SlotsFull => call::text(StatusCode::INSUFFICIENT_STORAGE, "no slot is free"),
+        Refused::InUse => call::text(StatusCode::CONFLICT, "in use"),
+        Refused::UnknownModel => call::text(StatusCode::NOT_FOUND, "model not loaded"),
+    }
+}
--- /dev/null
+++ b/kingcupbay_standin/src/engine/stream.rs
@@ -0,0 +1,194 @@
+//! One generation as a stream of server-sent events.
+
+use std::{cell::RefCell, future::pending, rc::Rc};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use kingcupbay_core::wire::engine::{Choice, Chunk, Generate, Usage};
+use thiserror::Error;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
+
+use super::{
+    record::Outcome,
+    state::{Phase, State, StreamKey},
+    text::{prompt_tokens, token_text},
+};
+
+/// End of a stream of events.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// Ends the connection without completing the answer.
+#[derive(Debug, Error)]
+#[error("the stream was cut")]
+pub(crate) struct Cut;
+
+/// A fault that ends a stream early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Limit {
+    /// Nothing more after this many tokens.
+    Stall(u32),
+    /// The connection ends after this many tokens.
+    Cut(u32),
+}
+
+/// A running generation. Dropping it ends the stream in the engine, which
+/// frees its place in the batch and its use of the adapter.
+pub(crate) struct Generation {
+    state: Rc<RefCell<State>>,
+    key: StreamKey,
+    phase: watch::Receiver<Phase>,
+    order: Generate,
+    limit: Option<Limit>,
+    /// When the next token is due; `None` until the batch takes the stream.
+    due: Option<Instant>,
+    /// Position of the next token.
+    next: u32,
+    done: bool,
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        self.state.borrow_mut().end(self.key, Outcome::Dropped);
+    }
+}
+
+impl Generation {
+    pub(crate) fn new(
+        state: &Rc<RefCell<State>>,
+        (key, phase): (StreamKey, watch::Receiver<Phase>),
+        order: Generate,
+        limit: Option<Limit>,
+    ) -> Generation {
+        let next = order.offset;
+        let state = Rc::clone(state);
+        Generation { state, key, phase, order, limit, due: None, next, done: false }
+    }
+
+    /// The events; an `Err` ends the connection.
+    pub(crate) fn events(self) -> impl Stream<Item = Result<Bytes, Cut>> {
+        futures_util::stream::unfold(self, |mut generation| async move {
+            let item = generation.next().await?;
+            Some((item, generation))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        if self.done {
+            return None;
+        }
+        match self.wait().await {
+            Phase::Ended(Outcome::Cancelled) => {
+                self.done = true;
+                return None;
+            }
+            Phase::Ended(_) => return Some(Err(Cut)),
+            Phase::Waiting | Phase::Running => {}
+        }
+        if self.next >= self.end() {
+            return Some(Ok(self.finish()));
+        }
+        Some(Ok(self.token()))
+    }
+
+    /// Waits until the next event is due or the stream has ended.
+    async fn wait(&mut self) -> Phase {
+        let phase = self.phase.wait_for(|&phase| phase != Phase::Waiting).await;
+        let phase = phase.map_or(Phase::Ended(Outcome::Cut), |phase| *phase);
+        if phase != Phase::Running {
+            return phase;
+        }
+        let due = self.due();
+        let limit = self.limit.filter(|limit| limit.is_reached(self.next - self.order.offset));
+        let mut ended = self.phase.clone();
+        tokio::select! {
+            biased;
+            ended = ended.wait_for(|&phase| phase != Phase::Running) => {
+                ended.map_or(Phase::Ended(Outcome::Cut), |phase| *phase)
+            }
+            phase = self.go_on(due, limit) => phase,
+        }
+    }
+
+    async fn go_on(&self, due: Instant, limit: Option<Limit>) -> Phase {
+        match limit {
+            Some(Limit::Stall(_)) => pending().await,
+            Some(Limit::Cut(_)) => {
+                // Lets the connection write what it has before it ends.
+                actix_rt::task::yield_now().await;
+                self.state.borrow_mut().end(self.key, Outcome::Cut);
+                Phase::Ended(Outcome::Cut)
+            }
+            None if due > Instant::now() => {
+                sleep_until(due).await;
+                Phase::Running
+            }
+            None => Phase::Running,
+        }
+    }
+
+    /// When the next event is due. Tokens keep their pace from the first one
+    /// on, so a late wake-up delays one token and not all that follow.
+    fn due(&mut self) -> Instant {
+        let first = self.state.borrow().settings.first;
+        *self.due.get_or_insert_with(|| Instant::now() + first)
+    }
+
+    /// Position after the last token.
+    fn end(&self) -> u32 {
+        let length = self.state.borrow().settings.length;
+        self.order.max_tokens.min(length)
+    }
+
+    fn token(&mut self) -> Bytes {
+        let offset = self.next;
+        self.next += 1;
+        let gap = self.state.borrow().settings.gap;
+        self.due = self.due.map(|due| if self.next < self.end() { due + gap } else { due });
+        self.state.borrow_mut().generated(self.key);
+        let text = token_text(&self.order.model, self.order.request_id, offset);
+        event(&self.chunk(text, offset, None, None)).into()
+    }
+
+    fn finish(&mut self) -> Bytes {
+        self.done = true;
+        self.state.borrow_mut().end(self.key, Outcome::Finished);
+        let end = self.end().max(self.order.offset);
+        let reason = if end >= self.order.max_tokens { "length" } else { "stop" };
+        let prompt = prompt_tokens(&self.order);
+        let usage =
+            Usage { prompt_tokens: prompt, completion_tokens: end, total_tokens: prompt + end };
+        let last = self.chunk(String::new(), end, Some(reason), Some(usage));
+        (event(&last) + DONE).into()
+    }
+
+    fn chunk(
+        &self,
+        text: String,
+        offset: u32,
+        reason: Option<&str>,
+        usage: Option<Usage>,
+    ) -> Chunk {
+        let choice = Choice { index: 0, text, offset, finish_reason: reason.map(str::to_owned) };
+        Chunk {
+            id: self.order.request_id,
+            model: self.order.model.clone(),
+            choices: vec![choice],
+            usage,
+        }
+    }
+}
+
+impl Limit {
+    fn is_reached(self, sent: u32) -> bool {
+        let (Limit::Stall(tokens) | Limit::Cut(tokens)) = self;
+        sent >= tokens
+    }
+}
+
+fn event(chunk: &Chunk) -> String {
+    let json = serde_json::to_string(chunk).expect("a chunk has string keys");
+    format!("data: {json}\n\n")
+}
--- /dev/null
+++ b/kingcupbay_standin/src/objects.rs
@@ -0,0 +1,114 @@
+//! The platform's object store: `PUT /objects/KEY`, `GET /objects/KEY`, and
+//! `GET /state` for an [`ObjectsRecord`].
+
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc};
+
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use kingcupbay_core::wire::object::PATH;
+use serde::{Deserialize, Serialize};
+
+use crate::server::{
+    Behaviour, Handler, Server,
+    call::{self, Answer, Call},
+};
+
+/// What the object store counted since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectsRecord {
+    /// Objects written.
+    pub puts: u64,
+    /// Reads, also of missing objects.
+    pub gets: u64,
+}
+
+/// A running object store.
+pub struct Objects {
+    server: Server,
+    state: Rc<RefCell<State>>,
+}
+
+/// The objects and counts.
+#[derive(Default)]
+pub(crate) struct State {
+    objects: BTreeMap<String, Bytes>,
+    record: ObjectsRecord,
+}
+
+impl Objects {
+    /// Starts an empty store on `address`, on the current thread.
+    pub fn start(address: SocketAddr) -> io::Result<Objects> {
+        let state = Rc::default();
+        let server = Server::start(address, Behaviour::new(handler(&state)))?;
+        Ok(Objects { server, state })
+    }
+
+    /// The server under it.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// The server under it, to open its control address.
+    pub fn server_mut(&mut self) -> &mut Server {
+        &mut self.server
+    }
+
+    /// What it counted.
+    pub fn record(&self) -> ObjectsRecord {
+        self.state.borrow().record
+    }
+
+    /// One object.
+    pub fn get(&self, key: &str) -> Option<Bytes> {
+        self.state.borrow().objects.get(key).cloned()
+    }
+
+    /// The keys of all objects, in order.
+    pub fn keys(&self) -> Vec<String> {
+        self.state.borrow().objects.keys().cloned().collect()
+    }
+}
+
+impl State {
+    pub(crate) fn record(&self) -> ObjectsRecord {
+        self.record
+    }
+
+    fn put(&mut self, key: &str, body: Bytes) {
+        self.record.puts += 1;
+        self.objects.insert(key.to_owned(), body);
+    }
+
+    fn get(&mut self, key: &str) -> Option<Bytes> {
+        self.record.gets += 1;
+        self.objects.get(key).cloned()
+    }
+}
+
+fn handler(state: &Rc<RefCell<State>>) -> Handler {
+    let state = Rc::clone(state);
+    Rc::new(move |call| {
+        let answer = match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/state") => call::json(&state.borrow().record()),
+            _ => answer(&state, &call).unwrap_or_else(call::unknown),
+        };
+        async { answer }.boxed_local()
+    })
+}
+
+/// The answer to a request for the store, `None` when it is not for it.
+pub(crate) fn answer(state: &RefCell<State>, call: &Call) -> Option<Answer> {
+    let key = call.path.strip_prefix(PATH).filter(|key| !key.is_empty())?;
+    match call.method {
+        Method::PUT => {
+            state.borrow_mut().put(key, call.body.clone());
+            Some(call::empty(StatusCode::OK))
+        }
+        Method::GET => match state.borrow_mut().get(key) {
+            Some(body) => Some(call::bytes(body)),
+            None => Some(call::text(StatusCode::NOT_FOUND, "no such object")),
+        },
+        _ => None,
+    }
+}
--- /dev/null
+++ b/kingcupbay_standin/src/service.rs
@@ -0,0 +1,102 @@
+//! A plain service: `POST /call/PATH` executes, `GET /executions` counts.
+//!
+//! It does not deduplicate: a call repeated with the same idempotency key
+//! executes again, and the counts show it.
+
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc};
+
+use actix_http::Method;
+use futures_util::FutureExt;
+use serde::{Deserialize, Serialize};
+
+use crate::server::{
+    Behaviour, Handler, Server,
+    call::{self, Call},
+};
+
+/// Path prefix of every call.
+pub const CALL: &str = "/call/";
+
+/// Header that carries the caller's idempotency key.
+pub const IDEMPOTENCY: &str = "idempotency-key";
+
+/// Executions counted since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Executions {
+    /// All of them.
+    pub total: u64,
+    /// By idempotency key; calls without one are only in `total`.
+    pub keys: BTreeMap<String, u64>,
+}
+
+/// The JSON answer to a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Executed {
+    /// Path below [`CALL`].
+    pub path: String,
+    /// Number of this execution, from 1.
+    pub execution: u64,
+    /// The call's idempotency key.
+    pub key: Option<String>,
+    /// The call's body; bytes that are not UTF-8 are replaced.
+    pub body: String,
+}
+
+/// A running plain service.
+pub struct PlainService {
+    server: Server,
+    state: Rc<RefCell<Executions>>,
+}
+
+impl PlainService {
+    /// Starts a service on `address`, on the current thread.
+    pub fn start(address: SocketAddr) -> io::Result<PlainService> {
+        let state = Rc::default();
+        let server = Server::start(address, Behaviour::new(handler(&state)))?;
+        Ok(PlainService { server, state })
+    }
+
+    /// The server under it.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// The server under it, to open its control address.
+    pub fn server_mut(&mut self) -> &mut Server {
+        &mut self.server
+    }
+
+    /// What it executed.
+    pub fn executions(&self) -> Executions {
+        self.state.borrow().clone()
+    }
+}
+
+fn handler(state: &Rc<RefCell<Executions>>) -> Handler {
+    let state = Rc::clone(state);
+    Rc::new(move |call| {
+        let answer = match (&call.method, call.path.strip_prefix(CALL)) {
+            (&Method::POST, Some(path)) => {
+                call::json(&execute(&mut state.borrow_mut(), path, &call))
+            }
+            (&Method::GET, _) if call.path == "/executions" => call::json(&*state.borrow()),
+            _ => call::unknown(),
+        };
+        async { answer }.boxed_local()
+    })
+}
+
+fn execute(counts: &mut Executions, path: &str, call: &Call) -> Executed {
+    let key = call.headers.get(IDEMPOTENCY);
+    let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned());
+    counts.total += 1;
+    if let Some(key) = &key {
+        *counts.keys.entry(key.clone()).or_default() += 1;
+    }
+    Executed {
+        path: path.to_owned(),
+        execution: counts.total,
+        key,
+        body: String::from_utf8_lossy(&call.body).into_owned(),
+    }
+}
