--- a/kingcupbay_core/src/wire/run.rs
+++ b/kingcupbay_core/src/wire/run.rs
@@ -3,6 +3,8 @@
 //! `POST /run` carries a [`Run`]; the body of the answer is a sequence of
 //! length-delimited MessagePack [`Frame`]s.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -45,6 +47,8 @@
         max_tokens: u32,
         /// Tokens already delivered to the caller.
         offset: u32,
+        /// Sampling fields of the caller, passed on to the engine.
+        sampling: BTreeMap<String, serde_json::Value>,
     },
     /// Call a plain service.
     Call {
@@ -68,6 +72,20 @@
     Chat(Vec<Message>),
 }
 
+/// Bytes of text that count as one token before the engine has counted.
+const TOKEN_BYTES: u64 = 4;
+
+impl Prompt {
+    /// Tokens of the prompt, as far as they can be told without the engine.
+    pub fn tokens(&self) -> u64 {
+        let bytes: usize = match self {
+            Prompt::Text(text) => text.len(),
+            Prompt::Chat(messages) => messages.iter().map(|message| message.content.len()).sum(),
+        };
+        (bytes as u64).div_ceil(TOKEN_BYTES)
+    }
+}
+
 /// One frame of the answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
