--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -129,6 +129,10 @@
         }
         for row in &rows.rows {
             let patch: Patch = decode(row);
+            // Another read may have brought this one in the meantime.
+            if patch.against < self.config.borrow().number {
+                continue;
+            }
             let next = self.config.borrow().patched(&patch);
             self.adopt(next.expect("the writer checked the patch against the same rows"));
         }
--- a/kingcupbayd/src/upstream/runner/mod.rs
+++ b/kingcupbayd/src/upstream/runner/mod.rs
@@ -226,17 +226,6 @@
         }
     }
 
-    /// What entries are told about this engine.
-    pub(crate) fn report(&self, seq: u64) -> kingcupbay_core::route::Report {
-        let state = self.state.borrow();
-        kingcupbay_core::route::Report {
-            loaded: state.slots.as_ref().map(Slots::loaded_versions).unwrap_or_default(),
-            running: state.queue.running() as u32,
-            waiting: state.queue.len() as u32,
-            seq,
-        }
-    }
-
     /// The engine's state in key=value pairs.
     pub(crate) fn dump(&self) -> String {
         let state = self.state.borrow();
