Test bad input of callers on the running path

Cause: nothing showed what a malformed, hostile or leaving caller meets. Ruled out: unit tests of the parsers alone; the bounds on heads and bodies live in the connection's handling. Change: seven tests against separate processes. Conclusion: refusals say not_run, name the field, and tell nothing apart.

--- /dev/null
+++ b/kingcupbayd/tests/input.rs
@@ -0,0 +1,191 @@
+//! Bad input of callers: a clear refusal, nothing run, nothing leaked.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+};
+
+use common::{Fleet, SECRET, apply, ask, client, completion, control, finish, get, knows, name};
+use kingcupbay_core::config::{change::Change, model::KeyHash};
+use kingcupbay_standin::{EngineRecord, Outcome};
+use serde_json::{Value, json};
+
+async fn small() -> Fleet {
+    Fleet::start(1, 1, &["--first", "1", "--gap", "0"], "").await
+}
+
+fn others() -> Vec<Change> {
+    vec![
+        Change::SetOrganisation { name: name("tours"), rate: 1_000, burst: 1_000 },
+        Change::IssueKey {
+            label: name("bus"),
+            organisation: name("tours"),
+            hash: KeyHash::of("kcb_bus"),
+        },
+        Change::SetAdapter {
+            name: name("route"),
+            organisation: name("tours"),
+            base: name("base"),
+            default: None,
+        },
+    ]
+}
+
+/// An attacker must not learn from an answer which keys or adapters exist: an
+/// unknown key and a withdrawn one, an unknown adapter and somebody else's,
+/// are answered alike to the byte.
+#[actix_rt::test]
+async fn what_exists_is_not_told_apart() {
+    let mut fleet = small().await;
+    fleet.apply(&others()).await;
+    let entry = &fleet.entries[0];
+    let with_key = |key: &str| {
+        let url = format!("http://{}/v1/completions", entry.address("callers"));
+        client().post(url).insert_header(("x-deadline-ms", "5000")).bearer_auth(key)
+    };
+    let body = completion("tasting@v1", 4);
+    let unknown = finish(with_key("kcb_never"), &body).await;
+    let number = apply(entry, &[Change::WithdrawKey { label: name("bus") }]).await;
+    knows(entry, number).await;
+    let withdrawn = finish(with_key("kcb_bus"), &body).await;
+    assert_eq!((unknown.status, unknown.code().as_str()), (401, "bad_key"));
+    assert_eq!((withdrawn.status, withdrawn.body), (401, unknown.body));
+
+    let nobodys = finish(ask(entry, "/v1/completions"), &completion("royte", 4)).await;
+    let others = finish(ask(entry, "/v1/completions"), &completion("route", 4)).await;
+    assert_eq!((nobodys.status, nobodys.code().as_str()), (404, "not_found"));
+    assert_eq!(others.body, nobodys.body.replace("royte", "route"));
+    let version = finish(ask(entry, "/v1/completions"), &completion("tasting@v9", 4)).await;
+    assert_eq!((version.status, version.ran().as_str()), (404, "not_run"));
+}
+
+#[actix_rt::test]
+async fn malformed_requests_name_what_is_wrong() {
+    let fleet = small().await;
+    let entry = &fleet.entries[0];
+    let path = "/v1/completions";
+    let refused = async |body: Value, field: &str| {
+        let answer = finish(ask(entry, path), &body).await;
+        assert_eq!((answer.status, answer.ran().as_str()), (400, "not_run"), "{body}");
+        assert!(answer.body.contains(field), "{}", answer.body);
+    };
+    refused(json!({"prompt": "x"}), "model").await;
+    refused(json!({"model": "tasting"}), "prompt").await;
+    refused(json!({"model": "tasting", "prompt": "x", "max_tokens": 0}), "max_tokens").await;
+    refused(json!({"model": "tasting", "prompt": "x", "n": 2}), "field n").await;
+    refused(json!({"model": "tasting", "prompt": "x", "logprobs": 3}), "logprobs").await;
+
+    let no_deadline = client().post(format!("http://{}{path}", entry.address("callers")));
+    let answer = finish(no_deadline.bearer_auth(SECRET), &completion("tasting", 4)).await;
+    assert_eq!(answer.status, 400);
+    assert!(answer.body.contains("x-deadline-ms"));
+
+    let long = json!({"model": "tasting", "prompt": "x".repeat(2 << 20)});
+    let answer = finish(ask(entry, path), &long).await;
+    assert_eq!((answer.status, answer.code().as_str()), (413, "too_large"));
+}
+
+/// What a raw connection answers to `text`, which it sends and then leaves
+/// open.
+fn raw(fleet: &Fleet, text: &[u8]) -> String {
+    let mut stream = TcpStream::connect(fleet.entries[0].address("callers")).unwrap();
+    stream.write_all(text).unwrap();
+    let mut answer = Vec::new();
+    // An endless header is cut off by a reset, which ends the read too.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A caller's network breaks off in mid-body and the connection stays open.
+/// Without a bound each such caller would hold memory for ever.
+#[actix_rt::test]
+async fn a_body_that_stalls_is_answered_and_closed() {
+    let fleet = small().await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {SECRET}\r\n\
+         x-deadline-ms: 9000\r\ncontent-length: 100\r\n\r\n{{\"model\""
+    );
+    let answer = raw(&fleet, head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("\"code\":\"body_timeout\",\"ran\":\"not_run\""), "{answer}");
+}
+
+/// Thousands of headers, or one without end, must end the connection, not
+/// the daemon; the next caller is served.
+#[actix_rt::test]
+async fn header_bombs_end_only_their_connection() {
+    let fleet = small().await;
+    let mut many = b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n".to_vec();
+    for at in 0..5_000 {
+        many.extend_from_slice(format!("x-{at}: y\r\n").as_bytes());
+    }
+    many.extend_from_slice(b"\r\n");
+    let answer = raw(&fleet, &many);
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    let mut endless = b"POST /v1/completions HTTP/1.1\r\nx-long: ".to_vec();
+    endless.extend(std::iter::repeat_n(b'y', 1 << 20));
+    let answer = raw(&fleet, &endless);
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    let answer = finish(ask(&fleet.entries[0], "/v1/completions"), &completion("tasting", 2)).await;
+    assert_eq!(answer.status, 200);
+}
+
+/// A guest closes the page while the assistant still talks. The engine's
+/// stream must end too, or it would go on generating for nobody, and the
+/// operators must see the answer that did not arrive whole.
+#[actix_rt::test]
+async fn a_caller_that_leaves_midway_cancels_the_engines_stream() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "20"], "").await;
+    let entry = &fleet.entries[0];
+    let body = completion("tasting@v1", 5_000);
+    let response = ask(entry, "/v1/completions").send_json(&body).await.unwrap();
+    assert_eq!(response.status(), 200);
+    drop(response);
+    let engine = control(&fleet.engines[0]);
+    common::until("the cancelled stream", async || {
+        let record: EngineRecord = engine.get("/state").await.unwrap();
+        let ended = record.count(Outcome::Cancelled) + record.count(Outcome::Dropped);
+        (ended == 1 && record.ran.len() == 1).then_some(())
+    })
+    .await;
+    common::until("the released pin", async || {
+        let dump = get(&fleet.upstreams[0], "/admin/dump").await;
+        (dump.contains("running=0") && dump.contains("pins=0")).then_some(())
+    })
+    .await;
+    let metrics = get(entry, "/metrics").await;
+    assert!(metrics.contains("kingcupbay_undelivered_total{organisation=\"winery\"} 1"));
+}
+
+/// No upstream may ever see a key: its bytes are looked for in everything
+/// that an engine received on its socket.
+#[actix_rt::test]
+async fn no_byte_of_a_key_reaches_an_engine() {
+    let fleet = small().await;
+    let engine = control(&fleet.engines[0]);
+    engine.record(true).await.unwrap();
+    let answer = finish(ask(&fleet.entries[0], "/v1/completions"), &completion("tasting", 8)).await;
+    assert_eq!(answer.status, 200);
+    let received = engine.received().await.unwrap();
+    let find = |text: &str| received.windows(text.len()).any(|part| part == text.as_bytes());
+    assert!(find("two wineries"), "the recording holds the prompt");
+    assert!(!find(SECRET) && !find(&SECRET[4..]));
+    let hash = hex::encode(KeyHash::of(SECRET).0);
+    assert!(!find(&hash));
+}
+
+#[actix_rt::test]
+async fn models_are_listed_by_key() {
+    let mut fleet = small().await;
+    fleet.apply(&others()).await;
+    let entry = &fleet.entries[0];
+    let url = format!("http://{}/v1/models", entry.address("callers"));
+    let mut response = client().get(url).bearer_auth(SECRET).send().await.unwrap();
+    let list: Value = response.json().await.unwrap();
+    let ids: Vec<_> = list["data"].as_array().unwrap().iter().map(|m| &m["id"]).collect();
+    assert_eq!(ids, ["tasting@v1", "tasting@v2"]);
+}
