Test planned stops of both roles under load

Cause: nothing showed that a stop cuts no answer. Ruled out: counting errors at a load tool; the test compares every byte. Change: 24 running streams per role, a second signal, new requests meanwhile.

--- /dev/null
+++ b/kingcupbayd/tests/drain.rs
@@ -0,0 +1,77 @@
+//! Planned stops: graceful, whatever runs.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{Fleet, Process, ask, completion, finish};
+use futures_util::{StreamExt, future::join_all};
+use kingcupbay_standin::answer_text;
+
+/// Streams that run when the operator stops a host; each has work left.
+const STREAMS: usize = 24;
+
+/// Starts streams and returns when each has given its first bytes.
+async fn started(entry: &Process) -> Vec<impl Future<Output = String> + use<>> {
+    let begin = (0..STREAMS).map(|_| async {
+        let body = completion("tasting@v1", 60);
+        let request = ask(entry, "/v1/completions");
+        let mut response = request.send_json(&body).await.unwrap();
+        assert_eq!(response.status(), 200);
+        let first = response.next().await.unwrap().unwrap();
+        async move {
+            let mut text = first.to_vec();
+            while let Some(bytes) = response.next().await {
+                text.extend_from_slice(&bytes.unwrap());
+            }
+            String::from_utf8(text).unwrap()
+        }
+    });
+    join_all(begin).await
+}
+
+fn assert_whole(body: String) {
+    let answer = common::Answer { status: 200, retry_after: None, body };
+    assert!(answer.body.ends_with("data: [DONE]\n\n"));
+    assert_eq!(answer.text(), answer_text("tasting@v1", answer.request(), 0..60));
+}
+
+/// An operator replaces the entry's host on a Saturday. Running answers must
+/// reach their callers whole, and the process must end by itself, even when
+/// an impatient second signal follows.
+#[actix_rt::test]
+async fn a_stopped_entry_finishes_every_stream() {
+    let mut fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "10"], "").await;
+    let streams = started(&fleet.entries[0]).await;
+    fleet.entries[0].signal("-TERM");
+    fleet.entries[0].wait_line("event=stopping");
+    fleet.entries[0].signal("-TERM");
+    join_all(streams).await.into_iter().for_each(assert_whole);
+    let (ok, lines) = fleet.entries.remove(0).wait();
+    assert!(ok);
+    assert!(lines.iter().any(|line| line.contains("event=stopped") && line.contains("cut=0")));
+}
+
+/// The same for an upstream daemon: what runs there finishes there, and
+/// requests that come while it stops run elsewhere, without an error.
+#[actix_rt::test]
+async fn a_stopped_upstream_daemon_finishes_and_new_requests_go_elsewhere() {
+    let mut fleet = Fleet::start(1, 2, &["--first", "1", "--gap", "10"], "").await;
+    let streams = started(&fleet.entries[0]).await;
+    let host = fleet.upstreams.remove(0);
+    host.signal("-TERM");
+    let later = (0..STREAMS).map(|_| {
+        let body = completion("tasting@v1", 60);
+        let request = ask(&fleet.entries[0], "/v1/completions");
+        async move { finish(request, &body).await }
+    });
+    for answer in join_all(later).await {
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert_whole(answer.body);
+    }
+    join_all(streams).await.into_iter().for_each(assert_whole);
+    assert!(host.wait().0);
+    let answer =
+        finish(ask(&fleet.entries[0], "/v1/completions"), &completion("tasting", 60)).await;
+    assert_whole(answer.body);
+}
