--- a/kingcupbayd/tests/drain.rs
+++ b/kingcupbayd/tests/drain.rs
@@ -4,30 +4,38 @@
 
 mod common;
 
+use std::pin::Pin;
+
+use awc::error::PayloadError;
+use bytes::Bytes;
 use common::{Fleet, Process, ask, completion, finish};
-use futures_util::{StreamExt, future::join_all};
+use futures_util::{Stream, StreamExt, future::join_all};
 use kingcupbay_standin::answer_text;
 
 /// Streams that run when the operator stops a host; each has work left.
 const STREAMS: usize = 24;
 
-/// Starts streams and returns when each has given its first bytes.
-async fn started(entry: &Process) -> Vec<impl Future<Output = String> + use<>> {
-    let begin = (0..STREAMS).map(|_| async {
-        let body = completion("tasting@v1", 60);
-        let request = ask(entry, "/v1/completions");
-        let mut response = request.send_json(&body).await.unwrap();
-        assert_eq!(response.status(), 200);
-        let first = response.next().await.unwrap().unwrap();
-        async move {
-            let mut text = first.to_vec();
-            while let Some(bytes) = response.next().await {
-                text.extend_from_slice(&bytes.unwrap());
-            }
-            String::from_utf8(text).unwrap()
-        }
-    });
-    join_all(begin).await
+type Body = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
+
+/// Starts a stream and waits for its first bytes.
+async fn begin(entry: &Process) -> (Vec<u8>, Body) {
+    let request = ask(entry, "/v1/completions");
+    let mut response = request.send_json(&completion("tasting@v1", 60)).await.unwrap();
+    assert_eq!(response.status(), 200);
+    let first = response.next().await.unwrap().unwrap();
+    (first.to_vec(), Box::pin(response))
+}
+
+/// Reads a stream that has begun to its end.
+async fn rest((mut text, mut body): (Vec<u8>, Body)) -> String {
+    while let Some(bytes) = body.next().await {
+        text.extend_from_slice(&bytes.unwrap());
+    }
+    String::from_utf8(text).unwrap()
+}
+
+async fn started(entry: &Process) -> Vec<(Vec<u8>, Body)> {
+    join_all((0..STREAMS).map(|_| begin(entry))).await
 }
 
 fn assert_whole(body: String) {
@@ -46,7 +54,7 @@
     fleet.entries[0].signal("-TERM");
     fleet.entries[0].wait_line("event=stopping");
     fleet.entries[0].signal("-TERM");
-    join_all(streams).await.into_iter().for_each(assert_whole);
+    join_all(streams.into_iter().map(rest)).await.into_iter().for_each(assert_whole);
     let (ok, lines) = fleet.entries.remove(0).wait();
     assert!(ok);
     assert!(lines.iter().any(|line| line.contains("event=stopped") && line.contains("cut=0")));
@@ -69,7 +77,7 @@
         assert_eq!(answer.status, 200, "{}", answer.body);
         assert_whole(answer.body);
     }
-    join_all(streams).await.into_iter().for_each(assert_whole);
+    join_all(streams.into_iter().map(rest)).await.into_iter().for_each(assert_whole);
     assert!(host.wait().0);
     let answer =
         finish(ask(&fleet.entries[0], "/v1/completions"), &completion("tasting", 60)).await;
