Keep a burst of new connections from being dropped

The kernel drops connections beyond the listener's queue of 128 and repeats them after a second, past the connect timeout of 500 ms; the entry then took the only upstream's daemon for unreachable and refused the rest. Ruled out: a longer connect timeout (a dead host would be found later); the engine (its own streams, straight, all succeeded). Conclusion: the queue was the cause.

--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpService, Request, Response, body::BoxBody};
-use actix_rt::net::TcpListener;
+use actix_rt::net::{TcpListener, TcpSocket};
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use kingcupbay_core::time::Span;
 
@@ -15,6 +15,11 @@
 
 use drain::Drain;
 
+/// Connections that may wait to be accepted. With the usual 128, a burst of
+/// new streams finds the queue full, and the kernel's first repetition comes
+/// a second later: callers see that second, daemons their connect timeout.
+const BACKLOG: u32 = 4_096;
+
 /// How long the other side may take to close after the last byte.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -23,10 +28,16 @@
 
 /// Binds `address`. Port 0 lets the kernel choose.
 pub(crate) fn bind(address: SocketAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // A host that restarts takes its address back at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(BACKLOG)?;
     let bound = listener.local_addr()?;
-    Ok((TcpListener::from_std(listener)?, bound))
+    Ok((listener, bound))
 }
 
 /// Serves `listener` with `handle` until `drain` closes; returns when every
--- a/kingcupbayd/tests/input.rs
+++ b/kingcupbayd/tests/input.rs
@@ -7,6 +7,7 @@
 use std::{
     io::{Read, Write},
     net::TcpStream,
+    time::Duration,
 };
 
 use common::{Fleet, SECRET, apply, ask, client, completion, control, finish, get, knows, name};
@@ -189,3 +190,18 @@
     let ids: Vec<_> = list["data"].as_array().unwrap().iter().map(|m| &m["id"]).collect();
     assert_eq!(ids, ["tasting@v1", "tasting@v2"]);
 }
+
+/// A tour company's buses arrive: hundreds of visitors open the page within
+/// one moment, while the entry is busy. With a short queue of connections the
+/// kernel drops the rest; they come back a second later or time out, and the
+/// entry takes the upstream's daemon, which has the same queue, for dead.
+#[actix_rt::test]
+async fn a_burst_of_connections_waits_for_a_busy_entry() {
+    let fleet = small().await;
+    let at = fleet.entries[0].address("callers");
+    fleet.entries[0].signal("-STOP");
+    let connect = |_| TcpStream::connect_timeout(&at, Duration::from_secs(5)).ok();
+    let connected = (0..600).map_while(connect).collect::<Vec<_>>().len();
+    fleet.entries[0].signal("-CONT");
+    assert_eq!(connected, 600);
+}
