Try an upstream again that only broke off, and test whole answers

Cause: with every upstream tried once, a resumed answer was refused although an upstream that had merely cut one stream could go on; and the refusal named no_upstream where load_failed, with its time to come back, was the reason. Ruled out: trying refused upstreams again (they would refuse again at once). Change: refused and unreachable upstreams are kept apart from those that broke off; the last refusal is what the caller is told. Eleven failure tests with their stories. Conclusion: answers survive cut, stalled, restarted and killed engines and daemons, and frozen connections, as separate processes.

--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -119,7 +119,13 @@
 pub(crate) struct Relay {
     entry: Rc<Entry>,
     job: Job,
+    /// Upstreams of earlier attempts.
     tried: Vec<UpstreamId>,
+    /// Those among them that refused, or could not be reached. An upstream
+    /// that only broke off may be tried again when there is no other.
+    refused: Vec<UpstreamId>,
+    /// Why the last attempt was refused.
+    refusal: Option<Failure>,
     attempts: u32,
     attempt: Option<Attempt>,
     upstream: String,
@@ -137,6 +143,8 @@
             entry,
             job,
             tried: Vec::new(),
+            refused: Vec::new(),
+            refusal: None,
             attempts: 0,
             attempt: None,
             upstream: String::new(),
@@ -197,14 +205,10 @@
 
     /// Starts an attempt on an upstream that was not tried yet.
     async fn begin(&mut self) -> Result<(), Failure> {
-        let chosen = match &self.job.target {
-            Target::Model(version) => self.entry.routes.model(*version, &self.tried),
-            Target::Service { name, .. } => self.entry.routes.service(name, &self.tried),
-        };
-        let Some(upstream) = chosen.filter(|_| self.attempts < self.entry.settings.tuning.attempts)
-        else {
+        let chosen = self.choose(&self.tried).or_else(|| self.choose(&self.refused));
+        let Some(upstream) = chosen else {
             let failure = Failure::not_run(Code::NoUpstream, "no upstream can take the request");
-            return Err(failure.after(BUSY_RETRY));
+            return Err(self.refusal.take().unwrap_or(failure.after(BUSY_RETRY)));
         };
         if self.attempts == 0 {
             self.entry.routes.first_attempt();
@@ -226,6 +230,13 @@
         }
     }
 
+    fn choose(&self, tried: &[UpstreamId]) -> Option<UpstreamId> {
+        match &self.job.target {
+            Target::Model(version) => self.entry.routes.model(*version, tried),
+            Target::Service { name, .. } => self.entry.routes.service(name, tried),
+        }
+    }
+
     async fn send(&mut self, upstream: UpstreamId, address: &str) -> Result<Frames, Broken> {
         let mut work = self.job.work.clone();
         if let Work::Generate { offset, .. } = &mut work {
@@ -325,8 +336,12 @@
             self.entry.routes.on_load_failed(upstream, *version);
         }
         let not_run = failure.ran == Ran::NotRun;
+        if not_run {
+            self.refused.extend(self.tried.last());
+        }
         if elsewhere && self.may_retry(not_run) {
             self.count_retry(failure.code.as_str());
+            self.refusal = Some(failure);
             return Ok(());
         }
         Err(failure)
@@ -339,6 +354,7 @@
         self.entry.clients.forget(address);
         let not_run = broken == Broken::Unreachable;
         if not_run {
+            self.refused.extend(self.tried.last());
             self.tried.last().inspect(|&&upstream| self.entry.routes.on_unreachable(upstream));
         } else {
             self.reached = true;
--- /dev/null
+++ b/kingcupbayd/tests/failure.rs
@@ -0,0 +1,218 @@
+//! Whole answers through failures of engines, daemons and connections.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{Answer, Fleet, Process, ask, completion, control, finish, get, name, until};
+use futures_util::StreamExt;
+use kingcupbay_core::config::{change::Change, model::Config};
+use kingcupbay_standin::{EngineRecord, Fault, Outcome, Rule, answer_text};
+
+const TOKENS: u32 = 40;
+
+/// Tight bounds, so that a dead stream is found soon.
+const TIGHT: &str = "heartbeat_ms = 50\nsilence_ms = 400\nengine_silence_ms = 400\n";
+
+/// Two engines with an upstream daemon each, and one entry.
+async fn pair(gap: &str) -> Fleet {
+    Fleet::start(1, 2, &["--first", "1", "--gap", gap], TIGHT).await
+}
+
+async fn answer(fleet: &Fleet) -> Answer {
+    finish(ask(&fleet.entries[0], "/v1/completions"), &completion("tasting@v1", TOKENS)).await
+}
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+    assert_eq!(answer.text(), answer_text("tasting@v1", answer.request(), 0..TOKENS));
+}
+
+async fn record(engine: &Process) -> EngineRecord {
+    control(engine).get("/state").await.unwrap()
+}
+
+/// Which engine runs a stream now.
+async fn running_at(fleet: &Fleet) -> usize {
+    until("a running stream", async || {
+        for (at, engine) in fleet.engines.iter().enumerate() {
+            if record(engine).await.count(Outcome::Running) > 0 {
+                return Some(at);
+            }
+        }
+        None
+    })
+    .await
+}
+
+/// Sets a rule on both engines, for one stream or load of each.
+async fn hit_each_once(fleet: &Fleet, fault: Fault) {
+    for engine in &fleet.engines {
+        control(engine).set(Rule::new(fault).times(1)).await.unwrap();
+    }
+}
+
+/// An engine's process breaks off an itinerary after some words. The guest
+/// must read the rest from another engine, each word once.
+#[actix_rt::test]
+async fn a_cut_engine_stream_is_resumed() {
+    let fleet = pair("0").await;
+    hit_each_once(&fleet, Fault::CutStreams { tokens: 7 }).await;
+    assert_whole(&answer(&fleet).await);
+    let metrics = get(&fleet.entries[0], "/metrics").await;
+    assert!(metrics.contains("kingcupbay_retries_total{reason=\"upstream_failed\"} 2"));
+}
+
+/// An engine loses a stream but keeps its connection open: no error ever
+/// comes. Without a bound on silence the guest would wait to the deadline.
+#[actix_rt::test]
+async fn a_stalled_engine_stream_is_resumed() {
+    let fleet = pair("0").await;
+    hit_each_once(&fleet, Fault::StallStreams { tokens: 7 }).await;
+    assert_whole(&answer(&fleet).await);
+}
+
+/// An engine restarts empty in the middle of an answer; its daemon must see
+/// that the adapter is gone, and the answer must go on elsewhere.
+#[actix_rt::test]
+async fn a_restarted_engine_loses_no_answer() {
+    let fleet = pair("5").await;
+    let (answer, ()) = tokio::join!(answer(&fleet), async {
+        let at = running_at(&fleet).await;
+        control(&fleet.engines[at]).restart().await.unwrap();
+    });
+    assert_whole(&answer);
+}
+
+/// The upstream host dies without a word while it serves an answer.
+#[actix_rt::test]
+async fn a_killed_upstream_daemon_loses_no_answer() {
+    let mut fleet = pair("10").await;
+    let mut upstreams: Vec<_> = fleet.upstreams.drain(..).map(Some).collect();
+    let (answer, ()) = tokio::join!(answer(&fleet), async {
+        let at = running_at(&fleet).await;
+        upstreams[at].take().unwrap().kill();
+    });
+    assert_whole(&answer);
+}
+
+/// The upstream daemon is frozen: its connections stay open, silent for good.
+/// The heartbeats stop, the entry resumes elsewhere, and when the daemon
+/// wakes up, what it still sends reaches nobody.
+#[actix_rt::test]
+async fn a_frozen_upstream_daemon_loses_no_answer() {
+    let fleet = pair("10").await;
+    let (answer, at) = tokio::join!(answer(&fleet), async {
+        let at = running_at(&fleet).await;
+        fleet.upstreams[at].signal("-STOP");
+        at
+    });
+    fleet.upstreams[at].signal("-CONT");
+    assert_whole(&answer);
+}
+
+/// All connections of an engine go silent for good, as when a translator of
+/// addresses forgets them, while new ones work. The next requests must not
+/// be sent on the dead ones again and again.
+#[actix_rt::test]
+async fn silent_connections_leave_the_pool() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], TIGHT).await;
+    assert_whole(&answer(&fleet).await);
+    control(&fleet.engines[0]).freeze().await.unwrap();
+    // The first request may meet the dead connection and be refused, at once
+    // and with a time to come back; soon every request is served.
+    until("a whole answer", async || {
+        let answer = answer(&fleet).await;
+        let whole = answer.status == 200 && answer.body.ends_with("data: [DONE]\n\n");
+        whole.then(|| assert_whole(&answer))
+    })
+    .await;
+    assert_whole(&answer(&fleet).await);
+}
+
+/// The entry dies while a guest reads. Nobody else knows that the answer did
+/// not arrive, so the upstream daemon must count it and log the request.
+#[actix_rt::test]
+async fn an_answer_lost_with_its_entry_is_noticed_by_the_upstream_daemon() {
+    let mut fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "20"], TIGHT).await;
+    let request = ask(&fleet.entries[0], "/v1/completions");
+    let mut response = request.send_json(&completion("tasting@v1", 5_000)).await.unwrap();
+    response.next().await.unwrap().unwrap();
+    fleet.entries.remove(0).kill();
+    let line = fleet.upstreams[0].wait_line("outcome=entry_left");
+    assert!(line.contains("organisation=winery") && line.contains("request="), "{line}");
+    let metrics = get(&fleet.upstreams[0], "/metrics").await;
+    assert!(metrics.contains("kingcupbay_undelivered_total{organisation=\"winery\"} 1"));
+}
+
+/// Loads fail on one engine; the request must be served by the other. When
+/// they fail everywhere it is refused at once, truly as not run, with a time
+/// to come back.
+#[actix_rt::test]
+async fn failed_loads_move_on_or_are_refused_at_once() {
+    let fleet = pair("0").await;
+    hit_each_once(&fleet, Fault::FailLoads).await;
+    let second = control(&fleet.engines[1]);
+    second.clear_all().await.unwrap();
+    assert_whole(&answer(&fleet).await);
+    for engine in &fleet.engines {
+        control(engine).set(Rule::new(Fault::FailLoads)).await.unwrap();
+    }
+    let body = completion("tasting@v2", TOKENS);
+    let refused = finish(ask(&fleet.entries[0], "/v1/completions"), &body).await;
+    assert_eq!((refused.status, refused.code().as_str()), (503, "load_failed"));
+    assert_eq!(refused.ran(), "not_run");
+    assert!(refused.retry_after.unwrap() >= 1);
+}
+
+/// A key is withdrawn while its holder reads. The stream must stop within
+/// seconds, and say why.
+#[actix_rt::test]
+async fn a_withdrawn_key_stops_its_running_stream() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "20"], TIGHT).await;
+    let entry = &fleet.entries[0];
+    let body = completion("tasting@v1", 5_000);
+    let (answer, ()) = tokio::join!(finish(ask(entry, "/v1/completions"), &body), async {
+        running_at(&fleet).await;
+        common::apply(entry, &[Change::WithdrawKey { label: name("desk") }]).await;
+    });
+    let last = answer.events().pop().unwrap();
+    assert_eq!(last["error"]["code"], "key_withdrawn");
+    assert_eq!(last["error"]["ran"], "ran");
+    assert!(!answer.body.contains("[DONE]"));
+}
+
+/// An upstream is shown as leaving while requests come. After the change is
+/// known it must get nothing new.
+#[actix_rt::test]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let mut fleet = pair("0").await;
+    let config: Config =
+        serde_json::from_str(&get(&fleet.entries[0], "/admin/config").await).unwrap();
+    let id = config.upstream_names[&name("gpu-1")];
+    let mut upstream = config.upstreams.get(id).unwrap().clone();
+    upstream.leaving = true;
+    fleet.apply(&[Change::SetUpstream { upstream }]).await;
+    let before = record(&fleet.engines[0]).await.ran.len();
+    for _ in 0..20 {
+        assert_whole(&answer(&fleet).await);
+    }
+    assert_eq!(record(&fleet.engines[0]).await.ran.len(), before);
+}
+
+/// A caller asks for more than fits before its deadline: the answer to the
+/// refusal comes at once when it is given up on, not later.
+#[actix_rt::test]
+async fn a_passed_deadline_ends_the_answer_and_the_engines_stream() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "20"], TIGHT).await;
+    let request = ask(&fleet.entries[0], "/v1/completions").insert_header(("x-deadline-ms", "500"));
+    let answer = finish(request, &completion("tasting@v1", 5_000)).await;
+    let last = answer.events().pop().unwrap();
+    assert_eq!(last["error"]["code"], "deadline");
+    until("the ended stream", async || {
+        let record = record(&fleet.engines[0]).await;
+        (record.count(Outcome::Running) == 0).then_some(())
+    })
+    .await;
+}
