Say "not run" only when no byte of a request left

Cause: the HTTP client reports a connection that closed instead of an answer as a failed connect (ConnectError::Disconnected), after the request was sent. Table, engine and entry took every failed connect for "nothing was sent": a transaction that took effect counted as refused, and an entry sent work again and said "not run". An entry also said "not run" when a deadline or withdrawn key cut an attempt off whose last word had not come. Ruled out: closing connections after each request; the report is the same. Change: http::client::never_left decides in one place. An attempt that is cut off may have run. Once-only calls leave an entry on a connection of their own. Conclusion: a generation still queued at its upstream when the entry's deadline passes is now said "unknown", since the entry cannot know; hearing the upstream's own word for a moment longer would tell it as not run.

--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -7,7 +7,6 @@
 
 use std::{pin::Pin, rc::Rc};
 
-use awc::error::SendRequestError;
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt, TryStreamExt};
 use kingcupbay_core::{
@@ -27,7 +26,7 @@
 };
 
 use super::{Entry, admission::Caller};
-use crate::clock;
+use crate::{clock, http::client::never_left};
 
 /// When to come back if every upstream refused: a load report takes about as
 /// long to come in.
@@ -188,7 +187,9 @@
     }
 
     fn failed(&mut self, mut failure: Failure) -> Step {
-        self.attempt = None;
+        // An attempt that is cut off here, by the deadline or a withdrawn
+        // key, may be running: its last word has not come.
+        self.reached |= self.attempt.take().is_some();
         if failure.ran == Ran::NotRun && self.reached {
             failure.ran = if self.offset > 0 { Ran::Ran } else { Ran::Unknown };
         }
@@ -241,7 +242,13 @@
         };
         let body = rmp_serde::to_vec(&run).expect("an order serialises");
         let url = format!("http://{address}/run");
-        let sent = self.entry.clients.get(address).post(url).send_body(Bytes::from(body));
+        // A pooled connection may be dead already. Other work is tried again;
+        // this call would count as lost, with nobody able to say otherwise.
+        let client = match self.once() {
+            true => self.entry.clients.unpooled(),
+            false => self.entry.clients.get(address),
+        };
+        let sent = client.post(url).send_body(Bytes::from(body));
         let silence = self.entry.settings.tuning.silence.into();
         match tokio::time::timeout(silence, sent).await {
             Ok(Ok(response)) if response.status().is_success() => {
@@ -251,7 +258,7 @@
                 Ok(Box::pin(FramedRead::new(StreamReader::new(bytes), codec)))
             }
             Ok(Ok(_)) => Err(Broken::Unreachable),
-            Ok(Err(SendRequestError::Connect(_))) => Err(Broken::Unreachable),
+            Ok(Err(error)) if never_left(&error) => Err(Broken::Unreachable),
             Ok(Err(_)) => Err(Broken::Cut),
             Err(_) => Err(Broken::Silent),
         }
--- a/kingcupbayd/src/http/client.rs
+++ b/kingcupbayd/src/http/client.rs
@@ -2,7 +2,10 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
-use awc::{Client, Connector};
+use awc::{
+    Client, Connector,
+    error::{ConnectError, SendRequestError},
+};
 use kingcupbay_core::time::Span;
 
 /// Idle connections are dropped after this; shorter than the common idle
@@ -37,6 +40,12 @@
         client
     }
 
+    /// A client whose next request goes out on a connection that carried
+    /// nothing before.
+    pub(crate) fn unpooled(&self) -> Client {
+        self.fresh()
+    }
+
     /// Drops every pooled connection to `address`; running streams keep theirs.
     pub(crate) fn forget(&self, address: &str) {
         self.pools.borrow_mut().remove(address);
@@ -53,3 +62,15 @@
             .finish()
     }
 }
+
+/// Whether no byte of the request left. The library reports a connection that
+/// closed instead of an answer as a failed connect too, long after the
+/// request was sent; taken for "never left", a call that ran would be called
+/// "not run", and be sent again.
+pub(crate) fn never_left(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        _ => false,
+    }
+}
--- a/kingcupbayd/src/platform/table.rs
+++ b/kingcupbayd/src/platform/table.rs
@@ -9,7 +9,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
-use crate::http::client::Clients;
+use crate::http::client::{Clients, never_left};
 
 /// Longest answer of the table that is read.
 const ANSWER_LIMIT: usize = 64 << 20;
@@ -76,11 +76,9 @@
     ) -> Result<R, TableError> {
         let url = format!("http://{}/{path}", self.address);
         let sent = self.clients.get(&self.address).post(url).send_json(body).await;
-        let mut response = sent.map_err(|error| match error {
-            awc::error::SendRequestError::Connect(error) => {
-                TableError::Unreached(error.to_string())
-            }
-            error => TableError::Lost(error.to_string()),
+        let mut response = sent.map_err(|error| match never_left(&error) {
+            true => TableError::Unreached(error.to_string()),
+            false => TableError::Lost(error.to_string()),
         })?;
         // The platform's contract: an answer of 503 took no effect.
         if response.status() == 503 {
--- a/kingcupbayd/src/upstream/engine.rs
+++ b/kingcupbayd/src/upstream/engine.rs
@@ -17,7 +17,7 @@
     io::StreamReader,
 };
 
-use crate::http::client::Clients;
+use crate::http::client::{Clients, never_left};
 
 /// Longest line of an engine's event stream.
 const LINE_LIMIT: usize = 1 << 20;
@@ -166,8 +166,8 @@
 }
 
 fn send_error(error: awc::error::SendRequestError) -> EngineError {
-    match error {
-        awc::error::SendRequestError::Connect(error) => EngineError::Unreached(error.to_string()),
-        error => EngineError::Broken(error.to_string()),
+    match never_left(&error) {
+        true => EngineError::Unreached(error.to_string()),
+        false => EngineError::Broken(error.to_string()),
     }
 }
