Serve calls that run at most once

Cause: routes marked once were refused; their decisions stood only in the core. Ruled out: running the attempt inside the entry's order. Its drop, when the entry or caller goes, would leave a claim whose outcome nobody writes: the test a_call_outlives_its_callers_deadline then waits in vain. Sending on a pooled connection: one that went silent swallows the call for good. Change: upstream/once.rs, a task for each call around claim::Claim. The daemon takes a fencing number for a service with its first call, claims under it, and asks for standing again right before sending.

--- a/kingcupbayd/src/upstream/call.rs
+++ b/kingcupbayd/src/upstream/call.rs
@@ -10,10 +10,11 @@
     },
 };
 
-use super::{Upstream, run::check};
+use super::{Upstream, once, run::check};
+use crate::{clock, http::client::never_left};
 
 /// Longest answer of a service.
-const ANSWER_LIMIT: usize = 4 << 20;
+pub(super) const ANSWER_LIMIT: usize = 4 << 20;
 
 /// Runs a call and tells how it ended.
 pub(super) async fn run(upstream: Rc<Upstream>, run: Run) -> RunEvent {
@@ -24,8 +25,8 @@
 }
 
 async fn attempt(upstream: Rc<Upstream>, run: Run) -> Result<RunEvent, Failure> {
+    let deadline = clock::now() + run.left;
     let row = check(&upstream, &run).await?;
-    let left = run.left;
     let Work::Call { route, path, idempotency, body } = run.work else {
         unreachable!("the order was matched")
     };
@@ -35,9 +36,25 @@
         return Err(Failure::not_run(Code::NotFound, "the route does not exist any more"));
     };
     if known.once {
-        return Err(Failure::not_run(Code::StoreDown, "once-only calls are not served yet"));
+        let Some(idempotency) = idempotency else {
+            let message = "a call that runs at most once needs an idempotency key";
+            return Err(Failure::not_run(Code::BadRequest, message));
+        };
+        let call = once::Call {
+            request: run.request,
+            organisation: run.organisation,
+            upstream: run.upstream,
+            row,
+            route,
+            path,
+            idempotency,
+            body,
+            deadline,
+        };
+        return once::run(upstream.clone(), call).await;
     }
     let sent = send(&upstream, &row, &path, idempotency.as_deref(), body);
+    let left = deadline.since(clock::now());
     match tokio::time::timeout(left.into(), sent).await {
         Ok(result) => result,
         Err(_) => {
@@ -54,12 +71,8 @@
     idempotency: Option<&str>,
     body: Vec<u8>,
 ) -> Result<RunEvent, Failure> {
-    let url = format!("http://{}/call/{path}", row.address);
-    let mut request = upstream.clients.get(&row.address).post(url);
-    if let Some(key) = idempotency {
-        request = request.insert_header(("idempotency-key", key));
-    }
-    let sent = request.insert_header(("content-type", "application/json")).send_body(body).await;
+    let client = upstream.clients.get(&row.address);
+    let sent = request(&client, row, path, idempotency).send_body(body).await;
     let mut response = sent.map_err(|error| failed(&error))?;
     let status = response.status().as_u16();
     let body = response.body().limit(ANSWER_LIMIT).await.map_err(|error| Failure {
@@ -69,10 +82,22 @@
     Ok(RunEvent::Called { status, body: body.to_vec(), replayed: false })
 }
 
+/// A call to the service without its body.
+pub(super) fn request(
+    client: &awc::Client,
+    row: &Row,
+    path: &str,
+    idempotency: Option<&str>,
+) -> awc::ClientRequest {
+    let url = format!("http://{}/call/{path}", row.address);
+    let request = client.post(url).insert_header(("content-type", "application/json"));
+    match idempotency {
+        Some(key) => request.insert_header(("idempotency-key", key)),
+        None => request,
+    }
+}
+
 fn failed(error: &awc::error::SendRequestError) -> Failure {
-    let ran = match error {
-        awc::error::SendRequestError::Connect(_) => Ran::NotRun,
-        _ => Ran::Unknown,
-    };
+    let ran = if never_left(error) { Ran::NotRun } else { Ran::Unknown };
     Failure { ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
 }
--- a/kingcupbayd/src/upstream/fence.rs
+++ b/kingcupbayd/src/upstream/fence.rs
@@ -39,6 +39,12 @@
     attempt: String,
 }
 
+/// Key of the row of an engine or service. Each write of it makes the next
+/// number and it is never removed, so its revision is the number.
+pub(super) fn key(engine: &Name) -> String {
+    format!("fence/{engine}")
+}
+
 /// Takes the next fencing number of `engine`, however long the table is away.
 pub(super) async fn acquire(upstream: &Rc<Upstream>, engine: &Name, checked: bool) -> u64 {
     let attempt = new_request().to_string();
@@ -67,7 +73,7 @@
     engine: &Name,
     attempt: &str,
 ) -> Result<Option<u64>, TableError> {
-    let key = format!("fence/{engine}");
+    let key = key(engine);
     let rows = upstream.table.read(&Read::Keys(vec![key.clone()])).await?;
     let row = rows.rows.first();
     let old: Option<Fence> = row.map(decode);
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -3,7 +3,8 @@
 //! It alone speaks to the engines and plain services there, so each engine
 //! has one orderer and each adapter slot one owner. [`run`] answers orders of
 //! entries, [`runner`] keeps one engine's queue and slots, [`engine`] and
-//! [`call`] speak to engines and services.
+//! [`call`] speak to engines and services, [`once`] claims calls that run at
+//! most once.
 
 use std::{cell::RefCell, collections::BTreeMap, fmt::Write as _, rc::Rc};
 
@@ -23,6 +24,7 @@
 mod call;
 mod engine;
 mod fence;
+mod once;
 mod run;
 mod runner;
 
@@ -38,6 +40,7 @@
     drain: Drain,
     log: Logger,
     runners: RefCell<BTreeMap<UpstreamId, Rc<Runner>>>,
+    numbers: RefCell<once::Numbers>,
 }
 
 impl Upstream {
@@ -51,8 +54,8 @@
         drain: Drain,
         log: Logger,
     ) -> Upstream {
-        let runners = RefCell::default();
-        Upstream { settings, fleet, table, clients, metrics, drain, log, runners }
+        let (runners, numbers) = Default::default();
+        Upstream { settings, fleet, table, clients, metrics, drain, log, runners, numbers }
     }
 
     /// The row of an upstream that this daemon owns.
