Tell a refused call the reason of its last upstream, with when to come back

Cause: the once-only test expected 503 no_upstream when the service's host is down; since the last refusal is told, it is 502 upstream_failed, and it lacked a time to come back. Ruled out: hiding the reason again behind no_upstream. Change: a refusal without a time gets one; the test now asks for code, not_run and the time, which is stricter than the status alone was. Measured: ./test passes whole. Conclusion: the expectation was of the older answer.

--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -209,7 +209,9 @@
         let chosen = self.choose(&self.tried).or_else(|| self.choose(&self.refused));
         let Some(upstream) = chosen else {
             let failure = Failure::not_run(Code::NoUpstream, "no upstream can take the request");
-            return Err(self.refusal.take().unwrap_or(failure.after(BUSY_RETRY)));
+            let mut failure = self.refusal.take().unwrap_or(failure);
+            failure.retry_after.get_or_insert(BUSY_RETRY);
+            return Err(failure);
         };
         if self.attempts == 0 {
             self.entry.routes.first_attempt();
