Test the stand-ins; keep a refused port taken; slow effects outlive callers

Cause: the stand-ins had been tried by hand only, and three things were not as they should be.

A port that refuses connections could be bound by another process: both sockets allowed address reuse, so the probe before the bind passed. Now the reserving socket allows port sharing only.

A slowed request was dropped together with its caller. The platform's is not: its write takes effect later. It now runs as a task of its own.

A load in flight went on at the weight store after the engine's restart. It now ends with the incarnation.

Also: tests wait on changes (`until`, `executed`, `hit`) instead of sleeping, and a control request opens a connection of its own.

Seen on the way: awc shows an answer whose connection ended midway like one that ended well. Only `[DONE]`, or a frame that says so, tells a whole answer; a test compares the bytes on the wire.

--- a/kingcupbay_standin/src/control.rs
+++ b/kingcupbay_standin/src/control.rs
@@ -2,13 +2,17 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use awc::error::{JsonPayloadError, PayloadError, SendRequestError};
+use awc::{
+    ClientRequest,
+    error::{JsonPayloadError, PayloadError, SendRequestError},
+    http::Method,
+};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 use crate::{
     fault::{FaultOrder, Faults, Rule, RuleId},
-    server::admin::{FAULT, RECEIVED, Recording},
+    server::admin::{FAULT, HIT, RECEIVED, Recording},
 };
 
 /// Longest wait for an answer; the stand-in answers these at once.
@@ -40,9 +44,7 @@
 impl Control {
     /// For the stand-in at `address`, better its control address.
     pub fn new(address: SocketAddr) -> Control {
-        // A frozen or reset connection must not come out of the pool again.
-        let connector = awc::Connector::new().conn_keep_alive(Duration::ZERO);
-        let client = awc::Client::builder().connector(connector).timeout(TIMEOUT).finish();
+        let client = awc::Client::builder().timeout(TIMEOUT).finish();
         Control { client, address }
     }
 
@@ -76,30 +78,38 @@
         self.get(FAULT).await
     }
 
+    /// Waits until a rule has hit this often.
+    pub async fn hit(&self, id: RuleId, hits: u32) -> Result<(), ControlError> {
+        self.get(&format!("{HIT}?{}={hits}", id.0)).await
+    }
+
     /// What a stand-in recorded: `/state`, or `/executions` of a service.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ControlError> {
-        let mut answer = self.client.get(self.url(path)).send().await?;
+        let mut answer = self.request(Method::GET, path).send().await?;
         Ok(answer.json().limit(RECEIVED_MAX).await?)
     }
 
     /// Switches the recording of every byte received.
     pub async fn record(&self, on: bool) -> Result<(), ControlError> {
-        self.client.put(self.url(RECEIVED)).send_json(&Recording { on }).await?;
+        self.request(Method::PUT, RECEIVED).send_json(&Recording { on }).await?;
         Ok(())
     }
 
     /// All bytes received while recording, connection by connection.
     pub async fn received(&self) -> Result<Vec<u8>, ControlError> {
-        let mut answer = self.client.get(self.url(RECEIVED)).send().await?;
+        let mut answer = self.request(Method::GET, RECEIVED).send().await?;
         Ok(answer.body().limit(RECEIVED_MAX).await?.into())
     }
 
     async fn post<T: DeserializeOwned>(&self, order: &impl Serialize) -> Result<T, ControlError> {
-        let mut answer = self.client.post(self.url(FAULT)).send_json(order).await?;
+        let mut answer = self.request(Method::POST, FAULT).send_json(order).await?;
         Ok(answer.json().await?)
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("http://{}{path}", self.address)
+    /// On a connection of its own: one from a pool may have been frozen or
+    /// reset by the request before.
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        let url = format!("http://{}{path}", self.address);
+        self.client.request(method, url).force_close()
     }
 }
--- a/kingcupbay_standin/src/engine/load.rs
+++ b/kingcupbay_standin/src/engine/load.rs
@@ -6,7 +6,7 @@
 use kingcupbay_core::wire::engine::LoadAdapter;
 
 use super::{
-    Shared,
+    LOAD, Shared,
     state::{Load, LoadEnd},
 };
 use crate::{
@@ -24,7 +24,8 @@
         Ok(Load::Loaded) => return call::empty(StatusCode::OK),
         Ok(Load::Joined(end)) => end,
         Ok(Load::Begun { end, incarnation }) => {
-            actix_rt::spawn(carry_out(Rc::clone(shared), order, incarnation));
+            let restarted = end.clone();
+            actix_rt::spawn(carry_out(Rc::clone(shared), order, incarnation, restarted));
             end
         }
     };
@@ -41,10 +42,15 @@
     ended.is_ok_and(|ended| *ended == Some(true))
 }
 
-async fn carry_out(shared: Rc<Shared>, order: LoadAdapter, incarnation: u64) {
+async fn carry_out(shared: Rc<Shared>, order: LoadAdapter, incarnation: u64, restarted: LoadEnd) {
     let fails = |fault| (fault == Fault::FailLoads).then_some(());
-    let failed = !shared.faults.borrow_mut().hit("", fails).is_empty();
-    let fetched = fetch(&shared, &order.lora_path).await;
+    let failed = !shared.faults.borrow_mut().hit(LOAD, fails).is_empty();
+    let fetched = tokio::select! {
+        fetched = fetch(&shared, &order.lora_path) => fetched,
+        // Only a restart ends a load that is still being carried out; its
+        // place at the weight store is then free at once.
+        _ = ended_well(restarted) => return,
+    };
     let mut state = shared.state.borrow_mut();
     let loaded = fetched && !failed;
     state.end_load(&order.lora_name, incarnation, loaded, || shared.loses_event());
--- a/kingcupbay_standin/src/engine/mod.rs
+++ b/kingcupbay_standin/src/engine/mod.rs
@@ -24,6 +24,7 @@
     stream::{Generation, Limit},
 };
 use crate::{
+    changes::until,
     fault::{Book, Fault},
     server::{
         Behaviour, Server,
@@ -38,6 +39,11 @@
 mod stream;
 pub(crate) mod text;
 
+/// Path of load orders, and of the rules that fail loads.
+const LOAD: &str = "/v1/load_lora_adapter";
+/// Path of events, and of the rules that lose them.
+const EVENTS: &str = "/events";
+
 /// How an engine behaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -128,6 +134,13 @@
         self.shared.state.borrow().record().clone()
     }
 
+    /// Waits until its record satisfies a condition.
+    pub async fn until(&self, holds: impl Fn(&EngineRecord) -> bool) {
+        let state = &self.shared.state;
+        let changes = state.borrow().changes();
+        until(changes, || holds(state.borrow().record())).await;
+    }
+
     /// Its load as it is now, without lag.
     pub fn load(&self) -> LoadReport {
         self.shared.state.borrow().current()
@@ -155,7 +168,7 @@
 impl Shared {
     fn loses_event(&self) -> bool {
         let loses = |fault| (fault == Fault::LoseEvents).then_some(());
-        !self.faults.borrow_mut().hit("", loses).is_empty()
+        !self.faults.borrow_mut().hit(EVENTS, loses).is_empty()
     }
 
     fn lag(&self, path: &str, pick: impl Fn(Fault) -> Option<u64>) -> Duration {
@@ -181,7 +194,7 @@
 async fn answer(shared: &Rc<Shared>, call: &Call) -> Result<Answer, Answer> {
     match (&call.method, call.path.as_str()) {
         (&Method::POST, "/v1/completions" | "/v1/chat/completions") => generate(shared, call),
-        (&Method::POST, "/v1/load_lora_adapter") => Ok(load::load(shared, call.json()?).await),
+        (&Method::POST, LOAD) => Ok(load::load(shared, call.json()?).await),
         (&Method::POST, "/v1/unload_lora_adapter") => unload(shared, &call.json()?),
         (&Method::POST, "/v1/cancel") => {
             let order: Cancel = call.json()?;
@@ -189,7 +202,7 @@
             Ok(call::empty(StatusCode::OK))
         }
         (&Method::GET, "/load") => Ok(report(shared, call)),
-        (&Method::GET, "/events") => events(shared, call),
+        (&Method::GET, EVENTS) => events(shared, call),
         (&Method::GET, "/state") => Ok(call::json(shared.state.borrow().record())),
         _ => Err(call::unknown()),
     }
--- a/kingcupbay_standin/src/engine/state.rs
+++ b/kingcupbay_standin/src/engine/state.rs
@@ -16,6 +16,7 @@
     record::{EngineRecord, Outcome, Ran},
     report::Reports,
 };
+use crate::changes::Changes;
 
 /// Key of a stream; also its place in [`EngineRecord::ran`].
 pub(crate) type StreamKey = usize;
@@ -78,6 +79,7 @@
     queue: BTreeSet<(Reverse<i32>, StreamKey)>,
     reports: Reports,
     record: EngineRecord,
+    changes: Changes,
 }
 
 impl State {
@@ -92,6 +94,7 @@
             queue: BTreeSet::new(),
             reports,
             record: EngineRecord::default(),
+            changes: Changes::default(),
         };
         state.reports = Reports::new(Instant::now(), state.current());
         state
@@ -101,6 +104,10 @@
         &self.record
     }
 
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
     pub(crate) fn reports(&self) -> &Reports {
         &self.reports
     }
@@ -158,6 +165,7 @@
     /// Counts a token of a stream.
     pub(crate) fn generated(&mut self, key: StreamKey) {
         self.record.ran[key].tokens += 1;
+        self.changes.notify();
     }
 
     /// Ends a stream; nothing when it has ended already.
@@ -230,6 +238,7 @@
         let loading = matches!(self.slots.get(name), Some(Slot::Loading(_)));
         if loading || self.streams.values().any(|stream| stream.model == name) {
             self.record.unloads_in_use.push(name.to_owned());
+            self.changes.notify();
             return Err(Refused::InUse);
         }
         if self.slots.remove(name).is_some() {
@@ -287,5 +296,6 @@
     fn report(&mut self) {
         let report = self.current();
         self.reports.set(Instant::now(), report);
+        self.changes.notify();
     }
 }
--- a/kingcupbay_standin/src/fault.rs
+++ b/kingcupbay_standin/src/fault.rs
@@ -6,6 +6,9 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::changes::Changes;
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,7 +20,8 @@
     /// `path`, `skip` and `times` do not apply. Cleared by the handle or on
     /// the control address.
     Refuse,
-    /// The request takes effect this much later.
+    /// The request takes effect this much later, also when its caller has
+    /// given up by then.
     Slow {
         /// Milliseconds.
         millis: u64,
@@ -164,6 +168,7 @@
 pub(crate) struct Book {
     next: u64,
     faults: Faults,
+    changes: Changes,
 }
 
 impl Book {
@@ -186,6 +191,10 @@
         &self.faults
     }
 
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
     /// Whether the port refuses connections.
     pub(crate) fn refuses(&self) -> bool {
         self.faults.rules.values().any(|active| active.rule.fault == Fault::Refuse)
@@ -204,6 +213,7 @@
                 hits.push(picked);
             }
         }
+        self.changes.notify();
         hits
     }
 }
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! The binary runs the same ones as processes of their own. Faults are set
 //! through the handle's [`Server`], or by request with a [`Control`].
 
+mod changes;
 mod control;
 mod engine;
 mod fault;
--- a/kingcupbay_standin/src/server/admin.rs
+++ b/kingcupbay_standin/src/server/admin.rs
@@ -8,10 +8,12 @@
     call::{self, Answer, Call},
     fault,
 };
-use crate::fault::FaultOrder;
+use crate::fault::{FaultOrder, RuleId};
 
 /// Path that sets and shows faults.
 pub(crate) const FAULT: &str = "/fault";
+/// Path that answers when a rule has hit so often: `?ID=HITS`.
+pub(crate) const HIT: &str = "/fault/hit";
 /// Path that switches the recording of received bytes, and shows them.
 pub(crate) const RECEIVED: &str = "/received";
 
@@ -32,6 +34,7 @@
     match (&call.method, call.path.as_str()) {
         (&Method::POST, FAULT) => order(shared, &call).unwrap_or_else(|refusal| refusal),
         (&Method::GET, FAULT) => call::json(shared.behaviour.faults.borrow().faults()),
+        (&Method::GET, HIT) => hit(shared, &call).await,
         (&Method::PUT, RECEIVED) => record(shared, &call).unwrap_or_else(|refusal| refusal),
         (&Method::GET, RECEIVED) => call::bytes(shared.registry.received().concat().into()),
         _ if is_exempt(&call) => (shared.behaviour.answer)(call).await,
@@ -53,6 +56,18 @@
     }
 }
 
+async fn hit(shared: &Shared, call: &Call) -> Answer {
+    let parse = |query: &str| {
+        let (id, hits) = query.split_once('=')?;
+        Some((RuleId(id.parse().ok()?), hits.parse().ok()?))
+    };
+    let Some((id, hits)) = parse(&call.query) else {
+        return call::text(StatusCode::BAD_REQUEST, "the query is ID=HITS");
+    };
+    shared.hit(id, hits).await;
+    call::json(&())
+}
+
 fn record(shared: &Shared, call: &Call) -> Result<Answer, Answer> {
     let recording: Recording = call.json()?;
     shared.registry.record(recording.on);
--- a/kingcupbay_standin/src/server/fault.rs
+++ b/kingcupbay_standin/src/server/fault.rs
@@ -1,6 +1,6 @@
 //! A request's way through the faults in force.
 
-use std::{future::pending, time::Duration};
+use std::{future::pending, rc::Rc, time::Duration};
 
 use actix_http::StatusCode;
 use actix_rt::time::sleep;
@@ -63,7 +63,9 @@
     let hits = shared.behaviour.faults.borrow_mut().hit(&call.path, of_requests);
     let plan = Plan::new(hits);
     let conn = call.conn.clone();
-    pause(plan.before).await;
+    if plan.instead.is_some() {
+        pause(plan.before).await;
+    }
     match plan.instead {
         Some(Instead::Outage) => {
             return call::text(StatusCode::SERVICE_UNAVAILABLE, "outage");
@@ -75,7 +77,9 @@
         Some(Instead::Silent) => return pending().await,
         None => {}
     }
-    let answer = (shared.behaviour.answer)(call).await;
+    let Some(answer) = take_effect(shared, plan.before, call).await else {
+        return pending().await;
+    };
     pause(plan.after).await;
     if plan.lost {
         conn.reset();
@@ -84,6 +88,20 @@
     answer
 }
 
+/// A delayed request runs as a task of its own: it takes effect even when
+/// its caller, who cannot know, has given up. `None` when the thread ends.
+async fn take_effect(shared: &Shared, delay: Duration, call: Call) -> Option<Answer> {
+    let handler = Rc::clone(&shared.behaviour.answer);
+    if delay.is_zero() {
+        return Some(handler(call).await);
+    }
+    let delayed = async move {
+        sleep(delay).await;
+        handler(call).await
+    };
+    actix_rt::spawn(delayed).await.ok()
+}
+
 /// No timer without a fault: it would cost every request a millisecond.
 async fn pause(time: Duration) {
     if !time.is_zero() {
--- a/kingcupbay_standin/src/server/mod.rs
+++ b/kingcupbay_standin/src/server/mod.rs
@@ -27,7 +27,10 @@
     call::{Answer, Call},
     conn::{ConnId, Registry, Socket},
 };
-use crate::fault::{Book, Fault, FaultOrder, Faults, Rule, RuleId};
+use crate::{
+    changes::until,
+    fault::{Book, Fault, FaultOrder, Faults, Rule, RuleId},
+};
 
 pub(crate) mod admin;
 pub(crate) mod call;
@@ -54,7 +57,8 @@
     }
 }
 
-/// A running server; dropping it closes its port and all its connections.
+/// A running server; dropping it closes its port and all its connections
+/// as soon as the thread runs its other tasks.
 pub struct Server {
     address: SocketAddr,
     shared: Rc<Shared>,
@@ -125,6 +129,11 @@
         self.shared.order(order, None);
     }
 
+    /// Waits until a rule has hit this often.
+    pub async fn hit(&self, id: RuleId, hits: u32) {
+        self.shared.hit(id, hits).await;
+    }
+
     /// The rules that are not cleared, with their hits.
     pub fn faults(&self) -> Faults {
         self.shared.behaviour.faults.borrow().faults().clone()
@@ -157,6 +166,12 @@
         None
     }
 
+    async fn hit(&self, id: RuleId, hits: u32) {
+        let faults = &self.behaviour.faults;
+        let changes = faults.borrow().changes();
+        until(changes, || faults.borrow().faults().hits(id) >= hits).await;
+    }
+
     fn set(&self, rule: Rule, from: Option<ConnId>) -> RuleId {
         let refuses = rule.fault == Fault::Refuse;
         let id = self.behaviour.faults.borrow_mut().set(rule);
@@ -170,22 +185,28 @@
 
 /// Binds without listening. The probe finds an address already in use, which
 /// port sharing would hide: two stand-ins would then split the connections.
+/// It finds this very socket too, as that one does not allow address reuse.
 fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
     if address.port() != 0 {
         drop(StdListener::bind(address)?);
     }
-    bind(address)
+    let port = socket(address)?;
+    port.bind(address)?;
+    Ok(port)
 }
 
+/// Listens beside the reserved port. Address reuse is for what is left of
+/// earlier connections: they must not keep a successor off the port.
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    bind(address)?.listen(BACKLOG)
+    let listener = socket(address)?;
+    listener.set_reuseaddr(true)?;
+    listener.bind(address)?;
+    listener.listen(BACKLOG)
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+fn socket(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
-    socket.bind(address)?;
     Ok(socket)
 }
 
--- a/kingcupbay_standin/src/service.rs
+++ b/kingcupbay_standin/src/service.rs
@@ -9,9 +9,12 @@
 use futures_util::FutureExt;
 use serde::{Deserialize, Serialize};
 
-use crate::server::{
-    Behaviour, Handler, Server,
-    call::{self, Call},
+use crate::{
+    changes::{Changes, until},
+    server::{
+        Behaviour, Handler, Server,
+        call::{self, Call},
+    },
 };
 
 /// Path prefix of every call.
@@ -45,13 +48,19 @@
 /// A running plain service.
 pub struct PlainService {
     server: Server,
-    state: Rc<RefCell<Executions>>,
+    state: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    executions: RefCell<Executions>,
+    changes: Changes,
 }
 
 impl PlainService {
     /// Starts a service on `address`, on the current thread.
     pub fn start(address: SocketAddr) -> io::Result<PlainService> {
-        let state = Rc::default();
+        let state = Rc::<State>::default();
         let server = Server::start(address, Behaviour::new(handler(&state)))?;
         Ok(PlainService { server, state })
     }
@@ -68,31 +77,39 @@
 
     /// What it executed.
     pub fn executions(&self) -> Executions {
-        self.state.borrow().clone()
+        self.state.executions.borrow().clone()
+    }
+
+    /// Waits until it has executed this many calls.
+    pub async fn executed(&self, total: u64) {
+        let state = &self.state;
+        until(state.changes.subscribe(), || state.executions.borrow().total >= total).await;
     }
 }
 
-fn handler(state: &Rc<RefCell<Executions>>) -> Handler {
+fn handler(state: &Rc<State>) -> Handler {
     let state = Rc::clone(state);
     Rc::new(move |call| {
         let answer = match (&call.method, call.path.strip_prefix(CALL)) {
-            (&Method::POST, Some(path)) => {
-                call::json(&execute(&mut state.borrow_mut(), path, &call))
+            (&Method::POST, Some(path)) => call::json(&execute(&state, path, &call)),
+            (&Method::GET, _) if call.path == "/executions" => {
+                call::json(&*state.executions.borrow())
             }
-            (&Method::GET, _) if call.path == "/executions" => call::json(&*state.borrow()),
             _ => call::unknown(),
         };
         async { answer }.boxed_local()
     })
 }
 
-fn execute(counts: &mut Executions, path: &str, call: &Call) -> Executed {
+fn execute(state: &State, path: &str, call: &Call) -> Executed {
+    let mut counts = state.executions.borrow_mut();
     let key = call.headers.get(IDEMPOTENCY);
     let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned());
     counts.total += 1;
     if let Some(key) = &key {
         *counts.keys.entry(key.clone()).or_default() += 1;
     }
+    state.changes.notify();
     Executed {
         path: path.to_owned(),
         execution: counts.total,
--- /dev/null
+++ b/kingcupbay_standin/tests/engine.rs
@@ -0,0 +1,313 @@
+//! The engine: answers, slots, batch, reports, and what it records.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{any, client, engine, generate, get, load, order, post, read, request, unload};
+use futures_util::future::join;
+use kingcupbay_core::wire::engine::{Cancel, EventKind, Events, LoadReport, Message};
+use kingcupbay_standin::{
+    Engine, EngineRecord, Fault, FaultOrder, Fenced, Outcome, Rule, Weights, answer_text,
+    token_text,
+};
+
+async fn cancel(engine: &Engine, n: u8) {
+    let order = Cancel { request_id: request(n) };
+    let answer = post(engine.server().address(), "/v1/cancel", &order).await.unwrap();
+    assert_eq!(answer.status(), 200);
+}
+
+async fn events(engine: &Engine, after: u64) -> Vec<(u64, EventKind, String)> {
+    let path = format!("/events?after={after}");
+    let mut answer = get(engine.server().address(), &path).await.unwrap();
+    let events: Events = answer.json().await.unwrap();
+    events.events.into_iter().map(|event| (event.seq, event.kind, event.model)).collect()
+}
+
+#[actix_rt::test]
+async fn answer_is_whole_and_names_model_request_and_offset() {
+    let engine = engine(|settings| settings.length = 5);
+    assert_eq!(load(&engine, "rose@v1", 1).await, 200);
+    assert_eq!(token_text("rose@v1", request(0xab), 3), "rose@v1:3:ab000000 ");
+    let mut chat = order("rose@v1", 0xab, 4);
+    let text = chat.prompt.take().unwrap();
+    chat.messages = Some(vec![Message { role: "user".into(), content: text }; 2]);
+    let cases = [
+        (order("rose@v1", 1, 4), 4, "length", 2),
+        (chat, 4, "length", 4),
+        (order("base", 3, 9), 5, "stop", 2),
+    ];
+    for (order, tokens, reason, prompt) in cases {
+        let whole = read(generate(&engine, &order).await).await;
+        assert!(whole.done);
+        assert_eq!(whole.text(), answer_text(&order.model, order.request_id, 0..tokens));
+        let offsets: Vec<_> = whole.chunks.iter().map(|chunk| chunk.choices[0].offset).collect();
+        assert_eq!(offsets, (0..=tokens).collect::<Vec<_>>());
+        assert!(whole.chunks.iter().all(|c| c.id == order.request_id && c.model == order.model));
+        let (last, rest) = whole.chunks.split_last().unwrap();
+        assert!(rest.iter().all(|c| c.usage.is_none() && c.choices[0].finish_reason.is_none()));
+        assert_eq!(last.choices[0].finish_reason.as_deref(), Some(reason));
+        let usage = last.usage.unwrap();
+        assert_eq!((usage.prompt_tokens, usage.completion_tokens), (prompt, tokens));
+    }
+    assert_eq!(engine.record().count(Outcome::Finished), 3);
+}
+
+/// A guest reads an itinerary with a gap or a doubled line: the connection
+/// went silent, the stream was taken up again at the wrong place.
+#[actix_rt::test]
+async fn stream_resumes_at_any_offset() {
+    let engine = engine(|_| {});
+    let whole = answer_text("base", request(1), 0..6);
+    for offset in 0..=6 {
+        let mut rest = order("base", 1, 6);
+        rest.offset = offset;
+        let resumed = read(generate(&engine, &rest).await).await;
+        assert!(resumed.done);
+        let text = answer_text("base", request(1), 0..offset) + &resumed.text();
+        assert_eq!(text, whole);
+        let usage = resumed.chunks.last().unwrap().usage.unwrap();
+        assert_eq!(usage.completion_tokens, 6, "usage counts the whole answer");
+    }
+}
+
+#[actix_rt::test]
+async fn orders_that_cannot_run_are_refused() {
+    let engine = engine(|settings| settings.slots = 1);
+    let mut whole = order("base", 1, 1);
+    whole.stream = false;
+    let mut bare = order("base", 1, 1);
+    bare.prompt = None;
+    for (order, status) in [(order("rose@v1", 1, 1), 404), (whole, 400), (bare, 400)] {
+        assert_eq!(generate(&engine, &order).await.status(), status);
+    }
+    assert_eq!(load(&engine, "rose@v1", 1).await, 200);
+    assert_eq!(load(&engine, "rose@v1", 1).await, 200, "loaded already");
+    assert_eq!(load(&engine, "iris@v1", 1).await, 507);
+    assert_eq!(unload(&engine, "iris@v1", 1).await, 200, "not loaded");
+    assert_eq!(unload(&engine, "rose@v1", 1).await, 200);
+    assert_eq!(load(&engine, "iris@v1", 1).await, 200);
+    let record = engine.record();
+    assert_eq!(
+        (record.loads, record.unloads),
+        (vec!["rose@v1".into(), "iris@v1".into()], vec!["rose@v1".into()])
+    );
+    assert!(record.ran.is_empty());
+}
+
+/// An itinerary stops halfway: its adapter is evicted while it is generated.
+/// The engine refuses that and remembers the attempt for the test to find.
+#[actix_rt::test]
+async fn adapter_in_use_is_not_unloaded() {
+    // A running request uses its adapter, and so does one that waits.
+    for (held, waits) in [("rose@v1", "base"), ("base", "rose@v1")] {
+        let engine = engine(|settings| settings.batch = 1);
+        load(&engine, "rose@v1", 1).await;
+        engine.server().set(Rule::new(Fault::StallStreams { tokens: 1 }).times(1));
+        let running = generate(&engine, &order(held, 1, 9)).await;
+        let waiting = generate(&engine, &order(waits, 2, 2)).await;
+        engine.until(|record| record.ran.len() == 2 && record.ran[0].tokens == 1).await;
+        assert_eq!(unload(&engine, "rose@v1", 1).await, 409);
+        cancel(&engine, 1).await;
+        let (cancelled, whole) = join(read(running), read(waiting)).await;
+        assert!(!cancelled.done && whole.done);
+        assert_eq!(unload(&engine, "rose@v1", 1).await, 200);
+        let record = engine.record();
+        assert_eq!(record.unloads_in_use, ["rose@v1"]);
+        assert_eq!((record.count(Outcome::Cancelled), record.count(Outcome::Finished)), (1, 1));
+    }
+}
+
+/// A caller hangs up and its stream keeps a place in the batch for ever: the
+/// end of a connection has to end what it had asked for.
+#[actix_rt::test]
+async fn stream_ends_with_its_connection() {
+    let engine = engine(|settings| settings.batch = 1);
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 0 }).times(1));
+    let gone = generate(&engine, &order("base", 1, 3)).await;
+    engine.until(|record| record.count(Outcome::Running) == 1).await;
+    drop(gone);
+    engine.until(|record| record.count(Outcome::Dropped) == 1).await;
+    assert!(read(generate(&engine, &order("base", 2, 3)).await).await.done);
+    assert_eq!(engine.load().running, 0);
+}
+
+#[actix_rt::test]
+async fn batch_takes_the_highest_priority_first() {
+    let engine = engine(|settings| settings.batch = 1);
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 0 }).times(1));
+    let _held = generate(&engine, &order("base", 0, 1)).await;
+    engine.until(|record| record.count(Outcome::Running) == 1).await;
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 0 }));
+    let mut waiting = Vec::new();
+    for (n, priority) in [(1, 0), (2, 5), (3, -1), (4, 5)] {
+        let mut order = order("base", n, 1);
+        order.priority = priority;
+        waiting.push(generate(&engine, &order).await);
+    }
+    assert_eq!((engine.load().running, engine.load().waiting), (1, 4));
+    let mut served = Vec::new();
+    for _ in 0..5 {
+        let record = engine.record();
+        let running = record.ran.iter().find(|ran| ran.outcome == Outcome::Running).unwrap();
+        served.push(running.request.0[0]);
+        cancel(&engine, running.request.0[0]).await;
+    }
+    assert_eq!(served, [0, 2, 4, 1, 3]);
+    assert_eq!(engine.record().most_running, 1);
+}
+
+/// Two streams answer one request after a resume, and the guest sees both:
+/// a later stream of a request takes the place of the earlier one.
+#[actix_rt::test]
+async fn resumed_stream_replaces_the_earlier_one() {
+    let engine = engine(|_| {});
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 2 }).times(1));
+    let stalled = generate(&engine, &order("base", 1, 4)).await;
+    engine.until(|record| record.ran.first().is_some_and(|ran| ran.tokens == 2)).await;
+    let mut rest = order("base", 1, 4);
+    rest.offset = 2;
+    let resumed = read(generate(&engine, &rest).await).await;
+    let first = read(stalled).await;
+    assert!(!first.done && resumed.done);
+    assert_eq!(first.text() + &resumed.text(), answer_text("base", request(1), 0..4));
+    assert_eq!(engine.record().ran[0].outcome, Outcome::Superseded);
+}
+
+/// A host that was given up on comes back and unloads an adapter that its
+/// successor has just loaded. An engine that checks refuses the old number;
+/// one that does not obeys, and the test sees it.
+#[actix_rt::test]
+async fn old_fencing_number_is_refused_or_recorded() {
+    for fenced in [true, false] {
+        let engine = engine(|settings| settings.fenced = fenced);
+        load(&engine, "rose@v1", 5).await;
+        assert_eq!(unload(&engine, "rose@v1", 4).await, if fenced { 409 } else { 200 });
+        engine.server().order(FaultOrder::Restart);
+        let body = serde_json::json!({"lora_name": "iris@v1", "lora_path": "w", "fencing": 4});
+        let path = "/v1/load_lora_adapter";
+        let mut answer = post(engine.server().address(), path, &body).await.unwrap();
+        let record = engine.record();
+        assert_eq!((record.fenced, record.stale), if fenced { (2, 0) } else { (0, 2) });
+        if fenced {
+            assert_eq!(answer.status(), 409);
+            assert_eq!(answer.json::<Fenced>().await.unwrap(), Fenced { fencing: 5 });
+        }
+    }
+}
+
+/// Every guest waits again after an engine's restart: it came back empty,
+/// while the daemon still believes its adapters are loaded.
+#[actix_rt::test]
+async fn restart_empties_the_engine() {
+    let engine = engine(|settings| settings.load = Duration::from_secs(3600));
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 1 }));
+    let running = generate(&engine, &order("base", 1, 3)).await;
+    engine.until(|record| record.ran.first().is_some_and(|ran| ran.tokens == 1)).await;
+    let loading = engine.server().set(Rule::new(Fault::FailLoads).times(1));
+    let orders = async {
+        let path = "/v1/load_lora_adapter";
+        let body = serde_json::json!({"lora_name": "a@1", "lora_path": "w", "fencing": 1});
+        let (first, second) = join(
+            post(engine.server().address(), path, &body),
+            post(engine.server().address(), path, &body),
+        )
+        .await;
+        assert!(first.is_err() && second.is_err(), "their connections were reset");
+    };
+    let restart = async {
+        while engine.server().connections() < 3 {
+            actix_rt::task::yield_now().await;
+        }
+        engine.server().hit(loading, 1).await;
+        engine.server().order(FaultOrder::Restart);
+    };
+    join(orders, restart).await;
+    assert!(!read(running).await.done);
+    let report = LoadReport { incarnation: 8, slots: 8, ..LoadReport::default() };
+    assert_eq!(engine.load(), report);
+    assert_eq!(engine.record().count(Outcome::Cut), 1);
+    assert!(events(&engine, 0).await.is_empty());
+}
+
+/// The daemon sends work to an engine that has unloaded the adapter: reports
+/// are old, and of the events one never came. The numbers show the gap.
+#[actix_rt::test]
+async fn reports_lag_and_events_are_lost() {
+    let engine = engine(|_| {});
+    let server = engine.server();
+    let report = async || -> LoadReport {
+        get(server.address(), "/load").await.unwrap().json().await.unwrap()
+    };
+    let lags = [
+        server.set(Rule::new(Fault::LagReports { millis: 600_000 })),
+        server.set(Rule::new(Fault::LagEvents { millis: 600_000 })),
+    ];
+    server.set(Rule::new(Fault::LoseEvents).skip(1).times(1));
+    for name in ["a@1", "b@1", "c@1"] {
+        load(&engine, name, 1).await;
+    }
+    unload(&engine, "b@1", 1).await;
+    assert!(report().await.loaded.is_empty());
+    assert!(events(&engine, 0).await.is_empty());
+    lags.into_iter().for_each(|id| server.order(FaultOrder::Clear(id)));
+    assert_eq!(report().await.loaded, ["a@1", "c@1"]);
+    let shown = [
+        (1, EventKind::Loaded, "a@1".to_owned()),
+        (3, EventKind::Loaded, "c@1".to_owned()),
+        (4, EventKind::Unloaded, "b@1".to_owned()),
+    ];
+    assert_eq!(events(&engine, 0).await, shown);
+    assert_eq!(events(&engine, 3).await, shown[2..]);
+}
+
+#[actix_rt::test]
+async fn loads_go_through_the_weight_store_once() {
+    let weights = Weights::start(any(), Duration::ZERO).unwrap();
+    let engine = engine(|settings| settings.weights = Some(weights.server().address()));
+    let (first, second) = join(load(&engine, "a@1", 1), load(&engine, "a@1", 1)).await;
+    assert_eq!((first, second), (200, 200));
+    weights.server().set(Rule::new(Fault::Outage).times(1));
+    assert_eq!(load(&engine, "b@1", 1).await, 503, "the store is down");
+    assert_eq!(load(&engine, "b@1", 1).await, 200);
+    let record = weights.record();
+    assert_eq!((record.taken["w/a@1"], record.taken["w/b@1"], record.in_flight), (1, 1, 0));
+    assert_eq!(engine.record().failed_loads, 1);
+}
+
+/// An upstream learns a caller's key, hidden in some header or body: the
+/// engine keeps every byte its sockets received for a test to search.
+#[actix_rt::test]
+async fn every_byte_received_is_kept_while_recording() {
+    let engine = engine(|_| {});
+    let server = engine.server();
+    let call = async |key: &str| {
+        let url = format!("http://{}/v1/completions", server.address());
+        let request = client().post(url).insert_header(("x-odd", format!("{key}-head")));
+        request.send_body(format!("{key}-body")).await.unwrap();
+    };
+    call("before").await;
+    server.record(true);
+    call("secret").await;
+    server.record(false);
+    call("after").await;
+    let received = String::from_utf8(server.received().concat()).unwrap();
+    for (text, found) in
+        [("secret-head", true), ("secret-body", true), ("before", false), ("after", false)]
+    {
+        assert_eq!(received.contains(text), found, "{text}");
+    }
+}
+
+#[actix_rt::test]
+async fn state_is_shown_by_request() {
+    let engine = engine(|_| {});
+    read(generate(&engine, &order("base", 1, 2)).await).await;
+    let mut answer = get(engine.server().address(), "/state").await.unwrap();
+    let record: EngineRecord = answer.json().await.unwrap();
+    assert_eq!(record, engine.record());
+    let ran = &record.ran[0];
+    assert_eq!((ran.request, ran.tokens, ran.outcome), (request(1), 2, Outcome::Finished));
+}
--- /dev/null
+++ b/kingcupbay_standin/tests/fault.rs
@@ -0,0 +1,252 @@
+//! The faults: each on until cleared or for the next N, never by chance.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use awc::error::SendRequestError;
+use common::{any, client, engine, generate, get, load, order, post, read, request};
+use futures_util::future::{Either, join, select};
+use kingcupbay_core::wire::table::{Txn, Write as Put};
+use kingcupbay_standin::{
+    Control, Fault, FaultOrder, Outcome, PlainService, Platform, Rule, Table, answer_text,
+};
+
+const CALL: &str = "/call/book";
+
+async fn call(address: SocketAddr) -> common::Answer {
+    post(address, CALL, &1).await
+}
+
+#[actix_rt::test]
+async fn rule_skips_hits_and_is_spent() {
+    let platform = Platform::start(any(), Duration::ZERO).unwrap();
+    let server = platform.server();
+    let control = Control::new(server.address());
+    let rule = Rule::new(Fault::Outage).path("/objects").skip(1).times(2);
+    let id = control.set(rule.clone()).await.unwrap();
+    let mut statuses = Vec::new();
+    for path in ["/hosts", "/objects/a", "/objects/a", "/hosts", "/objects/a", "/objects/a"] {
+        statuses.push(get(server.address(), path).await.unwrap().status().as_u16());
+    }
+    assert_eq!(statuses, [200, 404, 503, 200, 503, 404]);
+    let faults = control.faults().await.unwrap();
+    assert_eq!(
+        (faults.hits(id), faults.rules[&id.0].seen, &faults.rules[&id.0].rule),
+        (2, 4, &rule)
+    );
+    control.hit(id, 2).await.unwrap();
+    control.clear(id).await.unwrap();
+    assert!(server.faults().rules.is_empty());
+    assert_eq!(platform.record().objects.gets, 2, "an outage has no effect");
+}
+
+/// A family is charged twice: the booking took effect, its answer was lost,
+/// and somebody took the silence for "not run". Each way to get no answer
+/// says how often the call ran.
+#[actix_rt::test]
+async fn missing_answer_may_or_may_not_have_run() {
+    for (fault, runs) in [(Fault::LoseAnswer, 1), (Fault::Reset, 0)] {
+        let service = PlainService::start(any()).unwrap();
+        let address = service.server().address();
+        service.server().set(Rule::new(fault).times(1));
+        assert!(call(address).await.is_err(), "{fault:?}");
+        assert_eq!(service.executions().total, runs, "{fault:?}");
+        assert_eq!(call(address).await.unwrap().status(), 200);
+    }
+}
+
+#[actix_rt::test]
+async fn silent_request_is_never_answered_or_run() {
+    let service = PlainService::start(any()).unwrap();
+    let server = service.server();
+    let id = server.set(Rule::new(Fault::Silent).times(1));
+    let silent = Box::pin(call(server.address()));
+    let Either::Right((_, silent)) = select(silent, Box::pin(server.hit(id, 1))).await else {
+        panic!("answered");
+    };
+    server.order(FaultOrder::ClearAll);
+    let new = Box::pin(call(server.address()));
+    let Either::Right((answer, _silent)) = select(silent, new).await else {
+        panic!("answered");
+    };
+    assert_eq!(answer.unwrap().status(), 200);
+    assert_eq!(service.executions().total, 1);
+}
+
+/// A patch is refused as stale against itself: the table was slow, its
+/// caller gave up, and the write took effect afterwards all the same.
+#[actix_rt::test]
+async fn slow_request_takes_effect_without_its_caller() {
+    let service = PlainService::start(any()).unwrap();
+    let server = service.server();
+    let id = server.set(Rule::new(Fault::Slow { millis: 20 }).times(1));
+    let slow = Box::pin(call(server.address()));
+    drop(select(slow, Box::pin(server.hit(id, 1))).await);
+    service.executed(1).await;
+}
+
+#[actix_rt::test]
+async fn late_answer_follows_its_effect() {
+    let service = PlainService::start(any()).unwrap();
+    let server = service.server();
+    server.set(Rule::new(Fault::LateAnswer { millis: 20 }).times(1));
+    let late = Box::pin(call(server.address()));
+    let Either::Right(((), late)) = select(late, Box::pin(service.executed(1))).await else {
+        panic!("answered before the delay");
+    };
+    assert_eq!(late.await.unwrap().status(), 200);
+}
+
+/// Every guest of one entry waits, while a new visitor is served at once:
+/// something between the ends lost track of the open connections. Nothing
+/// sent on them arrives, and nothing ends them.
+#[actix_rt::test]
+async fn frozen_connections_stay_silent_while_new_ones_work() {
+    let service = PlainService::start(any()).unwrap();
+    let server = service.server();
+    let address = server.address();
+    let head = format!("POST {CALL} HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\n1");
+    let mut open = TcpStream::connect(address).unwrap();
+    open.write_all(head.as_bytes()).unwrap();
+    service.executed(1).await;
+    let control = Control::new(address);
+    control.freeze().await.unwrap();
+    open.write_all(head.as_bytes()).unwrap();
+    assert_eq!(call(address).await.unwrap().status(), 200);
+    control.clear_all().await.unwrap();
+    assert_eq!(call(address).await.unwrap().status(), 200);
+    assert_eq!(service.executions().total, 3, "what came on the frozen one did not run");
+    open.set_nonblocking(true).unwrap();
+    let mut bytes = [0; 4096];
+    while let Ok(count) = open.read(&mut bytes) {
+        assert_ne!(count, 0, "it is not closed either");
+    }
+}
+
+/// The platform's port refuses everybody for a while, then comes back at the
+/// same address. The control address stays, to clear it.
+#[actix_rt::test]
+async fn refused_port_comes_back() {
+    let mut table = Table::start(any()).unwrap();
+    let control = Control::new(table.server_mut().control(any()).unwrap());
+    let address = table.server().address();
+    let read = serde_json::json!({"keys": []});
+    let pooled = client();
+    let ask = || pooled.post(format!("http://{address}/read")).send_json(&read);
+    assert_eq!(ask().await.unwrap().status(), 200);
+    let id = control.set(Rule::new(Fault::Refuse)).await.unwrap();
+    control.freeze().await.unwrap();
+    while table.server().connections() > 1 {
+        actix_rt::task::yield_now().await;
+    }
+    for _ in 0..3 {
+        assert!(matches!(
+            ask().await,
+            Err(SendRequestError::Connect(_) | SendRequestError::Send(_))
+        ));
+    }
+    assert!(Table::start(address).is_err(), "the port stays taken");
+    control.clear(id).await.unwrap();
+    // The port opens when the accept loop runs next.
+    while TcpStream::connect(address).is_err() {
+        actix_rt::task::yield_now().await;
+    }
+    assert_eq!(ask().await.unwrap().status(), 200);
+    assert_eq!(table.record().reads, 2);
+}
+
+#[actix_rt::test]
+async fn restart_of_the_table_keeps_its_rows() {
+    let table = Table::start(any()).unwrap();
+    let address = table.server().address();
+    let writes = vec![Put { key: "a".into(), value: Some("1".into()) }];
+    post(address, "/txn", &Txn { conditions: vec![], writes }).await.unwrap();
+    let _open = TcpStream::connect(address).unwrap();
+    while table.server().connections() < 1 {
+        actix_rt::task::yield_now().await;
+    }
+    Control::new(address).restart().await.unwrap();
+    while table.server().connections() > 0 {
+        actix_rt::task::yield_now().await;
+    }
+    assert_eq!(table.rows().len(), 1);
+}
+
+/// A verdict breaks off, or hangs, after some words: the engine's connection
+/// ended, or went silent. The words sent before it still arrive.
+#[actix_rt::test]
+async fn streams_are_cut_or_stalled_after_some_tokens() {
+    let engine = engine(|_| {});
+    let server = engine.server();
+    server.set(Rule::new(Fault::CutStreams { tokens: 3 }).times(1));
+    server.set(Rule::new(Fault::StallStreams { tokens: 2 }).skip(1).times(1));
+    let mut resumed = order("base", 1, 9);
+    resumed.offset = 4;
+    let cut = read(generate(&engine, &resumed).await).await;
+    assert_eq!((cut.text(), cut.done), (answer_text("base", request(1), 4..7), false));
+    let stalled = generate(&engine, &order("base", 2, 9)).await;
+    engine.until(|record| record.ran.len() == 2 && record.ran[1].tokens == 2).await;
+    server.order(FaultOrder::ClearAll);
+    let whole = read(generate(&engine, &order("base", 3, 9)).await).await;
+    assert_eq!((whole.text(), whole.done), (answer_text("base", request(3), 0..9), true));
+    assert_eq!(engine.record().ran[1].outcome, Outcome::Running, "stalled for good");
+    drop(stalled);
+    engine.until(|record| record.ran[1].outcome == Outcome::Dropped).await;
+    assert_eq!(engine.record().ran[0].outcome, Outcome::Cut);
+}
+
+/// The end of a connection is not the end of an answer: on the wire a cut
+/// stream lacks the last chunk, and a cancelled one has it without `[DONE]`.
+#[actix_rt::test]
+async fn cut_stream_lacks_its_last_chunk() {
+    let engine = engine(|_| {});
+    let address = engine.server().address();
+    engine.server().set(Rule::new(Fault::CutStreams { tokens: 1 }).times(1));
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 1 }).skip(1).times(1));
+    let raw = |n| {
+        let body = serde_json::to_string(&order("base", n, 3)).unwrap();
+        let length = body.len();
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+        );
+        let exchange = move || {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.write_all((head + &body).as_bytes()).unwrap();
+            let mut text = String::new();
+            stream.read_to_string(&mut text).unwrap();
+            text
+        };
+        actix_rt::task::spawn_blocking(exchange)
+    };
+    let cut = raw(1).await.unwrap();
+    let cancel = async {
+        engine.until(|record| record.ran.len() == 2 && record.ran[1].tokens == 1).await;
+        post(address, "/v1/cancel", &serde_json::json!({"request_id": request(2)})).await.unwrap();
+    };
+    let (cancelled, ()) = join(raw(2), cancel).await;
+    let cancelled = cancelled.unwrap();
+    let last = "\r\n0\r\n\r\n";
+    for (text, whole) in [(&cut, false), (&cancelled, true)] {
+        assert!(text.contains("base:0:") && !text.contains("[DONE]"));
+        assert_eq!(text.ends_with(last), whole);
+    }
+    assert_eq!(engine.record().count(Outcome::Cancelled), 1);
+}
+
+#[actix_rt::test]
+async fn next_loads_fail() {
+    let engine = engine(|_| {});
+    engine.server().set(Rule::new(Fault::FailLoads).times(2));
+    let mut statuses = Vec::new();
+    for _ in 0..3 {
+        statuses.push(load(&engine, "a@1", 1).await);
+    }
+    assert_eq!(statuses, [503, 503, 200]);
+    assert_eq!((engine.record().failed_loads, engine.load().loaded.len()), (2, 1));
+}
