Prove the operators' tool on running daemons; dump any host

Cause: the tool had met only its tests' small server. On real daemons, a dump of a named host gave the dump of whichever daemon was asked, and a command sent to another daemon than the one before was refused as stale: the configuration was answered from memory, which lags by a read period. Ruled out: repeating a stale patch against the newer number in the tool; that is the silent merge that operators were promised not to get. Change: GET /admin/config reads the table first; GET /admin/dump?host= fetches the dump from the peer's port; dumps show fencing numbers of plain services. kingcupbayd/tests/operators.rs configures a fleet with the tool alone and gets a streamed answer with the key it issued. Conclusion: a read of the configuration costs one read of the table, or shows what is known when the table is away.

--- /dev/null
+++ b/kingcupbayd/src/admin/dump.rs
@@ -0,0 +1,72 @@
+//! State dumps: this daemon's own, and others' on an operator's behalf.
+//!
+//! Operators know hosts, not the addresses of their operators' ports, which
+//! no row holds; the daemon that is asked fetches the dump from its peer.
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use kingcupbay_core::{
+    id::Name,
+    wire::error::{Code, Failure},
+};
+
+use super::status;
+use crate::{Daemon, http::reply};
+
+/// Path of a daemon's dump on its peers' port.
+pub(crate) const PEER_PATH: &str = "/dump";
+
+/// Longest dump: a line for each adapter of the resident sets.
+const DUMP_LIMIT: usize = 64 << 20;
+
+/// Longest wait for a peer's dump.
+const WAIT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Answers `GET /admin/dump`, with `?host=HOST` for another daemon's.
+pub(super) async fn answer(daemon: &Daemon, request: &Request) -> Response<BoxBody> {
+    let Some(host) = request.uri().query().and_then(|query| query.strip_prefix("host=")) else {
+        return reply::text(StatusCode::OK, own(daemon));
+    };
+    let host = host.parse::<Name>().ok();
+    if host.as_ref() == Some(&daemon.settings.daemon.host) {
+        return reply::text(StatusCode::OK, own(daemon));
+    }
+    let config = daemon.fleet.config();
+    let member = host.as_ref().and_then(|host| config.member(host));
+    let Some(address) = member.map(|(_, member)| member.address.clone()) else {
+        return reply::failure(&Failure::not_run(Code::NotFound, "no such member"));
+    };
+    match tokio::time::timeout(WAIT, fetch(daemon, &address)).await {
+        Ok(Ok(text)) => reply::text(StatusCode::OK, text),
+        Ok(Err(message)) => reply::failure(&Failure::not_run(Code::UpstreamFailed, message)),
+        Err(_) => reply::failure(&Failure::not_run(Code::Deadline, "the peer does not answer")),
+    }
+}
+
+/// This daemon's state: one line for each thing, in a stable order, without
+/// secrets.
+pub(crate) fn own(daemon: &Daemon) -> String {
+    let status = status(daemon);
+    let head = format!(
+        "host={} zone={} role={:?} phase={} standing={} number={} members={} connections={}\n",
+        status.host,
+        status.zone,
+        status.role,
+        status.phase,
+        status.standing,
+        status.number,
+        status.members,
+        status.connections
+    );
+    head.to_lowercase() + &daemon.dump()
+}
+
+async fn fetch(daemon: &Daemon, address: &str) -> Result<String, String> {
+    let url = format!("http://{address}{PEER_PATH}");
+    let sent = daemon.clients.unpooled().get(url).send().await;
+    let mut response = sent.map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("the peer answers {}", response.status()));
+    }
+    let body = response.body().limit(DUMP_LIMIT).await.map_err(|error| error.to_string())?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
--- a/kingcupbayd/src/admin/mod.rs
+++ b/kingcupbayd/src/admin/mod.rs
@@ -1,5 +1,7 @@
 //! The operators' port: configuration, state, metrics and probes.
 
+pub(crate) mod dump;
+
 use std::rc::Rc;
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
@@ -53,10 +55,10 @@
         "/health" if get => reply::text(StatusCode::OK, "alive\n"),
         "/ready" if get => ready(&daemon),
         "/metrics" if get => reply::text(StatusCode::OK, daemon.metrics.text()),
-        CONFIG_PATH if get => reply::json(StatusCode::OK, &*daemon.fleet.config()),
+        CONFIG_PATH if get => config(&daemon).await,
         HISTORY_PATH if get => history(&daemon, &request).await,
         STATUS_PATH if get => reply::json(StatusCode::OK, &status(&daemon)),
-        DUMP_PATH if get => reply::text(StatusCode::OK, dump(&daemon)),
+        DUMP_PATH if get => dump::answer(&daemon, &request).await,
         PATCH_PATH if request.method() == Method::POST => {
             let payload = request.take_payload();
             match body::read(payload, PATCH_LIMIT, PATCH_TIME).await {
@@ -68,6 +70,14 @@
     }
 }
 
+/// The configuration in force, or the newest known when the table is away. A
+/// patch is made against this answer: one that lags behind what the operator
+/// did a moment ago through another daemon would make it stale.
+async fn config(daemon: &Daemon) -> Response<BoxBody> {
+    let _ = daemon.fleet.refresh().await;
+    reply::json(StatusCode::OK, &*daemon.fleet.config())
+}
+
 fn ready(daemon: &Daemon) -> Response<BoxBody> {
     match daemon.ready() {
         true => reply::text(StatusCode::OK, "ready\n"),
@@ -90,23 +100,6 @@
     }
 }
 
-/// The state dump: one line for each thing, in a stable order, no secrets.
-fn dump(daemon: &Daemon) -> String {
-    let status = status(daemon);
-    let head = format!(
-        "host={} zone={} role={:?} phase={} standing={} number={} members={} connections={}\n",
-        status.host,
-        status.zone,
-        status.role,
-        status.phase,
-        status.standing,
-        status.number,
-        status.members,
-        status.connections
-    );
-    head.to_lowercase() + &daemon.dump()
-}
-
 async fn history(daemon: &Daemon, request: &Request) -> Response<BoxBody> {
     let query = request.uri().query().unwrap_or("");
     let after = query.strip_prefix("after=").and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -29,6 +29,7 @@
 use config::Settings;
 use entry::Entry;
 use fleet::Fleet;
+use http::client::Clients;
 use metrics::Metrics;
 use server::drain::{Drain, Phase};
 use upstream::Upstream;
@@ -49,6 +50,7 @@
     settings: Rc<Settings>,
     incarnation: u64,
     fleet: Rc<Fleet>,
+    clients: Clients,
     metrics: Rc<Metrics>,
     drain: Drain,
     role: RoleState,
@@ -84,6 +86,9 @@
         (RoleState::Upstream(upstream), "/run") => {
             upstream::handle(upstream.clone(), request).await
         }
+        (_, admin::dump::PEER_PATH) => {
+            http::reply::text(actix_http::StatusCode::OK, admin::dump::own(&daemon))
+        }
         _ => http::reply::text(actix_http::StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -91,7 +91,7 @@
         Role::Entry => RoleState::Entry(Rc::new(Entry::new(
             settings.clone(),
             fleet.clone(),
-            clients,
+            clients.clone(),
             metrics.clone(),
             drain.clone(),
             log.clone(),
@@ -100,7 +100,7 @@
             settings.clone(),
             fleet.clone(),
             table,
-            clients,
+            clients.clone(),
             metrics.clone(),
             drain.clone(),
             log.clone(),
@@ -110,7 +110,7 @@
     getrandom::fill(&mut incarnation).expect("the system's random source works");
     let incarnation = u64::from_le_bytes(incarnation);
     let joined = RefCell::new(false);
-    Rc::new(Daemon { settings, incarnation, fleet, metrics, drain, role, log, joined })
+    Rc::new(Daemon { settings, incarnation, fleet, clients, metrics, drain, role, log, joined })
 }
 
 /// Enters this daemon into the configuration, again and again until it is in.
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -105,6 +105,10 @@
             let name = config.upstreams.get(*id).map_or("removed", |row| row.name.as_str());
             let _ = writeln!(out, "upstream={name} {}", runner.dump());
         }
+        for (id, number) in self.numbers.borrow().iter() {
+            let name = config.upstreams.get(*id).map_or("removed", |row| row.name.as_str());
+            let _ = writeln!(out, "upstream={name} fencing={}", number.get().unwrap_or(&0));
+        }
         out
     }
 }
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -121,7 +121,7 @@
     words.map(|(key, value)| (key.to_owned(), value.trim_matches('"').to_owned())).collect()
 }
 
-fn built(program: &str) -> PathBuf {
+pub(crate) fn built(program: &str) -> PathBuf {
     let daemon = PathBuf::from(env!("CARGO_BIN_EXE_kingcupbayd"));
     let path = daemon.with_file_name(program);
     assert!(path.exists(), "build the workspace's programs first: {}", path.display());
--- /dev/null
+++ b/kingcupbayd/tests/operators.rs
@@ -0,0 +1,101 @@
+//! The operators' tool against running daemons.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::process::Command;
+
+use common::{Process, ask, completion, daemon, finish, knows, model_upstream, ready, standin};
+use kingcupbay_core::config::change::Change;
+
+/// Runs the tool; its exit code, output and errors.
+fn tool(daemons: &[&Process], args: &[&str]) -> (i32, String, String) {
+    let mut command = Command::new(common::built("kingcupbay"));
+    command.env_remove("KINGCUPBAY_DAEMON").args(["--author", "ops"]).args(args);
+    for daemon in daemons {
+        command.arg("--daemon").arg(daemon.address("operators").to_string());
+    }
+    let output = command.output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (output.status.code().unwrap(), text(output.stdout), text(output.stderr))
+}
+
+/// The output of a run that must succeed.
+fn done(daemon: &Process, args: &[&str]) -> String {
+    let (code, output, errors) = tool(&[daemon], args);
+    assert_eq!(code, 0, "{args:?}: {errors}");
+    output
+}
+
+/// An operator brings up a desk with nothing but the tool: organisation, key,
+/// adapter, version and upstream; the key that was shown once then works, and
+/// a stale patch is refused.
+#[actix_rt::test]
+async fn an_operator_configures_a_fleet_with_the_tool() {
+    let platform = standin("platform", &["--load", "1"]);
+    let engine = standin("engine", &["--fenced", "--load", "1"]);
+    let upstream = daemon("upstream", "upstream-1", &platform, "");
+    let entry = daemon("entry", "entry-1", &platform, "");
+    ready(&upstream).await;
+    ready(&entry).await;
+    let words = |line: &'static str| line.split(' ').collect::<Vec<_>>();
+    done(&entry, &words("organisation set winery --rate 10000 --burst 100000"));
+    let secret = done(&entry, &words("key issue desk --organisation winery"));
+    done(&upstream, &words("adapter set tasting --organisation winery --base base"));
+    done(&entry, &words("version add tasting@v1 --source weights/tasting/v1"));
+    let Change::SetUpstream { upstream: row } = model_upstream("gpu-1", "upstream-1", &engine)
+    else {
+        unreachable!("it sets an upstream")
+    };
+    let set = words("upstream set gpu-1 --host upstream-1 --zone zone-a --base base --slots 8");
+    let rest = ["--fenced", "true", "--address", row.address.as_str()];
+    let taken = done(&entry, &[set, rest.to_vec()].concat());
+    let number: u64 = taken.split(' ').nth(1).unwrap().parse().unwrap();
+    knows(&upstream, number).await;
+    knows(&entry, number).await;
+
+    let request = ask(&entry, "/v1/completions").bearer_auth(secret.trim());
+    let answer = finish(request, &completion("tasting@v1", 3)).await;
+    assert_eq!((answer.status, answer.events().len()), (200, 4), "{}", answer.body);
+
+    let export = done(&entry, &["export"]);
+    assert!(!export.contains(secret.trim()));
+    let file = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("operators.ini");
+    std::fs::write(&file, export.replace("burst = 100000", "burst = 5000")).unwrap();
+    let file = file.to_str().unwrap();
+    let plan = done(&entry, &["plan", file]);
+    let expected =
+        format!("against {number}: 1 change\n  set organisation winery rate=10000 burst=5000\n");
+    assert_eq!(plan, expected);
+    let against = number.to_string();
+    done(&entry, &["apply", "--against", &against, file]);
+    let (code, _, errors) = tool(&[&entry], &["apply", "--against", &against, file]);
+    let stale = format!("stale: made against {number}, but {} is in force", number + 1);
+    assert!(code == 3 && errors.contains(&stale), "{errors}");
+
+    let history = done(&entry, &["history", "--after", &against]);
+    assert!(history.contains("ops     set organisation winery"), "{history}");
+    assert!(done(&upstream, &["status"]).contains("upstream-1"));
+    for (asked, host) in [(&entry, "upstream-1"), (&entry, "entry-1"), (&upstream, "entry-1")] {
+        let dump = done(asked, &["dump", host]);
+        assert!(dump.starts_with(&format!("host={host} ")), "{dump}");
+        assert!(!dump.contains(secret.trim()));
+    }
+    assert_eq!(tool(&[&entry], &["dump", "nowhere"]).0, 4);
+}
+
+/// The daemon an operator named first is gone; the second takes the patch.
+#[actix_rt::test]
+async fn another_daemon_takes_the_patch_when_the_first_is_gone() {
+    let platform = standin("platform", &[]);
+    let (one, two) =
+        (daemon("entry", "entry-1", &platform, ""), daemon("entry", "entry-2", &platform, ""));
+    ready(&one).await;
+    ready(&two).await;
+    one.signal("-KILL");
+    let args = ["organisation", "set", "winery", "--rate", "1", "--burst", "1"];
+    let (code, output, errors) = tool(&[&one, &two], &args);
+    assert_eq!(code, 0, "{errors}");
+    assert!(output.contains("is in force"), "{output}");
+}
