Name the sampling fields in the stand-ins' tests

Ruled out: nothing else broke; the compiler named the one place. Change: the field in the tests' order. Measured: ./test passes whole.

--- a/kingcupbay_standin/tests/common/mod.rs
+++ b/kingcupbay_standin/tests/common/mod.rs
@@ -67,6 +67,7 @@
         request_id: request(n),
         offset: 0,
         priority: 0,
+        sampling: Default::default(),
     }
 }
 
