--- a/kingcupbayd/src/entry/answer.rs
+++ b/kingcupbayd/src/entry/answer.rs
@@ -19,8 +19,10 @@
 use serde::Serialize;
 
 use super::{
-    Entry, admission, head,
-    outcome::{Account, Ending},
+    Entry,
+    admission::{self, Caller},
+    head,
+    outcome::{Account, Ending, Refusal},
     prompt::{self, Ask, Shape},
     relay::{Job, Relay, Step, Target},
 };
@@ -52,19 +54,29 @@
     request: Request,
     shape: Shape,
 ) -> Response<BoxBody> {
-    match admit(entry, request, shape).await {
+    match admit(entry.clone(), request, shape).await {
         Ok((answer, true)) => streamed(answer).await,
         Ok((answer, false)) => whole(answer).await,
-        Err(failure) => reply::failure(&failure),
+        Err(refusal) => reply::failure(&refusal.close(&entry.metrics, &entry.log)),
     }
 }
 
 async fn admit(
+    entry: Rc<Entry>,
+    request: Request,
+    shape: Shape,
+) -> Result<(Answer, bool), Refusal> {
+    let caller = admission::caller(&entry, &request)?;
+    let refuse = |failure| Refusal::of(&caller, failure);
+    prepare(entry, request, shape, &caller).await.map_err(refuse)
+}
+
+async fn prepare(
     entry: Rc<Entry>,
     mut request: Request,
     shape: Shape,
+    caller: &Caller,
 ) -> Result<(Answer, bool), Failure> {
-    let caller = admission::caller(&entry, &request)?;
     let callers = entry.settings.callers.as_ref().expect("an entry has [callers]");
     let deadline = head::deadline(&request, callers, clock::now())?;
     let payload = request.take_payload();
@@ -85,7 +97,8 @@
     let account = Account::open(id, caller.clone(), model.clone(), metrics, log);
     let Ask { prompt, sampling, stream, .. } = ask;
     let work = Work::Generate { version, prompt, max_tokens, offset: 0, sampling };
-    let job = Job { request: id, caller, deadline, target: Target::Model(version), work };
+    let job =
+        Job { request: id, caller: caller.clone(), deadline, target: Target::Model(version), work };
     let answer = Answer {
         relay: Relay::new(entry, job),
         account,
--- a/kingcupbayd/src/entry/call.rs
+++ b/kingcupbayd/src/entry/call.rs
@@ -9,10 +9,11 @@
 };
 
 use super::{
-    Entry, admission,
+    Entry,
+    admission::{self, Caller},
     answer::new_request,
     head,
-    outcome::{Account, Ending},
+    outcome::{Account, Ending, Refusal},
     relay::{Job, Relay, Step, Target},
 };
 use crate::{
@@ -28,9 +29,9 @@
 
 /// Answers one call.
 pub(crate) async fn call(entry: Rc<Entry>, request: Request) -> Response<BoxBody> {
-    let (mut relay, mut account) = match admit(entry, request).await {
+    let (mut relay, mut account) = match admit(entry.clone(), request).await {
         Ok(admitted) => admitted,
-        Err(failure) => return reply::failure(&failure),
+        Err(refusal) => return reply::failure(&refusal.close(&entry.metrics, &entry.log)),
     };
     loop {
         let step = relay.next().await;
@@ -49,8 +50,17 @@
     }
 }
 
-async fn admit(entry: Rc<Entry>, mut request: Request) -> Result<(Relay, Account), Failure> {
+async fn admit(entry: Rc<Entry>, request: Request) -> Result<(Relay, Account), Refusal> {
     let caller = admission::caller(&entry, &request)?;
+    let refuse = |failure| Refusal::of(&caller, failure);
+    prepare(entry, request, &caller).await.map_err(refuse)
+}
+
+async fn prepare(
+    entry: Rc<Entry>,
+    mut request: Request,
+    caller: &Caller,
+) -> Result<(Relay, Account), Failure> {
     let callers = entry.settings.callers.as_ref().expect("an entry has [callers]");
     let deadline = head::deadline(&request, callers, clock::now())?;
     let idempotency = head::idempotency(&request)?;
@@ -72,7 +82,7 @@
     let (metrics, log) = (entry.metrics.clone(), entry.log.clone());
     let account = Account::open(id, caller.clone(), name.to_owned(), metrics, log);
     let work = Work::Call { route, path: rest.to_owned(), idempotency, body };
-    let job = Job { request: id, caller, deadline, target, work };
+    let job = Job { request: id, caller: caller.clone(), deadline, target, work };
     Ok((Relay::new(entry, job), account))
 }
 
--- a/kingcupbayd/src/entry/outcome.rs
+++ b/kingcupbayd/src/entry/outcome.rs
@@ -31,6 +31,35 @@
     log: Logger,
 }
 
+/// A request that was not admitted, with what is known of its caller.
+pub(crate) struct Refusal {
+    /// Name of the organisation; empty where the key told none.
+    organisation: String,
+    failure: Failure,
+}
+
+impl Refusal {
+    /// A refusal of a caller who is known.
+    pub(crate) fn of(caller: &Caller, failure: Failure) -> Refusal {
+        Refusal { organisation: caller.name.clone(), failure }
+    }
+
+    /// Writes the closing line, counts the refusal, and hands the failure out.
+    pub(crate) fn close(self, metrics: &Metrics, log: &Logger) -> Failure {
+        let code = self.failure.code.as_str();
+        metrics.requests.with_label_values(&[self.organisation.as_str(), code]).inc();
+        info!(log, ""; "event" => "refused", "organisation" => self.organisation,
+            "outcome" => code, "retry_after_ms" => self.failure.retry_after.map_or(0, Span::as_millis));
+        self.failure
+    }
+}
+
+impl From<Failure> for Refusal {
+    fn from(failure: Failure) -> Refusal {
+        Refusal { organisation: String::new(), failure }
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Debug)]
 pub(crate) enum Ending {
