Route by free places, order loads by organisation

With copies by part of demand, the requests of an adapter whose one holder was full waited there while others had places: at 5 requests/s over 20 runners with 4 places the worst-served organisation's p95 time to first token was 11.6 s.

Change: an adapter gets a copy when a request would wait at the two holders drawn and not elsewhere: the holder has no place free and is above 1.25 times the mean load plus one. Reports carry the places of an engine. The loads of the organisation that has caused the fewest lately go first. Prefetching leaves six loads of the budget alone instead of one.

--- a/kingcupbay_core/src/queue/entry.rs
+++ b/kingcupbay_core/src/queue/entry.rs
@@ -56,6 +56,8 @@
 pub struct Wait {
     /// The version.
     pub version: VersionId,
+    /// Whose requests they are; a version belongs to one organisation.
+    pub organisation: OrganisationId,
     /// How many wait.
     pub count: u32,
     /// Since when the first of them waits.
--- a/kingcupbay_core/src/route/group.rs
+++ b/kingcupbay_core/src/route/group.rs
@@ -1,13 +1,19 @@
 //! Upstreams that serve the same, and the rendezvous choice among them.
 
-use super::{copies::Copies, holders::Place};
-use crate::id::{Id, UpstreamId, VersionId};
+use super::holders::Place;
+use crate::{
+    id::{Id, UpstreamId, VersionId},
+    time::Instant,
+};
 
 /// The upstreams of one base model or of one service.
 #[derive(Debug, Default)]
 pub(super) struct Group {
     pub(super) places: Vec<Place>,
-    pub(super) copies: Copies,
+    /// Load that is not much above the others'.
+    pub(super) bound: u32,
+    /// When `bound` was worked out.
+    pub(super) bounded: Option<Instant>,
 }
 
 /// Mixes the bits of `value` so that each depends on all (the finaliser of
--- a/kingcupbay_core/src/route/holders.rs
+++ b/kingcupbay_core/src/route/holders.rs
@@ -57,10 +57,12 @@
 
     /// Forgets an upstream that was removed, with what it was expected to load.
     pub(super) fn remove_place(&mut self, place: Place) {
-        self.lists.retain(|_, list| {
-            list.retain(|holder| holder.place != place);
-            !list.is_empty()
-        });
+        let held = |list: &Vec<Holder>| list.iter().any(|holder| holder.place == place);
+        let versions = self.lists.iter().filter(|(_, list)| held(list));
+        let versions: Vec<VersionId> = versions.map(|(&version, _)| version).collect();
+        for version in versions {
+            self.remove(version, place);
+        }
     }
 
     /// Forgets that `place` would load `version`, unless a report shows it.
--- a/kingcupbay_core/src/route/mod.rs
+++ b/kingcupbay_core/src/route/mod.rs
@@ -3,13 +3,15 @@
 //! A request goes where its adapter is loaded: to the less loaded of two
 //! upstreams that hold it. When none does, every entry makes the same
 //! rendezvous choice, so that a cold adapter is loaded once and not once per
-//! entry. An adapter with more than a part of all demand gets more copies,
-//! each in another zone while there is one, and loses them later than it got
-//! them.
+//! entry.
+//!
+//! An adapter gets another copy when a request would wait at its holder but
+//! not elsewhere: a load is shorter than the wait for a place. The copy goes
+//! to another zone while there is one. Copies are lost later than they were
+//! gained, because each holder evicts one only when it is its coldest adapter.
 //!
 //! Reports of the upstreams lag; an entry adds what it sent since then.
 
-mod copies;
 mod group;
 mod holders;
 mod peer;
--- a/kingcupbay_core/src/route/peer.rs
+++ b/kingcupbay_core/src/route/peer.rs
@@ -15,6 +15,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Requests that the engine runs at once.
+    pub places: u32,
     /// Grows with each report, also over restarts of the daemon.
     pub seq: u64,
 }
@@ -53,6 +55,8 @@
     at_report: u32,
     /// Requests in the last report.
     reported: u32,
+    /// Places in the last report, 0 before the first.
+    places: u32,
     seq: u64,
     /// Loaded versions as last reported, sorted.
     pub(super) loaded: Vec<VersionId>,
@@ -68,6 +72,7 @@
             in_flight: Rc::default(),
             at_report: 0,
             reported: 0,
+            places: 0,
             seq: 0,
             loaded: Vec::new(),
         }
@@ -80,6 +85,11 @@
         (self.reported + own).saturating_sub(self.at_report).max(own)
     }
 
+    /// Whether one more request would start at once.
+    pub(super) fn has_room(&self) -> bool {
+        self.load() < self.places
+    }
+
     pub(super) fn is_usable(&self) -> bool {
         self.reachable && !self.leaving
     }
@@ -96,6 +106,7 @@
         }
         self.seq = report.seq;
         self.reported = report.running + report.waiting;
+        self.places = report.places;
         self.at_report = self.in_flight.get();
         true
     }
--- a/kingcupbay_core/src/route/router.rs
+++ b/kingcupbay_core/src/route/router.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    copies::Rule,
     group::{Group, mix, rank},
     holders::{Holders, Place},
     peer::{InFlight, Peer, Report},
@@ -14,16 +13,15 @@
     time::{Instant, Span},
 };
 
+/// Age up to which the bound on load is used again; working it out reads
+/// every upstream.
+const BOUND_AGE: Span = Span::from_millis(20);
+
 /// Parameters of a [`Router`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// Time in which a request counts half towards demand.
-    pub half_life: Span,
-    /// Demand that one copy takes, as a part of one upstream's mean demand.
-    pub fill: f64,
-    /// Part of `fill` below which demand must fall before a copy goes.
-    pub keep: f64,
-    /// Load above the mean, as a factor, at which an upstream is passed over.
+    /// Load above the mean, as a factor, from which an upstream is passed over
+    /// unless it has places free.
     pub bound: f64,
     /// Requests on top of `bound`; with little load a factor says nothing.
     pub slack: u32,
@@ -33,14 +31,7 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits {
-            half_life: Span::from_secs(30),
-            fill: 0.5,
-            keep: 0.5,
-            bound: 1.25,
-            slack: 4,
-            expect: Span::from_secs(3),
-        }
+        Limits { bound: 1.25, slack: 1, expect: Span::from_secs(3) }
     }
 }
 
@@ -140,13 +131,14 @@
         tried: &[UpstreamId],
     ) -> Option<UpstreamId> {
         self.holders.sweep(now);
-        let rule = self.rule();
-        let group = self.bases.get_mut(base)?;
-        let copies = group.copies.touch(now, version, group.places.len(), rule);
+        let bound = self.bound(now, base);
         let holding = self.holding(version, base, tried);
         let place = match self.pick(&holding) {
-            Some(place) if holding.len() >= copies => place,
-            picked => self.rendezvous(version, base, &holding, tried).or(picked)?,
+            Some(place) if self.fits(place, bound) => place,
+            picked => match self.rendezvous(version, base, &holding, tried) {
+                Some(copy) if self.fits(copy, bound) => copy,
+                best => picked.or(best)?,
+            },
         };
         self.holders.expect(version, place, now + self.limits.expect);
         Some(self.peer(place)?.id)
@@ -178,9 +170,10 @@
         peers.map(|peer| peer.id).collect()
     }
 
-    fn rule(&self) -> Rule {
-        let Limits { half_life, fill, keep, .. } = self.limits;
-        Rule { half_life, fill, keep }
+    /// Whether a request at `place` starts at once, or waits about as long as
+    /// anywhere.
+    fn fits(&self, place: Place, bound: u32) -> bool {
+        self.peer(place).is_some_and(|peer| peer.load() <= bound || peer.has_room())
     }
 
     fn peer(&self, place: Place) -> Option<&Peer> {
@@ -205,13 +198,22 @@
             .collect()
     }
 
-    /// Load at which an upstream of `group` takes no adapter it does not hold.
-    fn bound(&self, group: &Group) -> u32 {
-        let usable = group.places.iter().filter_map(|&place| self.peer(place));
-        let loads = usable.filter(|peer| peer.is_usable()).map(|peer| u64::from(peer.load()));
+    /// Load that is not much above the mean of `base`, worked out anew after a
+    /// while.
+    fn bound(&mut self, now: Instant, base: &Name) -> u32 {
+        let Some(group) = self.bases.get(base) else { return 0 };
+        if group.bounded.is_some_and(|at| now.since(at) < BOUND_AGE) {
+            return group.bound;
+        }
+        let peers = group.places.iter().filter_map(|&place| self.peer(place));
+        let loads = peers.filter(|peer| peer.is_usable()).map(|peer| u64::from(peer.load()));
         let (count, sum) = loads.fold((0u64, 0u64), |(count, sum), load| (count + 1, sum + load));
         let mean = sum as f64 / count.max(1) as f64;
-        (mean * self.limits.bound) as u32 + self.limits.slack
+        let bound = (mean * self.limits.bound) as u32 + self.limits.slack;
+        let group = self.bases.get_mut(base).expect("the group was found above");
+        group.bound = bound;
+        group.bounded = Some(now);
+        bound
     }
 
     /// The less loaded of two places drawn from `places`.
@@ -234,8 +236,8 @@
         (mix(self.seed) % below as u64) as usize
     }
 
-    /// The place for one more copy of `version`: of those within the bound the
-    /// one of highest rank, in a zone without a copy if there is one.
+    /// The place for one more copy of `version`: of those a request fits, else
+    /// of all, the one of highest rank, in a zone without a copy if there is.
     fn rendezvous(
         &self,
         version: VersionId,
@@ -244,7 +246,6 @@
         tried: &[UpstreamId],
     ) -> Option<Place> {
         let group = self.bases.get(base)?;
-        let bound = self.bound(group);
         let taken: Vec<u16> =
             holding.iter().filter_map(|&place| self.peer(place)).map(|peer| peer.zone).collect();
         let key = |&place: &Place| {
@@ -253,10 +254,10 @@
                 return None;
             }
             let fresh = !taken.contains(&peer.zone);
-            Some((peer.load() <= bound, fresh, rank(version, peer.id), place))
+            Some((self.fits(place, group.bound), fresh, rank(version, peer.id), place))
         };
-        let (within, _, _, place) = group.places.iter().filter_map(key).max()?;
-        (within || holding.is_empty()).then_some(place)
+        let (.., place) = group.places.iter().filter_map(key).max()?;
+        Some(place)
     }
 
     fn set(&mut self, id: UpstreamId, row: &Upstream, zone: u16) {
--- a/kingcupbay_core/src/slot/heat.rs
+++ b/kingcupbay_core/src/slot/heat.rs
@@ -2,10 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{
-    id::VersionId,
-    time::{Instant, Span},
-};
+use crate::time::{Instant, Span};
 
 /// A count below this is forgotten; it is one use ten half-lives ago.
 const FORGOTTEN: f64 = 0.001;
@@ -31,36 +28,36 @@
     }
 }
 
-/// The heat of many versions.
+/// The heat of many versions or organisations.
 #[derive(Debug)]
-pub(crate) struct Heats {
+pub(crate) struct Heats<K> {
     half_life: Span,
-    heats: BTreeMap<VersionId, Heat>,
+    heats: BTreeMap<K, Heat>,
     swept: Instant,
 }
 
-impl Heats {
-    pub(crate) fn new(half_life: Span) -> Heats {
+impl<K: Copy + Ord> Heats<K> {
+    pub(crate) fn new(half_life: Span) -> Heats<K> {
         Heats { half_life, heats: BTreeMap::new(), swept: Instant::default() }
     }
 
-    /// Adds one use of `version`.
-    pub(crate) fn touch(&mut self, now: Instant, version: VersionId) {
+    /// Adds one use of `key`.
+    pub(crate) fn touch(&mut self, now: Instant, key: K) {
         self.sweep(now);
-        self.heats.entry(version).or_default().touch(now, self.half_life);
+        self.heats.entry(key).or_default().touch(now, self.half_life);
     }
 
-    pub(crate) fn remove(&mut self, version: VersionId) {
-        self.heats.remove(&version);
+    pub(crate) fn remove(&mut self, key: K) {
+        self.heats.remove(&key);
     }
 
-    pub(crate) fn value(&self, now: Instant, version: VersionId) -> f64 {
-        self.heats.get(&version).map_or(0.0, |heat| heat.value(now, self.half_life))
+    pub(crate) fn value(&self, now: Instant, key: K) -> f64 {
+        self.heats.get(&key).map_or(0.0, |heat| heat.value(now, self.half_life))
     }
 
-    /// Versions with their heat, in the order of their keys.
-    pub(crate) fn iter(&self, now: Instant) -> impl Iterator<Item = (VersionId, f64)> {
-        self.heats.iter().map(move |(&version, heat)| (version, heat.value(now, self.half_life)))
+    /// Keys with their heat, in order.
+    pub(crate) fn iter(&self, now: Instant) -> impl Iterator<Item = (K, f64)> {
+        self.heats.iter().map(move |(&key, heat)| (key, heat.value(now, self.half_life)))
     }
 
     /// Keeps the memory bounded by what was used in the last ten half-lives.
--- a/kingcupbay_core/src/slot/table.rs
+++ b/kingcupbay_core/src/slot/table.rs
@@ -9,11 +9,18 @@
     pin::{Pin, Residency},
 };
 use crate::{
-    id::{RequestId, VersionId},
+    id::{OrganisationId, RequestId, VersionId},
     queue::Wait,
     time::{Instant, Span},
 };
 
+/// Time in which a load counts half against the organisation that caused it.
+const LOADERS_HALF_LIFE: Span = Span::from_secs(10);
+
+/// Time of a load at full speed. It is added to each wait, so that many new
+/// requests count as well as few old ones.
+const LOAD: Span = Span::from_millis(250);
+
 /// Parameters of [`Slots`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -22,13 +29,14 @@
     /// Longest wait for a load while every slot is pinned. After it one slot
     /// takes no new requests, so that its pins run out.
     pub patience: Span,
-    /// Loads of the budget that are left alone by loads nobody waits for.
+    /// Loads of the budget that are left alone by loads nobody waits for; they
+    /// make the weight store slower for those somebody waits for.
     pub reserve: u32,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { half_life: Span::from_secs(60), patience: Span::from_millis(1_000), reserve: 1 }
+        Limits { half_life: Span::from_secs(60), patience: Span::from_millis(1_000), reserve: 6 }
     }
 }
 
@@ -123,7 +131,9 @@
     pub(super) places: BTreeMap<VersionId, usize>,
     /// Versions unloaded and when, until a report is younger.
     pub(super) gone: BTreeMap<VersionId, Instant>,
-    heats: Heats,
+    heats: Heats<VersionId>,
+    /// Loads that each organisation's requests caused lately.
+    loaders: Heats<OrganisationId>,
     backoff: Backoff,
     /// The engine's incarnation, once a report has told it.
     pub(super) incarnation: Option<u64>,
@@ -146,6 +156,7 @@
             places: BTreeMap::new(),
             gone: BTreeMap::new(),
             heats: Heats::new(limits.half_life),
+            loaders: Heats::new(LOADERS_HALF_LIFE),
             backoff: Backoff::default(),
             incarnation: None,
             reported: Instant::default(),
@@ -184,6 +195,7 @@
             }
             left -= 1;
             if let Some(at) = self.empty_slot() {
+                self.loaders.touch(now, want.organisation);
                 actions.push(self.load(now, at, want.version));
             } else if freeing > 0 {
                 freeing -= 1;
@@ -285,20 +297,25 @@
         self.slots.iter().map(view).collect()
     }
 
-    /// Versions to load, by the time their requests have waited together. A
-    /// load's time is added to each, so that many new ones count as well.
+    /// Versions to load. The organisation that has caused the fewest loads
+    /// lately goes first, or one that sends far more than others would fill
+    /// the budget; then the version with the longest total wait.
     fn wants(&self, now: Instant, waits: &[Wait]) -> Vec<Wait> {
         let absent = |wait: &&Wait| {
             !self.places.contains_key(&wait.version)
                 && self.backoff.left(now, wait.version).is_none()
         };
-        let mut wants: Vec<Wait> = waits.iter().filter(absent).copied().collect();
-        let urgency = |wait: &Wait| {
-            let age = now.since(wait.oldest) + Span::from_millis(250);
-            age.as_micros() * u64::from(wait.count)
-        };
-        wants.sort_by_key(|wait| std::cmp::Reverse(urgency(wait)));
-        wants
+        let mut wants: Vec<(f64, u64, Wait)> = waits
+            .iter()
+            .filter(absent)
+            .map(|wait| {
+                let age = now.since(wait.oldest) + LOAD;
+                let total = age.as_micros() * u64::from(wait.count);
+                (self.loaders.value(now, wait.organisation), total, *wait)
+            })
+            .collect();
+        wants.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        wants.into_iter().map(|(_, _, wait)| wait).collect()
     }
 
     fn load(&mut self, now: Instant, at: usize, version: VersionId) -> Action {
