--- a/kingcupbay_bench/src/serve/mod.rs
+++ b/kingcupbay_bench/src/serve/mod.rs
@@ -1,8 +1,156 @@
 //! Routing, slots and queue against baselines, in simulated time.
+//!
+//! [`trace`] makes the arrivals, [`sim`] runs them through the core's router,
+//! queues and slots or through the baseline ([`lru`] with random routing),
+//! over a model of engines and of the weight [`store`]. Both policies see the
+//! same arrivals, restarts and failing loads. [`bound`] is what an optimum
+//! with knowledge of the future would load.
+
+mod bound;
+mod desk;
+mod lru;
+mod measure;
+mod random;
+mod sim;
+mod store;
+mod table;
+mod trace;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use clap::ValueEnum;
+use kingcupbay_core::time::Span;
+
+use self::{
+    desk::Tuning,
+    sim::{Policy, Sim},
+    table::Row,
+    trace::{Flood, Setting},
+};
 
 /// Settings of the experiment.
 #[derive(Debug, clap::Args)]
-pub(crate) struct Args {}
+pub(crate) struct Args {
+    /// Whose runners and weight store.
+    #[arg(long, value_enum, default_value_t = Size::District)]
+    size: Size,
+    /// Seeds, counted from 1.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Simulated seconds of each run.
+    #[arg(long, default_value_t = 1_200)]
+    seconds: u64,
+    /// Threads, each with one seed at a time.
+    #[arg(long, default_value_t = 4)]
+    threads: u32,
+    /// Requests that a runner generates for at once.
+    #[arg(long, default_value_t = 8)]
+    places: usize,
+    /// Adapter slots of a runner.
+    #[arg(long, default_value_t = 16)]
+    slots: u32,
+    /// Requests a second for each runner.
+    #[arg(long, default_value_t = 0.3)]
+    demand: f64,
+    /// Exponent of the adapters' popularity.
+    #[arg(long, default_value_t = 1.5)]
+    exponent: f64,
+    /// Load above the mean, as a factor, at which a runner is passed over.
+    #[arg(long)]
+    bound: Option<f64>,
+    /// Requests on top of that.
+    #[arg(long)]
+    slack: Option<u32>,
+    /// Milliseconds of a wait after which a slot that is always pinned closes.
+    #[arg(long)]
+    patience: Option<u64>,
+    /// Seconds in which a use counts half for the choice of a victim.
+    #[arg(long)]
+    half_life: Option<u64>,
+    /// Loads of the budget left alone by prefetching.
+    #[arg(long)]
+    reserve: Option<u32>,
+}
+
+/// Today's two sizes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Size {
+    /// 20 runners, 4 loads a second.
+    District,
+    /// 10 runners, 2 loads a second.
+    Zahradka,
+}
+
+impl Args {
+    fn setting(&self) -> Setting {
+        let (runners, loads) = match self.size {
+            Size::District => (20, 4.0),
+            Size::Zahradka => (10, 2.0),
+        };
+        Setting {
+            runners,
+            slots: self.slots,
+            places: self.places,
+            loads,
+            demand: self.demand * f64::from(runners),
+            exponent: self.exponent,
+            seconds: self.seconds,
+        }
+    }
+
+    fn tuning(&self) -> Tuning {
+        let mut tuning = Tuning::default();
+        let Tuning { slot, route, .. } = &mut tuning;
+        route.bound = self.bound.unwrap_or(route.bound);
+        route.slack = self.slack.unwrap_or(route.slack);
+        slot.half_life = self.half_life.map_or(slot.half_life, Span::from_secs);
+        slot.patience = self.patience.map_or(slot.patience, Span::from_millis);
+        slot.reserve = self.reserve.unwrap_or(slot.reserve);
+        tuning
+    }
+}
 
 /// Runs the experiment and prints its table.
-pub(crate) fn run(_args: &Args) {}
+pub(crate) fn run(args: &Args) {
+    let setting = args.setting();
+    let tuning = args.tuning();
+    let next = AtomicU64::new(1);
+    let rows = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..args.threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed > args.seeds {
+                        return;
+                    }
+                    let row = row(&setting, tuning, seed);
+                    rows.lock().expect("no thread stops midway").insert(seed, row);
+                }
+            });
+        }
+    });
+    let rows: Vec<Row> = rows.into_inner().expect("no thread stops midway").into_values().collect();
+    table::print(&setting, &rows);
+}
+
+fn row(setting: &Setting, tuning: Tuning, seed: u64) -> Row {
+    let floods = [Flood::None, Flood::Limited, Flood::Free];
+    let traces = floods.map(|flood| trace::trace(setting, seed, flood));
+    let all = |policy| {
+        let run = |arrivals: &Vec<_>| Sim::new(setting, arrivals, seed, policy).run();
+        [run(&traces[0]), run(&traces[1]), run(&traces[2])]
+    };
+    let slots = (setting.runners * setting.slots) as usize;
+    Row {
+        core: all(Policy::Core(tuning)),
+        baseline: all(Policy::Baseline),
+        bound: bound::least_loads(&traces[1], slots),
+    }
+}
--- /dev/null
+++ b/kingcupbay_bench/src/serve/random.rs
@@ -0,0 +1,69 @@
+//! A seeded generator (SplitMix64) and the distributions of the experiment.
+
+/// The generator's state.
+#[derive(Clone, Debug)]
+pub(crate) struct Random(u64);
+
+impl Random {
+    /// The `stream`-th generator of `seed`; streams do not influence each
+    /// other, so one organisation can send more and the others the same.
+    pub(crate) fn new(seed: u64, stream: u64) -> Random {
+        let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (stream << 32));
+        random.next();
+        random
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let value = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        value ^ (value >> 31)
+    }
+
+    /// Even over `[0, 1)`.
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        (self.unit() * bound as f64) as usize
+    }
+
+    /// Exponential with the given mean.
+    pub(crate) fn exponential(&mut self, mean: f64) -> f64 {
+        -(1.0 - self.unit()).ln() * mean
+    }
+
+    pub(crate) fn shuffle<T>(&mut self, items: &mut [T]) {
+        for last in (1..items.len()).rev() {
+            items.swap(last, self.below(last + 1));
+        }
+    }
+}
+
+/// Ranks by Zipf's law.
+#[derive(Debug)]
+pub(crate) struct Zipf {
+    /// Sums of the weights up to each rank, the last one 1.
+    sums: Vec<f64>,
+}
+
+impl Zipf {
+    pub(crate) fn new(count: usize, exponent: f64) -> Zipf {
+        let weights = (1..=count).map(|rank| (rank as f64).powf(-exponent));
+        let mut sums: Vec<f64> = weights
+            .scan(0.0, |sum, weight| {
+                *sum += weight;
+                Some(*sum)
+            })
+            .collect();
+        let all = sums.last().copied().unwrap_or(1.0);
+        sums.iter_mut().for_each(|sum| *sum /= all);
+        Zipf { sums }
+    }
+
+    pub(crate) fn rank(&self, random: &mut Random) -> usize {
+        let drawn = random.unit();
+        self.sums.partition_point(|&sum| sum <= drawn).min(self.sums.len() - 1)
+    }
+}
