Keep the session of a lost claim as a golden file

Cause: the steps of a once-only call are best read in order. Ruled out: printing the machine's own state; a reader needs who says what. Change: a session of three attempts, one line for each event and action. Conclusion: the file changes whenever the protocol does.

--- a/kingcupbay_core/tests/claim.rs
+++ b/kingcupbay_core/tests/claim.rs
@@ -345,3 +345,81 @@
     first.finish(&mut world);
     assert_eq!(words(&first.told.unwrap()), "execution 1");
 }
+
+/// A line for each action, as a reader of the golden file wants it.
+fn told(who: &str, action: &Action) -> String {
+    match action {
+        Action::Txn(txn) => {
+            let value = txn.writes[0].value.as_ref().unwrap();
+            let record: Record = serde_json::from_str(value).unwrap();
+            let state = match record.state {
+                State::Claimed => "claimed".to_owned(),
+                State::Released => "released".to_owned(),
+                State::Done(outcome) => format!("done with {}", outcome.status),
+            };
+            let conditions = txn.conditions.iter();
+            let conditions: Vec<_> =
+                conditions.map(|c| format!("{} at {}", c.key, c.revision)).collect();
+            format!("{who} -> table: if {}, write {state}", conditions.join(" and "))
+        }
+        Action::Read(_) => format!("{who} -> table: read {KEY}"),
+        Action::Call => format!("{who} -> service: call"),
+        Action::Answer(answer) => format!("{who} -> caller: {}", words(answer)),
+    }
+}
+
+fn happened(who: &str, event: &Event) -> String {
+    let what = match event {
+        Event::StoreAnswer(TxnAnswer::Committed) => "table: written".to_owned(),
+        Event::StoreAnswer(TxnAnswer::Conflict(rows)) => {
+            let rows: Vec<_> =
+                rows.iter().map(|row| format!("{} is at {}", row.key, row.revision)).collect();
+            format!("table: not written, {}", rows.join(" and "))
+        }
+        Event::StoreLost => "table: no answer".to_owned(),
+        Event::RowRead(Some(row)) => {
+            let record: Record = serde_json::from_str(&row.value).unwrap();
+            format!("table: at {} of attempt {}", row.revision, record.attempt)
+        }
+        Event::ServiceAnswered(outcome) => format!("service: {}", outcome.status),
+        event => format!("{event:?}").to_lowercase(),
+    };
+    format!("{who} <- {what}")
+}
+
+/// The claim is written and its answer lost; the caller presses again while
+/// the call runs, and once more after it.
+#[test]
+fn session_with_a_lost_claim() {
+    let mut world = World::default();
+    let fencing = world.table.fence();
+    let mut lines = Vec::new();
+    let mut go =
+        |world: &mut World, runner: &mut Runner, who: &str, lose: bool, until: Option<Step>| {
+            while !runner.actions.is_empty() {
+                let action = runner.actions.remove(0);
+                lines.push(told(who, &action));
+                if matches!(action, Action::Answer(_)) {
+                    continue;
+                }
+                let mut event = world.effect(&action);
+                if lose && step(&action) == Step::Claim {
+                    event = Event::StoreLost;
+                }
+                lines.push(happened(who, &event));
+                runner.on(event);
+                if until.is_some() && runner.actions.first().map(step) == until {
+                    return;
+                }
+            }
+        };
+    let mut first = Runner::start(0, fencing);
+    let mut second = Runner::start(1, fencing);
+    let mut third = Runner::start(2, fencing);
+    go(&mut world, &mut first, "first", true, Some(Step::Outcome));
+    go(&mut world, &mut second, "second", false, None);
+    go(&mut world, &mut first, "first", false, None);
+    go(&mut world, &mut third, "third", false, None);
+    assert_eq!(lines.join("\n") + "\n", include_str!("golden/once_lost_claim.txt"));
+    assert_eq!(world.runs, 1);
+}
