Test that the shipped sample declaration applies

Cause: a newcomer applies it first; nothing but the start script read it. Ruled out: nothing. Change: one test that plans and applies it to an empty configuration. Conclusion: a change of the declarations' form now shows here.

--- a/kingcupbay_core/tests/declare.rs
+++ b/kingcupbay_core/tests/declare.rs
@@ -327,3 +327,9 @@
     }
     assert!(planned > 1_000, "the generator makes too little: {planned}");
 }
+
+#[test]
+fn the_shipped_sample_can_be_applied_as_it_is() {
+    let config = applied(&Config::default(), include_str!("../../extra/examples/sample.ini"));
+    assert!(config.key("kcb_sample").is_some());
+}
