Show slots and running requests in the state dump, and load in the metrics

Cause: a dump told counts only; who is on the phone at night could not see which request sits where, nor how full the batches are. Ruled out: walking the tasks of the runtime; the list is kept by guards. Change: a list of active requests in both roles, a line for each slot, gauges of running, waiting and places for each upstream; the closing line of an upstream daemon names the model. Conclusion: a dump answers where a request is.

--- a/kingcupbayd/src/entry/answer.rs
+++ b/kingcupbayd/src/entry/answer.rs
@@ -93,8 +93,7 @@
     let tokens = prompt_tokens + u64::from(max_tokens);
     let reservation = entry.shares.reserve(caller.organisation, tokens).await?;
     let id = new_request();
-    let (metrics, log) = (entry.metrics.clone(), entry.log.clone());
-    let account = Account::open(id, caller.clone(), model.clone(), metrics, log);
+    let account = Account::open(id, caller.clone(), model.clone(), &entry);
     let Ask { prompt, sampling, stream, .. } = ask;
     let work = Work::Generate { version, prompt, max_tokens, offset: 0, sampling };
     let job =
--- a/kingcupbayd/src/entry/call.rs
+++ b/kingcupbayd/src/entry/call.rs
@@ -79,8 +79,7 @@
     let payload = request.take_payload();
     let body = body::read(payload, callers.body_limit, callers.body_timeout).await?.to_vec();
     let id = new_request();
-    let (metrics, log) = (entry.metrics.clone(), entry.log.clone());
-    let account = Account::open(id, caller.clone(), name.to_owned(), metrics, log);
+    let account = Account::open(id, caller.clone(), name.to_owned(), &entry);
     let work = Work::Call { route, path: rest.to_owned(), idempotency, body };
     let job = Job { request: id, caller: caller.clone(), deadline, target, work };
     Ok((Relay::new(entry, job), account))
--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -13,6 +13,7 @@
 use slog::Logger;
 
 use crate::{
+    active::Active,
     clock,
     config::Settings,
     fleet::Fleet,
@@ -41,6 +42,7 @@
     shares: Rc<Shares>,
     routes: route::Routes,
     clients: Clients,
+    active: Active,
     metrics: Rc<Metrics>,
     drain: Drain,
     log: Logger,
@@ -58,7 +60,17 @@
     ) -> Entry {
         let shares = Rc::new(Shares::new(fleet.clone()));
         let routes = route::Routes::new(fleet.clone());
-        Entry { settings, fleet, shares, routes, clients, metrics, drain, log }
+        Entry {
+            settings,
+            fleet,
+            shares,
+            routes,
+            clients,
+            active: Active::default(),
+            metrics,
+            drain,
+            log,
+        }
     }
 
     /// Whether the balancer may send requests here.
@@ -66,9 +78,9 @@
         self.drain.phase() == Phase::Serving && self.fleet.holds(clock::now())
     }
 
-    /// Running requests by upstream, for the state dump.
+    /// One line for each upstream, then one for each request.
     pub(crate) fn dump(&self) -> String {
-        self.routes.dump()
+        self.routes.dump() + &self.active.dump(clock::now())
     }
 }
 
--- a/kingcupbayd/src/entry/outcome.rs
+++ b/kingcupbayd/src/entry/outcome.rs
@@ -9,8 +9,8 @@
 };
 use slog::{Logger, info, warn};
 
-use super::admission::Caller;
-use crate::{clock, metrics::Metrics};
+use super::{Entry, admission::Caller};
+use crate::{active::Entered, clock, metrics::Metrics};
 
 /// A request between its admission and its end.
 ///
@@ -27,6 +27,7 @@
     tokens: u32,
     usage: Usage,
     open: bool,
+    entered: Entered,
     metrics: Rc<Metrics>,
     log: Logger,
 }
@@ -75,11 +76,11 @@
         request: RequestId,
         caller: Caller,
         model: String,
-        metrics: Rc<Metrics>,
-        log: Logger,
+        entry: &Entry,
     ) -> Account {
-        metrics.streams.inc();
+        entry.metrics.streams.inc();
         let began = clock::now();
+        let entered = entry.active.enter(request, &caller.name, &model, began);
         Account {
             request,
             caller,
@@ -91,14 +92,18 @@
             tokens: 0,
             usage: Usage::default(),
             open: true,
-            metrics,
-            log,
+            entered,
+            metrics: entry.metrics.clone(),
+            log: entry.log.clone(),
         }
     }
 
     /// Names the upstream of the present attempt.
     pub(crate) fn on_attempt(&mut self, upstream: &str) {
-        upstream.clone_into(&mut self.upstream);
+        if self.upstream != upstream {
+            upstream.clone_into(&mut self.upstream);
+            self.entered.on_upstream(upstream);
+        }
     }
 
     /// One token went to the caller.
@@ -115,6 +120,7 @@
         }
         self.last = now;
         self.tokens += 1;
+        self.entered.on_tokens(self.tokens);
         self.metrics.tokens.inc();
     }
 
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -4,6 +4,7 @@
 //! `kingcupbay_core`, and what it decides is carried out. Everything runs on
 //! one thread.
 
+mod active;
 mod admin;
 mod clock;
 pub mod config;
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of one daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of latencies in seconds: from relaying to a cold start in a queue.
@@ -36,6 +36,12 @@
     pub(crate) loads: IntCounterVec,
     /// Streams running now.
     pub(crate) streams: IntGauge,
+    /// Requests that run on an upstream's engine.
+    pub(crate) running: IntGaugeVec,
+    /// Requests that wait for it.
+    pub(crate) waiting: IntGaugeVec,
+    /// Requests that it may run at once.
+    pub(crate) places: IntGaugeVec,
     /// Number of the configuration in use.
     pub(crate) config_number: IntGauge,
     /// Whether this daemon may act on what it knows.
@@ -55,6 +61,9 @@
             registered(&registry, Histogram::with_opts(options))
         };
         let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
+        let gauges = |name: &str, help: &str| {
+            registered(&registry, IntGaugeVec::new(Opts::new(name, help), &["upstream"]))
+        };
         let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
         let first = HistogramOpts::new("kingcupbay_first_token_seconds", "Time to first token")
             .buckets(LATENCY.to_vec());
@@ -84,6 +93,9 @@
                 LATENCY,
             ),
             loads: counters("kingcupbay_loads_total", "Adapter loads by outcome", &["outcome"]),
+            running: gauges("kingcupbay_upstream_running", "Requests that run"),
+            waiting: gauges("kingcupbay_upstream_waiting", "Requests that wait"),
+            places: gauges("kingcupbay_upstream_places", "Requests that may run at once"),
             streams: gauge("kingcupbay_streams", "Streams running now"),
             config_number: gauge("kingcupbay_config_number", "Configuration in use"),
             standing: gauge("kingcupbay_standing", "1 while this daemon may act on what it knows"),
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -11,13 +11,13 @@
 use actix_http::{Request, Response, body::BoxBody};
 use kingcupbay_core::{
     config::model::{Serves, Upstream as Row},
-    id::{Name, UpstreamId},
+    id::{Name, OrganisationId, UpstreamId},
     wire::error::{Code, Failure},
 };
 use slog::Logger;
 
 use crate::{
-    config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics,
+    active::Active, clock, config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics,
     platform::table::Table, server::drain::Drain,
 };
 
@@ -36,6 +36,7 @@
     fleet: Rc<Fleet>,
     table: Table,
     clients: Clients,
+    active: Active,
     metrics: Rc<Metrics>,
     drain: Drain,
     log: Logger,
@@ -54,8 +55,8 @@
         drain: Drain,
         log: Logger,
     ) -> Upstream {
-        let (runners, numbers) = Default::default();
-        Upstream { settings, fleet, table, clients, metrics, drain, log, runners, numbers }
+        let (active, runners, numbers) = Default::default();
+        Upstream { settings, fleet, table, clients, active, metrics, drain, log, runners, numbers }
     }
 
     /// The row of an upstream that this daemon owns.
@@ -68,6 +69,16 @@
         }
     }
 
+    fn organisation_name(&self, id: OrganisationId) -> String {
+        let config = self.fleet.config();
+        config.organisations.get(id).map_or("removed".to_owned(), |row| row.name.to_string())
+    }
+
+    fn upstream_name(&self, id: UpstreamId) -> String {
+        let config = self.fleet.config();
+        config.upstreams.get(id).map_or("removed".to_owned(), |row| row.name.to_string())
+    }
+
     fn owns(&self, host: &Name) -> bool {
         *host == self.settings.daemon.host
     }
@@ -97,19 +108,20 @@
         }
     }
 
-    /// One line for each upstream.
+    /// A line for each upstream, followed by its slots; then one for each
+    /// request.
     pub(crate) fn dump(&self) -> String {
         let mut out = String::new();
         let config = self.fleet.config();
         for (id, runner) in self.runners.borrow().iter() {
             let name = config.upstreams.get(*id).map_or("removed", |row| row.name.as_str());
-            let _ = writeln!(out, "upstream={name} {}", runner.dump());
+            let _ = write!(out, "{}", runner.dump(name));
         }
         for (id, number) in self.numbers.borrow().iter() {
             let name = config.upstreams.get(*id).map_or("removed", |row| row.name.as_str());
             let _ = writeln!(out, "upstream={name} fencing={}", number.get().unwrap_or(&0));
         }
-        out
+        out + &self.active.dump(clock::now())
     }
 }
 
--- a/kingcupbayd/src/upstream/run.rs
+++ b/kingcupbayd/src/upstream/run.rs
@@ -25,6 +25,7 @@
     runner::Place,
 };
 use crate::{
+    active::Entered,
     clock,
     http::{body, reply},
     server::drain::Phase,
@@ -107,11 +108,17 @@
     heard: Instant,
     /// Whether the closing line is still to be written.
     open: bool,
+    model: String,
+    entered: Entered,
 }
 
 impl Serving {
     fn new(upstream: Rc<Upstream>, run: Run) -> Serving {
         let (request, organisation) = (run.request, run.organisation);
+        let model = name_of(&upstream, &run);
+        let name = upstream.organisation_name(organisation);
+        let entered = upstream.active.enter(request, &name, &model, clock::now());
+        entered.on_upstream(&upstream.upstream_name(run.upstream));
         let phase = match run.work {
             Work::Generate { .. } => Phases::Waiting(Box::pin(wait(upstream.clone(), run))),
             Work::Call { .. } => Phases::Calling(Box::pin(call::run(upstream.clone(), run))),
@@ -124,6 +131,8 @@
             engine: None,
             heard: clock::now(),
             open: true,
+            model,
+            entered,
         }
     }
 
@@ -238,7 +247,10 @@
     fn on_choice(&mut self, chunk: Chunk) -> Option<RunEvent> {
         let choice = chunk.choices.into_iter().next()?;
         match choice.finish_reason {
-            None => Some(RunEvent::Token { offset: choice.offset, text: choice.text }),
+            None => {
+                self.entered.on_tokens(choice.offset + 1);
+                Some(RunEvent::Token { offset: choice.offset, text: choice.text })
+            }
             Some(reason) => {
                 self.engine = None;
                 self.phase = Phases::Over;
@@ -265,14 +277,12 @@
 
     fn log_end(&mut self, outcome: &str) {
         self.open = false;
-        let config = self.upstream.fleet.config();
-        let organisation = config.organisations.get(self.organisation);
-        let name = organisation.map_or("removed", |row| row.name.as_str());
+        let name = self.upstream.organisation_name(self.organisation);
         if outcome == LEFT {
-            self.upstream.metrics.undelivered.with_label_values(&[name]).inc();
+            self.upstream.metrics.undelivered.with_label_values(&[name.as_str()]).inc();
         }
         info!(self.upstream.log, ""; "event" => "run", "request" => %self.request,
-            "organisation" => name, "outcome" => outcome);
+            "organisation" => name, "model" => &self.model, "outcome" => outcome);
     }
 }
 
@@ -288,6 +298,16 @@
     }
 }
 
+/// What an order asks for, as dumps and logs name it.
+fn name_of(upstream: &Upstream, run: &Run) -> String {
+    let config = upstream.fleet.config();
+    let name = match &run.work {
+        Work::Generate { version, .. } => config.model(*version),
+        Work::Call { route, .. } => config.routes.get(*route).map(|row| row.name.to_string()),
+    };
+    name.unwrap_or_else(|| "removed".to_owned())
+}
+
 fn restarted() -> EngineError {
     EngineError::Broken("it restarted".to_owned())
 }
--- a/kingcupbayd/src/upstream/runner/mod.rs
+++ b/kingcupbayd/src/upstream/runner/mod.rs
@@ -8,6 +8,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    fmt::Write as _,
     rc::{Rc, Weak},
 };
 
@@ -226,20 +227,40 @@
         }
     }
 
-    /// The engine's state in key=value pairs.
-    pub(crate) fn dump(&self) -> String {
+    /// Shows the engine's load to the metrics: batch efficiency is the part
+    /// of the places used while requests wait.
+    fn measure(&self) {
+        let state = self.state.borrow();
+        let labels = [self.row.name.as_str()];
+        let metrics = &self.upstream.metrics;
+        metrics.running.with_label_values(&labels).set(state.queue.running() as i64);
+        metrics.waiting.with_label_values(&labels).set(state.queue.len() as i64);
+        let places = i64::from(self.upstream.settings.tuning.batch);
+        metrics.places.with_label_values(&labels).set(places);
+    }
+
+    /// One line for the engine, and one for each slot that is not empty.
+    pub(crate) fn dump(&self, name: &str) -> String {
         let state = self.state.borrow();
         let slots = state.slots.as_ref().map(Slots::view).unwrap_or_default();
         let pins: u32 = slots.iter().map(|slot| slot.pins).sum();
         let loaded = slots.iter().filter(|slot| slot.state == slot::SlotState::Loaded).count();
-        format!(
-            "owned={} fenced={} running={} waiting={} slots={} loaded={loaded} pins={pins}",
+        let mut out = format!(
+            "upstream={name} owned={} fenced={} running={} waiting={} slots={} loaded={loaded} pins={pins}\n",
             state.slots.is_some(),
             state.slots.as_ref().is_some_and(Slots::is_fenced),
             state.queue.running(),
             state.queue.len(),
             slots.len(),
-        )
+        );
+        let config = self.upstream.fleet.config();
+        for slot in slots {
+            let Some(version) = slot.version else { continue };
+            let model = config.model(version).unwrap_or_else(|| "removed".to_owned());
+            let state = format!("{:?}", slot.state).to_lowercase();
+            let _ = writeln!(out, "upstream={name} slot={state} model={model} pins={}", slot.pins);
+        }
+        out
     }
 }
 
@@ -264,6 +285,7 @@
     let mut asked = clock::now();
     while let Some(runner) = runner.upgrade() {
         runner.pump();
+        runner.measure();
         if clock::now().since(asked) >= REPORT_PERIOD {
             asked = clock::now();
             runner.retire();
