Give up on hopeless requests before their deadline

Change: `expire` judges each waiting request by its place in its lane and the measured pace, halved, as `push` does for a new one.

--- a/kingcupbay_core/src/queue/mod.rs
+++ b/kingcupbay_core/src/queue/mod.rs
@@ -174,12 +174,18 @@
         self.take(organisation, at)
     }
 
-    /// Gives up on every request that can no longer meet its deadline.
+    /// Gives up on every request that can no longer meet its deadline, by the
+    /// clock or by its place in its lane and the pace of starts. Held until
+    /// the clock decides, its caller would learn of it when it is too late to
+    /// go elsewhere.
     pub fn expire(&mut self, now: Instant) -> Vec<GivenUp> {
-        let latest = now + self.limits.least;
         let floor = self.floor;
         self.lanes.retain(|_, lane| !lane.is_idle() || lane.counter > floor);
-        self.give_up(Code::Deadline, |entry| entry.deadline < latest)
+        let hopeless: BTreeSet<RequestId> = self.hopeless(now).collect();
+        if hopeless.is_empty() {
+            return Vec::new();
+        }
+        self.give_up(Code::Deadline, |entry| hopeless.contains(&entry.request))
     }
 
     /// Gives up on every request for `version`, whose load failed.
@@ -221,7 +227,7 @@
         self.versions.iter().filter_map(wait).collect()
     }
 
-    /// The earliest point at which [`expire`](Queue::expire) finds something.
+    /// The earliest point at which the clock alone puts a deadline out of reach.
     pub fn next_expiry(&self) -> Option<Instant> {
         let entries = self.lanes.values().flat_map(|lane| &lane.waiting);
         let first = entries.map(|entry| entry.deadline).min()?;
@@ -237,11 +243,34 @@
     /// start in as many as there are lanes.
     pub fn estimate(&self, organisation: OrganisationId) -> Span {
         let own = self.lanes.get(&organisation).map_or(0, |lane| lane.waiting.len());
-        let lanes = self.lanes.values().filter(|lane| !lane.waiting.is_empty()).count();
-        let ahead = (own * lanes).min(self.len) as u64;
+        self.wait(own, self.busy_lanes())
+    }
+
+    fn hopeless(&self, now: Instant) -> impl Iterator<Item = RequestId> {
+        let lanes = self.busy_lanes();
+        self.lanes.values().flat_map(move |lane| {
+            lane.waiting.iter().enumerate().filter_map(move |(at, entry)| {
+                let soonest = now + self.soonest(at, lanes);
+                (soonest + self.limits.least > entry.deadline).then_some(entry.request)
+            })
+        })
+    }
+
+    /// The least time until the entry at `at` of its lane may start.
+    fn soonest(&self, at: usize, lanes: usize) -> Span {
+        Span::from_micros(self.wait(at, lanes).as_micros() / ESTIMATE_DIVISOR)
+    }
+
+    /// The mean time until the entry at `at` of its lane starts.
+    fn wait(&self, at: usize, lanes: usize) -> Span {
+        let ahead = (at * lanes).min(self.len) as u64;
         Span::from_micros(self.pace.interval().as_micros() * ahead)
     }
 
+    fn busy_lanes(&self) -> usize {
+        self.lanes.values().filter(|lane| !lane.waiting.is_empty()).count()
+    }
+
     fn overloaded(&self, entry: Entry) -> GivenUp {
         let retry_after = self.estimate(entry.organisation).max(RETRY_MIN);
         GivenUp::new(entry, Code::Overloaded, retry_after)
--- a/kingcupbay_core/tests/queue.rs
+++ b/kingcupbay_core/tests/queue.rs
@@ -162,6 +162,25 @@
     assert_eq!(queue.push(now, other), None, "the short lane has no such wait");
 }
 
+/// The engine slows down while a request waits. Its caller could still go
+/// elsewhere in time, but only if it is told before the deadline has come.
+#[test]
+fn a_wait_that_grows_beyond_the_deadline_is_answered_early() {
+    let mut queue = Queue::new(Limits { length: 100, ..LIMITS });
+    for number in 0..20 {
+        let entry = Entry { deadline: at(40_000), ..entry(number, 1, 10, at(0)) };
+        assert_eq!(queue.push(at(0), entry), None);
+    }
+    for second in 1..6 {
+        queue.start_next(at(10_000 + 1_000 * second), |_| true).unwrap();
+    }
+    assert_eq!(queue.expire(at(15_000)), [], "14 seconds of work, 25 seconds left");
+    queue.start_next(at(31_000), |_| true).unwrap();
+    let told: Vec<_> = queue.expire(at(31_000)).iter().map(|gone| gone.entry.request).collect();
+    // 2.875 s a start by now: half of seven is beyond the 8.95 s left.
+    assert_eq!(told, (13..20).map(id).collect::<Vec<_>>());
+}
+
 #[test]
 fn a_full_queue_refuses_the_longest_lane_first() {
     let mut queue = Queue::new(LIMITS);
