--- a/kingcupbay_bench/src/serve/measure.rs
+++ b/kingcupbay_bench/src/serve/measure.rs
@@ -14,6 +14,8 @@
     pub(crate) stall_waits: Vec<Span>,
     pub(crate) loads: u64,
     pub(crate) refusals: u64,
+    /// How long the refused ones had waited when they were told.
+    pub(crate) refusal_waits: Vec<Span>,
     /// Microseconds of places in use, and of all places while there is work.
     pub(crate) used: u64,
     pub(crate) offered: u64,
@@ -34,6 +36,10 @@
         percentile(&self.stall_waits, 0.95)
     }
 
+    pub(crate) fn refusal_median(&self) -> f64 {
+        percentile(&self.refusal_waits, 0.5)
+    }
+
     /// p95 of the time to the first token of the organisation with the
     /// longest, `without` aside.
     pub(crate) fn worst_p95(&self, without: OrganisationId) -> f64 {
--- a/kingcupbay_bench/src/serve/mod.rs
+++ b/kingcupbay_bench/src/serve/mod.rs
@@ -10,6 +10,7 @@
 mod desk;
 mod lru;
 mod measure;
+mod model;
 mod random;
 mod sim;
 mod store;
--- a/kingcupbay_bench/src/serve/sim.rs
+++ b/kingcupbay_bench/src/serve/sim.rs
@@ -3,13 +3,9 @@
 use std::collections::BTreeMap;
 
 use kingcupbay_core::{
-    config::{
-        change::Change,
-        model::{Config, Serves, Upstream},
-    },
-    id::{Id, Name, RequestId, UpstreamId, VersionId},
+    id::{Id, Name, UpstreamId, VersionId},
     queue::{Entry, GivenUp},
-    route::{InFlight, Progress, Report, Retry, RetryBudget, Router, Work},
+    route::{Progress, Report, Retry, RetryBudget, Router, Work},
     slot::{Action, Order, Outcome},
     time::{Instant, Span},
     wire::error::Code,
@@ -18,6 +14,7 @@
 use super::{
     desk::{Desk, Tuning},
     measure::Measures,
+    model::{Entrance, Event, Request, Runner, config, index_of, name, request_id},
     random::Random,
     store::{FULL_SPEED, Store},
     trace::{Arrival, PATIENCE, Setting},
@@ -55,52 +52,6 @@
     Baseline,
 }
 
-#[derive(Debug)]
-enum Event {
-    Arrive(usize),
-    Report { upstream: usize, report: Report },
-    Tick(usize),
-    Loaded { upstream: usize, incarnation: u64, version: VersionId, order: Order, ok: bool },
-    Unloaded { upstream: usize, incarnation: u64, version: VersionId, order: Order },
-    Finish { upstream: usize, incarnation: u64, request: usize },
-    Restart(usize),
-    Up(usize),
-    Due(usize),
-}
-
-/// One runner: the model of its engine, and the decisions beside it.
-#[derive(Debug)]
-struct Runner {
-    desk: Desk,
-    incarnation: u64,
-    up: bool,
-    loaded: Vec<VersionId>,
-    running: BTreeMap<usize, VersionId>,
-    seq: u64,
-    /// Until when places in use were counted.
-    counted: Instant,
-    due: Instant,
-}
-
-#[derive(Debug)]
-struct Entrance {
-    router: Router,
-    retries: RetryBudget,
-}
-
-#[derive(Debug, Default)]
-struct Request {
-    entrance: usize,
-    upstream: usize,
-    guard: Option<InFlight>,
-    tried: Vec<UpstreamId>,
-    stalled: Option<Instant>,
-    /// Tokens generated, and when the attempt that runs began to generate.
-    done: u64,
-    generating: Option<Instant>,
-    answered: bool,
-}
-
 /// A run in progress.
 pub(crate) struct Sim<'a> {
     setting: &'a Setting,
@@ -117,34 +68,6 @@
     measures: Measures,
 }
 
-fn name(text: &str) -> Name {
-    text.parse().expect("names of the experiment are valid")
-}
-
-fn config(setting: &Setting) -> Config {
-    let mut config = Config::default();
-    for number in 0..setting.runners {
-        let upstream = Upstream {
-            name: name(&format!("runner-{number}")),
-            host: name(&format!("host-{number}")),
-            address: format!("127.0.0.1:{}", 10_000 + number),
-            zone: name(&format!("zone-{}", number % 3)),
-            serves: Serves::Model { base: name("base"), slots: setting.slots, fenced: true },
-            leaving: false,
-        };
-        config.change(&Change::SetUpstream { upstream }).expect("the upstream is valid");
-    }
-    config
-}
-
-fn request_id(index: usize) -> RequestId {
-    RequestId((index as u128).to_be_bytes())
-}
-
-fn index_of(request: RequestId) -> usize {
-    u128::from_be_bytes(request.0) as usize
-}
-
 impl<'a> Sim<'a> {
     pub(crate) fn new(
         setting: &'a Setting,
@@ -488,6 +411,7 @@
         let arrival = self.arrivals[index];
         let request = &mut self.requests[index];
         self.measures.refusals += 1;
+        self.measures.refusal_waits.push(self.now.since(arrival.at));
         self.measures.crossed += u64::from(request.answered);
         request.answered = true;
         request.guard = None;
--- a/kingcupbay_bench/src/serve/table.rs
+++ b/kingcupbay_bench/src/serve/table.rs
@@ -56,6 +56,7 @@
     }
     line("batch efficiency, free flood", rows, FREE, High::Good, Measures::efficiency);
     line("refusals, free flood", rows, FREE, High::Bad, |run| run.refusals as f64);
+    line("median wait of a refused one, s", rows, FREE, High::Bad, Measures::refusal_median);
     println!("\nover all runs, must be 0");
     let sum = |count: fn(&Measures) -> u64| {
         let total = |runs: fn(&Row) -> &[Measures; 3]| -> u64 {
