Keep frozen connections open for good; answer errors after the effect

Cause: a frozen connection was closed as soon as its stream ended elsewhere, by a resume on a new connection or a restart. A reader would then learn of the loss at once, which the failure it stands for does not allow.

The stream of a frozen connection now stays open, unread, until its server is dropped. Added besides: an error answered after the effect (500), and typed requests for the host list in `Control`.

--- a/kingcupbay_standin/src/control.rs
+++ b/kingcupbay_standin/src/control.rs
@@ -7,11 +7,13 @@
     error::{JsonPayloadError, PayloadError, SendRequestError},
     http::Method,
 };
+use kingcupbay_core::wire::fleet::Hosts;
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 use crate::{
     fault::{FaultOrder, Faults, Rule, RuleId},
+    hosts::Lag,
     server::admin::{FAULT, HIT, RECEIVED, Recording},
 };
 
@@ -89,6 +91,18 @@
         Ok(answer.json().limit(RECEIVED_MAX).await?)
     }
 
+    /// Sets the truth of a host list, or of a platform's.
+    pub async fn set_hosts(&self, hosts: &Hosts) -> Result<(), ControlError> {
+        self.request(Method::PUT, "/hosts").send_json(hosts).await?;
+        Ok(())
+    }
+
+    /// Sets how long a host list shows the state before a change.
+    pub async fn set_lag(&self, lag: Lag) -> Result<(), ControlError> {
+        self.request(Method::PUT, "/hosts/lag").send_json(&lag).await?;
+        Ok(())
+    }
+
     /// Switches the recording of every byte received.
     pub async fn record(&self, on: bool) -> Result<(), ControlError> {
         self.request(Method::PUT, RECEIVED).send_json(&Recording { on }).await?;
--- a/kingcupbay_standin/src/fault.rs
+++ b/kingcupbay_standin/src/fault.rs
@@ -33,6 +33,8 @@
     },
     /// The request takes effect, and its connection ends without an answer.
     LoseAnswer,
+    /// The request takes effect and is answered 500.
+    ErrorAnswer,
     /// The request has no effect, and its connection ends without an answer.
     Reset,
     /// The request has no effect and is never answered; its connection stays.
--- a/kingcupbay_standin/src/server/conn.rs
+++ b/kingcupbay_standin/src/server/conn.rs
@@ -69,6 +69,9 @@
     recording: Cell<bool>,
     /// Bytes received while recording, also of connections closed since.
     received: RefCell<BTreeMap<ConnId, Vec<u8>>>,
+    /// Streams of frozen connections whose task has ended. Closing them
+    /// would tell the peer what it must find out by itself.
+    silent: RefCell<Vec<TcpStream>>,
 }
 
 impl Registry {
@@ -85,7 +88,7 @@
         });
         let entry = Entry { conn: Rc::clone(&conn), task: None };
         self.open.borrow_mut().insert(id, entry);
-        Socket { stream, conn, registry: Rc::clone(self) }
+        Socket { stream: Some(stream), conn, registry: Rc::clone(self) }
     }
 
     /// Remembers the task that serves a connection, for [`Registry::abort`].
@@ -144,7 +147,8 @@
 
 /// A TCP stream under the switches of its [`Conn`].
 pub(crate) struct Socket {
-    stream: TcpStream,
+    /// Invariant: `None` only while it is dropped.
+    stream: Option<TcpStream>,
     conn: Rc<Conn>,
     registry: Rc<Registry>,
 }
@@ -153,11 +157,17 @@
     pub(crate) fn conn(&self) -> &Rc<Conn> {
         &self.conn
     }
+
+    fn stream(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.as_mut().expect("only drop takes it"))
+    }
 }
 
 impl Drop for Socket {
     fn drop(&mut self) {
         self.registry.open.borrow_mut().remove(&self.conn.id);
+        let silent = self.stream.take().filter(|_| self.conn.frozen.get());
+        self.registry.silent.borrow_mut().extend(silent);
     }
 }
 
@@ -170,7 +180,7 @@
         self.conn.waker.replace(Some(cx.waker().clone()));
         std::task::ready!(self.conn.check())?;
         let start = buf.filled().len();
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        std::task::ready!(self.stream().poll_read(cx, buf))?;
         self.registry.keep(self.conn.id, &buf.filled()[start..]);
         Poll::Ready(Ok(()))
     }
@@ -183,16 +193,16 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         std::task::ready!(self.conn.check())?;
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.stream().poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         std::task::ready!(self.conn.check())?;
-        Pin::new(&mut self.stream).poll_flush(cx)
+        self.stream().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         std::task::ready!(self.conn.check())?;
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.stream().poll_shutdown(cx)
     }
 }
--- a/kingcupbay_standin/src/server/fault.rs
+++ b/kingcupbay_standin/src/server/fault.rs
@@ -17,6 +17,7 @@
     before: Duration,
     instead: Option<Instead>,
     after: Duration,
+    error: bool,
     lost: bool,
 }
 
@@ -34,6 +35,7 @@
             match fault {
                 Fault::Slow { millis } => plan.before += Duration::from_millis(millis),
                 Fault::LateAnswer { millis } => plan.after += Duration::from_millis(millis),
+                Fault::ErrorAnswer => plan.error = true,
                 Fault::LoseAnswer => plan.lost = true,
                 Fault::Outage => plan.instead = Some(Instead::Outage),
                 Fault::Reset => plan.instead = Some(Instead::Reset),
@@ -51,6 +53,7 @@
         fault,
         Fault::Slow { .. }
             | Fault::LateAnswer { .. }
+            | Fault::ErrorAnswer
             | Fault::LoseAnswer
             | Fault::Outage
             | Fault::Reset
@@ -85,6 +88,9 @@
         conn.reset();
         return pending().await;
     }
+    if plan.error {
+        return call::text(StatusCode::INTERNAL_SERVER_ERROR, "error");
+    }
     answer
 }
 
--- a/kingcupbay_standin/tests/common/mod.rs
+++ b/kingcupbay_standin/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    sync::Once,
     time::Duration,
 };
 
@@ -21,9 +22,22 @@
 
 /// A loopback address whose port the kernel chooses.
 pub(crate) fn any() -> SocketAddr {
+    watch();
     (Ipv4Addr::LOCALHOST, 0).into()
 }
 
+/// Ends the program when a test waits for something that never comes.
+pub(crate) fn watch() {
+    static WATCH: Once = Once::new();
+    WATCH.call_once(|| {
+        std::thread::spawn(|| {
+            std::thread::sleep(2 * GUARD);
+            eprintln!("a test hangs");
+            std::process::exit(1);
+        });
+    });
+}
+
 /// A client with a connection pool of its own.
 pub(crate) fn client() -> Client {
     Client::builder().timeout(GUARD).finish()
--- a/kingcupbay_standin/tests/engine.rs
+++ b/kingcupbay_standin/tests/engine.rs
@@ -202,7 +202,8 @@
 /// while the daemon still believes its adapters are loaded.
 #[actix_rt::test]
 async fn restart_empties_the_engine() {
-    let engine = engine(|settings| settings.load = Duration::from_secs(3600));
+    let weights = Weights::start(any(), Duration::from_secs(3600)).unwrap();
+    let engine = engine(|settings| settings.weights = Some(weights.server().address()));
     engine.server().set(Rule::new(Fault::StallStreams { tokens: 1 }));
     let running = generate(&engine, &order("base", 1, 3)).await;
     engine.until(|record| record.ran.first().is_some_and(|ran| ran.tokens == 1)).await;
@@ -222,9 +223,15 @@
             actix_rt::task::yield_now().await;
         }
         engine.server().hit(loading, 1).await;
+        while weights.record().in_flight == 0 {
+            actix_rt::task::yield_now().await;
+        }
         engine.server().order(FaultOrder::Restart);
     };
     join(orders, restart).await;
+    while weights.record().in_flight > 0 {
+        actix_rt::task::yield_now().await;
+    }
     assert!(!read(running).await.done);
     let report = LoadReport { incarnation: 8, slots: 8, ..LoadReport::default() };
     assert_eq!(engine.load(), report);
--- a/kingcupbay_standin/tests/fault.rs
+++ b/kingcupbay_standin/tests/fault.rs
@@ -11,7 +11,10 @@
 
 use awc::error::SendRequestError;
 use common::{any, client, engine, generate, get, load, order, post, read, request};
-use futures_util::future::{Either, join, select};
+use futures_util::{
+    StreamExt,
+    future::{Either, join, select},
+};
 use kingcupbay_core::wire::table::{Txn, Write as Put};
 use kingcupbay_standin::{
     Control, Fault, FaultOrder, Outcome, PlainService, Platform, Rule, Table, answer_text,
@@ -48,14 +51,21 @@
 
 /// A family is charged twice: the booking took effect, its answer was lost,
 /// and somebody took the silence for "not run". Each way to get no answer
-/// says how often the call ran.
+/// says how often the call ran, and so does each error.
 #[actix_rt::test]
 async fn missing_answer_may_or_may_not_have_run() {
-    for (fault, runs) in [(Fault::LoseAnswer, 1), (Fault::Reset, 0)] {
+    let cases = [
+        (Fault::LoseAnswer, None, 1),
+        (Fault::Reset, None, 0),
+        (Fault::ErrorAnswer, Some(500), 1),
+        (Fault::Outage, Some(503), 0),
+    ];
+    for (fault, status, runs) in cases {
         let service = PlainService::start(any()).unwrap();
         let address = service.server().address();
         service.server().set(Rule::new(fault).times(1));
-        assert!(call(address).await.is_err(), "{fault:?}");
+        let answer = call(address).await.ok();
+        assert_eq!(answer.map(|answer| answer.status().as_u16()), status, "{fault:?}");
         assert_eq!(service.executions().total, runs, "{fault:?}");
         assert_eq!(call(address).await.unwrap().status(), 200);
     }
@@ -129,6 +139,31 @@
     }
 }
 
+/// The same, but the far end gave the stream up, as after a resume: the
+/// silent connection must not be closed, or its reader would learn of it.
+#[actix_rt::test]
+async fn frozen_connection_outlives_its_stream() {
+    let engine = engine(|_| {});
+    engine.server().set(Rule::new(Fault::StallStreams { tokens: 2 }).times(1));
+    let mut frozen = generate(&engine, &order("base", 1, 3)).await;
+    engine.until(|record| record.ran.first().is_some_and(|ran| ran.tokens == 2)).await;
+    engine.server().order(FaultOrder::Freeze);
+    let mut rest = order("base", 1, 3);
+    rest.offset = 2;
+    assert!(read(generate(&engine, &rest).await).await.done);
+    engine.server().order(FaultOrder::Restart);
+    while engine.server().connections() > 0 {
+        actix_rt::task::yield_now().await;
+    }
+    let more = async { while frozen.next().await.is_some() {} };
+    let new = async { read(generate(&engine, &order("base", 2, 3)).await).await };
+    let Either::Right((whole, _)) = select(Box::pin(more), Box::pin(new)).await else {
+        panic!("the frozen connection ended");
+    };
+    assert!(whole.done);
+    assert_eq!(engine.record().ran[0].outcome, Outcome::Superseded);
+}
+
 /// The platform's port refuses everybody for a while, then comes back at the
 /// same address. The control address stays, to clear it.
 #[actix_rt::test]
--- a/kingcupbay_standin/tests/platform.rs
+++ b/kingcupbay_standin/tests/platform.rs
@@ -11,7 +11,8 @@
     table::{Condition, Read, Row, Rows, Txn, TxnAnswer, Write},
 };
 use kingcupbay_standin::{
-    Executed, Executions, HostList, Lag, PlainService, Platform, PlatformRecord, Sharing, Table,
+    Control, Executed, Executions, HostList, Lag, PlainService, Platform, PlatformRecord, Sharing,
+    Table,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -112,16 +113,13 @@
         zone: "z1".parse().unwrap(),
         leaving,
     };
-    let put = async |path: &str, body: serde_json::Value| {
-        let url = format!("http://{address}{path}");
-        assert_eq!(client().put(url).send_json(&body).await.unwrap().status(), 200);
-    };
+    let control = Control::new(address);
     let before = Hosts { hosts: vec![host("h2", false), host("h1", false)] };
-    put("/hosts", serde_json::to_value(before).unwrap()).await;
+    control.set_hosts(&before).await.unwrap();
     list.set_lag(Duration::from_secs(300));
     // Before the history begins, the oldest state shows.
     assert_eq!(list.shown(), Hosts::default());
-    put("/hosts/lag", serde_json::to_value(Lag { millis: 0 }).unwrap()).await;
+    control.set_lag(Lag { millis: 0 }).await.unwrap();
     assert_eq!(list.shown().hosts, [host("h1", false), host("h2", false)]);
     list.set(Hosts { hosts: vec![host("h1", true)] });
     let shown: Hosts = get(address, "/hosts").await.unwrap().json().await.unwrap();
--- a/kingcupbay_standin/tests/process.rs
+++ b/kingcupbay_standin/tests/process.rs
@@ -20,6 +20,7 @@
 
 impl Process {
     fn start(args: &[&str]) -> Process {
+        common::watch();
         let mut command = Command::new(env!("CARGO_BIN_EXE_kingcupbay_standin"));
         let mut child = command.args(args).stdout(Stdio::piped()).spawn().unwrap();
         let mut line = String::new();
