Name the stand-ins' constants for what they are; list their own requests

Cause: `FULL`, `LOAD` and `CALL` said nothing at the crate's root, the time of a load stood in three places, and the requests that every stand-in answers were described nowhere together.

Change: names, one constant for the time of a load, a table in the crate's documentation, and how a stream ends when cancelled or cut.

--- a/kingcupbay_standin/src/engine/mod.rs
+++ b/kingcupbay_standin/src/engine/mod.rs
@@ -30,6 +30,7 @@
         Behaviour, Server,
         call::{self, Answer, Call},
     },
+    weights::LOAD_TIME,
 };
 
 mod load;
@@ -79,7 +80,7 @@
             gap: Duration::from_millis(15),
             length: u32::MAX,
             weights: None,
-            load: Duration::from_millis(250),
+            load: LOAD_TIME,
             fenced: false,
             incarnation: None,
         }
--- a/kingcupbay_standin/src/engine/stream.rs
+++ b/kingcupbay_standin/src/engine/stream.rs
@@ -1,4 +1,7 @@
 //! One generation as a stream of server-sent events.
+//!
+//! A cancelled stream ends like an HTTP answer should, but without `[DONE]`;
+//! one that is replaced, cut or lost in a restart ends its connection.
 
 use std::{cell::RefCell, future::pending, rc::Rc};
 
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -4,6 +4,18 @@
 //! handle gives typed access to what it recorded, and stops it when dropped.
 //! The binary runs the same ones as processes of their own. Faults are set
 //! through the handle's [`Server`], or by request with a [`Control`].
+//!
+//! Beside its own interface each answers, untouched by any fault:
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `POST /fault` with a [`FaultOrder`] | the [`RuleId`] of a new rule |
+//! | `GET /fault` | [`Faults`] |
+//! | `GET /fault/hit?ID=HITS` | when that rule has hit so often |
+//! | `PUT /received` with `{"on":true}` | switches the recording of bytes |
+//! | `GET /received` | all bytes recorded |
+//! | `GET /state` | its record; the host list and services have none |
+//! | `GET /executions` | [`Executions`]: the record of a plain service |
 
 mod changes;
 mod control;
@@ -30,7 +42,7 @@
     objects::{Objects, ObjectsRecord},
     platform::{Platform, PlatformRecord},
     server::Server,
-    service::{CALL, Executed, Executions, IDEMPOTENCY, PlainService},
+    service::{CALL_PATH, Executed, Executions, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
-    weights::{FULL, LOAD, Sharing, Take, Weights, WeightsRecord},
+    weights::{FULL_SPEED, LOAD_TIME, Sharing, Take, Weights, WeightsRecord},
 };
--- a/kingcupbay_standin/src/main.rs
+++ b/kingcupbay_standin/src/main.rs
@@ -9,7 +9,8 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use clap::{Args, Parser, Subcommand};
 use kingcupbay_standin::{
-    Engine, EngineSettings, HostList, Objects, PlainService, Platform, Server, Table, Weights,
+    Engine, EngineSettings, HostList, LOAD_TIME, Objects, PlainService, Platform, Server, Table,
+    Weights,
 };
 
 /// Stand-ins for the platform, the engines and the plain services.
@@ -53,7 +54,7 @@
 #[derive(Args)]
 struct Loading {
     /// Milliseconds of a load at full speed.
-    #[arg(long, value_name = "MILLIS", default_value_t = 250)]
+    #[arg(long, value_name = "MILLIS", default_value_t = LOAD_TIME.as_millis() as u64)]
     load: u64,
 }
 
--- a/kingcupbay_standin/src/service.rs
+++ b/kingcupbay_standin/src/service.rs
@@ -18,10 +18,10 @@
 };
 
 /// Path prefix of every call.
-pub const CALL: &str = "/call/";
+pub const CALL_PATH: &str = "/call/";
 
 /// Header that carries the caller's idempotency key.
-pub const IDEMPOTENCY: &str = "idempotency-key";
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
 /// Executions counted since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,7 +35,7 @@
 /// The JSON answer to a call.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Executed {
-    /// Path below [`CALL`].
+    /// Path below [`CALL_PATH`].
     pub path: String,
     /// Number of this execution, from 1.
     pub execution: u64,
@@ -90,7 +90,7 @@
 fn handler(state: &Rc<State>) -> Handler {
     let state = Rc::clone(state);
     Rc::new(move |call| {
-        let answer = match (&call.method, call.path.strip_prefix(CALL)) {
+        let answer = match (&call.method, call.path.strip_prefix(CALL_PATH)) {
             (&Method::POST, Some(path)) => call::json(&execute(&state, path, &call)),
             (&Method::GET, _) if call.path == "/executions" => {
                 call::json(&*state.executions.borrow())
@@ -103,7 +103,7 @@
 
 fn execute(state: &State, path: &str, call: &Call) -> Executed {
     let mut counts = state.executions.borrow_mut();
-    let key = call.headers.get(IDEMPOTENCY);
+    let key = call.headers.get(IDEMPOTENCY_HEADER);
     let key = key.map(|key| String::from_utf8_lossy(key.as_bytes()).into_owned());
     counts.total += 1;
     if let Some(key) = &key {
--- a/kingcupbay_standin/src/weights.rs
+++ b/kingcupbay_standin/src/weights.rs
@@ -1,7 +1,7 @@
 //! The platform's weight store: `POST /weights/take` answers when the load
 //! would be done; `GET /state` for a [`WeightsRecord`].
 //!
-//! A load takes its full time while at most [`FULL`] are in flight over all
+//! A load takes its full time while at most [`FULL_SPEED`] are in flight over all
 //! engines, and proportionally longer beyond that.
 
 use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
@@ -23,10 +23,10 @@
 pub(crate) const TAKE: &str = "/weights/take";
 
 /// Loads in flight that still have full speed each.
-pub const FULL: u32 = 8;
+pub const FULL_SPEED: u32 = 8;
 
 /// Time of a load at full speed, unless set otherwise.
-pub const LOAD: Duration = Duration::from_millis(250);
+pub const LOAD_TIME: Duration = Duration::from_millis(250);
 
 /// Body of `POST /weights/take`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,8 +98,8 @@
         let mut then = *self;
         then.advance(now);
         let work = mark.saturating_sub(then.done);
-        let stretched = work * u64::from(self.in_flight.max(FULL));
-        Duration::from_nanos(stretched.div_ceil(u64::from(FULL)))
+        let stretched = work * u64::from(self.in_flight.max(FULL_SPEED));
+        Duration::from_nanos(stretched.div_ceil(u64::from(FULL_SPEED)))
     }
 
     /// Loads in flight.
@@ -109,7 +109,7 @@
 
     fn advance(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.at).as_nanos() as u64;
-        self.done += passed * u64::from(FULL) / u64::from(self.in_flight.max(FULL));
+        self.done += passed * u64::from(FULL_SPEED) / u64::from(self.in_flight.max(FULL_SPEED));
         self.at = now;
     }
 }
