Never take half an answer of a service for a whole one

Cause: the HTTP client reports a normal end when a connection ends in the middle of a body, so a truncated verdict was delivered with status 200, and for a once-only call recorded as its outcome. Ruled out: trusting chunked coding's end mark; the client does not check it. Change: answers are read whole against the announced length, and JSON without a length must be complete JSON. A once-only call is then lost, not answered. Measured: without the check the new test fails with status 200; with it, passes for both codings, repeatable and once-only. Conclusion: what cannot be shown whole is a failure that may have run.

--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -1,12 +1,51 @@
-//! Reading of request bodies within a size and a time.
+//! Reading of bodies within a size and a time, and of answers whole.
 
-use actix_http::Payload;
+use actix_http::{Payload, header};
+use awc::ClientResponse;
 use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
 use futures_util::StreamExt;
 use kingcupbay_core::{
     time::Span,
     wire::error::{Code, Failure},
 };
+use serde::de::IgnoredAny;
+use thiserror::Error;
+
+/// Why an answer's body is not whole.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub(crate) enum Partial {
+    /// The connection failed, or the body is too long.
+    #[error("the answer broke off: {0}")]
+    Failed(String),
+    /// The connection ended before the body did.
+    #[error("the answer ended early")]
+    Ended,
+}
+
+/// Reads the whole body of an answer.
+///
+/// The client takes the end of a connection for the end of the body. A half
+/// verdict must not pass for a whole one: the length that the head announced
+/// tells, and where it announced none, a JSON body must be complete JSON.
+pub(crate) async fn whole<S>(
+    response: &mut ClientResponse<S>,
+    limit: usize,
+) -> Result<Bytes, Partial>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let length = text(header::CONTENT_LENGTH).and_then(|text| text.parse::<usize>().ok());
+    let json = text(header::CONTENT_TYPE).is_some_and(|kind| kind.starts_with("application/json"));
+    let body = response.body().limit(limit).await;
+    let body = body.map_err(|error| Partial::Failed(error.to_string()))?;
+    let complete = match length {
+        Some(length) => body.len() == length,
+        None => !json || serde_json::from_slice::<IgnoredAny>(&body).is_ok(),
+    };
+    if complete { Ok(body) } else { Err(Partial::Ended) }
+}
 
 /// Reads a whole body.
 ///
--- a/kingcupbayd/src/upstream/call.rs
+++ b/kingcupbayd/src/upstream/call.rs
@@ -11,7 +11,10 @@
 };
 
 use super::{Upstream, once, run::check};
-use crate::{clock, http::client::never_left};
+use crate::{
+    clock,
+    http::{body, client::never_left},
+};
 
 /// Longest answer of a service.
 pub(super) const ANSWER_LIMIT: usize = 4 << 20;
@@ -75,7 +78,7 @@
     let sent = request(&client, row, path, idempotency).send_body(body).await;
     let mut response = sent.map_err(|error| failed(&error))?;
     let status = response.status().as_u16();
-    let body = response.body().limit(ANSWER_LIMIT).await.map_err(|error| Failure {
+    let body = body::whole(&mut response, ANSWER_LIMIT).await.map_err(|error| Failure {
         ran: Ran::Ran,
         ..Failure::not_run(Code::UpstreamFailed, error.to_string())
     })?;
--- a/kingcupbayd/src/upstream/once.rs
+++ b/kingcupbayd/src/upstream/once.rs
@@ -30,7 +30,10 @@
 
 use super::{Upstream, call, fence};
 use crate::{
-    clock, entry::new_request, http::client::never_left, platform::table::TableError,
+    clock,
+    entry::new_request,
+    http::{body, client::never_left},
+    platform::table::TableError,
     server::drain::Phase,
 };
 
@@ -216,7 +219,7 @@
             Err(_) => return vec![Event::ServiceLost],
         };
         let status = response.status().as_u16();
-        let answered = match response.body().limit(call::ANSWER_LIMIT).await {
+        let answered = match body::whole(&mut response, call::ANSWER_LIMIT).await {
             Ok(body) => Event::ServiceAnswered(Outcome { status, body: Some(body.to_vec()) }),
             Err(_) => Event::ServiceLost,
         };
--- /dev/null
+++ b/kingcupbayd/tests/cut.rs
@@ -0,0 +1,84 @@
+//! A plain service's answer that breaks off midway is never taken for whole.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+};
+
+use common::{apply, ask, basics, daemon, finish, knows, name, ready, standin};
+use kingcupbay_core::config::{
+    change::Change,
+    model::{Serves, Upstream},
+};
+use serde_json::json;
+
+/// A service that answers every call with `answer` and closes.
+fn service(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut head = [0; 4_096];
+            let _ = stream.read(&mut head);
+            let _ = stream.write_all(answer);
+        }
+    });
+    address
+}
+
+/// The judging service's host dies while it writes a verdict: the connection
+/// ends after half of it, and the client library reports a normal end. A
+/// steward must not read half a verdict as if it were the whole.
+#[actix_rt::test]
+async fn half_an_answer_is_a_failure_that_ran() {
+    let announced = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+        content-length: 40\r\n\r\n{\"verdict\": \"first pr";
+    let chunked = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+        transfer-encoding: chunked\r\n\r\n40\r\n{\"verdict\": \"first pr";
+    let platform = standin("platform", &[]);
+    let upstream = daemon("upstream", "upstream-1", &platform, "");
+    let entry = daemon("entry", "entry-1", &platform, "");
+    ready(&upstream).await;
+    ready(&entry).await;
+    let mut changes = basics();
+    for (text, answer) in [("announced", &announced[..]), ("chunked", &chunked[..])] {
+        changes.extend(route(text, service(answer)));
+    }
+    let number = apply(&entry, &changes).await;
+    knows(&upstream, number).await;
+    knows(&entry, number).await;
+    for route in ["announced", "chunked", "announced-once", "chunked-once"] {
+        let path = format!("/v1/call/{route}/verdict");
+        let request = ask(&entry, &path).insert_header(("idempotency-key", route));
+        let answer = finish(request, &json!({})).await;
+        assert_ne!(answer.status, 200, "{route}: {}", answer.body);
+        assert_ne!(answer.ran(), "not_run", "{route}: {}", answer.body);
+    }
+}
+
+/// A service at `address` with a repeatable route and a once-only one.
+fn route(text: &str, address: SocketAddr) -> Vec<Change> {
+    let upstream = Upstream {
+        name: name(text),
+        host: name("upstream-1"),
+        address: address.to_string(),
+        zone: name("zone-a"),
+        serves: Serves::Service { service: name(text) },
+        leaving: false,
+    };
+    let route = |label: String, once| Change::SetRoute {
+        name: name(&label),
+        organisation: name("winery"),
+        service: name(text),
+        once,
+    };
+    vec![
+        Change::SetUpstream { upstream },
+        route(text.to_owned(), false),
+        route(format!("{text}-once"), true),
+    ]
+}
