Add standing: may this daemon act on what it knows

Cause: withdrawn keys, removed upstreams and stale configurations all ask the same question, and nothing answered it. Ruled out: a lease on the table (every outage longer than the lease stops all work); serving stale (a daemon cut off from the table alone obeys a withdrawn key for ever). Counting the majority of the new membership only: a restart replaces a member, and the majority of the new set need not meet one of the old. Waiting for the majority of the old set alone without evidence of ended members: a site that restarts as a whole could never write a patch again. Change: `standing` with freshness by table read or majority of vouches, timed from the sending; `accept` for the way of one patch: gate, conditional write, lost answer, repeat, acknowledgement. PatchError names a patch that moves membership and more. Conclusion: the pieces stand; whether they suffice is for the specification.

--- a/kingcupbay_core/src/config/patch.rs
+++ b/kingcupbay_core/src/config/patch.rs
@@ -68,6 +68,9 @@
         /// Why.
         refusal: Refusal,
     },
+    /// It moves membership and does something else too.
+    #[error("a patch in which a member joins or leaves holds that one change only")]
+    Membership,
 }
 
 impl Config {
--- /dev/null
+++ b/kingcupbay_core/tests/standing.rs
@@ -0,0 +1,229 @@
+//! Standing: who may act on what, by table or by majority.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use kingcupbay_core::{
+    config::{
+        change::Change,
+        model::{Config, Role},
+        patch::{Head, Patch, PatchError, delta_key},
+    },
+    id::{Id, MemberId, Number, RequestId},
+    standing::{
+        Membership, Settings, Standing, Vouch,
+        accept::{Acceptance, Step, check, txn},
+    },
+    time::{Instant, Span},
+    wire::table::TxnAnswer,
+};
+
+fn id(raw: u32) -> MemberId {
+    MemberId::from_raw(raw)
+}
+
+fn ids(raw: impl IntoIterator<Item = u32>) -> BTreeSet<MemberId> {
+    raw.into_iter().map(id).collect()
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_micros(millis * 1_000)
+}
+
+fn membership(number: u64, members: &[u32], before: &[u32]) -> Membership {
+    let set = |raw: &[u32]| ids(raw.iter().copied());
+    Membership { number: Number(number), members: set(members), before: set(before) }
+}
+
+/// Member 0 of the five members under `number`.
+fn one_of_five(number: u64) -> Standing {
+    let mut standing = Standing::new(Settings::default());
+    standing.advance(membership(number, &[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]));
+    standing.joined(id(0));
+    standing
+}
+
+fn vouch(member: u32, number: u64, age: u64) -> Vouch {
+    let number = Number(number);
+    Vouch { member: id(member), number, held: number, age: Span::from_millis(age) }
+}
+
+fn patch(against: u64, changes: Vec<Change>) -> Patch {
+    let id = RequestId([against as u8; 16]);
+    Patch { id, against: Number(against), author: "ops".into(), changes }
+}
+
+fn join(host: &str, incarnation: u64) -> Change {
+    Change::Join {
+        host: host.parse().unwrap(),
+        address: "127.0.0.1:9000".into(),
+        zone: "z1".parse().unwrap(),
+        role: Role::Entry,
+        incarnation,
+    }
+}
+
+/// A customer's key is withdrawn while the answer to a head read travels for
+/// four seconds. Timed from the answer, the entry would honour the key for
+/// three more.
+#[test]
+fn a_read_counts_from_its_sending() {
+    let mut standing = one_of_five(7);
+    assert!(!standing.holds(at(10_000)));
+    standing.head_read(Number(7), at(10_000));
+    assert!(standing.holds(at(13_000)));
+    assert!(!standing.holds(at(13_001)));
+    standing.head_read(Number(7), at(9_000));
+    assert!(!standing.holds(at(13_001)));
+}
+
+#[test]
+fn a_read_that_shows_a_newer_number_counts_once_that_is_held() {
+    let mut standing = one_of_five(7);
+    standing.head_read(Number(8), at(10_000));
+    assert!(!standing.holds(at(10_100)));
+    assert!(standing.behind());
+    standing.advance(membership(8, &[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]));
+    assert!(standing.holds(at(10_100)));
+    assert!(!standing.behind());
+}
+
+/// The table is gone for ten minutes for everyone. Three of five still vouch
+/// and work goes on; a fourth that is cut off with one other stops.
+#[test]
+fn a_majority_vouches_through_a_table_outage_and_an_island_does_not() {
+    let mut standing = one_of_five(7);
+    let mut island = one_of_five(7);
+    for second in 10..610 {
+        let sent = at(second * 1_000);
+        standing.vouched(vouch(1, 7, 100), sent);
+        standing.vouched(vouch(2, 6, 900), sent);
+        island.vouched(vouch(3, 7, 0), sent);
+        assert!(standing.holds(sent + Span::from_millis(2_100)));
+        assert!(!standing.holds(sent + Span::from_millis(2_101)));
+        assert!(!island.holds(sent));
+    }
+}
+
+#[test]
+fn a_vouch_for_a_newer_number_does_not_count_for_the_older() {
+    let mut standing = one_of_five(7);
+    standing.vouched(vouch(1, 7, 0), at(10_000));
+    standing.vouched(vouch(2, 8, 0), at(10_000));
+    assert!(!standing.holds(at(10_000)));
+    standing.advance(membership(8, &[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]));
+    assert!(standing.holds(at(10_000)));
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut standing = one_of_five(7);
+    standing.advance(membership(6, &[0], &[]));
+    assert_eq!(standing.number(), Number(7));
+    assert_eq!(standing.membership().members.len(), 5);
+}
+
+/// Before it has read its own join, a daemon vouches for nothing, not even to
+/// itself; vouches of strangers count for nothing.
+#[test]
+fn only_members_vouch() {
+    let mut standing = Standing::new(Settings::default());
+    standing.advance(membership(7, &[0, 1, 2], &[1, 2]));
+    standing.vouched(vouch(9, 7, 0), at(10_000));
+    standing.vouched(vouch(1, 7, 0), at(10_000));
+    assert_eq!(standing.own(), None);
+    assert!(!standing.holds(at(10_000)));
+    standing.joined(id(0));
+    assert!(standing.holds(at(10_000)));
+    assert_eq!(standing.vouches(at(10_500)).len(), 2);
+}
+
+/// All three hosts of a small site restart at once. Each new incarnation is
+/// another member, so the patch by which the first one joins would wait for a
+/// majority of dead members for ever.
+#[test]
+fn a_member_that_ended_holds_up_nothing() {
+    let mut standing = Standing::new(Settings::default());
+    standing.advance(membership(4, &[3, 1, 2], &[0, 1, 2]));
+    standing.joined(id(3));
+    standing.ended(id(0));
+    assert!(!standing.held_by_majority(Number(4)));
+    standing.ended(id(1));
+    assert!(standing.held_by_majority(Number(4)));
+    assert!(!standing.holds(at(10_000)), "an ended member vouches for nothing");
+}
+
+#[test]
+fn a_patch_needs_the_majority_of_both_memberships() {
+    let mut standing = Standing::new(Settings::default());
+    standing.advance(membership(4, &[0, 1, 3], &[0, 1, 2]));
+    standing.joined(id(0));
+    standing.holding(id(3), Number(4));
+    assert!(!standing.held_by_majority(Number(4)));
+    standing.holding(id(2), Number(4));
+    assert!(standing.held_by_majority(Number(4)));
+    assert!(standing.held_by_majority(Number(3)) && !standing.held_by_majority(Number(5)));
+}
+
+#[test]
+fn membership_moves_one_member_a_patch_and_nothing_else() {
+    let config = Config::default();
+    assert!(check(&config, &patch(0, vec![join("a", 1)])).is_ok());
+    let two = patch(0, vec![join("a", 1), join("b", 1)]);
+    assert_eq!(check(&config, &two), Err(PatchError::Membership));
+    let stale = PatchError::Stale { against: Number(3), current: Number(0) };
+    assert_eq!(check(&config, &patch(3, vec![])), Err(stale));
+}
+
+/// An operator withdraws a key; the table takes the write and its answer is
+/// lost. Told "failed", the operator would believe the key still works; told
+/// nothing more than a repeat, the daemon would refuse its own patch as stale.
+#[test]
+fn a_lost_answer_is_resolved_by_reading_and_a_repeat_is_harmless() {
+    let mut standing = one_of_five(7);
+    (1..3).for_each(|member| standing.holding(id(member), Number(7)));
+    let patch = patch(7, vec![]);
+    let mut first = Acceptance::new(&patch);
+    assert_eq!(first.step(&standing), Step::Write);
+    first.writing();
+    assert_eq!(first.step(&standing), Step::Wait);
+    first.written(None);
+    assert_eq!(first.step(&standing), Step::Resolve(Number(8)));
+    first.resolved(Some(patch.id));
+    assert_eq!(first.step(&standing), Step::CatchUp);
+    standing.advance(membership(8, &[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]));
+    assert_eq!(first.step(&standing), Step::Wait);
+    (3..5).for_each(|member| standing.holding(id(member), Number(8)));
+    assert_eq!(first.step(&standing), Step::Acknowledge(Number(8)));
+
+    let mut again = Acceptance::new(&patch);
+    assert_eq!(again.step(&standing), Step::Resolve(Number(8)));
+    again.resolved(Some(patch.id));
+    assert_eq!(again.step(&standing), Step::Acknowledge(Number(8)));
+}
+
+#[test]
+fn of_two_operators_the_second_is_told_that_it_is_stale() {
+    let mut standing = one_of_five(7);
+    let mut second = Acceptance::new(&patch(7, vec![]));
+    assert_eq!(second.step(&standing), Step::Wait, "7 itself is not held by a majority yet");
+    (1..3).for_each(|member| standing.holding(id(member), Number(7)));
+    second.writing();
+    second.written(Some(&TxnAnswer::Conflict(vec![])));
+    second.resolved(Some(RequestId([9; 16])));
+    assert_eq!(second.step(&standing), Step::Stale);
+}
+
+#[test]
+fn a_write_takes_head_and_delta_or_neither() {
+    let head = Head { number: Number(7), snapshot: Number(5) };
+    let write = txn(head, 3, &patch(7, vec![]));
+    assert_eq!(write.conditions[0].revision, 3);
+    assert_eq!(
+        (write.conditions[1].key.clone(), 0),
+        (delta_key(Number(8)), write.conditions[1].revision)
+    );
+    let stored: Head = serde_json::from_str(write.writes[0].value.as_ref().unwrap()).unwrap();
+    assert_eq!(stored, Head { number: Number(8), snapshot: Number(5) });
+}
