Specify standing and explore it over the core's own functions

Cause: standing rests on an argument about two majorities; an argument in a comment fails nobody when the code moves away from it. Ruled out: a model written beside the code; it would prove the model. Sending and answering as two steps: the later the sending the fresher the proof, so the merged step covers the worst case at a third of the states. Change: three members, an operator's patch, the join of a restarted member; answers lost, late and doubled; states shared by place. Four mutations, each with its counterexample printed: acknowledge without the majority, time a read from its answer, restart empty as the same member, take an older answer. Conclusion: within these bounds the argument holds of the code. Not covered: two crashes, clocks that run at different rates, a patch on a patch.

--- /dev/null
+++ b/kingcupbay_core/tests/spec_standing/model.rs
@@ -0,0 +1,436 @@
+//! What may happen next in a state, and what must never be.
+
+use std::{
+    collections::BTreeSet,
+    fmt,
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
+
+use kingcupbay_core::{
+    id::{Id, MemberId, Number},
+    standing::accept::Step as Next,
+    wire::table::TxnAnswer,
+};
+
+use crate::{
+    shared::Shared,
+    state::{BOUND, Daemon, MEMBERS, Pull, Read, State, Write, tick},
+};
+
+/// What keeps the space finite.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    ticks: u64,
+    pulls: u8,
+    reads: u8,
+    crashes: u8,
+    /// Answers that arrive a second time.
+    doubles: u8,
+}
+
+impl Bounds {
+    const fn new(ticks: u64, pulls: u8, reads: u8, crashes: u8, doubles: u8) -> Bounds {
+        Bounds { ticks, pulls, reads, crashes, doubles }
+    }
+
+    /// The shallow bounds, or the deep ones when the environment asks for them.
+    fn choose(shallow: Bounds, deep: Bounds) -> Bounds {
+        let asked = std::env::var("SPEC_STANDING").is_ok_and(|value| value == "deep");
+        if asked { deep } else { shallow }
+    }
+
+    pub(crate) fn no_crash() -> Bounds {
+        Bounds::choose(Bounds::new(3, 2, 1, 0, 0), Bounds::new(3, 2, 2, 0, 0))
+    }
+
+    pub(crate) fn doubled() -> Bounds {
+        Bounds::choose(Bounds::new(2, 1, 2, 0, 1), Bounds::new(2, 2, 1, 0, 1))
+    }
+
+    pub(crate) fn one_crash() -> Bounds {
+        Bounds::choose(Bounds::new(2, 1, 2, 1, 0), Bounds::new(2, 2, 2, 1, 0))
+    }
+
+    /// Just enough for a read that is overtaken by a patch.
+    pub(crate) fn late_read() -> Bounds {
+        Bounds::new(2, 2, 1, 0, 0)
+    }
+
+    pub(crate) fn restart_empty() -> Bounds {
+        Bounds::new(2, 3, 0, 1, 0)
+    }
+}
+
+/// A mistake put into the daemons on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flaw {
+    None,
+    /// Acknowledges when the table has taken the patch.
+    EarlyAck,
+    /// Times a read from when its answer came.
+    ReadFromAnswer,
+    /// Restarts as the same member with the first configuration.
+    RestartEmpty,
+    /// Takes whichever configuration comes.
+    TakeOlder,
+}
+
+/// What must never be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    /// A daemon with standing holds less than what was acknowledged longer
+    /// ago than the bound.
+    ServedStale { host: usize, holds: Number, acked: Number },
+    /// A daemon's number went back.
+    WentBack { host: usize },
+    /// Acknowledged, but a majority does not hold it.
+    AckedByMinority(Number),
+}
+
+/// One step of one party.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Step {
+    Tick,
+    Crash(usize),
+    AnswerPull(usize, usize),
+    TakePull(usize, Arrival),
+    AnswerRead(usize),
+    TakeRead(usize, Arrival),
+    SendWrite(usize),
+    AnswerWrite(usize),
+    TakeWrite(usize),
+    GiveUpWrite(usize),
+    Resolve(usize),
+    Acknowledge(usize),
+}
+
+/// Which copy of an answer arrives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Arrival {
+    /// Another one is still on its way.
+    First,
+    Last,
+}
+
+impl fmt::Display for Arrival {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Arrival::First => "which will come again",
+            Arrival::Last => "for the last time",
+        })
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Step::Tick => write!(f, "time passes"),
+            Step::Crash(i) => write!(f, "daemon {i} restarts"),
+            Step::AnswerPull(i, j) => write!(f, "daemon {i} pulls daemon {j}, which answers"),
+            Step::TakePull(i, arrival) => write!(f, "daemon {i} gets its pull's answer, {arrival}"),
+            Step::AnswerRead(i) => write!(f, "daemon {i} reads the table, which answers"),
+            Step::TakeRead(i, arrival) => write!(f, "daemon {i} gets its read's answer, {arrival}"),
+            Step::SendWrite(i) => write!(f, "daemon {i} writes its patch"),
+            Step::AnswerWrite(i) => write!(f, "daemon {i}'s write reaches the table"),
+            Step::TakeWrite(i) => write!(f, "daemon {i} gets its write's answer"),
+            Step::GiveUpWrite(i) => write!(f, "daemon {i} gives up on its write's answer"),
+            Step::Resolve(i) => write!(f, "daemon {i} reads whether its patch was taken"),
+            Step::Acknowledge(i) => write!(f, "daemon {i} acknowledges its patch"),
+        }
+    }
+}
+
+/// A state with the step that led to it, which does not tell states apart.
+#[derive(Clone, Debug)]
+pub(crate) struct Node {
+    pub(crate) state: State,
+    pub(crate) step: Option<Step>,
+    pub(crate) depth: usize,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Node) -> bool {
+        self.state == other.state
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+impl Node {
+    pub(crate) fn start() -> Node {
+        Node { state: State::start(), step: None, depth: 0 }
+    }
+
+    pub(crate) fn successors(&self, bounds: Bounds, flaw: Flaw) -> Vec<Node> {
+        let mut nodes = Vec::new();
+        for step in steps(&self.state, bounds, flaw) {
+            let mut state = self.state.clone();
+            state.take(step, flaw);
+            nodes.push(Node { state, step: Some(step), depth: self.depth + 1 });
+        }
+        nodes
+    }
+}
+
+/// The steps that are possible in `state`.
+fn steps(state: &State, bounds: Bounds, flaw: Flaw) -> Vec<Step> {
+    let mut steps = Vec::new();
+    if state.now < bounds.ticks {
+        steps.push(Step::Tick);
+    }
+    let done = state.crashes == bounds.crashes && state.patches_done();
+    for host in 0..MEMBERS {
+        let daemon = state.daemon(host);
+        // No patch is left to come or to be acknowledged. What a daemon does
+        // that holds them all can neither put it in the wrong nor anyone else:
+        // who hears from it holds them all too.
+        if done && daemon.standing.number() == state.head() {
+            continue;
+        }
+        if state.crashes < bounds.crashes && host < 2 {
+            steps.push(Step::Crash(host));
+        }
+        if state.pulls < bounds.pulls {
+            let others = (0..MEMBERS).filter(|other| *other != host);
+            steps.extend(others.map(|other| Step::AnswerPull(host, other)));
+        }
+        let again = state.doubles < bounds.doubles;
+        if daemon.pull.is_some() {
+            steps.push(Step::TakePull(host, Arrival::Last));
+            steps.extend(again.then_some(Step::TakePull(host, Arrival::First)));
+        }
+        if state.reads < bounds.reads {
+            steps.push(Step::AnswerRead(host));
+        }
+        if daemon.read.is_some() {
+            steps.push(Step::TakeRead(host, Arrival::Last));
+            steps.extend(again.then_some(Step::TakeRead(host, Arrival::First)));
+        }
+        if let Some(write) = &daemon.write {
+            steps.push(if write.committed.is_some() {
+                Step::TakeWrite(host)
+            } else {
+                Step::AnswerWrite(host)
+            });
+            steps.push(Step::GiveUpWrite(host));
+        }
+        steps.extend(acceptance_step(&daemon, host, flaw));
+    }
+    steps
+}
+
+fn acceptance_step(daemon: &Daemon, host: usize, flaw: Flaw) -> Option<Step> {
+    let early = flaw == Flaw::EarlyAck;
+    let acceptance = daemon.acceptance.as_ref()?;
+    match acceptance.step(&daemon.standing) {
+        Next::Write => Some(Step::SendWrite(host)),
+        Next::Resolve(_) => Some(Step::Resolve(host)),
+        Next::Acknowledge(_) => Some(Step::Acknowledge(host)),
+        Next::Wait if early && daemon.standing.number() == acceptance.number() => {
+            Some(Step::Acknowledge(host))
+        }
+        Next::Wait | Next::CatchUp | Next::Stale => None,
+    }
+}
+
+const POSSIBLE: &str = "the step is possible only then";
+
+impl State {
+    fn update<R>(&mut self, host: usize, change: impl FnOnce(&mut Daemon) -> R) -> R {
+        self.daemons[host].update(change)
+    }
+
+    fn take(&mut self, step: Step, flaw: Flaw) {
+        match step {
+            Step::Tick => self.now += 1,
+            Step::Crash(host) => self.crash(host, flaw),
+            Step::AnswerPull(host, to) => self.answer_pull(host, to),
+            Step::TakePull(host, arrival) => {
+                self.take_pull(host, flaw);
+                self.arrived(arrival, host, |daemon| daemon.pull = None);
+            }
+            Step::AnswerRead(host) => {
+                self.reads += 1;
+                let read = Read { sent: self.now, answer: self.head() };
+                self.update(host, |daemon| daemon.read = Some(read));
+            }
+            Step::TakeRead(host, arrival) => {
+                self.take_read(host, flaw);
+                self.arrived(arrival, host, |daemon| daemon.read = None);
+            }
+            Step::SendWrite(host) => self.update(host, |daemon| {
+                let against = daemon.standing.number();
+                daemon.write = Some(Write { against, committed: None });
+                daemon.acceptance.as_mut().expect(POSSIBLE).writing();
+            }),
+            Step::AnswerWrite(host) => self.answer_write(host),
+            Step::TakeWrite(host) => self.take_write(host),
+            Step::GiveUpWrite(host) => self.update(host, |daemon| {
+                daemon.acceptance.iter_mut().for_each(|acceptance| acceptance.written(None));
+            }),
+            Step::Resolve(host) => {
+                let number = self.daemon(host).acceptance.expect(POSSIBLE).number();
+                let found = self.delta(number).map(|delta| delta.id);
+                self.update(host, |daemon| {
+                    daemon.acceptance.as_mut().expect(POSSIBLE).resolved(found);
+                });
+            }
+            Step::Acknowledge(host) => self.acknowledge(host),
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival, host: usize, clear: impl FnOnce(&mut Daemon)) {
+        match arrival {
+            Arrival::First => self.doubles += 1,
+            Arrival::Last => self.update(host, clear),
+        }
+    }
+
+    fn crash(&mut self, host: usize, flaw: Flaw) {
+        self.crashes += 1;
+        let mut daemon = Daemon::new(1);
+        if flaw == Flaw::RestartEmpty {
+            daemon.standing.advance(State::start().membership(Number(1)));
+            daemon.standing.joined(MemberId::from_raw(host as u32));
+            daemon.top = Number(1);
+        }
+        self.daemons[host] = Shared::new(daemon);
+    }
+
+    fn answer_pull(&mut self, host: usize, to: usize) {
+        self.pulls += 1;
+        let sender = self.daemon(host);
+        let number = sender.standing.number();
+        if let Some(me) = sender.standing.me() {
+            self.update(to, |peer| peer.standing.holding(me, number));
+        }
+        let peer = self.daemon(to);
+        let pull = Pull {
+            sent: self.now,
+            member: self.joined_id(to, number).unwrap_or(MemberId::from_raw(to as u32)),
+            incarnation: peer.incarnation,
+            number: peer.standing.number(),
+            vouches: peer.standing.vouches(tick(self.now)),
+        };
+        self.update(host, |daemon| daemon.pull = Some(pull));
+    }
+
+    fn take_pull(&mut self, host: usize, flaw: Flaw) {
+        let pull = self.daemon(host).pull.clone().expect(POSSIBLE);
+        let membership = self.membership(pull.number);
+        let expected = u64::from(pull.member.raw() >= MEMBERS as u32);
+        self.update(host, |daemon| {
+            daemon.advance(membership, pull.number, flaw == Flaw::TakeOlder);
+            if pull.incarnation != expected && flaw != Flaw::RestartEmpty {
+                daemon.standing.ended(pull.member);
+            }
+            for vouch in pull.vouches {
+                daemon.standing.vouched(vouch, tick(pull.sent));
+            }
+        });
+    }
+
+    fn take_read(&mut self, host: usize, flaw: Flaw) {
+        let read = self.daemon(host).read.clone().expect(POSSIBLE);
+        let head = read.answer;
+        let membership = self.membership(head);
+        let sent = if flaw == Flaw::ReadFromAnswer { self.now } else { read.sent };
+        let me = self.joined_id(host, head);
+        self.update(host, |daemon| {
+            daemon.advance(membership, head, flaw == Flaw::TakeOlder);
+            daemon.standing.head_read(head, tick(sent));
+            if daemon.incarnation == 0 || flaw == Flaw::RestartEmpty {
+                return;
+            }
+            match me {
+                Some(me) => daemon.standing.joined(me),
+                // It has read the table and now asks to join.
+                None if daemon.acceptance.is_none() => daemon.begin(host, head),
+                None => {}
+            }
+        });
+    }
+
+    fn answer_write(&mut self, host: usize) {
+        let write = self.daemon(host).write.clone().expect(POSSIBLE);
+        let committed = write.against == self.head();
+        if committed {
+            self.append(host);
+        }
+        let write = Write { committed: Some(committed), ..write };
+        self.update(host, |daemon| daemon.write = Some(write));
+    }
+
+    fn take_write(&mut self, host: usize) {
+        let write = self.daemon(host).write.clone().expect(POSSIBLE);
+        let membership = self.membership(write.against.next());
+        self.update(host, |daemon| {
+            daemon.write = None;
+            let Some(acceptance) = &mut daemon.acceptance else { return };
+            if write.committed == Some(true) {
+                acceptance.written(Some(&TxnAnswer::Committed));
+                daemon.advance(membership, write.against.next(), false);
+            } else {
+                acceptance.written(Some(&TxnAnswer::Conflict(vec![])));
+            }
+        });
+    }
+
+    fn acknowledge(&mut self, host: usize) {
+        let number = self.daemon(host).acceptance.expect(POSSIBLE).number();
+        self.acked[number.0 as usize - 2].get_or_insert(self.now as u8);
+        self.update(host, |daemon| daemon.acceptance = None);
+    }
+
+    /// Whether no daemon has a patch to write, to acknowledge or to join by.
+    fn patches_done(&self) -> bool {
+        let done = |daemon: Rc<Daemon>| {
+            let joined = daemon.incarnation == 0 || daemon.standing.me().is_some();
+            joined && daemon.acceptance.is_none() && daemon.write.is_none()
+        };
+        self.daemons.iter().all(|daemon| done(daemon.get()))
+    }
+
+    /// What must not be and yet is.
+    pub(crate) fn violations(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for (index, at) in self.acked.iter().enumerate() {
+            let number = Number(2 + index as u64);
+            let Some(at) = at.map(u64::from) else { continue };
+            if !self.held_truly(number) {
+                found.push(Violation::AckedByMinority(number));
+            }
+            if self.now > at + BOUND {
+                found.extend(self.stale(number));
+            }
+        }
+        let back = |daemon: Rc<Daemon>| daemon.standing.number() < daemon.top;
+        let host = self.daemons.iter().map(|daemon| daemon.get()).position(back);
+        found.extend(host.map(|host| Violation::WentBack { host }));
+        found
+    }
+
+    fn held_truly(&self, number: Number) -> bool {
+        let membership = self.membership(number);
+        let majority = |set: &BTreeSet<MemberId>| {
+            set.iter().filter(|id| self.holds_truly(**id, number)).count() > set.len() / 2
+        };
+        majority(&membership.members) && majority(&membership.before)
+    }
+
+    fn stale(&self, acked: Number) -> Option<Violation> {
+        let stale = |daemon: Rc<Daemon>| {
+            daemon.standing.number() < acked && daemon.standing.holds(tick(self.now))
+        };
+        let host = self.daemons.iter().map(|daemon| daemon.get()).position(stale)?;
+        let holds = self.daemon(host).standing.number();
+        Some(Violation::ServedStale { host, holds, acked })
+    }
+}
--- /dev/null
+++ b/kingcupbay_core/tests/spec_standing/state.rs
@@ -0,0 +1,236 @@
+//! The parts of a state: table, daemons, messages on their way.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use kingcupbay_core::{
+    config::patch::Patch,
+    id::{Id, MemberId, Number, RequestId},
+    standing::{Membership, Settings, Standing, Vouch, accept::Acceptance},
+    time::{Instant, Span},
+};
+
+use crate::shared::{Pool, Pooled, Shared};
+
+/// Members at the start.
+pub(crate) const MEMBERS: usize = 3;
+
+/// Ticks for which a proof counts.
+pub(crate) const BOUND: u64 = 1;
+
+/// The number everyone holds at the start.
+const FIRST: u64 = 1;
+
+pub(crate) fn tick(now: u64) -> Instant {
+    // Not the clock's origin, so that ages reach back before the start.
+    Instant::from_micros(100 + now)
+}
+
+/// An answer to a pull, to be delivered late, twice or never.
+///
+/// Sending and answering are one step: a question that is answered later than
+/// it was sent proves less than one sent at that moment, so every state that
+/// it could lead to stands no better than one explored here.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Pull {
+    pub(crate) sent: u64,
+    /// Whom the sender took to be there.
+    pub(crate) member: MemberId,
+    pub(crate) incarnation: u64,
+    pub(crate) number: Number,
+    pub(crate) vouches: Vec<Vouch>,
+}
+
+/// An answer to a read of the head with all deltas; see [`Pull`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Read {
+    pub(crate) sent: u64,
+    pub(crate) answer: Number,
+}
+
+/// A conditional write. It may take effect after its sender gave up on it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Write {
+    pub(crate) against: Number,
+    pub(crate) committed: Option<bool>,
+}
+
+/// One daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Daemon {
+    pub(crate) incarnation: u64,
+    pub(crate) standing: Standing,
+    /// The greatest number this incarnation ever held.
+    pub(crate) top: Number,
+    pub(crate) pull: Option<Pull>,
+    pub(crate) read: Option<Read>,
+    pub(crate) write: Option<Write>,
+    pub(crate) acceptance: Option<Acceptance>,
+}
+
+impl Daemon {
+    pub(crate) fn new(incarnation: u64) -> Daemon {
+        let bound = Span::from_micros(BOUND);
+        Daemon {
+            incarnation,
+            standing: Standing::new(Settings { bound }),
+            top: Number(0),
+            pull: None,
+            read: None,
+            write: None,
+            acceptance: None,
+        }
+    }
+
+    /// Learns the configuration `number`, content included. With `back` it
+    /// takes an older one too.
+    pub(crate) fn advance(&mut self, membership: Membership, number: Number, back: bool) {
+        if back && number < self.standing.number() {
+            let me = self.standing.me();
+            self.standing = Daemon::new(0).standing;
+            me.into_iter().for_each(|me| self.standing.joined(me));
+        }
+        if number.0 > 0 {
+            self.standing.advance(membership);
+        }
+        self.top = self.top.max(self.standing.number());
+    }
+
+    /// Begins to write a patch against `against`.
+    pub(crate) fn begin(&mut self, host: usize, against: Number) {
+        let patch = Patch { id: patch_id(host), against, author: String::new(), changes: vec![] };
+        self.acceptance = Some(Acceptance::new(&patch));
+    }
+}
+
+pub(crate) fn patch_id(host: usize) -> RequestId {
+    RequestId([host as u8; 16])
+}
+
+thread_local! {
+    static DAEMONS: Pool<Daemon> = Pool::default();
+    static LOGS: Pool<Vec<Delta>> = Pool::default();
+}
+
+impl Pooled for Daemon {
+    fn pool<T>(run: impl FnOnce(&Pool<Daemon>) -> T) -> T {
+        DAEMONS.with(run)
+    }
+}
+
+impl Pooled for Vec<Delta> {
+    fn pool<T>(run: impl FnOnce(&Pool<Vec<Delta>>) -> T) -> T {
+        LOGS.with(run)
+    }
+}
+
+/// One row of the table's log: who wrote it and the membership it makes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Delta {
+    pub(crate) id: RequestId,
+    pub(crate) membership: Membership,
+    /// The host whose new incarnation it lets join.
+    pub(crate) joins: Option<(usize, MemberId)>,
+}
+
+/// Most deltas in the table: the operator's and a join.
+pub(crate) const DELTAS: usize = 2;
+
+/// Everything. Parts that many states share stand once; see [`Shared`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct State {
+    pub(crate) now: u64,
+    /// The table: deltas after the first configuration.
+    pub(crate) log: Shared<Vec<Delta>>,
+    pub(crate) daemons: [Shared<Daemon>; MEMBERS],
+    /// When each delta was acknowledged.
+    pub(crate) acked: [Option<u8>; DELTAS],
+    pub(crate) pulls: u8,
+    pub(crate) reads: u8,
+    pub(crate) crashes: u8,
+    pub(crate) doubles: u8,
+}
+
+impl State {
+    /// Everyone holds the first configuration, knows it of everyone, and has
+    /// just read the table; an operator's patch has reached member 0.
+    pub(crate) fn start() -> State {
+        let daemon = |host: usize| {
+            let mut daemon = Daemon::new(0);
+            let standing = &mut daemon.standing;
+            standing.advance(first());
+            standing.joined(MemberId::from_raw(host as u32));
+            for member in first().members {
+                standing.holding(member, Number(FIRST));
+            }
+            standing.head_read(Number(FIRST), tick(0));
+            daemon.top = Number(FIRST);
+            if host == 0 {
+                daemon.begin(host, Number(FIRST));
+            }
+            Shared::new(daemon)
+        };
+        State {
+            now: 0,
+            log: Shared::new(Vec::new()),
+            daemons: std::array::from_fn(daemon),
+            acked: [None; DELTAS],
+            pulls: 0,
+            reads: 0,
+            crashes: 0,
+            doubles: 0,
+        }
+    }
+
+    pub(crate) fn daemon(&self, host: usize) -> Rc<Daemon> {
+        self.daemons[host].get()
+    }
+
+    /// The number in force in the table.
+    pub(crate) fn head(&self) -> Number {
+        Number(FIRST + self.log.get().len() as u64)
+    }
+
+    pub(crate) fn delta(&self, number: Number) -> Option<Delta> {
+        self.log.get().get(number.0.checked_sub(FIRST + 1)? as usize).cloned()
+    }
+
+    pub(crate) fn membership(&self, number: Number) -> Membership {
+        self.delta(number).map_or_else(first, |delta| delta.membership)
+    }
+
+    /// Appends the delta that `host` asked for.
+    pub(crate) fn append(&mut self, host: usize) {
+        let last = self.membership(self.head());
+        let mut members = last.members.clone();
+        let mut joins = None;
+        if self.daemon(host).incarnation > 0 {
+            let id = MemberId::from_raw((MEMBERS + host) as u32);
+            members.remove(&MemberId::from_raw(host as u32));
+            members.insert(id);
+            joins = Some((host, id));
+        }
+        let membership = Membership { number: self.head().next(), members, before: last.members };
+        let delta = Delta { id: patch_id(host), membership, joins };
+        self.log.update(|log| log.push(delta));
+    }
+
+    /// The id by which `host`'s present incarnation joined, as of `number`.
+    pub(crate) fn joined_id(&self, host: usize, number: Number) -> Option<MemberId> {
+        let known = number.0.saturating_sub(FIRST) as usize;
+        let log = self.log.get();
+        let mut joins = log.iter().take(known).rev().filter_map(|delta| delta.joins);
+        joins.find(|(joined, _)| *joined == host).map(|(_, id)| id)
+    }
+
+    /// Whether `member` holds `number` in truth, or has ended.
+    pub(crate) fn holds_truly(&self, member: MemberId, number: Number) -> bool {
+        let mut daemons = self.daemons.iter().map(|daemon| daemon.get());
+        let daemon = daemons.find(|daemon| daemon.standing.me() == Some(member));
+        daemon.is_none_or(|daemon| daemon.standing.number() >= number)
+    }
+}
+
+fn first() -> Membership {
+    let members: BTreeSet<_> = (0..MEMBERS as u32).map(MemberId::from_raw).collect();
+    Membership { number: Number(FIRST), before: members.clone(), members }
+}
