Add gossip: pulls, patches, vouches and records between daemons

Cause: standing needs the vouches of others, and a patch has to be held by others before it is acknowledged. Ruled out: vouches as a list of triples, four to five bytes a member and a quarter of the byte budget at 340 more; ages in requests, whose time on the way nobody knows. A majority of both memberships for a patch: of two members the one that is left could never write again, and half already meets every majority. Standing for a daemon that is no member: a paused one would go on beside its successor. PatchError::Membership reaches the operators' tool as a refusal.

--- a/kingcupbay/src/error.rs
+++ b/kingcupbay/src/error.rs
@@ -24,6 +24,9 @@
         /// Why.
         refusal: Refusal,
     },
+    /// A patch that may not be made like this.
+    #[error("refused: {0}")]
+    Patch(PatchError),
     /// A file that cannot be read.
     #[error("{}: {error}", path.display())]
     File {
@@ -63,7 +66,7 @@
     /// The exit code, as `--help` lists them.
     pub(crate) fn code(&self) -> u8 {
         match self {
-            Error::Mistakes(_) | Error::Refused { .. } => 1,
+            Error::Mistakes(_) | Error::Refused { .. } | Error::Patch(_) => 1,
             Error::File { .. } | Error::Usage(_) | Error::Print(_) => 2,
             Error::Stale { .. } => 3,
             Error::Unreachable(_) => 4,
@@ -86,6 +89,7 @@
         match error {
             PatchError::Stale { against, current } => Error::Stale { against, current },
             PatchError::Refused { refusal, .. } => Error::Refused { place: None, refusal },
+            PatchError::Membership => Error::Patch(error),
         }
     }
 }
--- /dev/null
+++ b/kingcupbay_core/src/gossip/record.rs
@@ -0,0 +1,151 @@
+//! Each member's own state as the others know it, opaque to gossip.
+//!
+//! A member numbers the versions of its records; only newer ones travel.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Id, MemberId};
+
+/// Bytes of records in one answer; the rest comes with the next.
+const ANSWER_BYTES: usize = 16 * 1024;
+
+/// What a record is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Topic {
+    /// Load and resident adapters of an upstream daemon.
+    Load,
+    /// Slack of an entry's rate shares.
+    Slack,
+}
+
+/// A record of one member.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Counts the member's changes over both topics. Only grows.
+    pub sequence: u32,
+    /// The content.
+    pub body: Bytes,
+}
+
+/// A record on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carried(pub MemberId, pub Topic, pub u32, pub Bytes);
+
+/// Newest sequence number known of each member, as flat pairs of (distance
+/// from the previous id, sequence number).
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Seen(Vec<u32>);
+
+/// Everything known of everybody's records.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    me: Option<MemberId>,
+    load: BTreeMap<MemberId, Record>,
+    slack: BTreeMap<MemberId, Record>,
+}
+
+impl Records {
+    /// This daemon's own id; its records start anew under it.
+    pub(super) fn joined(&mut self, me: MemberId) {
+        self.me = Some(me);
+    }
+
+    /// Drops the records of all but `members`.
+    pub(super) fn keep(&mut self, members: &BTreeSet<MemberId>) {
+        self.load.retain(|id, _| members.contains(id));
+        self.slack.retain(|id, _| members.contains(id));
+    }
+
+    /// Publishes this daemon's own record, unless it says what it said. Before
+    /// the daemon has joined there is nobody to publish as.
+    pub fn publish(&mut self, topic: Topic, body: Bytes) {
+        let Some(me) = self.me else { return };
+        if self.of(topic).get(&me).is_some_and(|record| record.body == body) {
+            return;
+        }
+        let sequence = self.newest(me) + 1;
+        self.of_mut(topic).insert(me, Record { sequence, body });
+    }
+
+    /// The records of a topic by member.
+    pub fn of(&self, topic: Topic) -> &BTreeMap<MemberId, Record> {
+        match topic {
+            Topic::Load => &self.load,
+            Topic::Slack => &self.slack,
+        }
+    }
+
+    fn of_mut(&mut self, topic: Topic) -> &mut BTreeMap<MemberId, Record> {
+        match topic {
+            Topic::Load => &mut self.load,
+            Topic::Slack => &mut self.slack,
+        }
+    }
+
+    /// Takes newer records in.
+    pub(super) fn merge(&mut self, carried: Vec<Carried>) {
+        for Carried(member, topic, sequence, body) in carried {
+            let record = self.of_mut(topic).entry(member).or_default();
+            // A late answer must not bring an older state back.
+            if sequence > record.sequence && self.me != Some(member) {
+                *self.of_mut(topic).entry(member).or_default() = Record { sequence, body };
+            }
+        }
+    }
+
+    /// What is known, for the next pull.
+    pub(super) fn seen(&self) -> Seen {
+        let members: BTreeSet<_> = self.load.keys().chain(self.slack.keys()).copied().collect();
+        let mut flat = Vec::with_capacity(members.len() * 2);
+        let mut last = 0;
+        for member in members {
+            flat.push(member.raw() - last);
+            flat.push(self.newest(member));
+            last = member.raw();
+        }
+        Seen(flat)
+    }
+
+    /// Records newer than `seen`, a member's either all or none: the puller's
+    /// next list names one number for both topics.
+    pub(super) fn since(&self, seen: &Seen) -> Vec<Carried> {
+        let seen = seen.by_member();
+        let members: BTreeSet<_> = self.load.keys().chain(self.slack.keys()).copied().collect();
+        let (mut carried, mut bytes) = (Vec::new(), 0);
+        for member in members {
+            let known = seen.get(&member).copied().unwrap_or(0);
+            for topic in [Topic::Load, Topic::Slack] {
+                let Some(record) = self.of(topic).get(&member) else { continue };
+                if record.sequence > known {
+                    bytes += record.body.len();
+                    let body = record.body.clone();
+                    carried.push(Carried(member, topic, record.sequence, body));
+                }
+            }
+            if bytes > ANSWER_BYTES {
+                break;
+            }
+        }
+        carried
+    }
+
+    fn newest(&self, member: MemberId) -> u32 {
+        let sequence = |topic| self.of(topic).get(&member).map_or(0, |record| record.sequence);
+        sequence(Topic::Load).max(sequence(Topic::Slack))
+    }
+}
+
+impl Seen {
+    fn by_member(&self) -> BTreeMap<MemberId, u32> {
+        let (pairs, _) = self.0.as_chunks::<2>();
+        let ids = pairs.iter().scan(0u32, |last, &[gap, sequence]| {
+            *last = last.checked_add(gap)?;
+            Some((MemberId::from_raw(*last), sequence))
+        });
+        ids.collect()
+    }
+}
--- a/kingcupbay_core/src/standing/membership.rs
+++ b/kingcupbay_core/src/standing/membership.rs
@@ -37,12 +37,12 @@
         self.members.contains(&member) || self.before.contains(&member)
     }
 
-    /// Whether `holds` is true of a majority of each set; of an empty set
-    /// nothing is asked, so that the first member can join.
-    pub(super) fn majorities(&self, holds: impl Fn(MemberId) -> bool) -> bool {
-        let majority = |set: &BTreeSet<MemberId>| {
-            set.is_empty() || set.iter().filter(|id| holds(**id)).count() > set.len() / 2
+    /// Whether `holds` is true of half of each set or more, so that every
+    /// majority of the set has such a member.
+    pub(super) fn halves(&self, holds: impl Fn(MemberId) -> bool) -> bool {
+        let half = |set: &BTreeSet<MemberId>| {
+            set.iter().filter(|id| holds(**id)).count() >= set.len().div_ceil(2)
         };
-        majority(&self.members) && majority(&self.before)
+        half(&self.members) && half(&self.before)
     }
 }
--- /dev/null
+++ b/kingcupbay_core/tests/gossip.rs
@@ -0,0 +1,279 @@
+//! Gossip: what daemons tell each other reaches everyone and never lies.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use kingcupbay_core::{
+    config::{
+        change::Change,
+        model::{Config, Role},
+        patch::Patch,
+    },
+    gossip::{
+        Action, Gossip, PullId, Settings,
+        message::{AGE_UNIT, Answer, Pull, Snapshot, pack, unpack},
+        record::Topic,
+    },
+    id::{Id, MemberId, Number, RequestId},
+    standing::{self, Standing, Vouch},
+    time::{Instant, Span},
+};
+use quickcheck::{Arbitrary, Gen};
+
+/// A daemon with its configuration, as the shell keeps them together.
+struct Daemon {
+    gossip: Gossip,
+    config: Config,
+    /// Members whose snapshot it was told to fetch.
+    fetches: Vec<MemberId>,
+}
+
+/// Daemons that answer each other at once, unless one is cut off.
+struct Fleet {
+    daemons: Vec<Daemon>,
+    cut: BTreeSet<usize>,
+    now: Instant,
+}
+
+fn patch(against: Number, changes: Vec<Change>) -> Patch {
+    let id = RequestId([against.0 as u8; 16]);
+    Patch { id, against, author: "ops".into(), changes }
+}
+
+fn join(host: usize, incarnation: u64) -> Change {
+    Change::Join {
+        host: format!("host{host}").parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + host),
+        zone: "z1".parse().unwrap(),
+        role: Role::Entry,
+        incarnation,
+    }
+}
+
+fn daemon(incarnation: u64) -> Daemon {
+    let standing = Standing::new(standing::Settings::default());
+    let gossip = Gossip::new(Settings::default(), standing, incarnation, incarnation);
+    Daemon { gossip, config: Config::default(), fetches: Vec::new() }
+}
+
+impl Daemon {
+    /// Applies a patch as read from the table.
+    fn apply(&mut self, patch: &Patch) {
+        let next = self.config.patched(patch).unwrap();
+        self.gossip.patched(patch.clone(), &next);
+        self.config = next;
+    }
+
+    fn number(&self) -> Number {
+        self.config.number
+    }
+}
+
+impl Fleet {
+    /// `count` members that have all read the same table.
+    fn new(count: usize) -> Fleet {
+        let mut daemons: Vec<_> = (0..count).map(|host| daemon(host as u64 + 1)).collect();
+        let now = Instant::from_micros(1_000_000);
+        for daemon in &mut daemons {
+            for host in 0..count {
+                daemon.apply(&patch(Number(host as u64), vec![join(host, host as u64 + 1)]));
+            }
+            let (head, config) = (daemon.number(), daemon.config.clone());
+            daemon.gossip.head_read(now, now, head, &config);
+        }
+        Fleet { daemons, cut: BTreeSet::new(), now }
+    }
+
+    fn carry_out(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::SendPull { id, to, pull } => self.deliver(at, id, to, &pull),
+                Action::Adopt(config) => self.daemons[at].config = *config,
+                Action::FetchSnapshot { from } => self.daemons[at].fetches.push(from),
+                Action::ReadHead => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: usize, id: PullId, to: MemberId, pull: &Pull) {
+        let peer = to.raw() as usize;
+        if self.cut.contains(&at) || self.cut.contains(&peer) || peer >= self.daemons.len() {
+            return self.daemons[at].gossip.failed(id);
+        }
+        let (answer, back) = self.daemons[peer].gossip.pulled(self.now, pull);
+        let config = self.daemons[at].config.clone();
+        let actions = self.daemons[at].gossip.answered(self.now, id, answer, &config);
+        self.carry_out(at, actions);
+        self.carry_out(peer, back);
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 50 {
+            self.now = self.now + Span::from_millis(50);
+            for at in 0..self.daemons.len() {
+                let actions = self.daemons[at].gossip.tick(self.now);
+                self.carry_out(at, actions);
+            }
+        }
+    }
+
+    fn standing(&self) -> usize {
+        let holds = |daemon: &&Daemon| daemon.gossip.standing().holds(self.now);
+        self.daemons.iter().filter(holds).count()
+    }
+}
+
+/// The table is gone for ten minutes for everyone; nobody may stop serving.
+#[test]
+fn everyone_stands_through_a_table_outage() {
+    let mut fleet = Fleet::new(9);
+    fleet.run(5_000);
+    for _ in 0..120 {
+        fleet.run(5_000);
+        assert_eq!(fleet.standing(), 9);
+    }
+    fleet.cut.extend([0, 1]);
+    fleet.run(4_000);
+    assert_eq!(fleet.standing(), 7, "two that are cut off stop, the others go on");
+}
+
+/// An operator's patch reaches everyone within a second, through two members
+/// that do not answer, and its writer learns that it did.
+#[test]
+fn a_patch_reaches_everyone_and_its_writer_knows() {
+    let mut fleet = Fleet::new(26);
+    fleet.run(3_000);
+    fleet.cut.extend([7, 8]);
+    let patch = patch(fleet.daemons[0].number(), vec![]);
+    fleet.daemons[0].apply(&patch);
+    let number = fleet.daemons[0].number();
+    assert!(!fleet.daemons[0].gossip.standing().settled(number));
+    for _ in 0..2 {
+        let now = fleet.now;
+        let actions = fleet.daemons[0].gossip.settle(now);
+        fleet.carry_out(0, actions);
+    }
+    assert!(fleet.daemons[0].gossip.standing().settled(number));
+    fleet.run(1_000);
+    let known = fleet.daemons.iter().filter(|daemon| daemon.number() == number).count();
+    assert_eq!(known, 24);
+}
+
+/// An entry restarts empty and answers its peers at once. What they took for
+/// the old one's word must not become the new one's.
+#[test]
+fn a_daemon_restarted_empty_vouches_for_nothing() {
+    let mut fleet = Fleet::new(3);
+    fleet.run(1_000);
+    fleet.daemons[1] = daemon(77);
+    let (answer, _) = {
+        let pull = Pull { member: None, number: Number(3), brief: false, seen: None };
+        fleet.daemons[1].gossip.pulled(fleet.now, &pull)
+    };
+    assert!(answer.holding.is_empty() && answer.behind.is_empty());
+    fleet.run(4_000);
+    let ended: Vec<_> = fleet.daemons[0].gossip.standing().ended_members().collect();
+    assert_eq!(ended, [MemberId::from_raw(1)]);
+    assert_eq!(fleet.standing(), 2, "two of three still vouch for each other");
+}
+
+/// An answer arrives a second time, or after its pull was given up.
+#[test]
+fn a_doubled_or_late_answer_changes_nothing() {
+    let mut fleet = Fleet::new(3);
+    let pulls: Vec<_> = fleet.daemons[0].gossip.settle(fleet.now);
+    let Action::SendPull { id, pull, .. } = pulls[0].clone() else { panic!() };
+    let (answer, _) = fleet.daemons[1].gossip.pulled(fleet.now, &pull);
+    let config = fleet.daemons[0].config.clone();
+    let gossip = &mut fleet.daemons[0].gossip;
+    gossip.answered(fleet.now, id, answer.clone(), &config);
+    let before = gossip.standing().clone();
+    let later = fleet.now + Span::from_secs(2);
+    assert_eq!(gossip.answered(later, id, answer, &config), []);
+    assert_eq!(*gossip.standing(), before);
+}
+
+#[test]
+fn a_daemon_too_far_behind_fetches_the_whole() {
+    let mut fleet = Fleet::new(3);
+    fleet.cut.insert(2);
+    for _ in 0..70 {
+        let patch = patch(fleet.daemons[0].number(), vec![]);
+        (0..2).for_each(|at| fleet.daemons[at].apply(&patch));
+    }
+    fleet.cut.clear();
+    fleet.run(500);
+    assert!(!fleet.daemons[2].fetches.is_empty());
+    let Snapshot { config, before } = fleet.daemons[0].gossip.snapshot(&fleet.daemons[0].config);
+    let actions = fleet.daemons[2].gossip.restored(Snapshot { config, before });
+    fleet.carry_out(2, actions);
+    assert_eq!(fleet.daemons[2].number(), fleet.daemons[0].number());
+    fleet.run(1_000);
+    assert!(fleet.daemons[2].gossip.standing().vouched_for(fleet.now));
+}
+
+#[test]
+fn only_records_that_changed_travel() {
+    let mut fleet = Fleet::new(5);
+    fleet.daemons[3].gossip.records_mut().publish(Topic::Load, "busy".into());
+    fleet.run(10_000);
+    for daemon in &fleet.daemons {
+        let load = daemon.gossip.records().of(Topic::Load);
+        assert_eq!(load[&MemberId::from_raw(3)].body, "busy");
+    }
+    fleet.daemons[3].gossip.records_mut().publish(Topic::Load, "busy".into());
+    let actions = (0..9).flat_map(|_| {
+        fleet.now = fleet.now + Span::from_millis(250);
+        fleet.daemons[0].gossip.tick(fleet.now)
+    });
+    let asked = actions.filter_map(|action| match action {
+        Action::SendPull { pull, .. } => pull.seen.is_some().then_some(pull),
+        _ => None,
+    });
+    let asked: Vec<_> = asked.collect();
+    assert!(!asked.is_empty());
+    for pull in asked {
+        assert_eq!(fleet.daemons[3].gossip.pulled(fleet.now, &pull).0.records, []);
+    }
+}
+
+/// Whatever ages and gaps between ids: none gets younger on the way, and who
+/// holds the number is told exactly.
+#[test]
+fn vouches_survive_packing_and_never_get_younger() {
+    let mut random = Gen::from_size_and_seed(200, 7);
+    for _ in 0..500 {
+        let ids = BTreeSet::<u16>::arbitrary(&mut random);
+        let vouches: Vec<_> = ids
+            .into_iter()
+            .map(|raw| Vouch {
+                member: MemberId::from_raw(raw.into()),
+                number: Number(9),
+                held: Number(u64::from(u8::arbitrary(&mut random) % 3) + 7),
+                age: Span::from_micros(u32::arbitrary(&mut random).into()),
+            })
+            .collect();
+        let (holding, behind) = pack(Number(9), &vouches);
+        let mut back = unpack(Number(9), &holding, &behind);
+        back.sort_by_key(|vouch| vouch.member);
+        assert_eq!(back.len(), vouches.len());
+        for (was, is) in vouches.iter().zip(&back) {
+            assert_eq!(was.member, is.member);
+            assert!(is.age >= was.age && is.age < was.age + AGE_UNIT);
+            assert_eq!(is.held, if was.held == Number(9) { Number(9) } else { Number(0) });
+        }
+    }
+}
+
+#[test]
+fn nonsense_in_an_answer_is_survived() {
+    let mut fleet = Fleet::new(3);
+    let pulls = fleet.daemons[0].gossip.settle(fleet.now);
+    let Action::SendPull { id, .. } = pulls[0] else { panic!() };
+    let flat = vec![u32::MAX, 0, u32::MAX, 1, 5];
+    let answer = Answer { incarnation: 2, number: Number(3), holding: flat, ..Answer::default() };
+    let config = fleet.daemons[0].config.clone();
+    fleet.daemons[0].gossip.answered(fleet.now, id, answer, &config);
+    assert!(!fleet.daemons[0].gossip.standing().vouched_for(fleet.now));
+}
--- a/kingcupbayd/src/admin/mod.rs
+++ b/kingcupbayd/src/admin/mod.rs
@@ -141,7 +141,9 @@
         PatchOutcome::Refused(error) => {
             let status = match error {
                 PatchError::Stale { .. } => StatusCode::CONFLICT,
-                PatchError::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+                PatchError::Refused { .. } | PatchError::Membership => {
+                    StatusCode::UNPROCESSABLE_ENTITY
+                }
             };
             reply::json(status, &Refused { error })
         }
