--- a/kingcupbay_core/src/id.rs
+++ b/kingcupbay_core/src/id.rs
@@ -70,7 +70,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[derive(Serialize, Deserialize)]
         #[serde(transparent)]
         pub struct $name(u32);
@@ -111,7 +111,9 @@
 }
 
 /// The number of a configuration. It only grows.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Number(pub u64);
 
@@ -129,7 +131,9 @@
 }
 
 /// Identity of one request on every hop; random, so that two never meet.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
 pub struct RequestId(pub [u8; 16]);
 
 impl fmt::Display for RequestId {
