Conserve rate shares over entries, epochs and transfers

Cause: an organisation's rate and burst hold over the whole fleet without a counter service.

Ruled out: a lease per entry (closes in a store outage); a writer of grants in the table (one more row to fence); levels that travel without capacity (the giver fills up again beside them); counting the lapse from the moment the configuration was written: a written one that no majority holds yet may be unknown to a daemon with standing, so the lapse counts from in-force.

Change: the configuration carries the number that last changed totals or entries, which is the share epoch. Entering it, a holder stops the transfers of the epoch before and makes one report of what it holds. From the reports of all holders everybody computes the same division of what nobody holds, and takes its part, at level zero, when the old holders' standing has lapsed. An organisation that is witnessed to be new starts full, at once. Transfers are deducted before they are sent, repeated until their receipt comes, taken once, within the epoch. An entry that runs short asks peers that should have what is lacking; periodic records move rate to demand.

--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -1,6 +1,6 @@
 //! Rows of a configuration and the queries over them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{hex::Hex, serde_as};
@@ -38,6 +38,15 @@
     pub burst: u64,
 }
 
+/// What an organisation may have over the whole fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Total {
+    /// Tokens a second.
+    pub rate: u64,
+    /// Tokens at once.
+    pub burst: u64,
+}
+
 /// An access key that callers present.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Key {
@@ -160,6 +169,10 @@
 pub struct Config {
     /// Its number.
     pub number: Number,
+    /// The number that last changed an organisation's rate or burst, or which
+    /// entries there are: the epoch of the rate shares. A reader of a snapshot
+    /// could not tell it otherwise.
+    pub shares: Number,
     /// Organisations.
     pub organisations: Arena<OrganisationId, Organisation>,
     /// Organisations by name.
@@ -237,6 +250,19 @@
         (row.organisation == organisation).then_some((id, row))
     }
 
+    /// Rate and burst of every organisation.
+    pub fn totals(&self) -> BTreeMap<OrganisationId, Total> {
+        let total = |row: &Organisation| Total { rate: row.rate, burst: row.burst };
+        self.organisations.iter().map(|(id, row)| (id, total(row))).collect()
+    }
+
+    /// Incarnations of the entries.
+    pub fn entries(&self) -> BTreeSet<u64> {
+        let entry = |member: &Member| member.role == Role::Entry;
+        let entries = self.members.iter().filter(|(_, member)| entry(member));
+        entries.map(|(_, member)| member.incarnation).collect()
+    }
+
     /// The member on `host`.
     pub fn member(&self, host: &Name) -> Option<(MemberId, &Member)> {
         let id = *self.member_names.get(host)?;
--- a/kingcupbay_core/src/config/patch.rs
+++ b/kingcupbay_core/src/config/patch.rs
@@ -81,6 +81,9 @@
         for (index, change) in patch.changes.iter().enumerate() {
             next.change(change).map_err(|refusal| PatchError::Refused { index, refusal })?;
         }
+        if next.totals() != self.totals() || next.entries() != self.entries() {
+            next.shares = next.number;
+        }
         Ok(next)
     }
 }
--- a/kingcupbay_core/src/share/bucket.rs
+++ b/kingcupbay_core/src/share/bucket.rs
@@ -5,12 +5,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::amount::{Amount, scale};
-use crate::time::{Instant, Span};
+use crate::{
+    config::model::Total,
+    time::{Instant, Span},
+};
 
 /// A part of an organisation's rate and burst. Over all entries and all
 /// messages on their way, each of the three fields sums to at most the
 /// organisation's.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Share {
     /// Tokens a second.
     pub rate: u64,
@@ -29,7 +34,7 @@
     }
 }
 
-/// Key of a reservation of one bucket; never given out twice.
+/// Key of a reservation of one bucket, unique among those not settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ReservationId(u64);
@@ -59,7 +64,7 @@
     at: Instant,
     /// Reservations not settled yet.
     open: BTreeMap<ReservationId, Amount>,
-    /// Number of the next reservation, above all in `open`.
+    /// Number of the next reservation, above all in `open`; zero without any.
     next: u64,
     /// Smallest headroom since each reservation: the first row at or after a
     /// reservation's number holds it. Invariant: headroom grows with the key,
@@ -111,8 +116,8 @@
     }
 
     /// Ends a reservation of which `used` was used, and returns what came
-    /// back into the level. Settling twice gives nothing the second time; use
-    /// beyond the reservation is the caller's to prevent and is not charged.
+    /// back into the level. Use beyond the reservation is the caller's to
+    /// prevent and is not charged.
     pub fn settle(&mut self, now: Instant, id: ReservationId, used: Amount) -> Amount {
         self.advance(now);
         let Some(reserved) = self.open.remove(&id) else {
@@ -158,10 +163,10 @@
 
     /// Follows a change of the organisation's rate and burst in proportion.
     /// Rounded down at every entry, the sum fits the new total.
-    pub fn rescale(&mut self, now: Instant, from: (u64, u64), to: (u64, u64)) {
+    pub fn rescale(&mut self, now: Instant, from: Total, to: Total) {
         self.advance(now);
-        self.share.rate = scale(self.share.rate, to.0, from.0);
-        self.share.capacity = self.share.capacity.scale(to.1, from.1);
+        self.share.rate = scale(self.share.rate, to.rate, from.rate);
+        self.share.capacity = self.share.capacity.scale(to.burst, from.burst);
         self.share.level = self.share.level.min(self.share.capacity);
         self.note();
     }
@@ -205,7 +210,10 @@
     fn forget(&mut self) {
         match self.open.first_key_value() {
             Some((first, _)) => self.floors = self.floors.split_off(&first.0),
-            None => self.floors.clear(),
+            None => {
+                self.floors.clear();
+                self.next = 0;
+            }
         }
     }
 }
--- a/kingcupbay_core/src/share/mod.rs
+++ b/kingcupbay_core/src/share/mod.rs
@@ -5,3 +5,8 @@
 
 pub mod amount;
 pub mod bucket;
+mod ledger;
+pub mod message;
+pub mod plan;
+pub mod shares;
+mod steer;
--- /dev/null
+++ b/kingcupbay_core/src/share/shares.rs
@@ -0,0 +1,432 @@
+//! The shares of one entry: epochs, admission and transfers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{
+    amount::Amount,
+    bucket::{Bucket, ReservationId, Share},
+    ledger::Ledger,
+    message::{Ask, Envelope, Message, Part, Transfer},
+    plan::{Grant, Holder, Plan, Report, grant},
+    steer::{Demand, Peer},
+};
+use crate::{
+    config::model::Total,
+    id::{Number, OrganisationId},
+    time::{Instant, Span},
+    wire::error::Code,
+};
+
+/// Time limits of [`Shares`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// How long after a configuration is held by a majority a holder that it
+    /// removed may still have standing: the freshness bound of `standing`,
+    /// and what the clocks of two hosts may differ over it.
+    pub lapse: Span,
+    /// Longest that a request waits for tokens of peers.
+    pub ask_wait: Span,
+    /// How long a transfer waits for its receipt before it is sent again.
+    pub resend: Span,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            lapse: Span::from_secs(5),
+            ask_wait: Span::from_millis(20),
+            resend: Span::from_millis(100),
+        }
+    }
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Send this. It may get lost; nothing need be told about that.
+    Send(Envelope),
+    /// Write this to its row, once, until it is known to be there.
+    Report(Report),
+    /// Something came in: ask again for requests of this organisation that
+    /// were [`Verdict::Short`].
+    Arrived(OrganisationId),
+}
+
+/// Tokens taken for one request. It cannot be copied, so it is settled once.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reservation {
+    organisation: OrganisationId,
+    id: ReservationId,
+}
+
+/// Whether a request may run.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may; settle the reservation at its end.
+    Granted(Reservation),
+    /// Perhaps peers have enough: carry out the actions, ask again at
+    /// [`Action::Arrived`], and at `until` at the latest.
+    Short {
+        /// Questions to peers.
+        actions: Vec<Action>,
+        /// Ask again by then.
+        until: Instant,
+    },
+    /// It may not, and has not run.
+    Refused {
+        /// Why.
+        code: Code,
+        /// When the organisation's bucket should have what is missing.
+        retry_after: Option<Span>,
+    },
+}
+
+/// One organisation at this entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Book {
+    pub(crate) bucket: Bucket,
+    pub(crate) demand: Demand,
+    /// What a waiting request needs, and until when it waits.
+    pub(crate) want: Option<(Instant, Amount)>,
+}
+
+/// The shares of one entry.
+///
+/// Invariant, over all entries of an epoch: what is in buckets, in transfers
+/// not taken yet and in grants not taken yet sums to at most each
+/// organisation's rate and burst. It holds because a giver deducts before it
+/// sends, a taker adds a transfer once and only within the epoch, and grants
+/// are divided from what the reports of all holders leave.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Shares {
+    pub(crate) me: Holder,
+    pub(crate) settings: Settings,
+    pub(crate) plan: Plan,
+    /// Made at the start of the epoch; none when this entry is not a holder.
+    report: Option<Report>,
+    reports: BTreeMap<Holder, Report>,
+    /// When this entry learned that a majority holds the epoch.
+    in_force: Option<Instant>,
+    /// What is due when old holders' standing has lapsed.
+    grant: Option<Grant>,
+    pub(crate) books: BTreeMap<OrganisationId, Book>,
+    pub(crate) ledger: Ledger,
+    pub(crate) peers: BTreeMap<Holder, Peer>,
+    /// Questions without an answer, and when they were sent.
+    pub(crate) asked: BTreeMap<(OrganisationId, Holder), Instant>,
+    /// Holders that said they are stopping.
+    pub(crate) leaving: BTreeSet<Holder>,
+    pub(crate) stopping: bool,
+}
+
+impl Shares {
+    /// An entry that holds nothing yet.
+    pub fn new(me: Holder, settings: Settings) -> Shares {
+        Shares {
+            me,
+            settings,
+            plan: Plan::default(),
+            report: None,
+            reports: BTreeMap::new(),
+            in_force: None,
+            grant: None,
+            books: BTreeMap::new(),
+            ledger: Ledger::default(),
+            peers: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            stopping: false,
+        }
+    }
+
+    /// The epoch this entry is in.
+    pub fn epoch(&self) -> Number {
+        self.plan.epoch
+    }
+
+    /// The report of this epoch, to be written to its row.
+    pub fn report(&self) -> Option<&Report> {
+        self.report.as_ref()
+    }
+
+    /// Holders whose reports are still missing here; read their rows.
+    pub fn missing(&self) -> impl Iterator<Item = Holder> {
+        let holders = self.plan.holders.iter().copied();
+        holders.filter(|holder| self.report.is_some() && !self.reports.contains_key(holder))
+    }
+
+    /// The share of an organisation as it is at `now`.
+    pub fn share(&self, now: Instant, organisation: OrganisationId) -> Share {
+        self.books.get(&organisation).map(|book| book.bucket.share_at(now)).unwrap_or_default()
+    }
+
+    /// What is on its way from here and not known to have arrived.
+    pub fn outstanding(&self) -> impl Iterator<Item = &Part> {
+        self.ledger.outstanding()
+    }
+
+    /// Enters the epoch of `plan`. From here on transfers of the epoch before
+    /// are neither sent again nor taken, so what this entry holds now is its
+    /// to report; a lost transfer is in nobody's report and is granted anew.
+    pub fn on_plan(&mut self, now: Instant, plan: Plan) -> Vec<Action> {
+        if plan.epoch <= self.plan.epoch {
+            return Vec::new();
+        }
+        let before = std::mem::replace(&mut self.plan, plan);
+        self.report = None;
+        self.reports.clear();
+        self.in_force = None;
+        self.grant = None;
+        self.ledger = Ledger::default();
+        self.asked.clear();
+        self.leaving.clear();
+        self.peers.retain(|peer, _| self.plan.holders.contains(peer));
+        if !self.plan.holders.contains(&self.me) {
+            self.books.clear();
+            return Vec::new();
+        }
+        self.rescale(now, &before);
+        let report = self.new_report(&before);
+        self.reports.insert(self.me, report.clone());
+        self.report = Some(report.clone());
+        let mut actions = vec![Action::Report(report)];
+        actions.extend(self.settle_grant(now));
+        actions
+    }
+
+    /// Takes in reports as read from their rows.
+    pub fn on_reports(&mut self, now: Instant, reports: &[Report]) -> Vec<Action> {
+        for report in reports.iter().filter(|report| report.epoch == self.plan.epoch) {
+            if self.plan.holders.contains(&report.holder) {
+                self.reports.entry(report.holder).or_insert_with(|| report.clone());
+            }
+        }
+        self.settle_grant(now)
+    }
+
+    /// A majority of the members holds configuration `number`.
+    pub fn on_in_force(&mut self, now: Instant, number: Number) -> Vec<Action> {
+        if number >= self.plan.epoch && self.in_force.is_none() {
+            self.in_force = Some(now);
+        }
+        self.settle_grant(now)
+    }
+
+    /// Whether a request of `tokens`, which arrived at `since`, may run. At
+    /// the first time of asking `now` is `since`.
+    ///
+    /// `standing` is asked by the caller at this very moment: a holder that
+    /// was removed may have been paused, and others may have its share.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        organisation: OrganisationId,
+        tokens: u64,
+        standing: bool,
+    ) -> Verdict {
+        let total = self.plan.totals.get(&organisation).copied().filter(|_| standing);
+        let Some(total) = total else {
+            return Verdict::Refused { code: Code::NoStanding, retry_after: None };
+        };
+        if tokens > total.burst {
+            return Verdict::Refused { code: Code::OverBurst, retry_after: None };
+        }
+        // A grant may have come due; the action wakes requests that wait.
+        let due = self.settle_grant(now);
+        let amount = Amount::from_tokens(tokens);
+        let book = self.book(now, organisation);
+        if now == since {
+            book.demand.count(amount);
+        }
+        let lack = match book.bucket.reserve(now, amount) {
+            Ok(id) => {
+                book.want = None;
+                return Verdict::Granted(Reservation { organisation, id });
+            }
+            Err(short) => short.lack,
+        };
+        let until = since + self.settings.ask_wait;
+        let mut actions = self.ask_peers(now, organisation, lack);
+        if now >= until || (actions.is_empty() && !self.is_asking(now, organisation)) {
+            return self.refuse(now, organisation, total, lack);
+        }
+        self.book(now, organisation).want = Some((until, amount));
+        actions.extend(due);
+        Verdict::Short { actions, until }
+    }
+
+    /// Ends a reservation of which `used` tokens were used.
+    pub fn settle(&mut self, now: Instant, reservation: Reservation, used: u64) {
+        if let Some(book) = self.books.get_mut(&reservation.organisation) {
+            let back = book.bucket.settle(now, reservation.id, Amount::from_tokens(used));
+            book.demand.uncount(back);
+        }
+    }
+
+    /// Takes in a message of another entry.
+    pub fn on_message(&mut self, now: Instant, envelope: &Envelope) -> Vec<Action> {
+        let Envelope { from, to, epoch, ref message } = *envelope;
+        let known = self.plan.holders.contains(&from) && from != self.me;
+        // A message of another epoch may carry what a report left out and a
+        // grant gave out again.
+        if to != self.me || epoch != self.plan.epoch || !known || self.report.is_none() {
+            return Vec::new();
+        }
+        match message {
+            Message::Ask(ask) => self.on_ask(now, from, *ask),
+            Message::Transfer(transfer) => self.on_transfer(now, from, transfer),
+            Message::Receipt { seq, slack } => {
+                self.ledger.settle(from, *seq);
+                self.see(now, from, slack)
+            }
+            Message::Slack(slack) => self.see(now, from, slack),
+            Message::Leaving => {
+                self.leaving.insert(from);
+                self.peers.remove(&from);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Sends transfers without a receipt again.
+    pub fn resend(&mut self, now: Instant) -> Vec<Action> {
+        let again = self.ledger.resend(now, self.settings.resend);
+        let send = |(peer, transfer)| self.send(peer, Message::Transfer(transfer));
+        again.into_iter().map(send).collect()
+    }
+
+    fn on_ask(&mut self, now: Instant, from: Holder, ask: Ask) -> Vec<Action> {
+        let spare = self.spare(now, from, ask.organisation);
+        if spare == Amount::ZERO || !self.ledger.has_room(from) {
+            let slack = self.slack_of(now, ask.organisation).into_iter().collect();
+            return vec![self.send(from, Message::Slack(slack))];
+        }
+        let rest = spare.saturating_sub(ask.lack);
+        let level = spare.min(ask.lack) + rest.scale(1, 4);
+        let wanted = Share { rate: 0, capacity: level, level };
+        vec![self.give(now, from, &[(ask.organisation, wanted)])]
+    }
+
+    /// What may be given to `from`. Two entries that are both short would
+    /// hand the same tokens to and fro and both refuse; the lesser holder
+    /// keeps what its waiting request needs, the greater one gives.
+    fn spare(&mut self, now: Instant, from: Holder, organisation: OrganisationId) -> Amount {
+        let me = self.me;
+        let book = self.book(now, organisation);
+        let level = book.bucket.share_at(now).level;
+        match book.want {
+            Some((until, want)) if now < until && me < from => level.saturating_sub(want),
+            _ => level,
+        }
+    }
+
+    /// Deducts shares here and sends them to `peer`.
+    pub(crate) fn give(
+        &mut self,
+        now: Instant,
+        peer: Holder,
+        wanted: &[(OrganisationId, Share)],
+    ) -> Action {
+        let mut parts = Vec::new();
+        for &(organisation, wanted) in wanted {
+            let share = self.book(now, organisation).bucket.take(now, wanted);
+            parts.push(Part { organisation, share });
+        }
+        let mut transfer = self.ledger.send(now, peer, parts);
+        let slack = wanted.iter().filter_map(|&(id, _)| self.slack_of(now, id));
+        transfer.slack = slack.collect();
+        self.send(peer, Message::Transfer(transfer))
+    }
+
+    fn on_transfer(&mut self, now: Instant, from: Holder, transfer: &Transfer) -> Vec<Action> {
+        let Transfer { seq, floor, parts, slack } = transfer;
+        let mut actions = self.see(now, from, slack);
+        if self.ledger.take(from, *seq, *floor) {
+            for part in parts {
+                self.book(now, part.organisation).bucket.add(now, part.share);
+                self.asked.remove(&(part.organisation, from));
+                actions.push(Action::Arrived(part.organisation));
+            }
+        }
+        let slack = parts.iter().filter_map(|part| self.slack_of(now, part.organisation));
+        let receipt = Message::Receipt { seq: *seq, slack: slack.collect() };
+        actions.push(self.send(from, receipt));
+        actions
+    }
+
+    pub(crate) fn send(&self, to: Holder, message: Message) -> Action {
+        Action::Send(Envelope { from: self.me, to, epoch: self.plan.epoch, message })
+    }
+
+    pub(crate) fn book(&mut self, now: Instant, organisation: OrganisationId) -> &mut Book {
+        self.books.entry(organisation).or_insert_with(|| Book {
+            bucket: Bucket::new(now, Share::default()),
+            demand: Demand::new(now),
+            want: None,
+        })
+    }
+
+    fn rescale(&mut self, now: Instant, before: &Plan) {
+        let (old, new) = (&before.totals, &self.plan.totals);
+        self.books.retain(|organisation, _| new.contains_key(organisation));
+        for (organisation, book) in &mut self.books {
+            let from = old.get(organisation).copied().unwrap_or_default();
+            let to = new[organisation];
+            if from != to {
+                book.bucket.rescale(now, from, to);
+            }
+        }
+    }
+
+    fn new_report(&self, before: &Plan) -> Report {
+        let holding = |(&id, book): (&OrganisationId, &Book)| (id, book.bucket.share().into());
+        let held = self.books.iter().map(holding).filter(|(_, held)| *held != Default::default());
+        let new = |id: &&OrganisationId| !before.totals.contains_key(id);
+        // A newcomer cannot witness that an organisation is new.
+        let held_before = before.holders.contains(&self.me);
+        let fresh = self.plan.totals.keys().filter(new).filter(|_| held_before);
+        Report {
+            holder: self.me,
+            epoch: self.plan.epoch,
+            held: held.collect(),
+            fresh: fresh.copied().collect(),
+        }
+    }
+
+    /// Takes this entry's grant of the epoch as far as it is due.
+    pub(crate) fn settle_grant(&mut self, now: Instant) -> Vec<Action> {
+        let mut due = BTreeMap::new();
+        if self.grant.is_none() && self.report.is_some() {
+            self.grant = grant(&self.plan, &self.reports, self.me);
+            if let Some(grant) = &mut self.grant {
+                due.append(&mut grant.fresh);
+            }
+        }
+        let lapsed = self.in_force.is_some_and(|since| now.since(since) >= self.settings.lapse);
+        if let Some(grant) = self.grant.as_mut().filter(|_| lapsed) {
+            due.append(&mut grant.reclaimed);
+        }
+        let mut actions = Vec::new();
+        for (organisation, share) in due {
+            self.book(now, organisation).bucket.add(now, share);
+            actions.push(Action::Arrived(organisation));
+        }
+        actions
+    }
+
+    fn refuse(
+        &mut self,
+        now: Instant,
+        organisation: OrganisationId,
+        total: Total,
+        lack: Amount,
+    ) -> Verdict {
+        self.book(now, organisation).want = None;
+        // Peers that come to have something are asked, so the whole
+        // organisation's rate works towards what is missing.
+        let known = self.known(now, organisation);
+        let retry_after = lack.saturating_sub(known).refill_time(total.rate);
+        Verdict::Refused { code: Code::OverRate, retry_after }
+    }
+}
