--- a/kingcupbay_core/tests/spec_share.rs
+++ b/kingcupbay_core/tests/spec_share.rs
@@ -6,9 +6,9 @@
 #![allow(clippy::unwrap_used)]
 
 use std::{
-    cell::Cell,
-    collections::{BTreeMap, BTreeSet},
-    hash::{Hash, Hasher},
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     time::Instant as Clock,
 };
@@ -56,6 +56,27 @@
     AnyEpoch,
 }
 
+/// Every state of an entry once, for the sake of memory.
+#[derive(Default)]
+struct Pool(BTreeMap<u64, Vec<Rc<Shares>>>);
+
+impl Pool {
+    fn intern(&mut self, shares: &Rc<Shares>) -> Rc<Shares> {
+        let mut hasher = DefaultHasher::new();
+        shares.hash(&mut hasher);
+        let same = self.0.entry(hasher.finish()).or_default();
+        if let Some(found) = same.iter().find(|found| *found == shares) {
+            return found.clone();
+        }
+        same.push(shares.clone());
+        shares.clone()
+    }
+}
+
+thread_local! {
+    static POOL: RefCell<Pool> = RefCell::default();
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Step {
     Tick,
@@ -78,13 +99,13 @@
     fault: Fault,
     tick: u64,
     entries: BTreeMap<Holder, Rc<Shares>>,
-    net: BTreeSet<Envelope>,
-    reports: BTreeMap<Holder, Report>,
+    /// In order, each once.
+    net: Vec<Rc<Envelope>>,
     in_force: Option<u64>,
     transfers: u8,
     rewritten: u64,
     /// Transfers not taken yet.
-    flight: BTreeMap<(Holder, Holder, u64), Part>,
+    flight: Vec<(Holder, Holder, u64, Part)>,
     /// What the organisation's exact bucket has left; below zero when some
     /// interval got more than burst and rate allow.
     exact: i64,
@@ -127,12 +148,11 @@
             fault,
             tick: 1,
             entries,
-            net: BTreeSet::new(),
-            reports: BTreeMap::new(),
+            net: Vec::new(),
             in_force: None,
             transfers: 0,
             rewritten: 0,
-            flight: BTreeMap::new(),
+            flight: Vec::new(),
             exact: BURST as i64,
         }
     }
@@ -170,17 +190,17 @@
                 }
             }
         }
-        if self.in_force.is_some() && self.reports.len() == 1 {
+        if self.in_force.is_some() && self.reports().len() == 1 {
             steps.push(Step::Learn);
         }
-        for holder in [A, C].into_iter().filter(|_| self.reports.len() == 2) {
+        for holder in [A, C].into_iter().filter(|_| self.reports().len() == 2) {
             if self.entries[&holder].missing().next().is_some() {
                 steps.push(Step::ReadReports(holder));
             }
         }
         for envelope in &self.net {
-            steps.push(Step::Deliver(envelope.clone()));
-            steps.push(Step::Double(envelope.clone()));
+            steps.push(Step::Deliver(Envelope::clone(envelope)));
+            steps.push(Step::Double(Envelope::clone(envelope)));
         }
         if self.in_force.is_none() {
             steps.push(Step::Replace);
@@ -191,6 +211,9 @@
     fn after(&self, step: &Step) -> World {
         let mut next = self.clone();
         next.apply(step);
+        for shares in next.entries.values_mut() {
+            *shares = POOL.with_borrow_mut(|pool| pool.intern(shares));
+        }
         next
     }
 
@@ -205,7 +228,7 @@
             Step::Admit(holder, tokens) => self.admit(*holder, *tokens),
             Step::Ask(giver, taker) => self.ask(*giver, *taker),
             Step::Deliver(envelope) => {
-                self.net.remove(envelope);
+                self.net.retain(|other| **other != *envelope);
                 self.deliver(envelope, true);
             }
             Step::Double(envelope) => self.deliver(envelope, false),
@@ -216,20 +239,24 @@
             Step::Learn => self.learn(A),
             Step::ReadReports(holder) => {
                 let now = self.now();
-                let reports: Vec<_> = self.reports.values().cloned().collect();
+                let reports = self.reports();
                 self.entry(*holder).on_reports(now, &reports);
             }
         }
     }
 
+    /// The reports of the last epoch.
+    fn reports(&self) -> Vec<Report> {
+        let reports = self.entries.values().filter_map(|shares| shares.report());
+        reports.filter(|report| report.epoch == Number(3)).cloned().collect()
+    }
+
     fn learn(&mut self, holder: Holder) {
         let now = self.now();
         let shares = self.entry(holder);
         shares.on_plan(now, plan(3, [A, C], true));
         shares.on_in_force(now, Number(3));
-        let report = shares.report().unwrap().clone();
-        self.reports.insert(holder, report);
-        self.flight.retain(|&(_, taker, _), _| taker != holder);
+        self.flight.retain(|&(_, taker, ..)| taker != holder);
     }
 
     fn admit(&mut self, holder: Holder, tokens: u64) {
@@ -268,8 +295,9 @@
                 self.entry(giver).on_message(now, &back);
                 transfer.parts[0].share.capacity = Amount::ZERO;
             }
-            self.flight.insert((giver, taker, seq), part);
-            self.net.insert(envelope);
+            self.flight.push((giver, taker, seq, part));
+            self.net.push(Rc::new(envelope));
+            self.net.sort();
         }
         if self.fault == Fault::DeductLate {
             self.entries.insert(giver, before);
@@ -295,7 +323,8 @@
             let Action::Send(mut answer) = action else { continue };
             if let Message::Receipt { slack, seq } = &mut answer.message {
                 slack.clear();
-                self.flight.remove(&(sender, envelope.to, *seq));
+                let taken = (sender, envelope.to, *seq);
+                self.flight.retain(|&(from, to, seq, _)| (from, to, seq) != taken);
                 if receipt {
                     self.receive(answer);
                 }
@@ -323,8 +352,8 @@
         let held = self.entries.iter().filter(|(holder, _)| self.standing(**holder));
         let held = held.map(|(_, shares)| shares.share(self.now(), organisation()));
         // What comes to B after its standing lapsed is out of use.
-        let flight = self.flight.iter().filter(|((_, taker, _), _)| self.standing(*taker));
-        for share in held.chain(flight.map(|(_, part)| part.share)) {
+        let flight = self.flight.iter().filter(|(_, taker, ..)| self.standing(*taker));
+        for share in held.chain(flight.map(|(.., part)| part.share)) {
             sum.rate += share.rate;
             sum.capacity += share.capacity;
             sum.level += share.level;
