Compare rate shares with two baselines in simulated time

Cause: the choice of conserved shares is to rest on figures.

Change: kingcupbay_bench share drives the core's Shares, an equal split under a lease, and chunks drawn from the table, with seeded callers skewed 10:1 over four entries at 95 % of rate: healthy, ten minutes without the table, an entry killed and replaced. An exact bucket charged with what was admitted tells refusals inside the rate and tokens over the bound.

--- /dev/null
+++ b/kingcupbay_bench/src/share/load.rs
@@ -0,0 +1,89 @@
+//! Seeded callers.
+
+use kingcupbay_core::time::Span;
+
+/// Entries of the fleet.
+pub(crate) const ENTRIES: usize = 4;
+/// Organisations of the fleet.
+pub(crate) const ORGANISATIONS: usize = 5;
+/// Tokens a second of an organisation.
+pub(crate) const RATE: u64 = 2_000;
+/// Tokens at once of an organisation.
+pub(crate) const BURST: u64 = 20_000;
+/// How much more of its callers an organisation's first entry has.
+const SKEW: u64 = 10;
+/// Used tokens as part of the rate.
+const LOAD: f64 = 0.95;
+/// Prompt and permitted output of a request.
+const TOKENS: std::ops::Range<u64> = 100..900;
+
+/// SplitMix64, after Steele, Lea and Flood (2014).
+#[derive(Debug)]
+pub(crate) struct Random(u64);
+
+impl Random {
+    pub(crate) fn new(seed: u64) -> Random {
+        Random(seed)
+    }
+
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Uniform below `bound`.
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound
+    }
+
+    /// Exponential with the given mean.
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform = (self.next() >> 11) as f64 / (1u64 << 53) as f64;
+        -mean * (1.0 - uniform).ln()
+    }
+}
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    pub(crate) organisation: usize,
+    pub(crate) entry: usize,
+    pub(crate) tokens: u64,
+    pub(crate) used: u64,
+    pub(crate) length: Span,
+}
+
+/// Draws a request; `live` says which entries the balancer gives work to.
+pub(crate) fn request(g: &mut Random, organisation: usize, live: &[bool]) -> Request {
+    let tokens = TOKENS.start + g.below(TOKENS.end - TOKENS.start);
+    // The prompt is used whole, the permitted output in part: 60 % on average.
+    let used = tokens / 5 + g.below(tokens * 4 / 5 + 1);
+    let length = Span::from_millis(1_000 + g.below(7_000));
+    Request { organisation, entry: entry(g, organisation, live), tokens, used, length }
+}
+
+/// Time until the next request of an organisation.
+pub(crate) fn pause(g: &mut Random) -> Span {
+    let mean = (TOKENS.start + TOKENS.end) as f64 / 2.0 * 0.6 / (RATE as f64 * LOAD);
+    Span::from_micros((g.exponential(mean) * 1e6) as u64 + 1)
+}
+
+fn entry(g: &mut Random, organisation: usize, live: &[bool]) -> usize {
+    let weight = |entry: usize| if entry == organisation % ENTRIES { SKEW } else { 1 };
+    let total: u64 = (0..ENTRIES).map(weight).sum();
+    let mut place = g.below(total);
+    let mut chosen = 0;
+    for entry in 0..ENTRIES {
+        if place < weight(entry) {
+            chosen = entry;
+            break;
+        }
+        place -= weight(entry);
+    }
+    // The balancer spreads a dead entry's callers over the others.
+    let others: Vec<_> = (0..ENTRIES).filter(|&entry| live[entry]).collect();
+    if live[chosen] { chosen } else { others[g.below(others.len() as u64) as usize] }
+}
--- a/kingcupbay_bench/src/share/mod.rs
+++ b/kingcupbay_bench/src/share/mod.rs
@@ -1,8 +1,94 @@
 //! Rate shares against baselines, in simulated time.
+//!
+//! [`load`] draws the callers, [`sim`] runs them against a policy, and
+//! [`score`] compares what it did with the exact bucket. The policies are
+//! [`shared`], which is the core's, [`split`] and [`chunk`].
+
+mod chunk;
+mod load;
+mod queue;
+mod score;
+mod shared;
+mod sim;
+mod split;
+
+use self::{
+    chunk::Chunks,
+    score::Score,
+    shared::Shared,
+    sim::{Policy, Scenario},
+    split::Split,
+};
+
+/// Callers have settled in by then.
+const WARM: u64 = 60;
+
+const SCENARIOS: [Scenario; 3] = [
+    Scenario { name: "skewed 10:1", counted: (WARM, WARM + 600), outage: None, kill: None },
+    Scenario {
+        name: "table out 10 min",
+        counted: (WARM, WARM + 720),
+        outage: Some((WARM + 60, WARM + 660)),
+        kill: None,
+    },
+    Scenario { name: "entry killed", counted: (WARM, WARM + 60), outage: None, kill: Some(WARM) },
+];
 
 /// Settings of the experiment.
 #[derive(Debug, clap::Args)]
-pub(crate) struct Args {}
+pub(crate) struct Args {
+    /// Runs of each scenario and policy.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+}
+
+/// A policy by name, and how a run makes it.
+type Make = (&'static str, fn() -> Policy);
+
+const POLICIES: [Make; 3] = [
+    ("conserved shares", || Policy::Shared(Shared::new())),
+    ("equal split, lease", || Policy::Split(Split::new())),
+    ("chunks from table", || Policy::Chunks(Chunks::new())),
+];
 
 /// Runs the experiment and prints its table.
-pub(crate) fn run(_args: &Args) {}
+pub(crate) fn run(args: &Args) {
+    println!(
+        "{} entries, {} organisations, {} tokens/s, burst {}, 95 % of rate, {} seeds",
+        load::ENTRIES,
+        load::ORGANISATIONS,
+        load::RATE,
+        load::BURST,
+        args.seeds
+    );
+    println!(
+        "| scenario | policy | requests | tokens over | refused | inside the rate | % | messages/s | asks/s | table ops/s | longest wait ms | causes |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for scenario in SCENARIOS {
+        for (name, make) in POLICIES {
+            let mut score = sim::run(scenario, 0, make());
+            (1..args.seeds).for_each(|seed| score.add(&sim::run(scenario, seed, make())));
+            print_row(scenario.name, name, &score, args.seeds);
+        }
+    }
+}
+
+fn print_row(scenario: &str, policy: &str, score: &Score, runs: u64) {
+    let seconds = score.seconds() * runs as f64;
+    let wrongful: u64 = score.wrongful.values().sum();
+    let causes: Vec<_> =
+        score.wrongful.iter().map(|(cause, count)| format!("{cause} {count}")).collect();
+    println!(
+        "| {scenario} | {policy} | {} | {} | {} | {wrongful} | {:.3} | {:.1} | {:.2} | {:.2} | {} | {} |",
+        score.requests,
+        score.over,
+        score.refused,
+        100.0 * wrongful as f64 / score.requests as f64,
+        score.messages as f64 / seconds,
+        score.asks as f64 / seconds,
+        score.table as f64 / seconds,
+        score.longest.as_millis(),
+        causes.join(", "),
+    );
+}
