Steer level, headroom and rate apart, so that settlements find room

Traced: the entries' levels summed to about 700 tokens where the exact bucket had 5,000.

Change: level and headroom (capacity less level) are divided apart: the rate and the level half even and half by demand, headroom a quarter even. The lapse is 4 s: the freshness bound of 3 s and one for clocks. The experiment takes the burst as an argument.

--- a/kingcupbay_bench/src/share/chunk.rs
+++ b/kingcupbay_bench/src/share/chunk.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    load::{BURST, ENTRIES, ORGANISATIONS, RATE, Request},
+    load::{ENTRIES, ORGANISATIONS, RATE, Request},
     sim::{Event, KILLED, Outcome, Ticket, World},
 };
 
@@ -32,8 +32,8 @@
 }
 
 impl Chunks {
-    pub(crate) fn new() -> Chunks {
-        let level = Amount::from_tokens(BURST);
+    pub(crate) fn new(burst: u64) -> Chunks {
+        let level = Amount::from_tokens(burst);
         let full = Share { rate: RATE, capacity: level, level };
         Chunks {
             rows: vec![Bucket::new(Instant::default(), full); ORGANISATIONS],
--- a/kingcupbay_bench/src/share/load.rs
+++ b/kingcupbay_bench/src/share/load.rs
@@ -8,8 +8,6 @@
 pub(crate) const ORGANISATIONS: usize = 5;
 /// Tokens a second of an organisation.
 pub(crate) const RATE: u64 = 2_000;
-/// Tokens at once of an organisation.
-pub(crate) const BURST: u64 = 20_000;
 /// How much more of its callers an organisation's first entry has.
 const SKEW: u64 = 10;
 /// Used tokens as part of the rate.
--- a/kingcupbay_bench/src/share/mod.rs
+++ b/kingcupbay_bench/src/share/mod.rs
@@ -40,15 +40,18 @@
     /// Runs of each scenario and policy.
     #[arg(long, default_value_t = 10)]
     seeds: u64,
+    /// Tokens at once of each organisation; its rate is 2,000 a second.
+    #[arg(long, default_value_t = 60_000)]
+    burst: u64,
 }
 
 /// A policy by name, and how a run makes it.
-type Make = (&'static str, fn() -> Policy);
+type Make = (&'static str, fn(u64) -> Policy);
 
 const POLICIES: [Make; 3] = [
-    ("conserved shares", || Policy::Shared(Shared::new())),
-    ("equal split, lease", || Policy::Split(Split::new())),
-    ("chunks from table", || Policy::Chunks(Chunks::new())),
+    ("conserved shares", |burst| Policy::Shared(Shared::new(burst))),
+    ("equal split, lease", |burst| Policy::Split(Split::new(burst))),
+    ("chunks from table", |burst| Policy::Chunks(Chunks::new(burst))),
 ];
 
 /// Runs the experiment and prints its table.
@@ -58,7 +61,7 @@
         load::ENTRIES,
         load::ORGANISATIONS,
         load::RATE,
-        load::BURST,
+        args.burst,
         args.seeds
     );
     println!(
@@ -67,8 +70,9 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for scenario in SCENARIOS {
         for (name, make) in POLICIES {
-            let mut score = sim::run(scenario, 0, make());
-            (1..args.seeds).for_each(|seed| score.add(&sim::run(scenario, seed, make())));
+            let run = |seed| sim::run(scenario, args.burst, seed, make(args.burst));
+            let mut score = run(0);
+            (1..args.seeds).for_each(|seed| score.add(&run(seed)));
             print_row(scenario.name, name, &score, args.seeds);
         }
     }
--- a/kingcupbay_bench/src/share/score.rs
+++ b/kingcupbay_bench/src/share/score.rs
@@ -10,7 +10,7 @@
     time::{Instant, Span},
 };
 
-use super::load::{BURST, ORGANISATIONS, RATE, Request};
+use super::load::{ORGANISATIONS, RATE, Request};
 
 /// Counts of one run. The exact buckets are charged with what the policy
 /// admitted, so a refusal while they could pay is the policy's own.
@@ -33,8 +33,8 @@
 }
 
 impl Score {
-    pub(crate) fn new(from: Instant, to: Instant) -> Score {
-        let level = Amount::from_tokens(BURST);
+    pub(crate) fn new(burst: u64, from: Instant, to: Instant) -> Score {
+        let level = Amount::from_tokens(burst);
         let full = Share { rate: RATE, capacity: level, level };
         Score {
             exact: vec![Bucket::new(Instant::default(), full); ORGANISATIONS],
--- a/kingcupbay_bench/src/share/shared.rs
+++ b/kingcupbay_bench/src/share/shared.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    load::{BURST, ENTRIES, ORGANISATIONS, RATE, Request},
+    load::{ENTRIES, ORGANISATIONS, RATE, Request},
     sim::{Event, KILLED, Outcome, Ticket, World},
 };
 
@@ -31,15 +31,16 @@
     entries: Vec<Option<Shares>>,
     holders: Vec<Holder>,
     reports: Vec<Report>,
+    burst: u64,
 }
 
 impl Shared {
     /// A fleet that has just made its organisations.
-    pub(crate) fn new() -> Shared {
+    pub(crate) fn new(burst: u64) -> Shared {
         let holders: Vec<_> = (1..=ENTRIES as u64).map(Holder).collect();
         let new = |&holder: &Holder| Some(Shares::new(holder, Settings::default()));
         let entries = holders.iter().map(new).collect();
-        Shared { entries, holders, reports: Vec::new() }
+        Shared { entries, holders, reports: Vec::new(), burst }
     }
 
     pub(crate) fn start(&mut self, world: &mut World) {
@@ -122,7 +123,7 @@
 
     fn enter(&mut self, world: &mut World, epoch: u64, organisations: usize) {
         self.reports.clear();
-        let total = Total { rate: RATE, burst: BURST };
+        let total = Total { rate: RATE, burst: self.burst };
         let totals = (0..organisations).map(|organisation| (key(organisation), total));
         let holders: BTreeSet<_> = self.holders.iter().copied().collect();
         let plan = Plan { epoch: Number(epoch), holders, totals: totals.collect() };
--- a/kingcupbay_bench/src/share/sim.rs
+++ b/kingcupbay_bench/src/share/sim.rs
@@ -102,11 +102,11 @@
 }
 
 /// Runs `policy` through `scenario`.
-pub(crate) fn run(scenario: Scenario, seed: u64, mut policy: Policy) -> Score {
+pub(crate) fn run(scenario: Scenario, burst: u64, seed: u64, mut policy: Policy) -> Score {
     let mut world = World {
         now: Instant::default(),
         queue: Queue::new(),
-        score: Score::new(at(scenario.counted.0), at(scenario.counted.1)),
+        score: Score::new(burst, at(scenario.counted.0), at(scenario.counted.1)),
         table_up: true,
         live: vec![true; ENTRIES],
         waiting: BTreeMap::new(),
--- a/kingcupbay_bench/src/share/split.rs
+++ b/kingcupbay_bench/src/share/split.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    load::{BURST, ENTRIES, ORGANISATIONS, RATE, Request},
+    load::{ENTRIES, ORGANISATIONS, RATE, Request},
     sim::{Event, KILLED, Outcome, Ticket, World},
 };
 
@@ -27,22 +27,24 @@
     leases: Vec<(Instant, Instant)>,
     /// Since when an entry's requests are its own and not a predecessor's.
     since: Vec<Instant>,
+    burst: u64,
 }
 
-fn buckets(now: Instant, level: u64) -> Vec<Bucket> {
-    let capacity = Amount::from_tokens(BURST / ENTRIES as u64);
+fn buckets(now: Instant, burst: u64, level: u64) -> Vec<Bucket> {
+    let capacity = Amount::from_tokens(burst / ENTRIES as u64);
     let level = Amount::from_tokens(level);
     let share = Share { rate: RATE / ENTRIES as u64, capacity, level };
     vec![Bucket::new(now, share); ORGANISATIONS]
 }
 
 impl Split {
-    pub(crate) fn new() -> Split {
+    pub(crate) fn new(burst: u64) -> Split {
         let start = Instant::default();
         Split {
-            buckets: vec![buckets(start, BURST / ENTRIES as u64); ENTRIES],
+            buckets: vec![buckets(start, burst, burst / ENTRIES as u64); ENTRIES],
             leases: vec![(start, start + LEASE); ENTRIES],
             since: vec![start; ENTRIES],
+            burst,
         }
     }
 
@@ -85,7 +87,7 @@
     pub(crate) fn replace(&mut self, now: Instant) {
         let begin = now.max(self.leases[KILLED].1);
         self.leases[KILLED] = (begin, begin + LEASE);
-        self.buckets[KILLED] = buckets(begin, 0);
+        self.buckets[KILLED] = buckets(begin, self.burst, 0);
         self.since[KILLED] = now;
     }
 }
--- a/kingcupbay_core/src/share/shares.rs
+++ b/kingcupbay_core/src/share/shares.rs
@@ -33,7 +33,7 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            lapse: Span::from_secs(5),
+            lapse: Span::from_secs(4),
             ask_wait: Span::from_millis(20),
             resend: Span::from_millis(100),
         }
--- a/kingcupbay_core/src/share/steer.rs
+++ b/kingcupbay_core/src/share/steer.rs
@@ -27,7 +27,7 @@
 const SAMPLE: Span = Span::from_millis(200);
 
 /// Differences below this part of the whole stay, so that noise moves nothing.
-const DEAD_BAND: u64 = 64;
+const DEAD_BAND: u64 = 24;
 
 /// Tokens a second that callers of one organisation use here.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -280,21 +280,21 @@
         if demand == 0 || all.len() < 2 {
             return Vec::new();
         }
-        let sum = |part: fn(&Share) -> u64| all.iter().map(|one| part(&one.share)).sum::<u64>();
-        let (rate, capacity, level) = (sum(rate_of), sum(capacity_of), sum(level_of));
         let count = all.len() as u64;
-        // The rate goes where the demand is. Capacity and level, which bridge
-        // the loss of an entry, stay half spread over all of them.
-        let half = |whole: u64, one: &Standpoint| {
-            whole / (2 * count) + scale(whole / 2, one.demand, demand)
-        };
-        let rate = split(&all, rate, rate_of, |one| scale(rate, one.demand, demand));
-        let capacity = split(&all, capacity, capacity_of, |one| half(capacity, one));
-        let level = split(&all, level, level_of, |one| half(level, one));
+        let by_demand = |whole: u64, one: &Standpoint| scale(whole, one.demand, demand);
+        let even = |whole: u64| whole / count;
+        // The rate goes where the demand is. The headroom does too: it takes
+        // in what the rate yields and what settlements give back, and both
+        // are lost where it is missing. The level, which bridges the loss of
+        // an entry, stays half spread over all of them.
+        let rate = split(&all, rate_of, |whole, one| even(whole / 2) + by_demand(whole / 2, one));
+        let headroom =
+            split(&all, headroom_of, |whole, one| even(whole / 4) + by_demand(whole / 4 * 3, one));
+        let level = split(&all, level_of, |whole, one| even(whole / 2) + by_demand(whole / 2, one));
         let mut flows = Vec::new();
         for (place, peer) in all.iter().enumerate().skip(1) {
             let level = Amount::from_micros(level[place]);
-            let capacity = Amount::from_micros(capacity[place]).max(level);
+            let capacity = Amount::from_micros(headroom[place]) + level;
             let share = Share { rate: rate[place], capacity, level };
             if !share.is_empty() {
                 flows.push((peer.holder, share));
@@ -327,8 +327,8 @@
     share.rate
 }
 
-fn capacity_of(share: &Share) -> u64 {
-    share.capacity.as_micros()
+fn headroom_of(share: &Share) -> u64 {
+    share.capacity.saturating_sub(share.level).as_micros()
 }
 
 fn level_of(share: &Share) -> u64 {
@@ -338,10 +338,11 @@
 /// How much of one field the first of `all` gives to each of the others.
 fn split(
     all: &[Standpoint],
-    whole: u64,
     part: fn(&Share) -> u64,
-    target: impl Fn(&Standpoint) -> u64,
+    target: impl Fn(u64, &Standpoint) -> u64,
 ) -> Vec<u64> {
+    let whole: u64 = all.iter().map(|one| part(&one.share)).sum();
+    let target = |one: &Standpoint| target(whole, one);
     let excess = part(&all[0].share).saturating_sub(target(&all[0]));
     let deficit = |one: &Standpoint| target(one).saturating_sub(part(&one.share));
     let deficits: u64 = all.iter().map(deficit).sum();
