--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -203,11 +203,15 @@
 
 impl Config {
     /// The access key a caller presented.
+    pub fn key(&self, secret: &str) -> Option<(KeyId, &Key)> {
+        self.key_by_hash(KeyHash::of(secret))
+    }
+
+    /// The access key with this hash.
     ///
     /// The comparison of each hash takes the same time wherever it differs,
     /// and every key is compared, so an attacker learns nothing by timing.
-    pub fn key(&self, secret: &str) -> Option<(KeyId, &Key)> {
-        let hash = KeyHash::of(secret);
+    pub fn key_by_hash(&self, hash: KeyHash) -> Option<(KeyId, &Key)> {
         let mut found = None;
         for (id, key) in self.keys.iter() {
             if bool::from(key.hash.0.ct_eq(&hash.0)) {
@@ -243,6 +247,14 @@
         Some(format!("{}@{}", adapter.name, version.label))
     }
 
+    /// The version that engines know as `adapter@version`.
+    pub fn version_of(&self, model: &str) -> Option<VersionId> {
+        let (adapter, label) = model.split_once('@')?;
+        let id = *self.adapter_names.get(&adapter.parse::<Name>().ok()?)?;
+        let row = self.adapters.get(id)?;
+        row.versions.get(&label.parse::<Name>().ok()?).copied()
+    }
+
     /// The route named `name` if `organisation` may use it.
     pub fn route(&self, organisation: OrganisationId, name: &str) -> Option<(RouteId, &Route)> {
         let id = *self.route_names.get(&name.parse::<Name>().ok()?)?;
