Let the first fleet use its shares at once

Cause: unheld allowance waits for the lapse and starts empty, also where it is certain that nobody can hold it: a fleet that starts for the first time.

Ruled out: starting full whenever all holders report nothing: a fleet that restarted as a whole would get its burst twice.

Change: the configuration carries the number at which an entry last left, and reports carry what a holder ever held. Where none ever left and none ever held anything of an organisation, nothing of it was ever admitted.

Conclusion: only a fleet that lost an entry waits.

--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -173,6 +173,8 @@
     /// entries there are: the epoch of the rate shares. A reader of a snapshot
     /// could not tell it otherwise.
     pub shares: Number,
+    /// The number at which an entry last left; zero when none ever has.
+    pub left: Number,
     /// Organisations.
     pub organisations: Arena<OrganisationId, Organisation>,
     /// Organisations by name.
--- a/kingcupbay_core/src/config/patch.rs
+++ b/kingcupbay_core/src/config/patch.rs
@@ -84,6 +84,9 @@
         if next.totals() != self.totals() || next.entries() != self.entries() {
             next.shares = next.number;
         }
+        if !self.entries().is_subset(&next.entries()) {
+            next.left = next.number;
+        }
         Ok(next)
     }
 }
--- a/kingcupbay_core/src/share/plan.rs
+++ b/kingcupbay_core/src/share/plan.rs
@@ -28,6 +28,8 @@
     pub epoch: Number,
     /// The entries.
     pub holders: BTreeSet<Holder>,
+    /// The number at which an entry last left; zero when none ever has.
+    pub left: Number,
     /// What each organisation may have.
     pub totals: BTreeMap<OrganisationId, Total>,
 }
@@ -36,7 +38,7 @@
     /// The plan that `config` contains.
     pub fn of(config: &Config) -> Plan {
         let holders = config.entries().into_iter().map(Holder).collect();
-        Plan { epoch: config.shares, holders, totals: config.totals() }
+        Plan { epoch: config.shares, holders, left: config.left, totals: config.totals() }
     }
 }
 
@@ -66,6 +68,8 @@
     pub epoch: Number,
     /// What it held; nothing of organisations not listed.
     pub held: BTreeMap<OrganisationId, Holding>,
+    /// Organisations of which it ever held anything.
+    pub used: BTreeSet<OrganisationId>,
     /// Organisations that were not there in its epoch before. It reported to
     /// every epoch between, so no grant of them can have been made: they
     /// start with their whole burst, and at once.
@@ -113,7 +117,7 @@
             continue;
         }
         let Holding { rate, capacity } = part;
-        if reports.values().any(|report| report.fresh.contains(&organisation)) {
+        if is_unused(plan, reports, organisation) {
             let share = Share { rate, capacity, level: capacity };
             grant.fresh.insert(organisation, share);
         } else {
@@ -126,6 +130,18 @@
     Some(grant)
 }
 
+/// Whether nothing of an organisation was ever admitted: a holder witnesses
+/// that it is new, or nobody ever held any of it and no entry ever left.
+fn is_unused(
+    plan: &Plan,
+    reports: &BTreeMap<Holder, Report>,
+    organisation: OrganisationId,
+) -> bool {
+    let fresh = reports.values().any(|report| report.fresh.contains(&organisation));
+    let used = reports.values().any(|report| report.used.contains(&organisation));
+    fresh || (plan.left == Number(0) && !used)
+}
+
 fn unheld(
     organisation: OrganisationId,
     total: Total,
--- a/kingcupbay_core/src/share/shares.rs
+++ b/kingcupbay_core/src/share/shares.rs
@@ -85,6 +85,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Book {
     pub(crate) bucket: Bucket,
+    /// Whether anything of it was ever held here.
+    used: bool,
     pub(crate) demand: Demand,
     /// What a waiting request needs, and until when it waits.
     pub(crate) want: Option<(Instant, Amount)>,
@@ -344,7 +346,7 @@
         let mut actions = self.see(now, from, slack);
         if self.ledger.take(from, *seq, *floor) {
             for part in parts {
-                self.book(now, part.organisation).bucket.add(now, part.share);
+                self.add(now, part.organisation, part.share);
                 self.asked.remove(&(part.organisation, from));
                 actions.push(Action::Arrived(part.organisation));
             }
@@ -362,11 +364,18 @@
     pub(crate) fn book(&mut self, now: Instant, organisation: OrganisationId) -> &mut Book {
         self.books.entry(organisation).or_insert_with(|| Book {
             bucket: Bucket::new(now, Share::default()),
+            used: false,
             demand: Demand::new(now),
             want: None,
         })
     }
 
+    fn add(&mut self, now: Instant, organisation: OrganisationId, share: Share) {
+        let book = self.book(now, organisation);
+        book.bucket.add(now, share);
+        book.used = true;
+    }
+
     fn rescale(&mut self, now: Instant, before: &Plan) {
         let (old, new) = (&before.totals, &self.plan.totals);
         self.books.retain(|organisation, _| new.contains_key(organisation));
@@ -390,6 +399,7 @@
             holder: self.me,
             epoch: self.plan.epoch,
             held: held.collect(),
+            used: self.books.iter().filter(|(_, book)| book.used).map(|(&id, _)| id).collect(),
             fresh: fresh.copied().collect(),
         }
     }
@@ -409,7 +419,7 @@
         }
         let mut actions = Vec::new();
         for (organisation, share) in due {
-            self.book(now, organisation).bucket.add(now, share);
+            self.add(now, organisation, share);
             actions.push(Action::Arrived(organisation));
         }
         actions
--- a/kingcupbay_core/tests/config.rs
+++ b/kingcupbay_core/tests/config.rs
@@ -5,7 +5,7 @@
 use kingcupbay_core::{
     config::{
         change::{Change, Refusal},
-        model::{Config, KeyHash},
+        model::{Config, KeyHash, Role},
         patch::{Patch, PatchError},
     },
     id::{Name, Number, RequestId},
@@ -140,3 +140,32 @@
     let lines: Vec<_> = mistakes.iter().map(|mistake| mistake.line).collect();
     assert_eq!(lines, [2, 4]);
 }
+
+/// The epoch of rate shares is the same for a daemon that followed every
+/// patch and one that started from a snapshot, so it stands in the rows.
+#[test]
+fn share_epoch_follows_totals_and_entries_only() {
+    let join = |incarnation| Change::Join {
+        host: name("entry-1"),
+        address: "127.0.0.1:1".into(),
+        zone: name("a"),
+        role: Role::Entry,
+        incarnation,
+    };
+    let mut config = sample();
+    let mut epochs = vec![(config.shares, config.left)];
+    for change in [
+        version("tasting", "v2"),
+        join(7),
+        join(7),
+        organisation("tours"),
+        Change::SetOrganisation { name: name("tours"), rate: 200, burst: 1000 },
+        join(8),
+    ] {
+        config = config.patched(&patch(config.number.0, vec![change])).unwrap();
+        epochs.push((config.shares, config.left));
+    }
+    let number = |(shares, left): &(Number, Number)| (shares.0, left.0);
+    let epochs: Vec<_> = epochs.iter().map(number).collect();
+    assert_eq!(epochs, [(1, 0), (1, 0), (3, 0), (3, 0), (3, 0), (6, 0), (7, 7)]);
+}
--- a/kingcupbay_core/tests/share.rs
+++ b/kingcupbay_core/tests/share.rs
@@ -167,7 +167,9 @@
         let total = (organisation(), Total { rate: FLEET_RATE, burst: FLEET_BURST });
         let totals = organisations.then_some(total).into_iter().collect();
         let holders = self.holders.iter().copied().collect();
-        Plan { epoch: Number(self.epoch), holders, totals }
+        // From the third epoch on somebody has left.
+        let left = Number(if self.epoch > 2 { self.epoch } else { 0 });
+        Plan { epoch: Number(self.epoch), holders, left, totals }
     }
 
     fn begin_epoch(&mut self) {
@@ -268,7 +270,7 @@
         let entry = self.any_entry();
         // Callers rest and come back all at once: the levels are full then,
         // and what was made beyond the burst would show.
-        let rest = self.now.as_micros() / REST.as_micros() % 2 == 0;
+        let rest = (self.now.as_micros() / REST.as_micros()).is_multiple_of(2);
         match draw(&mut self.g, 400) {
             0 if self.g_bool() => self.replace(),
             1 if self.g_bool() => {
