Run rate shares in the daemon

Cause: the entry admitted everything; its shares were a placeholder.

Ruled out: a message for each action (an asked entry answers in the same exchange, so a question and its transfer take one round trip); holding readiness until the grant without a limit (a dead entry that is still a member holds up every grant).

The state dump lists the shares. Standing still rests on reads of the table alone; in_force follows it and is the one place to change when vouches come.

--- a/kingcupbay_core/src/share/shares.rs
+++ b/kingcupbay_core/src/share/shares.rs
@@ -157,6 +157,16 @@
         holders.filter(|holder| self.report.is_some() && !self.reports.contains_key(holder))
     }
 
+    /// Whether this entry's grant of the epoch is known and taken.
+    pub fn is_settled(&self) -> bool {
+        self.grant.as_ref().is_some_and(|grant| grant.reclaimed.is_empty())
+    }
+
+    /// Every organisation known here with its share as it is at `now`.
+    pub fn shares(&self, now: Instant) -> impl Iterator<Item = (OrganisationId, Share)> {
+        self.books.iter().map(move |(&id, book)| (id, book.bucket.share_at(now)))
+    }
+
     /// The share of an organisation as it is at `now`.
     pub fn share(&self, now: Instant, organisation: OrganisationId) -> Share {
         self.books.get(&organisation).map(|book| book.bucket.share_at(now)).unwrap_or_default()
--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -51,24 +51,30 @@
     pub(crate) fn new(
         settings: Rc<Settings>,
         fleet: Rc<Fleet>,
+        shares: Rc<Shares>,
         clients: Clients,
         metrics: Rc<Metrics>,
         drain: Drain,
         log: Logger,
     ) -> Entry {
-        let shares = Rc::new(Shares::new(fleet.clone()));
         let routes = route::Routes::new(fleet.clone());
         Entry { settings, fleet, shares, routes, clients, metrics, drain, log }
     }
 
     /// Whether the balancer may send requests here.
     pub(crate) fn ready(&self) -> bool {
-        self.drain.phase() == Phase::Serving && self.fleet.holds(clock::now())
+        let now = clock::now();
+        self.drain.phase() == Phase::Serving && self.fleet.holds(now) && self.shares.ready(now)
     }
 
-    /// Running requests by upstream, for the state dump.
+    /// This entry's shares of rates.
+    pub(crate) fn shares(&self) -> &Rc<Shares> {
+        &self.shares
+    }
+
+    /// Running requests by upstream and shares, for the state dump.
     pub(crate) fn dump(&self) -> String {
-        self.routes.dump()
+        self.routes.dump() + &self.shares.dump()
     }
 }
 
--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -72,6 +72,12 @@
         self.config.borrow().clone()
     }
 
+    /// The newest number that no daemon with standing misses. Standing rests
+    /// on reads of the table alone, so what was read here is in force.
+    pub(crate) fn in_force(&self) -> Number {
+        self.config.borrow().number
+    }
+
     /// Whether this daemon may act on what it knows. Asked at each use, since
     /// the process may have been suspended since the last answer.
     pub(crate) fn holds(&self, now: Instant) -> bool {
--- a/kingcupbayd/src/http/reply.rs
+++ b/kingcupbayd/src/http/reply.rs
@@ -79,3 +79,11 @@
         .body(BodyStream::new(stream))
         .map_into_boxed_body()
 }
+
+/// An answer of bytes.
+pub(crate) fn bytes(kind: &'static str, bytes: Bytes) -> Response<BoxBody> {
+    ResponseBuilder::new(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, kind))
+        .body(bytes)
+        .map_into_boxed_body()
+}
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -68,7 +68,11 @@
     /// Whether this daemon should get work.
     fn ready(&self) -> bool {
         let serving = self.drain.phase() == Phase::Serving;
-        serving && *self.joined.borrow() && self.fleet.holds(clock::now())
+        let role = match &self.role {
+            RoleState::Entry(entry) => entry.ready(),
+            RoleState::Upstream(_) => true,
+        };
+        serving && role && *self.joined.borrow() && self.fleet.holds(clock::now())
     }
 
     /// The role's part of the state dump.
@@ -86,6 +90,9 @@
         (RoleState::Upstream(upstream), "/run") => {
             upstream::handle(upstream.clone(), request).await
         }
+        (RoleState::Entry(entry), share::PEER_PATH) => {
+            share::handle(entry.shares().clone(), request).await
+        }
         (_, admin::dump::PEER_PATH) => {
             http::reply::text(actix_http::StatusCode::OK, admin::dump::own(&daemon))
         }
--- /dev/null
+++ b/kingcupbayd/src/share/peer.rs
@@ -0,0 +1,107 @@
+//! Messages between entries: `POST /peer/share`, a MessagePack list of
+//! envelopes each way. The answer carries what the receiver has for the
+//! sender, so a question and its transfer take one round trip.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use kingcupbay_core::{
+    share::{message::Envelope, plan::Holder, shares::Action},
+    time::Span,
+};
+use slog::debug;
+
+use super::Shares;
+use crate::{
+    clock,
+    http::{body, reply},
+};
+
+/// Where peers send messages about shares.
+pub(crate) const PEER_PATH: &str = "/peer/share";
+
+/// Most bytes of a list of envelopes: records of some thousand organisations.
+const LIMIT: usize = 1 << 20;
+
+/// Time for one exchange. A connection that went silent would hold questions
+/// until it is noticed; after this its pool is dropped and the next one dials.
+const EXCHANGE: Duration = Duration::from_millis(250);
+
+/// Answers the messages of another entry.
+pub(crate) async fn handle(shares: Rc<Shares>, mut request: Request) -> Response<BoxBody> {
+    let payload = request.take_payload();
+    let bytes = match body::read(payload, LIMIT, Span::from_secs(1)).await {
+        Ok(bytes) => bytes,
+        Err(failure) => return reply::failure(&failure),
+    };
+    let Ok(envelopes) = rmp_serde::from_slice::<Vec<Envelope>>(&bytes) else {
+        return reply::text(StatusCode::BAD_REQUEST, "not a list of envelopes\n");
+    };
+    let sender = envelopes.first().map(|envelope| envelope.from);
+    let mut answers = Vec::new();
+    let mut rest = Vec::new();
+    for action in shares.take_in(&envelopes) {
+        match action {
+            Action::Send(envelope) if Some(envelope.to) == sender => answers.push(envelope),
+            other => rest.push(other),
+        }
+    }
+    shares.carry_out(rest);
+    reply::bytes("application/msgpack", encode(&answers))
+}
+
+fn encode(envelopes: &[Envelope]) -> Bytes {
+    Bytes::from(rmp_serde::to_vec(envelopes).expect("envelopes serialise"))
+}
+
+impl Shares {
+    /// Sends each peer its envelopes. What gets lost is the core's matter.
+    pub(super) fn send(self: &Rc<Shares>, envelopes: Vec<Envelope>) {
+        let mut by_peer: BTreeMap<Holder, Vec<Envelope>> = BTreeMap::new();
+        for envelope in envelopes {
+            by_peer.entry(envelope.to).or_default().push(envelope);
+        }
+        for (peer, envelopes) in by_peer {
+            if let Some(address) = self.address(peer) {
+                actix_rt::spawn(exchange(self.clone(), address, envelopes));
+            }
+        }
+    }
+
+    fn address(&self, peer: Holder) -> Option<String> {
+        let config = self.fleet.config();
+        let mut members = config.members.iter();
+        let found = members.find(|(_, member)| member.incarnation == peer.0);
+        found.map(|(_, member)| member.address.clone())
+    }
+
+    fn take_in(self: &Rc<Shares>, envelopes: &[Envelope]) -> Vec<Action> {
+        let now = clock::now();
+        self.follow(now);
+        let mut core = self.core.borrow_mut();
+        envelopes.iter().flat_map(|envelope| core.on_message(now, envelope)).collect()
+    }
+}
+
+async fn exchange(shares: Rc<Shares>, address: String, envelopes: Vec<Envelope>) {
+    let answer = tokio::time::timeout(EXCHANGE, post(&shares, &address, &envelopes)).await;
+    match answer {
+        Ok(Some(answers)) => {
+            let actions = shares.take_in(&answers);
+            shares.carry_out(actions);
+        }
+        _ => {
+            shares.clients.forget(&address);
+            debug!(shares.log, ""; "event" => "share_message_lost", "peer" => address);
+        }
+    }
+}
+
+async fn post(shares: &Shares, address: &str, envelopes: &[Envelope]) -> Option<Vec<Envelope>> {
+    let url = format!("http://{address}{PEER_PATH}");
+    let client = shares.clients.get(address);
+    let mut response = client.post(url).send_body(encode(envelopes)).await.ok()?;
+    let bytes = response.body().limit(LIMIT).await.ok()?;
+    rmp_serde::from_slice(&bytes).ok()
+}
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -24,6 +24,7 @@
         self,
         drain::{Drain, Phase},
     },
+    share::{self, Shares},
     upstream::Upstream,
 };
 
@@ -56,8 +57,11 @@
     let daemon = assemble(settings.clone(), log);
     actix_rt::spawn(fleet::keep_fresh(daemon.fleet.clone(), settings.clone()));
     actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
-    if let RoleState::Upstream(upstream) = &daemon.role {
-        actix_rt::spawn(upstream.clone().keep_runners());
+    match &daemon.role {
+        RoleState::Entry(entry) => drop(actix_rt::spawn(share::keep(entry.shares().clone()))),
+        RoleState::Upstream(upstream) => {
+            drop(actix_rt::spawn(upstream.clone().keep_runners()));
+        }
     }
     let mut servers = Vec::new();
     if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
@@ -87,10 +91,14 @@
     let metrics = Rc::new(Metrics::new());
     let drain = Drain::new();
     let fleet = Rc::new(Fleet::new(table.clone(), objects, metrics.clone(), log.clone()));
+    let mut incarnation = [0; 8];
+    getrandom::fill(&mut incarnation).expect("the system's random source works");
+    let incarnation = u64::from_le_bytes(incarnation);
     let role = match settings.daemon.role {
         Role::Entry => RoleState::Entry(Rc::new(Entry::new(
             settings.clone(),
             fleet.clone(),
+            Rc::new(Shares::new(incarnation, fleet.clone(), table, clients.clone(), log.clone())),
             clients.clone(),
             metrics.clone(),
             drain.clone(),
@@ -106,9 +114,6 @@
             log.clone(),
         ))),
     };
-    let mut incarnation = [0; 8];
-    getrandom::fill(&mut incarnation).expect("the system's random source works");
-    let incarnation = u64::from_le_bytes(incarnation);
     let joined = RefCell::new(false);
     Rc::new(Daemon { settings, incarnation, fleet, clients, metrics, drain, role, log, joined })
 }
@@ -160,6 +165,9 @@
             }
             limit => tokio::time::timeout(limit.into(), servers).await.is_ok(),
         };
+        if let RoleState::Entry(entry) = &self.daemon.role {
+            share::hand_over(entry.shares().clone()).await;
+        }
         let cut = self.daemon.drain.open();
         info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
     }
