--- a/kingcupbay_core/src/config/patch.rs
+++ b/kingcupbay_core/src/config/patch.rs
@@ -84,6 +84,12 @@
         for (index, change) in patch.changes.iter().enumerate() {
             next.change(change).map_err(|refusal| PatchError::Refused { index, refusal })?;
         }
+        if next.totals() != self.totals() || next.entries() != self.entries() {
+            next.shares = next.number;
+        }
+        if !self.entries().is_subset(&next.entries()) {
+            next.left = next.number;
+        }
         Ok(next)
     }
 }
--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -53,12 +53,12 @@
     pub(crate) fn new(
         settings: Rc<Settings>,
         fleet: Rc<Fleet>,
+        shares: Rc<Shares>,
         clients: Clients,
         metrics: Rc<Metrics>,
         drain: Drain,
         log: Logger,
     ) -> Entry {
-        let shares = Rc::new(Shares::new(fleet.clone()));
         let routes = route::Routes::new(fleet.clone());
         Entry {
             settings,
@@ -75,12 +75,18 @@
 
     /// Whether the balancer may send requests here.
     pub(crate) fn ready(&self) -> bool {
-        self.drain.phase() == Phase::Serving && self.fleet.holds(clock::now())
+        let now = clock::now();
+        self.drain.phase() == Phase::Serving && self.fleet.holds(now) && self.shares.ready(now)
     }
 
-    /// One line for each upstream, then one for each request.
+    /// This entry's shares of rates.
+    pub(crate) fn shares(&self) -> &Rc<Shares> {
+        &self.shares
+    }
+
+    /// One line for each upstream, for each share, and for each request.
     pub(crate) fn dump(&self) -> String {
-        self.routes.dump() + &self.active.dump(clock::now())
+        self.routes.dump() + &self.shares.dump() + &self.active.dump(clock::now())
     }
 }
 
