--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -1,1 +1,48 @@
-//! Placeholder.
+//! Stand-ins for the platform, the engines and the plain services.
+//!
+//! Each binds an address and serves it on the current actix-rt thread; its
+//! handle gives typed access to what it recorded, and stops it when dropped.
+//! The binary runs the same ones as processes of their own. Faults are set
+//! through the handle's [`Server`], or by request with a [`Control`].
+//!
+//! Beside its own interface each answers, untouched by any fault:
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `POST /fault` with a [`FaultOrder`] | the [`RuleId`] of a new rule |
+//! | `GET /fault` | [`Faults`] |
+//! | `GET /fault/hit?ID=HITS` | when that rule has hit so often |
+//! | `PUT /received` with `{"on":true}` | switches the recording of bytes |
+//! | `GET /received` | all bytes recorded |
+//! | `GET /state` | its record; the host list and services have none |
+//! | `GET /executions` | [`Executions`]: the record of a plain service |
+
+mod changes;
+mod control;
+mod engine;
+mod fault;
+mod hosts;
+mod lagged;
+mod objects;
+mod platform;
+mod server;
+mod service;
+mod table;
+mod weights;
+
+pub use self::{
+    control::{Control, ControlError},
+    engine::{
+        Engine, Fenced, Settings as EngineSettings,
+        record::{EngineRecord, Outcome, Ran},
+        text::{answer_text, prompt_tokens, token_text},
+    },
+    fault::{Active, Fault, FaultOrder, Faults, Rule, RuleId},
+    hosts::{HostList, Lag},
+    objects::{Objects, ObjectsRecord},
+    platform::{Platform, PlatformRecord},
+    server::Server,
+    service::{CALL_PATH, Executed, Executions, IDEMPOTENCY_HEADER, PlainService},
+    table::{Table, TableRecord},
+    weights::{FULL_SPEED, LOAD_TIME, Sharing, Take, Weights, WeightsRecord},
+};
--- /dev/null
+++ b/kingcupbayd/src/http/body.rs
@@ -0,0 +1,74 @@
+//! Reading of bodies within a size and a time, and of answers whole.
+
+use actix_http::{Payload, header};
+use awc::ClientResponse;
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use futures_util::StreamExt;
+use kingcupbay_core::{
+    time::Span,
+    wire::error::{Code, Failure},
+};
+use serde::de::IgnoredAny;
+use thiserror::Error;
+
+/// Why an answer's body is not whole.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub(crate) enum Partial {
+    /// The connection failed, or the body is too long.
+    #[error("the answer broke off: {0}")]
+    Failed(String),
+    /// The connection ended before the body did.
+    #[error("the answer ended early")]
+    Ended,
+}
+
+/// Reads the whole body of an answer.
+///
+/// The client takes the end of a connection for the end of the body. A half
+/// verdict must not pass for a whole one: the length that the head announced
+/// tells, and where it announced none, a JSON body must be complete JSON.
+pub(crate) async fn whole<S>(
+    response: &mut ClientResponse<S>,
+    limit: usize,
+) -> Result<Bytes, Partial>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let text = |name| response.headers().get(name)?.to_str().ok();
+    let length = text(header::CONTENT_LENGTH).and_then(|text| text.parse::<usize>().ok());
+    let json = text(header::CONTENT_TYPE).is_some_and(|kind| kind.starts_with("application/json"));
+    let body = response.body().limit(limit).await;
+    let body = body.map_err(|error| Partial::Failed(error.to_string()))?;
+    let complete = match length {
+        Some(length) => body.len() == length,
+        None => !json || serde_json::from_slice::<IgnoredAny>(&body).is_ok(),
+    };
+    if complete { Ok(body) } else { Err(Partial::Ended) }
+}
+
+/// Reads a whole body.
+///
+/// A body that stalls would hold its connection and memory for ever; the time
+/// limit covers the whole body, so a byte now and then does not extend it.
+pub(crate) async fn read(payload: Payload, limit: usize, time: Span) -> Result<Bytes, Failure> {
+    match tokio::time::timeout(time.into(), collect(payload, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::not_run(Code::BodyTimeout, "the body did not arrive in time")),
+    }
+}
+
+async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, Failure> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            Failure::not_run(Code::BadRequest, format!("the body is malformed: {error}"))
+        })?;
+        if body.len() + chunk.len() > limit {
+            let message = format!("the body is longer than {limit} bytes");
+            return Err(Failure::not_run(Code::TooLarge, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/kingcupbayd/src/upstream/call.rs
@@ -0,0 +1,106 @@
+//! Calls to plain services.
+
+use std::rc::Rc;
+
+use kingcupbay_core::{
+    config::model::Upstream as Row,
+    wire::{
+        error::{Code, Failure, Ran},
+        run::{Run, RunEvent, Work},
+    },
+};
+
+use super::{Upstream, once, run::check};
+use crate::{
+    clock,
+    http::{body, client::never_left},
+};
+
+/// Longest answer of a service.
+pub(super) const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Runs a call and tells how it ended.
+pub(super) async fn run(upstream: Rc<Upstream>, run: Run) -> RunEvent {
+    match attempt(upstream, run).await {
+        Ok(event) => event,
+        Err(failure) => RunEvent::Failed(failure),
+    }
+}
+
+async fn attempt(upstream: Rc<Upstream>, run: Run) -> Result<RunEvent, Failure> {
+    let deadline = clock::now() + run.left;
+    let row = check(&upstream, &run).await?;
+    let Work::Call { route, path, idempotency, body } = run.work else {
+        unreachable!("the order was matched")
+    };
+    let config = upstream.fleet.config();
+    let known = config.routes.get(route).filter(|known| known.organisation == run.organisation);
+    let Some(known) = known else {
+        return Err(Failure::not_run(Code::NotFound, "the route does not exist any more"));
+    };
+    if known.once {
+        let Some(idempotency) = idempotency else {
+            let message = "a call that runs at most once needs an idempotency key";
+            return Err(Failure::not_run(Code::BadRequest, message));
+        };
+        let call = once::Call {
+            request: run.request,
+            organisation: run.organisation,
+            upstream: run.upstream,
+            row,
+            route,
+            path,
+            idempotency,
+            body,
+            deadline,
+        };
+        return once::run(upstream.clone(), call).await;
+    }
+    let sent = send(&upstream, &row, &path, idempotency.as_deref(), body);
+    let left = deadline.since(clock::now());
+    match tokio::time::timeout(left.into(), sent).await {
+        Ok(result) => result,
+        Err(_) => {
+            let message = "the service did not answer in time";
+            Err(Failure { ran: Ran::Unknown, ..Failure::not_run(Code::Deadline, message) })
+        }
+    }
+}
+
+async fn send(
+    upstream: &Upstream,
+    row: &Row,
+    path: &str,
+    idempotency: Option<&str>,
+    body: Vec<u8>,
+) -> Result<RunEvent, Failure> {
+    let client = upstream.clients.get(&row.address);
+    let sent = request(&client, row, path, idempotency).send_body(body).await;
+    let mut response = sent.map_err(|error| failed(&error))?;
+    let status = response.status().as_u16();
+    let body = body::whole(&mut response, ANSWER_LIMIT).await.map_err(|error| Failure {
+        ran: Ran::Ran,
+        ..Failure::not_run(Code::UpstreamFailed, error.to_string())
+    })?;
+    Ok(RunEvent::Called { status, body: body.to_vec(), replayed: false })
+}
+
+/// A call to the service without its body.
+pub(super) fn request(
+    client: &awc::Client,
+    row: &Row,
+    path: &str,
+    idempotency: Option<&str>,
+) -> awc::ClientRequest {
+    let url = format!("http://{}/call/{path}", row.address);
+    let request = client.post(url).insert_header(("content-type", "application/json"));
+    match idempotency {
+        Some(key) => request.insert_header(("idempotency-key", key)),
+        None => request,
+    }
+}
+
+fn failed(error: &awc::error::SendRequestError) -> Failure {
+    let ran = if never_left(error) { Ran::NotRun } else { Ran::Unknown };
+    Failure { ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
+}
