Assume places of an upstream that has not reported

Cause: without a report an upstream counted as having no places, so two requests in flight were enough to load an adapter at a second one; after a start of the fleet, or with reports cut off, that would happen to each.

Change: eight places are assumed until a report says otherwise. The experiment gives a resumed request a new deadline: its caller has the beginning of the answer, and was refused the rest for a late first token.

--- a/kingcupbay_bench/src/serve/sim.rs
+++ b/kingcupbay_bench/src/serve/sim.rs
@@ -211,12 +211,14 @@
             request.stalled = Some(self.now);
             self.measures.stalls += 1;
         }
+        // A caller who has the beginning of an answer waits anew for the rest.
+        let waits_since = if request.done == 0 { arrival.at } else { self.now };
         let entry = Entry {
             request: request_id(index),
             organisation: arrival.organisation,
             version: arrival.version,
             tokens: arrival.prompt + arrival.permitted,
-            deadline: arrival.at + PATIENCE,
+            deadline: waits_since + PATIENCE,
             enqueued: self.now,
         };
         self.count(upstream);
--- a/kingcupbay_core/src/route/peer.rs
+++ b/kingcupbay_core/src/route/peer.rs
@@ -6,6 +6,10 @@
 
 use crate::id::{UpstreamId, VersionId};
 
+/// Places assumed of an upstream that has not reported. None at all would give
+/// each adapter copies as soon as two requests for it run.
+const PLACES: u32 = 8;
+
 /// What an upstream daemon tells about one of its upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -55,7 +59,7 @@
     at_report: u32,
     /// Requests in the last report.
     reported: u32,
-    /// Places in the last report, 0 before the first.
+    /// Places in the last report.
     places: u32,
     seq: u64,
     /// Loaded versions as last reported, sorted.
@@ -72,7 +76,7 @@
             in_flight: Rc::default(),
             at_report: 0,
             reported: 0,
-            places: 0,
+            places: PLACES,
             seq: 0,
             loaded: Vec::new(),
         }
--- a/kingcupbay_core/tests/route.rs
+++ b/kingcupbay_core/tests/route.rs
@@ -205,6 +205,20 @@
     assert_eq!(choose(&mut router, 1, 7).map(|place| copies.contains(&place)), Some(true));
 }
 
+/// No upstream has reported yet, as after a start of the whole fleet. Copies
+/// made for want of a report would load every adapter at several of them.
+#[test]
+fn without_reports_a_few_requests_make_no_copies() {
+    let mut router = router(&config(9), 1);
+    let guards: Vec<_> = (0..PLACES)
+        .map(|_| {
+            let place = choose(&mut router, 0, 7).unwrap();
+            router.begin(place).unwrap()
+        })
+        .collect();
+    assert!(guards.iter().all(|guard| guard.upstream() == guards[0].upstream()));
+}
+
 #[test]
 fn the_second_copy_is_in_another_zone() {
     for version in 0..30 {
