Take a request only once at an upstream

Cause: a second attempt with the id of one that still waits or runs would share its charge and its pin: the first one's end would free the second's adapter for eviction, and the lane would count a running request for ever.

Change: it is refused as "unknown", not as "not run": the first may run. Ruled out: replacing the first, which may be generating already.

--- a/kingcupbay_core/src/queue/entry.rs
+++ b/kingcupbay_core/src/queue/entry.rs
@@ -3,7 +3,7 @@
 use crate::{
     id::{OrganisationId, RequestId, VersionId},
     time::{Instant, Span},
-    wire::error::{Code, Failure},
+    wire::error::{Code, Failure, Ran},
 };
 
 /// A request that waits for its engine.
@@ -40,14 +40,17 @@
     }
 
     /// What the caller is told. "Not run" is true: it never left the queue.
+    /// Only of a second attempt that is not known, as the first may run.
     pub fn failure(&self) -> Failure {
         let message = match self.code {
+            Code::OutcomeUnknown => "an earlier attempt of this request has not ended",
             Code::Deadline => "the deadline cannot be met",
             Code::LoadFailed => "the adapter could not be loaded",
             Code::Stopping => "the daemon is stopping",
             _ => "too many requests wait already",
         };
-        Failure::not_run(self.code, message).after(self.retry_after)
+        let ran = if self.code == Code::OutcomeUnknown { Ran::Unknown } else { Ran::NotRun };
+        Failure { ran, ..Failure::not_run(self.code, message) }.after(self.retry_after)
     }
 }
 
--- a/kingcupbay_core/src/queue/mod.rs
+++ b/kingcupbay_core/src/queue/mod.rs
@@ -101,7 +101,14 @@
     /// Takes `entry` in, and hands back the request that has no place: the
     /// entry itself, or the newest of the longest lane when the queue is full
     /// and that lane is another organisation's.
+    ///
+    /// A request that is here already, as after an entry lost sight of its
+    /// first attempt, is not taken a second time: the two would share one
+    /// charge and one pin, and one's end would free the other's.
     pub fn push(&mut self, now: Instant, entry: Entry) -> Option<GivenUp> {
+        if self.holds(&entry) {
+            return Some(GivenUp::new(entry, Code::OutcomeUnknown, RETRY_MIN));
+        }
         let estimate = self.estimate(entry.organisation);
         let soonest = now + Span::from_micros(estimate.as_micros() / ESTIMATE_DIVISOR);
         if soonest + self.limits.least > entry.deadline {
@@ -246,6 +253,13 @@
         self.wait(own, self.busy_lanes())
     }
 
+    fn holds(&self, entry: &Entry) -> bool {
+        let lane = self.lanes.get(&entry.organisation);
+        let mut waiting = lane.into_iter().flat_map(|lane| &lane.waiting);
+        self.running.contains_key(&entry.request)
+            || waiting.any(|other| other.request == entry.request)
+    }
+
     fn hopeless(&self, now: Instant) -> impl Iterator<Item = RequestId> {
         let lanes = self.busy_lanes();
         self.lanes.values().flat_map(move |lane| {
--- a/kingcupbay_core/tests/queue.rs
+++ b/kingcupbay_core/tests/queue.rs
@@ -194,6 +194,26 @@
     assert_eq!((queue.len(), queue.waits().len()), (8, 2));
 }
 
+/// An entry loses its connection and sends the request again while the first
+/// attempt waits or runs here. Taken twice, the first one's end would unpin the
+/// adapter under the second, and "not run" would be a lie.
+#[test]
+fn a_second_attempt_is_not_taken_beside_the_first() {
+    let mut queue = Queue::new(LIMITS);
+    let once = entry(1, 1, 100, at(0));
+    assert_eq!(queue.push(at(0), once), None);
+    for started in [false, true] {
+        if started {
+            queue.start_next(at(1), |_| true).unwrap();
+        }
+        let again = queue.push(at(2), Entry { enqueued: at(2), ..once }).unwrap();
+        assert_eq!((again.code, again.failure().ran), (Code::OutcomeUnknown, Ran::Unknown));
+        assert_eq!(queue.len() + queue.running(), 1);
+    }
+    queue.finish(id(1), 100);
+    assert_eq!(queue.push(at(3), once), None);
+}
+
 #[test]
 fn a_failed_load_and_a_stop_tell_every_waiter() {
     let mut queue = Queue::new(LIMITS);
