Tell entries where adapters are loaded, through gossip

Cause: an entry knew only what its own requests had caused, so after a restart or on another entry a loaded adapter was loaded a second time elsewhere. Ruled out: asking each upstream daemon (entries x upstreams messages). Change: upstream daemons publish a report of their engines as a gossip record; entries feed the records to the router. The number that is in force for rate shares is the settled one, no longer the one read: peers that vouch for each other may still act under the number before.

--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -90,6 +90,11 @@
     }
 }
 
+/// Keeps what an entry knows of the upstreams fresh until the daemon ends.
+pub(crate) async fn keep(entry: Rc<Entry>) {
+    route::keep(entry).await;
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(entry: Rc<Entry>, request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
--- a/kingcupbayd/src/entry/route.rs
+++ b/kingcupbayd/src/entry/route.rs
@@ -5,16 +5,21 @@
     collections::BTreeMap,
     fmt::Write as _,
     rc::Rc,
+    time::Duration,
 };
 
 use kingcupbay_core::{
-    id::{Name, Number, UpstreamId, VersionId},
-    route::{InFlight, Limits, Progress, Retry, RetryBudget, Router, Work},
+    gossip::record::Topic,
+    id::{MemberId, Name, Number, UpstreamId, VersionId},
+    route::{InFlight, Limits, Progress, Report, Retry, RetryBudget, Router, Work},
     time::{Instant, Span},
 };
 
 use crate::{clock, fleet::Fleet};
 
+/// Pause between two looks at what upstream daemons have told.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// How long an upstream whose daemon could not be reached gets no request.
 /// Short, because the daemon of a restarted host is soon back.
 const UNREACHABLE: Span = Span::from_secs(1);
@@ -26,6 +31,12 @@
     budget: RefCell<RetryBudget>,
     /// The configuration that the router knows.
     number: Cell<Number>,
+    /// Version of each member's record that the router knows.
+    seen: RefCell<BTreeMap<MemberId, u32>>,
+    /// Adapter versions that each upstream last reported, for dumps.
+    holding: RefCell<BTreeMap<UpstreamId, usize>>,
+    /// Reports taken so far; numbers them for the router.
+    reports: Cell<u64>,
     /// Upstreams taken for unreachable, and since when.
     down: RefCell<BTreeMap<UpstreamId, Instant>>,
 }
@@ -40,6 +51,9 @@
             router: RefCell::new(Router::new(Limits::default(), u64::from_le_bytes(seed))),
             budget: RefCell::default(),
             number: Cell::default(),
+            seen: RefCell::default(),
+            holding: RefCell::default(),
+            reports: Cell::default(),
             down: RefCell::default(),
         }
     }
@@ -75,6 +89,35 @@
         now
     }
 
+    /// Takes what upstream daemons have told since the last look. A report of
+    /// an upstream that its member does not own is passed over.
+    fn take_reports(&self) {
+        let records = self.fleet.records(Topic::Load);
+        let mut seen = self.seen.borrow_mut();
+        seen.retain(|id, _| records.iter().any(|(member, ..)| member == id));
+        let config = self.fleet.config();
+        for (member, sequence, body) in records {
+            if seen.insert(member, sequence) == Some(sequence) {
+                continue;
+            }
+            let host = config.members.get(member).map(|row| &row.host);
+            let reports: Vec<(UpstreamId, Report)> =
+                rmp_serde::from_slice(&body).unwrap_or_default();
+            for (upstream, report) in reports {
+                if host.is_some() && config.upstreams.get(upstream).map(|row| &row.host) == host {
+                    self.take_report(upstream, report);
+                }
+            }
+        }
+    }
+
+    fn take_report(&self, upstream: UpstreamId, report: Report) {
+        let seq = self.reports.get() + 1;
+        self.reports.set(seq);
+        self.holding.borrow_mut().insert(upstream, report.loaded.len());
+        self.router.borrow_mut().on_report(upstream, &Report { seq, ..report });
+    }
+
     /// Counts a request on `upstream` until the guard is dropped.
     pub(crate) fn begin(&self, upstream: UpstreamId) -> Option<InFlight> {
         self.router.borrow().begin(upstream)
@@ -107,17 +150,28 @@
         let config = self.fleet.config();
         let router = self.router.borrow();
         let down = self.down.borrow();
+        let holding = self.holding.borrow();
         let mut out = String::new();
         for (id, row) in config.upstreams.iter() {
             let _ = writeln!(
                 out,
-                "upstream={} leaving={} reachable={} in_flight={}",
+                "upstream={} leaving={} reachable={} holds={} in_flight={}",
                 row.name,
                 row.leaving,
                 !down.contains_key(&id),
+                holding.get(&id).copied().unwrap_or(0),
                 router.in_flight(id),
             );
         }
         out
     }
 }
+
+/// Keeps the router's view of the upstreams fresh until the daemon ends.
+pub(super) async fn keep(entry: Rc<super::Entry>) {
+    loop {
+        entry.routes.refresh();
+        entry.routes.take_reports();
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -13,10 +13,11 @@
     rc::Rc,
 };
 
+use bytes::Bytes;
 use kingcupbay_core::{
     config::model::Config,
-    gossip::{self, Action, Gossip},
-    id::Number,
+    gossip::{self, Action, Gossip, record::Topic},
+    id::{MemberId, Number},
     standing::{self, BOUND, Standing},
     time::{Instant, Span},
 };
@@ -80,10 +81,29 @@
         self.config.borrow().clone()
     }
 
-    /// The newest number that no daemon with standing misses. Standing rests
-    /// on reads of the table alone, so what was read here is in force.
+    /// The newest number that no daemon with standing misses for longer than
+    /// the freshness bound: the one held here once it is settled. What was
+    /// merely read from the table is not, because peers that vouch for each
+    /// other may act under the number before.
     pub(crate) fn in_force(&self) -> Number {
-        self.config.borrow().number
+        let gossip = self.gossip.borrow();
+        let number = gossip.standing().number();
+        match gossip.standing().settled(number) {
+            true => number,
+            false => Number(number.0.saturating_sub(1)),
+        }
+    }
+
+    /// Tells the other daemons this one's record of a topic.
+    pub(crate) fn publish(&self, topic: Topic, body: Bytes) {
+        self.gossip.borrow_mut().records_mut().publish(topic, body);
+    }
+
+    /// The records of a topic, each with its member and version.
+    pub(crate) fn records(&self, topic: Topic) -> Vec<(MemberId, u32, Bytes)> {
+        let gossip = self.gossip.borrow();
+        let records = gossip.records().of(topic).iter();
+        records.map(|(&id, record)| (id, record.sequence, record.body.clone())).collect()
     }
 
     /// Whether this daemon may act on what it knows. Asked at each use, since
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -58,7 +58,10 @@
     actix_rt::spawn(fleet::run(daemon.fleet.clone(), settings.clone()));
     actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
     match &daemon.role {
-        RoleState::Entry(entry) => drop(actix_rt::spawn(share::keep(entry.shares().clone()))),
+        RoleState::Entry(entry) => {
+            actix_rt::spawn(share::keep(entry.shares().clone()));
+            drop(actix_rt::spawn(entry::keep(entry.clone())));
+        }
         RoleState::Upstream(upstream) => {
             drop(actix_rt::spawn(upstream.clone().keep_runners()));
         }
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -25,6 +25,7 @@
 mod engine;
 mod fence;
 mod once;
+mod report;
 mod run;
 mod runner;
 
@@ -96,6 +97,7 @@
     /// Starts the runners of the engines that the configuration gives to this
     /// host, before the first request for one comes.
     pub(crate) async fn keep_runners(self: Rc<Upstream>) {
+        actix_rt::spawn(report::keep(self.clone()));
         loop {
             let config = self.fleet.config();
             for (id, row) in config.upstreams.iter() {
--- a/kingcupbayd/src/upstream/runner/mod.rs
+++ b/kingcupbayd/src/upstream/runner/mod.rs
@@ -16,6 +16,7 @@
     config::model::{Serves, Upstream as Row},
     id::{RequestId, VersionId},
     queue::{self, Entry, GivenUp, Queue},
+    route,
     slot::{self, Pin, Slots},
     time::{Instant, Span},
     wire::error::{Code, Failure},
@@ -227,6 +228,19 @@
         }
     }
 
+    /// What entries are told about this engine. They number the reports as
+    /// they come.
+    pub(crate) fn report(&self) -> route::Report {
+        let state = self.state.borrow();
+        route::Report {
+            loaded: state.slots.as_ref().map(Slots::loaded_versions).unwrap_or_default(),
+            running: state.queue.running() as u32,
+            waiting: state.queue.len() as u32,
+            places: self.upstream.settings.tuning.batch,
+            seq: 0,
+        }
+    }
+
     /// Shows the engine's load to the metrics: batch efficiency is the part
     /// of the places used while requests wait.
     fn measure(&self) {
