--- a/kingcupbay_core/src/share/shares.rs
+++ b/kingcupbay_core/src/share/shares.rs
@@ -26,6 +26,8 @@
     pub lapse: Span,
     /// Longest that a request waits for tokens of peers.
     pub ask_wait: Span,
+    /// Longest that a request waits for the first grant of its organisation.
+    pub grant_wait: Span,
     /// How long a transfer waits for its receipt before it is sent again.
     pub resend: Span,
 }
@@ -35,6 +37,7 @@
         Settings {
             lapse: Span::from_secs(4),
             ask_wait: Span::from_millis(20),
+            grant_wait: Span::from_secs(1),
             resend: Span::from_millis(100),
         }
     }
@@ -167,6 +170,14 @@
         self.books.iter().map(move |(&id, book)| (id, book.bucket.share_at(now)))
     }
 
+    /// Whether the division that may give this entry the first of an
+    /// organisation is under way. The callers of a new organisation would be
+    /// refused for as long as the reports travel.
+    fn is_granting(&self, organisation: OrganisationId) -> bool {
+        let used = self.books.get(&organisation).is_some_and(|book| book.used);
+        self.report.is_some() && self.grant.is_none() && !used
+    }
+
     /// The share of an organisation as it is at `now`.
     pub fn share(&self, now: Instant, organisation: OrganisationId) -> Share {
         self.books.get(&organisation).map(|book| book.bucket.share_at(now)).unwrap_or_default()
@@ -258,9 +269,12 @@
             }
             Err(short) => short.lack,
         };
-        let until = since + self.settings.ask_wait;
+        let granting = self.is_granting(organisation);
+        let wait = if granting { self.settings.grant_wait } else { self.settings.ask_wait };
+        let until = since + wait;
         let mut actions = self.ask_peers(now, organisation, lack);
-        if now >= until || (actions.is_empty() && !self.is_asking(now, organisation)) {
+        let asking = !actions.is_empty() || self.is_asking(now, organisation);
+        if now >= until || !(asking || granting) {
             return self.refuse(now, organisation, total, lack);
         }
         self.book(now, organisation).want = Some((until, amount));
--- a/kingcupbay_core/tests/share.rs
+++ b/kingcupbay_core/tests/share.rs
@@ -114,8 +114,12 @@
 /// Longest that a removed holder has standing.
 const STANDING: Span = Span::from_secs(1);
 
-const SETTINGS: Settings =
-    Settings { lapse: STANDING, ask_wait: Span::from_millis(20), resend: Span::from_millis(100) };
+const SETTINGS: Settings = Settings {
+    lapse: STANDING,
+    ask_wait: Span::from_millis(20),
+    grant_wait: Span::from_millis(50),
+    resend: Span::from_millis(100),
+};
 
 /// How long callers rest, and then do not: longer than the bucket fills.
 const REST: Span = Span::from_secs(10);
