Test shares through a table outage and a paused holder

Change: the entries serve the whole burst from one of them after 6 s without the table; an entry that was stopped (SIGSTOP), replaced and continued refuses as not run.

--- a/kingcupbayd/tests/share.rs
+++ b/kingcupbayd/tests/share.rs
@@ -6,8 +6,11 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use common::{Answer, Fleet, Process, ask, completion, daemon, finish, get, name, pairs, until};
-use kingcupbay_core::config::change::Change;
+use common::{
+    Answer, Fleet, Process, ask, completion, control, daemon, finish, get, name, pairs, until,
+};
+use kingcupbay_core::{config::change::Change, standing::BOUND};
+use kingcupbay_standin::{Fault, Rule};
 
 const RATE: u64 = 2;
 const BURST: u64 = 1_000;
@@ -104,3 +107,35 @@
     whole(&[&fleet.entries[0]]).await;
     assert!(fleet.entries.remove(1).wait().0);
 }
+
+/// The platform's table is down for longer than any proof from it lasts. Guests
+/// must notice nothing: the entries vouch for each other, and the tokens of
+/// one still reach the other without the table.
+#[actix_rt::test]
+async fn shares_move_while_the_table_is_down() {
+    let begin = Instant::now();
+    let fleet = pair().await;
+    control(&fleet.platform).set(Rule::new(Fault::Outage)).await.unwrap();
+    // No proof from the table lasts as long; that it ended shows nowhere.
+    tokio::time::sleep((BOUND + BOUND).into()).await;
+    let first = exhaust(&fleet.entries[0]).await;
+    assert!(first > BURST * 9 / 10, "only {first} tokens served at one entry");
+    let served = first + exhaust(&fleet.entries[1]).await;
+    let bound = BURST + RATE * (begin.elapsed().as_secs() + 1);
+    assert!(served <= bound, "{served} tokens served, {bound} allowed");
+}
+
+/// An entry's host freezes and is replaced, and the successor has its share.
+/// Then the old one thaws: a caller it still has must be refused, truly as not
+/// run, since the tokens it remembers are somebody else's.
+#[actix_rt::test]
+async fn a_paused_entry_uses_nothing_of_what_was_reclaimed() {
+    let mut fleet = pair().await;
+    let paused = fleet.entries.remove(1);
+    paused.signal("-STOP");
+    let successor = daemon("entry", "entry-2", &fleet.platform, "");
+    whole(&[&fleet.entries[0], &successor]).await;
+    paused.signal("-CONT");
+    let answer = answer(&paused).await;
+    assert_eq!((answer.status, answer.ran().as_str()), (503, "not_run"), "{}", answer.body);
+}
