Measure a fixed number of loads for each runner

Question: does the weight store's budget of eight loads in flight have to move between runners, as conserved shares would?

Tried and reverted: three quarters of the budget kept from organisations with more than their part of the loads.

--- a/kingcupbay_bench/src/serve/mod.rs
+++ b/kingcupbay_bench/src/serve/mod.rs
@@ -62,6 +62,9 @@
     /// Exponent of the adapters' popularity.
     #[arg(long, default_value_t = 1.5)]
     exponent: f64,
+    /// Loads in flight of each runner instead of eight for the fleet.
+    #[arg(long)]
+    each: Option<u32>,
     /// Load above the mean, as a factor, at which a runner is passed over.
     #[arg(long)]
     bound: Option<f64>,
@@ -99,6 +102,7 @@
             slots: self.slots,
             places: self.places,
             loads,
+            each: self.each,
             demand: self.demand * f64::from(runners),
             exponent: self.exponent,
             seconds: self.seconds,
--- a/kingcupbay_bench/src/serve/model.rs
+++ b/kingcupbay_bench/src/serve/model.rs
@@ -35,6 +35,7 @@
     pub(super) incarnation: u64,
     pub(super) up: bool,
     pub(super) loaded: Vec<VersionId>,
+    pub(super) loading: u32,
     pub(super) running: BTreeMap<usize, VersionId>,
     pub(super) seq: u64,
     /// Until when places in use were counted.
--- a/kingcupbay_bench/src/serve/sim.rs
+++ b/kingcupbay_bench/src/serve/sim.rs
@@ -84,6 +84,7 @@
             incarnation: 0,
             up: true,
             loaded: Vec::new(),
+            loading: 0,
             running: BTreeMap::new(),
             seq: 0,
             counted: Instant::default(),
@@ -235,7 +236,10 @@
         if !runner.up {
             return;
         }
-        let budget = FULL_SPEED.saturating_sub(self.store.in_flight);
+        let budget = match self.setting.each {
+            Some(each) => each.saturating_sub(runner.loading),
+            None => FULL_SPEED.saturating_sub(self.store.in_flight),
+        };
         let free = self.setting.places - runner.running.len();
         let step = runner.desk.step(self.now, budget, free);
         for given_up in step.given_up {
@@ -261,6 +265,7 @@
         match action {
             Action::Load { version, order } => {
                 self.measures.loads += 1;
+                self.runners[upstream].loading += 1;
                 let ok = self.random.unit() >= FAILING;
                 let end = self.store.start(self.now);
                 self.at(end, Event::Loaded { upstream, incarnation, version, order, ok });
@@ -328,6 +333,7 @@
         self.store.end();
         let runner = &mut self.runners[upstream];
         if runner.incarnation == incarnation {
+            runner.loading -= 1;
             if ok {
                 runner.loaded.push(version);
             }
@@ -359,6 +365,7 @@
         runner.incarnation += 1;
         runner.up = false;
         runner.loaded.clear();
+        runner.loading = 0;
         runner.running.clear();
         let lost = runner.desk.restart(self.now, runner.incarnation);
         self.at(self.now + RESTART, Event::Up(upstream));
--- a/kingcupbay_bench/src/serve/table.rs
+++ b/kingcupbay_bench/src/serve/table.rs
@@ -22,9 +22,13 @@
 
 /// Prints median and worst of every measure over the seeds.
 pub(crate) fn print(setting: &Setting, rows: &[Row]) {
-    let Setting { runners, slots, places, loads, demand, exponent, seconds } = setting;
+    let Setting { runners, slots, places, loads, demand, exponent, seconds, each } = setting;
     println!("{runners} runners, {slots} slots, {places} places, {loads} loads/s");
     println!("{demand} requests/s, exponent {exponent}, {seconds} s, {} seeds", rows.len());
+    match each {
+        Some(each) => println!("{each} loads in flight for each runner"),
+        None => println!("8 loads in flight for the fleet"),
+    }
     println!("faults: 3 engine restarts, 2 % of loads fail, popularity shifts at a quarter,");
     println!("one organisation at 5 times its rate in the second half\n");
     println!("{:<44} {:>21}   {:>21}", "", "core", "baseline");
--- a/kingcupbay_bench/src/serve/trace.rs
+++ b/kingcupbay_bench/src/serve/trace.rs
@@ -39,6 +39,9 @@
     pub(crate) places: usize,
     /// Loads a second that the weight store starts.
     pub(crate) loads: f64,
+    /// Loads in flight of each runner; without it the fleet shares those that
+    /// run at full speed.
+    pub(crate) each: Option<u32>,
     /// Requests a second, all organisations together.
     pub(crate) demand: f64,
     /// Exponent of the popularity.
