Tell an unknown host, and a table that is away, from daemons that are gone

Cause: tried on running daemons, `kingcupbay dump HOST` for a host that is no member ended with "no daemon could be asked; nothing changed" and exit code 4, although a daemon had answered that there is no such member. With the table away the same text stood over six lines, three times the same two. Ruled out: ending at the first daemon's 404; one that lags may not know a new host yet, so the others are asked first. Change: an answer 404 becomes "refused: …" with exit code 1 when no daemon gives a better one; failures show their message instead of their JSON; a daemon's same problem is listed once; the text over the list no longer says that no daemon could be asked. Conclusion: exit code 4 now means that daemons or the table are away.

--- a/kingcupbay/src/args.rs
+++ b/kingcupbay/src/args.rs
@@ -19,7 +19,7 @@
 
 Exit codes:
   0  done
-  1  refused: a declaration or change does not check; nothing changed
+  1  refused: a declaration or change does not check, or no such host; nothing changed
   2  usage: the command line or a file cannot be read
   3  stale: made against another number than the one in force, which is printed; nothing changed
   4  unreachable: no daemon could be asked, or none could reach the table; nothing changed
--- a/kingcupbay/src/client.rs
+++ b/kingcupbay/src/client.rs
@@ -15,6 +15,7 @@
     wire::admin::{self, History, Outcome, Refused, Taken, Undecided},
 };
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use crate::error::Error;
 
@@ -91,18 +92,26 @@
         parse: impl Fn(&[u8]) -> Result<T, String>,
     ) -> Result<T, Error> {
         let mut attempts = Vec::new();
+        let mut absent = None;
         for &daemon in &self.daemons {
             let problem = match self.exchange(daemon, Method::GET, path, Vec::new()).await {
                 Ok((StatusCode::OK, body)) => match parse(&body) {
                     Ok(value) => return Ok(value),
                     Err(problem) => problem,
                 },
-                Ok((status, body)) => format!("{status}: {}", String::from_utf8_lossy(&body)),
+                Ok((status, body)) => {
+                    let problem = message(&body);
+                    // Another daemon may know of it already.
+                    if status == StatusCode::NOT_FOUND {
+                        absent.get_or_insert(problem.clone());
+                    }
+                    format!("{status}: {problem}")
+                }
                 Err(Failed::NotSent(problem) | Failed::Lost(problem)) => problem,
             };
             attempts.push(format!("{daemon}: {problem}"));
         }
-        Err(Error::Unreachable(attempts))
+        Err(absent.map_or(Error::Unreachable(attempts), Error::Absent))
     }
 
     /// Has `patch` taken, or learns that it is not.
@@ -125,10 +134,10 @@
                         return self.resolve(patch, against, current, attempts).await;
                     }
                     Posted::Answer(Err(error)) => return Err(error.into()),
-                    Posted::Not(problem) => attempts.push(format!("{daemon}: {problem}")),
+                    Posted::Not(problem) => note(&mut attempts, daemon, &problem),
                     Posted::Maybe(problem) => {
                         maybe = true;
-                        attempts.push(format!("{daemon}: {problem}"));
+                        note(&mut attempts, daemon, &problem);
                     }
                 }
             }
@@ -213,6 +222,24 @@
     }
 }
 
+/// What a daemon says in an answer that is no success: the message of a
+/// failure, else its whole text.
+fn message(body: &[u8]) -> String {
+    let failure = serde_json::from_slice::<Value>(body).unwrap_or_default();
+    match failure["error"]["message"].as_str() {
+        Some(message) => message.to_owned(),
+        None => String::from_utf8_lossy(body).into_owned(),
+    }
+}
+
+/// Adds a line unless an earlier round said the same.
+fn note(attempts: &mut Vec<String>, daemon: SocketAddr, problem: &str) {
+    let line = format!("{daemon}: {problem}");
+    if !attempts.contains(&line) {
+        attempts.push(line);
+    }
+}
+
 impl From<SendRequestError> for Failed {
     fn from(error: SendRequestError) -> Failed {
         match error {
--- a/kingcupbay/src/error.rs
+++ b/kingcupbay/src/error.rs
@@ -43,8 +43,11 @@
         /// The number in force.
         current: Number,
     },
+    /// The daemons that were asked do not know it.
+    #[error("refused: {0}")]
+    Absent(String),
     /// No daemon answered as it should; nothing changed.
-    #[error("no daemon could be asked; nothing changed\n{}", lines(.0))]
+    #[error("no daemon could do it; nothing changed\n{}", lines(.0))]
     Unreachable(Vec<String>),
     /// A patch may or may not be in force.
     #[error("outcome of patch {id} unknown; look for it in the history\n{}", lines(.attempts))]
@@ -63,7 +66,7 @@
     /// The exit code, as `--help` lists them.
     pub(crate) fn code(&self) -> u8 {
         match self {
-            Error::Mistakes(_) | Error::Refused { .. } => 1,
+            Error::Mistakes(_) | Error::Refused { .. } | Error::Absent(_) => 1,
             Error::File { .. } | Error::Usage(_) | Error::Print(_) => 2,
             Error::Stale { .. } => 3,
             Error::Unreachable(_) => 4,
--- a/kingcupbay/tests/admin/mod.rs
+++ b/kingcupbay/tests/admin/mod.rs
@@ -133,6 +133,9 @@
         ("GET", "/admin/config") => Some((200, json(&state.config))),
         ("GET", "/admin/status") => Some((200, br#"{"standing":true,"number":3}"#.to_vec())),
         ("GET", "/admin/dump?host=h1") => Some((200, b"host h1\n".to_vec())),
+        ("GET", "/admin/dump?host=h9") => {
+            Some((404, br#"{"error":{"message":"no such member"}}"#.to_vec()))
+        }
         ("POST", "/admin/patch") => post(state, serde_json::from_slice(body).unwrap()),
         _ => {
             let after: u64 = path.strip_prefix("/admin/history?after=")?.parse().unwrap();
--- a/kingcupbay/tests/commands.rs
+++ b/kingcupbay/tests/commands.rs
@@ -159,6 +159,9 @@
     let admin = Admin::start(&[Fault::NotTaken; 3]);
     let output = admin.run(WINERY);
     assert_eq!(code(&output), 4, "{}", errors(&output));
+    let told = "no daemon could do it; nothing changed";
+    let down = format!("kingcupbay: {told}\n{}: the table is down\n", admin.address);
+    assert_eq!(errors(&output), down);
     for faults in [
         [Fault::Unknown; 3],
         [Fault::LostRequest; 3],
@@ -222,6 +225,9 @@
     assert_eq!(errors(&refused), "kingcupbay: refused: organisation nobody does not exist\n");
     assert_eq!(code(&admin.run(&["upstream", "leave", "nobody"])), 1);
     assert_eq!(code(&admin.run(&["member", "leave", "nobody"])), 1);
+    let absent = admin.run(&["dump", "h9"]);
+    assert_eq!(code(&absent), 1);
+    assert_eq!(errors(&absent), "kingcupbay: refused: no such member\n");
     assert_eq!(code(&admin.run(&["plan", "/nowhere/x.ini"])), 2);
     assert_eq!(code(&admin.run(&["apply", "x.ini"])), 2);
     assert_eq!(code(&admin.run(&["organisation", "list", "--colour"])), 2);
