Write every golden file anew by the same variable

Cause: session.txt was blessed by KINGCUPBAY_BLESS, the serving sessions by KINGCUPBAY_GOLDEN=write, and the once-only ones only by hand. Change: KINGCUPBAY_BLESS everywhere; the comparisons are as strict as before. Conclusion: CONTRIBUTING can name one way.

--- a/kingcupbay_core/tests/claim.rs
+++ b/kingcupbay_core/tests/claim.rs
@@ -4,6 +4,8 @@
 
 mod once;
 
+use std::{fs, path::Path};
+
 use kingcupbay_core::{
     claim::{
         Action, Answer, Claim, Event,
@@ -231,8 +233,7 @@
     let steps = [Step::Claim, Step::Read, Step::Call, Step::Outcome];
     let lines: Vec<_> =
         steps.iter().flat_map(|&at| FAULTS.map(|fault| scenario(at, fault))).collect();
-    let golden = include_str!("golden/once_faults.txt");
-    assert_eq!(lines.join("\n") + "\n", golden);
+    compare("once_faults.txt", &(lines.join("\n") + "\n"));
 }
 
 fn conflict(table: &Table) -> Event {
@@ -420,6 +421,15 @@
     go(&mut world, &mut second, "second", false, None);
     go(&mut world, &mut first, "first", false, None);
     go(&mut world, &mut third, "third", false, None);
-    assert_eq!(lines.join("\n") + "\n", include_str!("golden/once_lost_claim.txt"));
+    compare("once_lost_claim.txt", &(lines.join("\n") + "\n"));
     assert_eq!(world.runs, 1);
 }
+
+/// `KINGCUPBAY_BLESS=1` writes the golden file anew.
+fn compare(name: &str, found: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name);
+    if std::env::var_os("KINGCUPBAY_BLESS").is_some() {
+        fs::write(&path, found).unwrap();
+    }
+    assert_eq!(found, fs::read_to_string(&path).unwrap(), "{name} differs");
+}
--- a/kingcupbay_core/tests/golden_serve.rs
+++ b/kingcupbay_core/tests/golden_serve.rs
@@ -1,7 +1,7 @@
 //! Whole sessions of routing, queue and slots, compared line by line.
 //!
 //! A line without an indent is an event, the indented ones below it are what
-//! the core does about it. `KINGCUPBAY_GOLDEN=write` writes the files anew.
+//! the core does about it. `KINGCUPBAY_BLESS=1` writes the files anew.
 
 #![allow(clippy::unwrap_used)]
 
@@ -278,7 +278,7 @@
 
     fn check(self, file: &str) {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(file);
-        if std::env::var("KINGCUPBAY_GOLDEN").is_ok_and(|value| value == "write") {
+        if std::env::var_os("KINGCUPBAY_BLESS").is_some() {
             fs::write(&path, &self.text).unwrap();
         }
         let golden = fs::read_to_string(&path).unwrap();
