--- /dev/null
+++ b/kingcupbay_core/tests/docs.rs
@@ -0,0 +1,55 @@
+//! Tables of the pages agree with the code that they describe.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+use kingcupbay_core::wire::error::Code;
+
+fn read(path: &str) -> String {
+    fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("..").join(path)).unwrap()
+}
+
+/// What the source says of each code, in its order.
+fn meanings() -> Vec<String> {
+    let source = read("kingcupbay_core/src/wire/error.rs");
+    let (_, codes) = source.split_once("\ncodes! {\n").unwrap();
+    let (codes, _) = codes.split_once("\n}").unwrap();
+    let lines = codes.lines().filter_map(|line| line.trim().strip_prefix("/// "));
+    lines.map(str::to_owned).collect()
+}
+
+#[test]
+fn the_readme_lists_every_error_code() {
+    let mut table = String::from("| code | status | meaning |\n| --- | --- | --- |\n");
+    let meanings = meanings();
+    assert_eq!(meanings.len(), Code::ALL.len());
+    for (code, meaning) in Code::ALL.iter().zip(meanings) {
+        table += &format!("| `{}` | {} | {meaning} |\n", code.as_str(), code.status());
+    }
+    assert!(read("README.md").contains(&table), "README.md must hold this table:\n{table}");
+}
+
+#[test]
+fn the_operators_page_explains_every_metric() {
+    let names = |text: &str| -> BTreeSet<String> {
+        let words = text.split(|c: char| !c.is_ascii_lowercase() && c != '_');
+        let parts = ["_bucket", "_sum", "_count"];
+        words
+            .filter(|word| word.starts_with("kingcupbay_"))
+            .map(|word| {
+                let part = parts.iter().find_map(|part| word.strip_suffix(part));
+                part.unwrap_or(word).to_owned()
+            })
+            .collect()
+    };
+    let made = names(&read("kingcupbayd/src/metrics.rs"));
+    let page = read("docs/OPERATIONS.md");
+    let explained = names(&page);
+    let unexplained: Vec<_> = made.difference(&explained).collect();
+    assert!(unexplained.is_empty(), "not in docs/OPERATIONS.md: {unexplained:?}");
+    let crates = ["kingcupbay_standin", "kingcupbay_core", "kingcupbay_bench"];
+    let unknown: Vec<_> =
+        explained.difference(&made).filter(|name| !crates.contains(&name.as_str())).collect();
+    assert!(unknown.is_empty(), "no such metric: {unknown:?}");
+}
