--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -24,6 +24,7 @@
         self,
         drain::{Drain, Phase},
     },
+    share::{self, Shares},
     upstream::Upstream,
 };
 
@@ -56,8 +57,14 @@
     let daemon = assemble(settings.clone(), log);
     actix_rt::spawn(fleet::run(daemon.fleet.clone(), settings.clone()));
     actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
-    if let RoleState::Upstream(upstream) = &daemon.role {
-        actix_rt::spawn(upstream.clone().keep_runners());
+    match &daemon.role {
+        RoleState::Entry(entry) => {
+            actix_rt::spawn(share::keep(entry.shares().clone()));
+            drop(actix_rt::spawn(entry::keep(entry.clone())));
+        }
+        RoleState::Upstream(upstream) => {
+            drop(actix_rt::spawn(upstream.clone().keep_runners()));
+        }
     }
     let mut servers = Vec::new();
     if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
@@ -102,6 +109,7 @@
         Role::Entry => RoleState::Entry(Rc::new(Entry::new(
             settings.clone(),
             fleet.clone(),
+            Rc::new(Shares::new(incarnation, fleet.clone(), table, clients.clone(), log.clone())),
             clients.clone(),
             metrics.clone(),
             drain.clone(),
@@ -173,6 +181,9 @@
             }
             limit => tokio::time::timeout(limit.into(), servers).await.is_ok(),
         };
+        if let RoleState::Entry(entry) = &self.daemon.role {
+            share::hand_over(entry.shares().clone()).await;
+        }
         let cut = self.daemon.drain.open();
         info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
     }
