Keep connections after whole answers, and drop dead ones together

Cause: three guards had no test that failed without them. Trying showed why for one: no connection ever went back to a pool, since the last message was taken for the end and the rest of the body never read. So each request opened new connections on both hops, and forgetting a pool guarded nothing. Also, a repeated order pushed the first one's channel aside and ended the daemon. Ruled out: a client without pools; a new connection costs each first token. Change: a stream whose last message came is read to its end; servers keep idle connections longer than clients do; an engine that goes silent loses its whole pool, orders that time out included; a repeated order is refused before it can take the first one's place. Conclusion: what the guards are for is now brought about.

--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -26,7 +26,10 @@
 };
 
 use super::{Entry, admission::Caller};
-use crate::{clock, http::client::never_left};
+use crate::{
+    clock,
+    http::{body, client::never_left},
+};
 
 /// When to come back if every upstream refused: a load report takes about as
 /// long to come in.
@@ -315,17 +318,24 @@
                 Ok(Some(Step::Token(text)))
             }
             RunEvent::Done { reason, usage } => {
-                self.attempt = None;
+                self.release();
                 Ok(Some(Step::Done { reason, usage }))
             }
             RunEvent::Called { status, body, replayed } => {
-                self.attempt = None;
+                self.release();
                 Ok(Some(Step::Called { status, body, replayed }))
             }
             RunEvent::Failed(failure) => self.refused(failure).map(|()| None),
         }
     }
 
+    /// Ends the attempt whose last frame came, and keeps its connection.
+    fn release(&mut self) {
+        if let Some(Attempt { frames, .. }) = self.attempt.take() {
+            actix_rt::spawn(body::exhaust(frames));
+        }
+    }
+
     /// The upstream daemon gave a reason. Where it provably did not run the
     /// request, another upstream may.
     fn refused(&mut self, failure: Failure) -> Result<(), Failure> {
--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -47,6 +47,17 @@
     if complete { Ok(body) } else { Err(Partial::Ended) }
 }
 
+/// Longest wait for the end of a stream whose last message came.
+const END: Span = Span::from_secs(1);
+
+/// Reads a stream to its end and drops what comes. A connection goes back to
+/// its pool only after the end of its body; without this, each request would
+/// open new connections on both hops.
+pub(crate) async fn exhaust<S: Stream + Unpin>(mut stream: S) {
+    let end = async { while stream.next().await.is_some() {} };
+    let _ = tokio::time::timeout(END.into(), end).await;
+}
+
 /// Reads a whole body.
 ///
 /// A body that stalls would hold its connection and memory for ever; the time
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -20,6 +20,11 @@
 /// a second later: callers see that second, daemons their connect timeout.
 const BACKLOG: u32 = 4_096;
 
+/// How long an idle connection is kept; longer than the daemons' clients keep
+/// theirs, so that it is the client that closes and no request is sent on a
+/// connection that this side is closing.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+
 /// How long the other side may take to close after the last byte.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -53,6 +58,7 @@
         async move { Ok::<_, Response<BoxBody>>(answer.await) }
     });
     let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
         .client_request_timeout(head.into())
         .client_disconnect_timeout(CLOSE_TIMEOUT)
         .h1_allow_half_closed(false)
--- a/kingcupbayd/src/upstream/engine.rs
+++ b/kingcupbayd/src/upstream/engine.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 
-use futures_util::{Stream, StreamExt, TryStreamExt};
+use futures_util::{Stream, StreamExt, TryStreamExt, stream};
 use kingcupbay_core::{
     id::RequestId,
     wire::{
@@ -17,7 +17,10 @@
     io::StreamReader,
 };
 
-use crate::http::client::{Clients, never_left};
+use crate::http::{
+    body,
+    client::{Clients, never_left},
+};
 
 /// Longest line of an engine's event stream.
 const LINE_LIMIT: usize = 1 << 20;
@@ -45,6 +48,8 @@
     request: RequestId,
     model: String,
     over: bool,
+    /// Whether the event with the reason of the end came.
+    complete: bool,
 }
 
 /// Starts a generation.
@@ -66,7 +71,7 @@
     let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(LINE_LIMIT))
         .map_err(|error| EngineError::Broken(error.to_string()));
     let (request, model) = (order.request_id, order.model);
-    Ok(Generation { lines: Box::pin(lines), request, model, over: false })
+    Ok(Generation { lines: Box::pin(lines), request, model, over: false, complete: false })
 }
 
 impl Generation {
@@ -93,11 +98,23 @@
             if chunk.id != self.request || chunk.model != self.model {
                 return Err(EngineError::Broken("an event of another request".to_owned()));
             }
+            self.complete = chunk.choices.iter().any(|choice| choice.finish_reason.is_some());
             return Ok(Some(chunk));
         }
     }
 }
 
+impl Drop for Generation {
+    fn drop(&mut self) {
+        // Only after the last event is there an end to wait for; a stream that
+        // is dropped before it must be cancelled, and its connection closed.
+        if self.complete {
+            let lines = std::mem::replace(&mut self.lines, Box::pin(stream::empty()));
+            actix_rt::spawn(body::exhaust(lines));
+        }
+    }
+}
+
 /// Orders a load and waits until it is done.
 pub(crate) async fn load(
     clients: &Clients,
--- a/kingcupbayd/src/upstream/run.rs
+++ b/kingcupbayd/src/upstream/run.rs
@@ -162,6 +162,10 @@
         if !on_engine || silence < self.upstream.settings.tuning.engine_silence {
             return RunEvent::Heartbeat;
         }
+        // Its pooled connections are as dead; the next attempt needs a new one.
+        if let Some(address) = &self.engine {
+            self.upstream.clients.forget(address);
+        }
         let error = EngineError::Broken("it went silent".to_owned());
         self.phase = Phases::Over;
         RunEvent::Failed(upstream_failed(Ran::Unknown, &error))
--- a/kingcupbayd/src/upstream/runner/mod.rs
+++ b/kingcupbayd/src/upstream/runner/mod.rs
@@ -106,7 +106,7 @@
             let failure = Failure::not_run(Code::LoadFailed, "the adapter could not be loaded");
             return Err(failure.after(left));
         }
-        self.push(now, entry, sender);
+        self.push(now, entry, sender)?;
         let guard = Waiting { runner: self.clone(), request: entry.request };
         self.pump();
         let granted = receiver.await;
@@ -127,14 +127,26 @@
         self.state.borrow().slots.as_ref()?.backoff(now, version)
     }
 
-    fn push(&self, now: Instant, entry: Entry, sender: oneshot::Sender<Granted>) {
+    /// Puts a request into the queue. A second one with the id of a request
+    /// that waits or runs is refused here, before it could take the first
+    /// one's place in `waiting`, whose answer would then reach nobody.
+    fn push(
+        &self,
+        now: Instant,
+        entry: Entry,
+        sender: oneshot::Sender<Granted>,
+    ) -> Result<(), Failure> {
         let mut state = self.state.borrow_mut();
+        let refused = state.queue.push(now, entry);
+        if let Some(own) = refused.as_ref().filter(|one| one.entry.request == entry.request) {
+            return Err(own.failure());
+        }
         state.waiting.insert(entry.request, sender);
         if let Some(slots) = &mut state.slots {
             slots.touch(now, entry.version);
         }
-        let refused = state.queue.push(now, entry);
         state.refuse(refused);
+        Ok(())
     }
 
     /// Gives up what cannot be served, starts what can, orders what is needed.
--- a/kingcupbayd/src/upstream/runner/orders.rs
+++ b/kingcupbayd/src/upstream/runner/orders.rs
@@ -60,7 +60,7 @@
     let order = LoadAdapter { lora_name: name, lora_path: row.source.clone(), fencing };
     let began = clock::now();
     let sent = engine::load(&runner.upstream.clients, &runner.row.address, &order);
-    let outcome = outcome(bounded(LOAD_TIME, sent).await, true);
+    let outcome = outcome(bounded(runner, LOAD_TIME, sent).await, true);
     let text = format!("{outcome:?}").to_lowercase();
     runner.upstream.metrics.loads.with_label_values(&[text.as_str()]).inc();
     info!(runner.upstream.log, ""; "event" => "load", "upstream" => %runner.row.name,
@@ -76,7 +76,7 @@
     let Some(name) = config.model(version) else { return Outcome::Unknown };
     let order = UnloadAdapter { lora_name: name, fencing };
     let sent = engine::unload(&runner.upstream.clients, &runner.row.address, &order);
-    let outcome = outcome(bounded(ORDER_TIME, sent).await, false);
+    let outcome = outcome(bounded(runner, ORDER_TIME, sent).await, false);
     info!(runner.upstream.log, ""; "event" => "unload", "upstream" => %runner.row.name,
         "model" => order.lora_name, "outcome" => format!("{outcome:?}").to_lowercase());
     outcome
@@ -85,7 +85,7 @@
 async fn ask(runner: &Rc<Runner>) -> Vec<Action> {
     let asked = clock::now();
     let sent = engine::report(&runner.upstream.clients, &runner.row.address);
-    let Ok(report) = bounded(ORDER_TIME, sent).await else { return Vec::new() };
+    let Ok(report) = bounded(runner, ORDER_TIME, sent).await else { return Vec::new() };
     let config = runner.upstream.fleet.config();
     let known = |name: &String| config.version_of(name);
     let loaded = report.loaded.iter().filter_map(known).collect();
@@ -106,17 +106,23 @@
     for name in report.loaded.iter().filter(|name| config.version_of(name).is_none()) {
         let order = UnloadAdapter { lora_name: name.clone(), fencing };
         let sent = engine::unload(&runner.upstream.clients, &runner.row.address, &order);
-        let _ = bounded(ORDER_TIME, sent).await;
+        let _ = bounded(runner, ORDER_TIME, sent).await;
     }
 }
 
+/// Waits for an answer within `time`. A connection that stays silent leaves
+/// the pool with its neighbours, or the next order would meet the next dead one.
 async fn bounded<T>(
+    runner: &Runner,
     time: Span,
     call: impl Future<Output = Result<T, EngineError>>,
 ) -> Result<T, EngineError> {
     match tokio::time::timeout(time.into(), call).await {
         Ok(result) => result,
-        Err(_) => Err(EngineError::Broken("no answer in time".to_owned())),
+        Err(_) => {
+            runner.upstream.clients.forget(&runner.row.address);
+            Err(EngineError::Broken("no answer in time".to_owned()))
+        }
     }
 }
 
--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -5,8 +5,13 @@
 mod common;
 
 use common::{Answer, Fleet, Process, ask, completion, control, finish, get, name, until};
-use futures_util::StreamExt;
-use kingcupbay_core::config::{change::Change, model::Config};
+use futures_util::{StreamExt, future::join_all};
+use kingcupbay_core::{
+    config::{change::Change, model::Config},
+    id::RequestId,
+    time::Span,
+    wire::run::{Prompt, Run, Work},
+};
 use kingcupbay_standin::{EngineRecord, Fault, Outcome, Rule, answer_text};
 
 const TOKENS: u32 = 40;
@@ -14,6 +19,9 @@
 /// Tight bounds, so that a dead stream is found soon.
 const TIGHT: &str = "heartbeat_ms = 50\nsilence_ms = 400\nengine_silence_ms = 400\n";
 
+/// Bounds so wide that no silence is noticed within a test.
+const PATIENT: &str = "heartbeat_ms = 50\nsilence_ms = 60000\nengine_silence_ms = 600000\n";
+
 /// Two engines with an upstream daemon each, and one entry.
 async fn pair(gap: &str) -> Fleet {
     Fleet::start(1, 2, &["--first", "1", "--gap", gap], TIGHT).await
@@ -113,22 +121,97 @@
 }
 
 /// All connections of an engine go silent for good, as when a translator of
-/// addresses forgets them, while new ones work. The next requests must not
-/// be sent on the dead ones again and again.
+/// addresses forgets them, while new ones work. A request has three attempts
+/// and the pool eight dead connections, so they must leave it together.
 #[actix_rt::test]
 async fn silent_connections_leave_the_pool() {
-    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], TIGHT).await;
+    let fleet = Fleet::start(1, 1, &["--first", "50", "--gap", "0"], TIGHT).await;
     assert_whole(&answer(&fleet).await);
+    let together = (0..8).map(|_| answer(&fleet));
+    join_all(together).await.iter().for_each(assert_whole);
     control(&fleet.engines[0]).freeze().await.unwrap();
-    // The first request may meet the dead connection and be refused, at once
-    // and with a time to come back; soon every request is served.
-    until("a whole answer", async || {
-        let answer = answer(&fleet).await;
-        let whole = answer.status == 200 && answer.body.ends_with("data: [DONE]\n\n");
-        whole.then(|| assert_whole(&answer))
+    assert_whole(&answer(&fleet).await);
+}
+
+/// An engine restarts, and the connections of its streams stay open, silent.
+/// Long before silence is noticed, its report tells that the adapter is gone,
+/// and every answer that ran on it must go on.
+#[actix_rt::test]
+async fn a_restart_is_told_to_streams_on_silent_connections() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "5"], PATIENT).await;
+    let (answer, ()) = tokio::join!(answer(&fleet), async {
+        running_at(&fleet).await;
+        control(&fleet.engines[0]).freeze().await.unwrap();
+        control(&fleet.engines[0]).restart().await.unwrap();
+    });
+    assert_whole(&answer);
+}
+
+/// A guest leaves while the engine thinks: no token comes that could fail to
+/// be sent. The engine's stream must end all the same, not at its deadline.
+#[actix_rt::test]
+async fn a_caller_that_leaves_before_the_first_token_is_noticed() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], PATIENT).await;
+    hit_each_once(&fleet, Fault::StallStreams { tokens: 0 }).await;
+    let body = completion("tasting@v1", TOKENS);
+    let waiting = finish(ask(&fleet.entries[0], "/v1/completions"), &body);
+    tokio::select! {
+        _ = waiting => panic!("a stalled stream has no answer"),
+        _ = running_at(&fleet) => {}
+    }
+    until("the ended stream", async || {
+        (record(&fleet.engines[0]).await.count(Outcome::Running) == 0).then_some(())
     })
     .await;
-    assert_whole(&answer(&fleet).await);
+}
+
+/// An order as an entry sends it; the body of its answer.
+async fn run(upstream: &Process, order: &Run) -> Vec<u8> {
+    let url = format!("http://{}/run", upstream.address("peers"));
+    let body = rmp_serde::to_vec(order).unwrap();
+    let mut response = common::client().post(url).send_body(body).await.unwrap();
+    response.body().await.unwrap().to_vec()
+}
+
+/// An entry whose connection went silent sends its order again to the only
+/// upstream, where the first one still waits for its adapter. The second must
+/// not push the first aside, nor end the daemon.
+#[actix_rt::test]
+async fn a_repeated_order_does_not_push_the_first_aside() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], TIGHT).await;
+    let text = get(&fleet.entries[0], "/admin/config").await;
+    let config: Config = serde_json::from_str(&text).unwrap();
+    let engine = control(&fleet.engines[0]);
+    engine.set(Rule::new(Fault::Slow { millis: 300 }).path("/v1/load").times(1)).await.unwrap();
+    let order = Run {
+        request: RequestId([7; 16]),
+        organisation: config.organisation_names[&name("winery")],
+        number: config.number,
+        upstream: config.upstream_names[&name("gpu-1")],
+        left: Span::from_secs(30),
+        work: Work::Generate {
+            version: config.version_of("tasting@v1").unwrap(),
+            prompt: Prompt::Text("a tour".into()),
+            max_tokens: TOKENS,
+            offset: 0,
+            sampling: Default::default(),
+        },
+    };
+    let upstream = &fleet.upstreams[0];
+    let first = run(upstream, &order);
+    let second = async {
+        until("the first order", async || {
+            let dump = get(upstream, "/admin/dump").await;
+            dump.contains("waiting=1").then_some(())
+        })
+        .await;
+        run(upstream, &order).await
+    };
+    let (first, second) = tokio::join!(first, second);
+    let holds = |body: &[u8], text: &str| body.windows(text.len()).any(|p| p == text.as_bytes());
+    assert!(holds(&first, "length") && holds(&first, "tasting@v1:39:"));
+    assert!(holds(&second, "OutcomeUnknown") || holds(&second, "outcome_unknown"));
+    assert!(!holds(&second, "tasting@v1:"));
 }
 
 /// The entry dies while a guest reads. Nobody else knows that the answer did
