--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -84,13 +84,17 @@
         &self.shares
     }
 
-    /// One line for each upstream, then one for each request, then one for
-    /// each share.
+    /// One line for each upstream, for each share, and for each request.
     pub(crate) fn dump(&self) -> String {
-        self.routes.dump() + &self.active.dump(clock::now()) + &self.shares.dump()
+        self.routes.dump() + &self.shares.dump() + &self.active.dump(clock::now())
     }
 }
 
+/// Keeps what an entry knows of the upstreams fresh until the daemon ends.
+pub(crate) async fn keep(entry: Rc<Entry>) {
+    route::keep(entry).await;
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(entry: Rc<Entry>, request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -92,11 +92,11 @@
         (RoleState::Upstream(upstream), "/run") => {
             upstream::handle(upstream.clone(), request).await
         }
+        (_, PULL_PATH) => fleet::handle_pull(daemon.fleet.clone(), request).await,
+        (_, SNAPSHOT_PATH) => fleet::handle_snapshot(&daemon.fleet),
         (RoleState::Entry(entry), share::PEER_PATH) => {
             share::handle(entry.shares().clone(), request).await
         }
-        (_, PULL_PATH) => fleet::handle_pull(daemon.fleet.clone(), request).await,
-        (_, SNAPSHOT_PATH) => fleet::handle_snapshot(&daemon.fleet),
         (_, admin::dump::PEER_PATH) => {
             http::reply::text(actix_http::StatusCode::OK, admin::dump::own(&daemon))
         }
