--- a/kingcupbay_bench/src/capacity/mod.rs
+++ b/kingcupbay_bench/src/capacity/mod.rs
@@ -1,8 +1,8 @@
 //! State, messages and processor time against fleet size.
 //!
 //! [`config`] and [`router`] measure what a daemon keeps per adapter,
-//! [`fleet`] what it spends per member, [`exchange`] the heads around each
-//! message. Every figure is taken at three sizes of which the last is the
+//! [`fleet`] what it spends per member, [`slack`] what entries tell each other,
+//! [`exchange`] the heads around each message. Every figure is taken at three sizes of which the last is the
 //! target's, and [`fit`] says how far a straight line explains them.
 
 mod config;
@@ -11,6 +11,7 @@
 mod fleet;
 mod measure;
 mod router;
+mod slack;
 
 use fit::Fit;
 
@@ -85,7 +86,7 @@
 
 /// Runs the experiment and prints its tables.
 pub(crate) fn run(args: &Args) {
-    let measured = [&config::TABLE, &router::TABLE, &fleet::TABLE, &exchange::TABLE];
+    let measured = [&config::TABLE, &router::TABLE, &fleet::TABLE, &slack::TABLE, &exchange::TABLE];
     let tables = [&MEMBER_MEMORY, &ADAPTER_MEMORY].into_iter().chain(measured);
     if args.rows {
         tables.for_each(Table::print_names);
@@ -99,5 +100,6 @@
     router::TABLE.print(&router::TABLE.sizes.map(router::figures));
     let fleet = |members| fleet::figures(members, args.seconds);
     fleet::TABLE.print(&fleet::TABLE.sizes.map(fleet));
+    slack::TABLE.print(&slack::TABLE.sizes.map(slack::figures));
     exchange::TABLE.print(&exchange::TABLE.sizes.map(exchange::figures));
 }
