--- a/kingcupbay_core/src/gossip/message.rs
+++ b/kingcupbay_core/src/gossip/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use super::record::{Carried, Seen};
@@ -18,8 +19,8 @@
 /// Path of a daemon's whole configuration, a [`Snapshot`].
 pub const SNAPSHOT_PATH: &str = "/peer/snapshot";
 
-/// Unit of ages on the wire. The freshness bound of 3 s is 120 units, so an
-/// age takes one byte; half a unit on average is lost at each hop.
+/// Unit of ages on the wire. A byte reaches 6.4 s, twice the freshness bound;
+/// half a unit on average is lost at each hop.
 pub const AGE_UNIT: Span = Span::from_millis(25);
 
 /// Question of one daemon to another.
@@ -47,9 +48,9 @@
     /// The puller lacks more than is kept as patches.
     pub truncated: bool,
     /// Vouches of members that hold `number`; see [`pack`].
-    pub holding: Vec<u32>,
+    pub holding: Vec<Run>,
     /// Vouches of members not known to hold it.
-    pub behind: Vec<u32>,
+    pub behind: Vec<Run>,
     /// Members that hold `number` and have not vouched lately.
     pub silent: Vec<MemberId>,
     /// Members known to have ended.
@@ -68,17 +69,27 @@
     pub before: BTreeSet<MemberId>,
 }
 
-/// Vouches as flat pairs of (distance from the previous id, age in units),
-/// two bytes for most members: first those of members that hold `number`,
-/// then the others. Ages are rounded up, so that none ever shrinks.
-pub fn pack(number: Number, vouches: &[Vouch]) -> (Vec<u32>, Vec<u32>) {
+/// Ages of members whose ids follow each other, one byte each, in
+/// [`AGE_UNIT`]s. A fleet that grew or was restarted in one go is one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Distance of the first id from the last one of the run before.
+    pub gap: u32,
+    /// Ages of the members, one after the other.
+    pub ages: Bytes,
+}
+
+/// Packs vouches: first those of members that hold `number`, then the others.
+/// Ages are rounded up, so that none ever shrinks; vouches older than a byte
+/// can say prove nothing to anyone and stay behind.
+pub fn pack(number: Number, vouches: &[Vouch]) -> (Vec<Run>, Vec<Run>) {
     let (holding, behind): (Vec<&Vouch>, Vec<&Vouch>) =
         vouches.iter().partition(|vouch| vouch.held >= number);
-    (pairs(&holding), pairs(&behind))
+    (runs(&holding), runs(&behind))
 }
 
 /// The vouches out of [`pack`], where `number` is the answerer's.
-pub fn unpack(number: Number, holding: &[u32], behind: &[u32]) -> Vec<Vouch> {
+pub fn unpack(number: Number, holding: &[Run], behind: &[Run]) -> Vec<Vouch> {
     // Whoever passes vouches on has dropped those that name anything newer
     // than what it holds itself, so its number bounds theirs.
     let held = ages(holding).map(|(member, age)| Vouch { member, number, held: number, age });
@@ -86,23 +97,34 @@
     held.chain(not).collect()
 }
 
-fn pairs(vouches: &[&Vouch]) -> Vec<u32> {
-    let mut flat = Vec::with_capacity(vouches.len() * 2);
-    let mut last = 0;
-    for vouch in vouches {
+fn runs(vouches: &[&Vouch]) -> Vec<Run> {
+    let units = |vouch: &&Vouch| {
         let units = vouch.age.as_micros().div_ceil(AGE_UNIT.as_micros());
-        flat.push(vouch.member.raw() - last);
-        flat.push(u32::try_from(units).unwrap_or(u32::MAX));
-        last = vouch.member.raw();
+        Some((vouch.member.raw(), u8::try_from(units).ok()?))
+    };
+    let mut runs: Vec<(u32, Vec<u8>)> = Vec::new();
+    let mut last = 0;
+    for (member, age) in vouches.iter().filter_map(units) {
+        match runs.last_mut() {
+            Some((_, ages)) if member == last + 1 => ages.push(age),
+            _ => runs.push((member - last, vec![age])),
+        }
+        last = member;
     }
-    flat
+    runs.into_iter().map(|(gap, ages)| Run { gap, ages: ages.into() }).collect()
 }
 
-fn ages(flat: &[u32]) -> impl Iterator<Item = (MemberId, Span)> {
-    let (pairs, _) = flat.as_chunks::<2>();
-    pairs.iter().scan(0u32, |last, &[gap, units]| {
-        *last = last.checked_add(gap)?;
-        let age = Span::from_micros(u64::from(units) * AGE_UNIT.as_micros());
-        Some((MemberId::from_raw(*last), age))
+fn ages(runs: &[Run]) -> impl Iterator<Item = (MemberId, Span)> {
+    let starts = runs.iter().scan(0u32, |last, run| {
+        let first = last.checked_add(run.gap)?;
+        *last = first.checked_add(u32::try_from(run.ages.len()).ok()?.checked_sub(1)?)?;
+        Some((first, &run.ages))
+    });
+    starts.flat_map(|(first, ages)| {
+        ages.iter().enumerate().map(move |(place, &units)| {
+            let age = Span::from_micros(u64::from(units) * AGE_UNIT.as_micros());
+            // The run's last id was checked to fit, so this one does.
+            (MemberId::from_raw(first + place as u32), age)
+        })
     })
 }
