Mend what trying the running path showed

Cause, each found on running daemons: (1) any change of an upstream's row made a new runner that knew no pins, so an adapter could be evicted under a running request; only the engine's own refusal saved it. (2) An upstream on a host that is no member made the entry look for it without a pause until the deadline, and answer nobody. (3) A first once-only call, or a request for an engine not yet owned, was held to its deadline while the table was away. (4) A lost zone's streams broke at once and spent the retry budget after some twenty. (5) The first lost answer of an organisation was a new series, which no increase shows. (6) Debug lines in the logs; shares by number in the dump. Ruled out: carrying pins over to a new runner (its slots would disagree with the engine's); a larger retry budget (it would also grow for new attempts). Change: a runner stays while its engine is the same and has work; an absent host counts as unreachable; waits for a fencing number end after 2 s; resuming an answer that has begun takes nothing from the budget; series from zero; level filter; names and the fencing number in the dump.

--- a/kingcupbay_core/src/route/retry.rs
+++ b/kingcupbay_core/src/route/retry.rs
@@ -79,7 +79,10 @@
         let retry = match (work, progress) {
             (Work::Once, _) => return Retry::Never,
             (_, Progress::NotRun | Progress::Sent) => Retry::Again,
-            (Work::Generate, Progress::Streaming { offset }) => Retry::Resume { offset },
+            // An answer that has begun is resumed whatever the budget: when a
+            // zone goes, its streams break all at once, and there are never
+            // more resumptions than there were streams.
+            (Work::Generate, Progress::Streaming { offset }) => return Retry::Resume { offset },
             (Work::Call, Progress::Streaming { .. }) => return Retry::Never,
         };
         match self.level.checked_sub(PRICE) {
--- a/kingcupbay_core/tests/route.rs
+++ b/kingcupbay_core/tests/route.rs
@@ -298,3 +298,15 @@
     assert!((90..=110).contains(&granted(&mut budget, 1_000)), "a tenth of the requests");
     assert_eq!(Limits::default().expect, Span::from_secs(3));
 }
+
+/// A zone goes and with it every stream there, all in one moment. The budget
+/// of retries is long spent when the last of them breaks; a guest whose answer
+/// has begun must get the rest all the same.
+#[test]
+fn every_stream_of_a_lost_zone_is_resumed() {
+    let mut budget = RetryBudget::default();
+    let streaming = Progress::Streaming { offset: 12 };
+    let resume = Retry::Resume { offset: 12 };
+    assert!((0..500).all(|_| budget.retry(Work::Generate, streaming) == resume));
+    assert_eq!(budget.retry(Work::Generate, Progress::Sent), Retry::Again);
+}
--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -224,7 +224,10 @@
         let config = self.entry.fleet.config();
         let row = config.upstreams.get(upstream).expect("routing names existing rows");
         self.upstream = row.name.to_string();
-        let Some((_, member)) = config.member(&row.host) else { return Ok(()) };
+        // An upstream may be declared before its host's daemon has joined.
+        let Some((_, member)) = config.member(&row.host) else {
+            return self.broken(Broken::Unreachable, "");
+        };
         let address = member.address.clone();
         match self.send(upstream, &address).await {
             Ok(frames) => {
--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use kingcupbay_core::{
     config::model::Config,
     gossip::{self, Action, Gossip, record::Topic},
-    id::{MemberId, Number},
+    id::{MemberId, Name, Number},
     standing::{self, BOUND, Standing},
     time::{Instant, Span},
 };
@@ -136,6 +136,8 @@
         }
         info!(self.log, ""; "event" => "config", "number" => config.number.0);
         self.metrics.config_number.set(config.number.0 as i64);
+        let names = config.organisation_names.keys();
+        self.metrics.on_organisations(names.map(Name::as_str));
         *self.config.borrow_mut() = Rc::new(config);
     }
 
--- a/kingcupbayd/src/logging.rs
+++ b/kingcupbayd/src/logging.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::Mutex};
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, Level, Logger, o};
 use slog_logfmt::Logfmt;
 
 /// A logger that names the host on each line.
@@ -11,6 +11,6 @@
 /// their header is read, and only ids go on from there.
 pub fn logger(host: &str) -> Logger {
     let drain = Logfmt::new(io::stdout()).no_prefix().print_level(true).build();
-    let drain = Mutex::new(drain).map(slog::Fuse);
+    let drain = Mutex::new(drain).filter_level(Level::Info).map(slog::Fuse);
     Logger::root(drain, o!("host" => host.to_owned()))
 }
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Shows every organisation's lost answers from zero on. A series that
+    /// begins at one hides its first loss from whoever watches its increase.
+    pub(crate) fn on_organisations<'a>(&self, names: impl Iterator<Item = &'a str>) {
+        for name in names {
+            self.undelivered.with_label_values(&[name]);
+        }
+    }
+
     /// All metrics in Prometheus's text format.
     pub(crate) fn text(&self) -> String {
         let mut out = Vec::new();
--- a/kingcupbayd/src/share/mod.rs
+++ b/kingcupbayd/src/share/mod.rs
@@ -125,10 +125,12 @@
     /// The shares, one line each.
     pub(crate) fn dump(&self) -> String {
         let core = self.core.borrow();
+        let config = self.fleet.config();
         let line = |(id, share): (OrganisationId, kingcupbay_core::share::bucket::Share)| {
             let (capacity, level) = (share.capacity.as_tokens(), share.level.as_tokens());
             let rate = share.rate;
-            format!("share organisation={id} rate={rate} capacity={capacity} level={level}\n")
+            let name = config.organisations.get(id).map_or("removed", |row| row.name.as_str());
+            format!("share organisation={name} rate={rate} capacity={capacity} level={level}\n")
         };
         let lines: String = core.shares(clock::now()).map(line).collect();
         format!("shares epoch={} settled={}\n{lines}", core.epoch(), core.is_settled())
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -86,7 +86,7 @@
 
     fn runner(self: &Rc<Upstream>, id: UpstreamId, row: &Row) -> Rc<Runner> {
         let mut runners = self.runners.borrow_mut();
-        if let Some(runner) = runners.get(&id).filter(|runner| runner.row() == row) {
+        if let Some(runner) = runners.get(&id).filter(|runner| runner.serves(row)) {
             return runner.clone();
         }
         let runner = Runner::start(self.clone(), row.clone());
--- a/kingcupbayd/src/upstream/once.rs
+++ b/kingcupbayd/src/upstream/once.rs
@@ -43,6 +43,10 @@
 /// When to come back if the table gives no fencing number.
 const RETRY: Span = Span::from_secs(1);
 
+/// Longest wait for a fencing number, which takes two exchanges with the
+/// table. While it is away, a call is given up on and not held any longer.
+const NUMBER_WAIT: Span = Span::from_secs(2);
+
 /// How long after its caller's deadline a call may still bring its outcome,
 /// for a repeat to find. A planned stop waits as long at most.
 const OVERTIME: Span = Span::from_secs(10);
@@ -66,7 +70,7 @@
 
 /// Runs a call at most once and tells how it ended.
 pub(super) async fn run(upstream: Rc<Upstream>, call: Call) -> Result<RunEvent, Failure> {
-    let left = call.deadline.since(clock::now());
+    let left = call.deadline.since(clock::now()).min(NUMBER_WAIT);
     let number = tokio::time::timeout(left.into(), number(&upstream, &call)).await;
     let number = number.map_err(|_| {
         Failure::not_run(Code::StoreDown, "the table gives no fencing number").after(RETRY)
--- a/kingcupbayd/src/upstream/runner/mod.rs
+++ b/kingcupbayd/src/upstream/runner/mod.rs
@@ -21,7 +21,7 @@
     time::{Instant, Span},
     wire::error::{Code, Failure},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::{Upstream, fence};
 use crate::clock;
@@ -31,6 +31,13 @@
 /// Pause between two looks at the engine's own report.
 const REPORT_PERIOD: Span = Span::from_secs(1);
 
+/// Longest wait of a request for the daemon's fencing number, which takes two
+/// exchanges with the table.
+const OWN_WAIT: Span = Span::from_secs(2);
+
+/// When to come back after it.
+const OWN_RETRY: Span = Span::from_secs(1);
+
 type Granted = Result<Place, Failure>;
 
 /// State of one engine.
@@ -38,6 +45,8 @@
     upstream: Rc<Upstream>,
     row: Row,
     state: RefCell<State>,
+    /// Whether this daemon has its fencing number.
+    owned: watch::Sender<bool>,
     /// Told when a request came or ended, so that another may start.
     wake: Notify,
     /// Itself, for the tasks it starts.
@@ -85,6 +94,7 @@
                 waiting: BTreeMap::new(),
                 running: BTreeMap::new(),
             }),
+            owned: watch::Sender::new(false),
             wake: Notify::new(),
             me: me.clone(),
         });
@@ -92,13 +102,19 @@
         runner
     }
 
-    /// The row it was started under.
-    pub(crate) fn row(&self) -> &Row {
-        &self.row
+    /// Whether this runner goes on under `row`. A new one knows no pins, and
+    /// would evict adapters under requests that the old one runs; so as long
+    /// as the engine is the same and has work, its runner stays, and a change
+    /// of its slots waits until it is idle.
+    pub(crate) fn serves(&self, row: &Row) -> bool {
+        let state = self.state.borrow();
+        let idle = state.queue.is_empty() && state.queue.running() == 0;
+        self.row.address == row.address && (self.row.serves == row.serves || !idle)
     }
 
     /// Waits for a place; refuses at once what cannot be served in time.
     pub(crate) async fn place(self: Rc<Runner>, entry: Entry) -> Granted {
+        self.owned(entry.deadline).await?;
         let now = clock::now();
         let (sender, receiver) = oneshot::channel();
         let ready = self.ready(entry.version);
@@ -119,6 +135,21 @@
         granted.expect("a waiting request is always answered")
     }
 
+    /// Waits until this daemon has its fencing number. With the table away that
+    /// may take very long, so the request is soon told to look elsewhere.
+    async fn owned(&self, deadline: Instant) -> Result<(), Failure> {
+        let mut owned = self.owned.subscribe();
+        let wait = deadline.since(clock::now()).min(OWN_WAIT);
+        let owned = tokio::time::timeout(wait.into(), owned.wait_for(|&owned| owned)).await;
+        match owned {
+            Ok(_) => Ok(()),
+            Err(_) => {
+                let message = "this daemon does not own the engine yet";
+                Err(Failure::not_run(Code::NoUpstream, message).after(OWN_RETRY))
+            }
+        }
+    }
+
     fn ready(&self, version: VersionId) -> bool {
         self.state.borrow().slots.as_ref().is_some_and(|slots| slots.is_ready(version))
     }
@@ -272,8 +303,8 @@
         let pins: u32 = slots.iter().map(|slot| slot.pins).sum();
         let loaded = slots.iter().filter(|slot| slot.state == slot::SlotState::Loaded).count();
         let mut out = format!(
-            "upstream={name} owned={} fenced={} running={} waiting={} slots={} loaded={loaded} pins={pins}\n",
-            state.slots.is_some(),
+            "upstream={name} fencing={} fenced={} running={} waiting={} slots={} loaded={loaded} pins={pins}\n",
+            state.slots.as_ref().map_or(0, Slots::fencing),
             state.slots.as_ref().is_some_and(Slots::is_fenced),
             state.queue.running(),
             state.queue.len(),
@@ -306,6 +337,7 @@
     let Serves::Model { slots, fenced, .. } = owned.row.serves else { return };
     let fencing = fence::acquire(&owned.upstream, &owned.row.name, fenced).await;
     owned.state.borrow_mut().slots = Some(Slots::new(slot::Limits::default(), slots, fencing));
+    owned.owned.send_replace(true);
     owned.ask();
     drop(owned);
     let mut asked = clock::now();
--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -4,10 +4,16 @@
 
 mod common;
 
-use common::{Answer, Fleet, Process, ask, completion, control, finish, get, name, until};
+use common::{
+    Answer, Fleet, Process, ask, basics, completion, control, daemon, finish, get, model_upstream,
+    name, ready, standin, until,
+};
 use futures_util::{StreamExt, future::join_all};
 use kingcupbay_core::{
-    config::{change::Change, model::Config},
+    config::{
+        change::Change,
+        model::{Config, Serves},
+    },
     id::RequestId,
     time::Span,
     wire::run::{Prompt, Run, Work},
@@ -165,6 +171,81 @@
     .await;
 }
 
+/// An operator corrects the zone of an upstream, or shows it as leaving, while
+/// it serves. Its adapter must stay pinned under the running answer: a request
+/// for another one must not evict it from the only slot.
+#[actix_rt::test]
+async fn a_changed_row_keeps_the_pins_of_running_requests() {
+    let args = ["--first", "1", "--gap", "20", "--slots", "1"];
+    let fleet = Fleet::start(1, 1, &args, TIGHT).await;
+    let entry = &fleet.entries[0];
+    let text = get(entry, "/admin/config").await;
+    let config: Config = serde_json::from_str(&text).unwrap();
+    let id = config.upstream_names[&name("gpu-1")];
+    let mut upstream = config.upstreams.get(id).unwrap().clone();
+    upstream.serves = Serves::Model { base: name("base"), slots: 1, fenced: true };
+    common::apply(entry, &[Change::SetUpstream { upstream: upstream.clone() }]).await;
+    upstream.zone = name("zone-b");
+    let (first, second) = tokio::join!(answer(&fleet), async {
+        running_at(&fleet).await;
+        let number = common::apply(entry, &[Change::SetUpstream { upstream }]).await;
+        common::knows(&fleet.upstreams[0], number).await;
+        common::knows(entry, number).await;
+        finish(ask(entry, "/v1/completions"), &completion("tasting@v2", 2)).await
+    });
+    assert_whole(&first);
+    assert_eq!(second.status, 200, "{}", second.body);
+    let record = record(&fleet.engines[0]).await;
+    assert_eq!(record.unloads_in_use, Vec::<String>::new());
+    assert_eq!(record.count(Outcome::Finished), 2);
+}
+
+/// An upstream is declared before its host's daemon has joined. A request for
+/// it must be refused at once; looking for it again and again would keep the
+/// whole entry busy until the deadline.
+#[actix_rt::test]
+async fn an_upstream_on_an_absent_host_is_refused_at_once() {
+    let platform = standin("platform", &[]);
+    let entry = daemon("entry", "entry-1", &platform, TIGHT);
+    let engine = standin("engine", &[]);
+    ready(&entry).await;
+    let mut changes = basics();
+    changes.push(model_upstream("gpu-1", "upstream-9", &engine));
+    let number = common::apply(&entry, &changes).await;
+    common::knows(&entry, number).await;
+    let refused = finish(ask(&entry, "/v1/completions"), &completion("tasting@v1", 2)).await;
+    assert_eq!((refused.status, refused.code().as_str()), (503, "no_upstream"));
+    assert_eq!((refused.ran().as_str(), refused.retry_after), ("not_run", Some(1)));
+}
+
+/// The table goes before an upstream daemon has its fencing number. Its
+/// requests must soon be told to come back, not be held to their deadlines.
+#[actix_rt::test]
+async fn an_engine_that_is_not_owned_refuses_soon() {
+    let fleet = Fleet::start(1, 0, &[], TIGHT).await;
+    let engine = standin("engine", &[]);
+    let upstream = daemon("upstream", "upstream-1", &fleet.platform, TIGHT);
+    ready(&upstream).await;
+    until("the rate shares", async || {
+        let dump = get(&fleet.entries[0], "/admin/dump").await;
+        dump.contains("settled=true").then_some(())
+    })
+    .await;
+    // The patch is the next write, and the fencing number the one after it.
+    control(&fleet.platform).set(Rule::new(Fault::Outage).path("/txn").skip(1)).await.unwrap();
+    let changes = [model_upstream("gpu-1", "upstream-1", &engine)];
+    let number = common::apply(&fleet.entries[0], &changes).await;
+    common::knows(&fleet.entries[0], number).await;
+    common::knows(&upstream, number).await;
+    let request = ask(&fleet.entries[0], "/v1/completions");
+    let request = request.insert_header(("x-deadline-ms", "600000"));
+    let body = completion("tasting@v1", 2);
+    let refused = finish(request, &body);
+    let refused = tokio::time::timeout(common::PATIENCE, refused).await.unwrap();
+    assert_eq!((refused.status, refused.ran().as_str()), (503, "not_run"), "{}", refused.body);
+    assert_eq!(refused.retry_after, Some(1));
+}
+
 /// An order as an entry sends it; the body of its answer.
 async fn run(upstream: &Process, order: &Run) -> Vec<u8> {
     let url = format!("http://{}/run", upstream.address("peers"));
--- a/kingcupbayd/tests/once.rs
+++ b/kingcupbayd/tests/once.rs
@@ -24,6 +24,13 @@
 impl Desk {
     /// Everything ready, and the upstream daemon's fencing number taken.
     async fn start() -> Desk {
+        let desk = Desk::fresh().await;
+        assert_eq!(desk.book("first").await.status, 200);
+        desk
+    }
+
+    /// Everything ready, but no call made yet.
+    async fn fresh() -> Desk {
         let platform = standin("platform", &[]);
         let service = standin("service", &[]);
         let upstream = daemon("upstream", "upstream-1", &platform, "");
@@ -41,9 +48,7 @@
         let number = apply(&entry, &changes).await;
         knows(&upstream, number).await;
         knows(&entry, number).await;
-        let desk = Desk { platform, service, upstream, entry };
-        assert_eq!(desk.book("first").await.status, 200);
-        desk
+        Desk { platform, service, upstream, entry }
     }
 
     async fn book(&self, key: &str) -> Answer {
@@ -135,6 +140,20 @@
     assert_eq!((desk.book("a").await.status, desk.ran("a").await), (200, 1));
 }
 
+/// The table is away when the first booking of the day comes, so the daemon
+/// has no fencing number. The caller must soon be told to come back, not be
+/// held to a deadline of ten minutes.
+#[actix_rt::test]
+async fn a_first_call_without_the_table_is_refused_soon() {
+    let desk = Desk::fresh().await;
+    control(&desk.platform).set(Rule::new(Fault::Outage)).await.unwrap();
+    let refused = tokio::time::timeout(common::PATIENCE, desk.call("a", "600000", "seat")).await;
+    let refused = refused.unwrap();
+    assert_eq!((refused.status, refused.code().as_str()), (503, "store_down"));
+    assert_eq!((refused.ran().as_str(), refused.retry_after), ("not_run", Some(1)));
+    assert_eq!(desk.ran("a").await, 0);
+}
+
 /// The service books the seat and its answer is lost; or the call is lost on
 /// its way. Nobody can tell the two apart, so neither is called "not run",
 /// and neither is sent again.
