--- a/kingcupbay/src/adapter.rs
+++ b/kingcupbay/src/adapter.rs
@@ -12,7 +12,8 @@
 };
 
 /// Commands on adapters.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum AdapterCommand {
     /// Make or change an adapter
     Set {
--- a/kingcupbay/src/args.rs
+++ b/kingcupbay/src/args.rs
@@ -27,7 +27,8 @@
 
 /// Operators' tool of kingcupbay: changes the numbered configuration and shows
 /// the daemons' state.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "kingcupbay", version, after_help = EXIT_CODES)]
 pub(crate) struct Args {
     /// Operators' port of a daemon; repeat it to name others that are asked
@@ -48,7 +49,8 @@
 }
 
 /// The commands.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum Command {
     /// Organisations and their rates
     #[command(subcommand)]
@@ -133,7 +135,8 @@
 }
 
 /// The number a single change is made against.
-#[derive(Clone, Copy, Debug, clap::Args)]
+#[derive(Clone, Copy, Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Against {
     /// Refuse unless this number is in force; else the one read just before
     #[arg(long, value_name = "N")]
--- a/kingcupbay/src/error.rs
+++ b/kingcupbay/src/error.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 
 /// Why a command did not succeed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub(crate) enum Error {
     /// Declarations that do not check.
     #[error("{}", lines(.0))]
--- a/kingcupbay/src/key.rs
+++ b/kingcupbay/src/key.rs
@@ -18,7 +18,8 @@
 const PREFIX: &str = "kcb_";
 
 /// Commands on access keys.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum KeyCommand {
     /// Draw a key and show it, this once only
     Issue {
--- a/kingcupbay/src/member.rs
+++ b/kingcupbay/src/member.rs
@@ -12,7 +12,8 @@
 use crate::{args::Against, error::Error, output::Column, session::Session};
 
 /// Commands on members.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum MemberCommand {
     /// Take out a daemon that is gone for good
     Leave {
--- a/kingcupbay/src/organisation.rs
+++ b/kingcupbay/src/organisation.rs
@@ -9,7 +9,8 @@
 use crate::{args::Against, error::Error, output::Column, session::Session};
 
 /// Commands on organisations.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum OrganisationCommand {
     /// Make or change an organisation
     Set {
--- a/kingcupbay/src/route.rs
+++ b/kingcupbay/src/route.rs
@@ -7,7 +7,8 @@
 use crate::{args::Against, error::Error, output::Column, session::Session};
 
 /// Commands on routes.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum RouteCommand {
     /// Make or change a route
     Set {
--- a/kingcupbay/src/upstream.rs
+++ b/kingcupbay/src/upstream.rs
@@ -14,7 +14,8 @@
 use crate::{args::Against, error::Error, output::Column, session::Session};
 
 /// Commands on upstreams.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum UpstreamCommand {
     /// Make or change an upstream
     Set(Set),
@@ -42,7 +43,8 @@
 }
 
 /// The whole row of an upstream.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 #[command(group = ArgGroup::new("serves").required(true))]
 pub(crate) struct Set {
     /// Its name
--- a/kingcupbay/src/version.rs
+++ b/kingcupbay/src/version.rs
@@ -11,7 +11,8 @@
 use crate::{args::Against, error::Error, output::Column, session::Session};
 
 /// Commands on versions.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum VersionCommand {
     /// Add a version to an adapter; its source never changes
     Add {
--- a/kingcupbay_bench/src/capacity/mod.rs
+++ b/kingcupbay_bench/src/capacity/mod.rs
@@ -16,7 +16,8 @@
 use fit::Fit;
 
 /// Settings of the experiment.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Args {
     /// Print the names of the rows and measure nothing.
     #[arg(long)]
--- a/kingcupbay_bench/src/main.rs
+++ b/kingcupbay_bench/src/main.rs
@@ -9,7 +9,8 @@
 use clap::{Parser, Subcommand};
 
 /// Load and experiment tool of kingcupbay.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "kingcupbay_bench", version)]
 struct Args {
     #[command(subcommand)]
@@ -17,7 +18,8 @@
 }
 
 /// The experiments; each prints one table.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 enum Experiment {
     /// State, messages and processor time against fleet size.
     Capacity(capacity::Args),
--- a/kingcupbay_bench/src/path/mod.rs
+++ b/kingcupbay_bench/src/path/mod.rs
@@ -16,7 +16,8 @@
 use stream::{Target, Times};
 
 /// Settings of the experiment.
-#[derive(Clone, Debug, clap::Args)]
+#[derive(Clone, Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Args {
     /// Callers' address of the entry.
     #[arg(long, default_value = "127.0.0.1:8080")]
--- a/kingcupbay_bench/src/serve/mod.rs
+++ b/kingcupbay_bench/src/serve/mod.rs
@@ -36,7 +36,8 @@
 };
 
 /// Settings of the experiment.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Args {
     /// Whose runners and weight store.
     #[arg(long, value_enum, default_value_t = Size::District)]
@@ -83,7 +84,8 @@
 }
 
 /// Today's two sizes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ValueEnum)]
 enum Size {
     /// 20 runners, 4 loads a second.
     District,
--- a/kingcupbay_bench/src/share/mod.rs
+++ b/kingcupbay_bench/src/share/mod.rs
@@ -35,7 +35,8 @@
 ];
 
 /// Settings of the experiment.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct Args {
     /// Runs of each scenario and policy.
     #[arg(long, default_value_t = 10)]
--- a/kingcupbay_core/src/arena.rs
+++ b/kingcupbay_core/src/arena.rs
@@ -11,7 +11,8 @@
 use crate::id::Id;
 
 /// Rows of one kind by their key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(bound(
     serialize = "K: Ord + Serialize, T: Serialize",
     deserialize = "K: Ord + Deserialize<'de>, T: Deserialize<'de>"
--- a/kingcupbay_core/src/claim/record.rs
+++ b/kingcupbay_core/src/claim/record.rs
@@ -23,7 +23,8 @@
 /// Invariant: the row is never removed. A row made again would begin at
 /// revision 1 again, and a late write of an old attempt, which names the
 /// revision it saw, would hit another attempt's claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// What the call asks for.
     pub digest: Digest,
@@ -38,7 +39,8 @@
 }
 
 /// How far a claimed call is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// It may be running, have run, or be about to.
@@ -51,7 +53,8 @@
 
 /// A service's answer.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -71,7 +74,8 @@
 /// SHA-256 of what a call asks for: a key used again for something else must
 /// not be answered with the first call's outcome.
 #[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Digest(#[serde_as(as = "Hex")] [u8; 32]);
 
--- a/kingcupbay_core/src/config/change.rs
+++ b/kingcupbay_core/src/config/change.rs
@@ -9,7 +9,8 @@
 use crate::id::{AdapterId, MemberId, Name, OrganisationId};
 
 /// One change. `Set…` makes the row or replaces its content.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Change {
     /// Makes or changes an organisation.
@@ -121,7 +122,8 @@
 }
 
 /// Why a change is refused. The row and field are named.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 pub enum Refusal {
     /// A row that must exist does not.
     #[error("{kind} {name} does not exist")]
--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -16,7 +16,8 @@
 
 /// SHA-256 of an access key. Keys are 256 random bits, so a plain hash does.
 #[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyHash(#[serde_as(as = "Hex")] pub [u8; 32]);
 
@@ -28,7 +29,8 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Organisation {
     /// Its name.
     pub name: Name,
@@ -39,7 +41,8 @@
 }
 
 /// What an organisation may have over the whole fleet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Total {
     /// Tokens a second.
     pub rate: u64,
@@ -48,7 +51,8 @@
 }
 
 /// An access key that callers present.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// Operators' label.
     pub label: Name,
@@ -59,7 +63,8 @@
 }
 
 /// An adapter of one organisation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Adapter {
     /// Its name, unique over all organisations.
     pub name: Name,
@@ -74,7 +79,8 @@
 }
 
 /// One version of an adapter.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Version {
     /// The adapter.
     pub adapter: AdapterId,
@@ -85,7 +91,8 @@
 }
 
 /// A back end and the daemon in front of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Upstream {
     /// Its name.
     pub name: Name,
@@ -102,7 +109,8 @@
 }
 
 /// What an [`Upstream`] serves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Serves {
     /// Adapters of a base model.
@@ -122,7 +130,8 @@
 }
 
 /// A way for callers to a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// Its name, the first segment of the path.
     pub name: Name,
@@ -135,7 +144,8 @@
 }
 
 /// Role of a daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Beside callers, behind the balancer.
@@ -145,7 +155,8 @@
 }
 
 /// A daemon that counts towards majorities.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Its host.
     pub host: Name,
@@ -165,7 +176,8 @@
 /// Invariants: every id held by a row names a row that exists; each `*_names`
 /// index holds exactly the rows of its arena. [`change`](super::change) keeps
 /// both, and is the only writer.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Config {
     /// Its number.
     pub number: Number,
--- a/kingcupbay_core/src/config/patch.rs
+++ b/kingcupbay_core/src/config/patch.rs
@@ -26,7 +26,8 @@
 }
 
 /// Content of the head row.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// The number in force.
     pub number: Number,
@@ -35,7 +36,8 @@
 }
 
 /// A set of changes that is taken whole or refused whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Patch {
     /// Drawn by the operators' tool; tells a repeat of this patch, or a write
     /// whose answer was lost, from somebody else's patch.
@@ -49,7 +51,8 @@
 }
 
 /// Why a patch is not taken.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 #[serde(rename_all = "snake_case")]
 pub enum PatchError {
     /// It was made against another number than the one in force.
--- a/kingcupbay_core/src/gossip/message.rs
+++ b/kingcupbay_core/src/gossip/message.rs
@@ -24,7 +24,8 @@
 pub const AGE_UNIT: Span = Span::from_millis(25);
 
 /// Question of one daemon to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Pull {
     /// Who asks; none before it has joined.
     pub member: Option<MemberId>,
@@ -37,7 +38,8 @@
 }
 
 /// The answer to a [`Pull`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// Which start of the daemon at this address answers.
     pub incarnation: u64,
@@ -60,7 +62,8 @@
 }
 
 /// A whole configuration for a newcomer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// The configuration.
     pub config: Config,
@@ -71,7 +74,8 @@
 
 /// Ages of members whose ids follow each other, one byte each, in
 /// [`AGE_UNIT`]s. A fleet that grew or was restarted in one go is one run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Distance of the first id from the last one of the run before.
     pub gap: u32,
--- a/kingcupbay_core/src/gossip/record.rs
+++ b/kingcupbay_core/src/gossip/record.rs
@@ -13,7 +13,8 @@
 const ANSWER_BYTES: usize = 16 * 1024;
 
 /// What a record is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Topic {
     /// Load and resident adapters of an upstream daemon.
     Load,
@@ -22,7 +23,8 @@
 }
 
 /// A record of one member.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Counts the member's changes over both topics. Only grows.
     pub sequence: u32,
@@ -31,12 +33,14 @@
 }
 
 /// A record on its way.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Carried(pub MemberId, pub Topic, pub u32, pub Bytes);
 
 /// Newest sequence number known of each member, as flat pairs of (distance
 /// from the previous id, sequence number).
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Seen(Vec<u32>);
 
--- a/kingcupbay_core/src/id.rs
+++ b/kingcupbay_core/src/id.rs
@@ -10,11 +10,13 @@
 pub const NAME_MAX: usize = 64;
 
 /// A name given by an operator: 1 to 64 of `a-z`, `0-9`, `.`, `_` and `-`.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct Name(Box<str>);
 
 /// Why a text is not a [`Name`].
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum NameError {
     /// The length is out of bounds.
     #[error("a name has 1 to {NAME_MAX} bytes, this one has {0}")]
@@ -111,9 +113,8 @@
 }
 
 /// The number of a configuration. It only grows.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Number(pub u64);
 
@@ -131,9 +132,8 @@
 }
 
 /// Identity of one request on every hop; random, so that two never meet.
-#[derive(
-    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct RequestId(pub [u8; 16]);
 
 impl fmt::Display for RequestId {
--- a/kingcupbay_core/src/ini.rs
+++ b/kingcupbay_core/src/ini.rs
@@ -26,7 +26,8 @@
 }
 
 /// A mistake in a file, complete for the person who wrote it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Error)]
 #[error("{file}:{line}: [{section}] {key}: found {found:?}, allowed: {allowed}")]
 pub struct Mistake {
     /// The file.
--- a/kingcupbay_core/src/route/peer.rs
+++ b/kingcupbay_core/src/route/peer.rs
@@ -11,7 +11,8 @@
 const PLACES: u32 = 8;
 
 /// What an upstream daemon tells about one of its upstreams.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Loaded versions in the order of their keys.
     pub loaded: Vec<VersionId>,
--- a/kingcupbay_core/src/share/amount.rs
+++ b/kingcupbay_core/src/share/amount.rs
@@ -11,9 +11,8 @@
 const MICROS: u64 = 1_000_000;
 
 /// An amount of tokens, in micro-tokens.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Amount(u64);
 
--- a/kingcupbay_core/src/share/bucket.rs
+++ b/kingcupbay_core/src/share/bucket.rs
@@ -13,9 +13,8 @@
 /// A part of an organisation's rate and burst. Over all entries and all
 /// messages on their way, each of the three fields sums to at most the
 /// organisation's.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Share {
     /// Tokens a second.
     pub rate: u64,
@@ -35,7 +34,8 @@
 }
 
 /// Key of a reservation of one bucket, unique among those not settled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ReservationId(u64);
 
--- a/kingcupbay_core/src/share/message.rs
+++ b/kingcupbay_core/src/share/message.rs
@@ -6,7 +6,8 @@
 use crate::id::{Number, OrganisationId};
 
 /// A message and its frame. Any may be lost, doubled, late or crossed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Envelope {
     /// Who sends it.
     pub from: Holder,
@@ -19,7 +20,8 @@
 }
 
 /// Content of an [`Envelope`].
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// The sender cannot admit a request with what it has.
     Ask(Ask),
@@ -39,7 +41,8 @@
 }
 
 /// A request for tokens of one organisation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Ask {
     /// Whose tokens.
     pub organisation: OrganisationId,
@@ -51,7 +54,8 @@
 ///
 /// Invariant: a sequence number is used once for each receiver, and a repeat
 /// of it carries the same parts.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Transfer {
     /// Sequence number from this sender to this receiver in this epoch.
     pub seq: u64,
@@ -64,7 +68,8 @@
 }
 
 /// A share of one organisation in a [`Transfer`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Part {
     /// The organisation.
     pub organisation: OrganisationId,
@@ -74,7 +79,8 @@
 
 /// What an entry has and needs of one organisation. Only organisations with
 /// demand travel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Slack {
     /// The organisation.
     pub organisation: OrganisationId,
--- a/kingcupbay_core/src/share/plan.rs
+++ b/kingcupbay_core/src/share/plan.rs
@@ -17,7 +17,8 @@
 ///
 /// Requirement: an incarnation that left the configuration never joins again.
 /// It would come back with what was granted to others meanwhile.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Holder(pub u64);
 
@@ -43,7 +44,8 @@
 }
 
 /// The conserved part of a [`Share`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Holding {
     /// Tokens a second.
     pub rate: u64,
@@ -60,7 +62,8 @@
 /// What one holder held when it entered an epoch. Invariant: a holder makes
 /// one report for an epoch, writes it to its row and never changes it, so
 /// everybody computes the same grants from the same reports.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Whose report.
     pub holder: Holder,
--- a/kingcupbay_core/src/time.rs
+++ b/kingcupbay_core/src/time.rs
@@ -8,16 +8,14 @@
 ///
 /// Invariant: two values are compared only when the same host read them; no
 /// message carries one, messages carry a [`Span`].
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Instant(u64);
 
 /// A length of time in microseconds.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Span(u64);
 
--- a/kingcupbay_core/src/wire/admin.rs
+++ b/kingcupbay_core/src/wire/admin.rs
@@ -34,7 +34,8 @@
 pub const DUMP_PATH: &str = "/admin/dump";
 
 /// Answer 200 to a patch: the table holds it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Taken {
     /// The number it made.
     pub number: Number,
@@ -44,14 +45,16 @@
 }
 
 /// Answer 409 (stale) or 422 (does not check) to a patch: nothing changed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refused {
     /// Why.
     pub error: PatchError,
 }
 
 /// Answer 503 to a patch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Undecided {
     /// What the daemon can say about the patch.
     pub outcome: Outcome,
@@ -60,7 +63,8 @@
 }
 
 /// What became of a patch that was neither taken nor refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The table may have taken it.
@@ -70,14 +74,16 @@
 }
 
 /// Answer to a history request, in the order of the numbers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct History {
     /// The patches.
     pub patches: Vec<Numbered>,
 }
 
 /// A patch and the number it made.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Numbered {
     /// The number it made.
     pub number: Number,
--- a/kingcupbay_core/src/wire/engine.rs
+++ b/kingcupbay_core/src/wire/engine.rs
@@ -13,7 +13,8 @@
 
 /// A generation order. `model` names a loaded adapter as `adapter@version`,
 /// or the base model.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Generate {
     /// Adapter and version, or base model.
     pub model: String,
@@ -41,7 +42,8 @@
 }
 
 /// One message of a chat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Message {
     /// `system`, `user` or `assistant`.
     pub role: String,
@@ -50,7 +52,8 @@
 }
 
 /// One server-sent event of a generation. The stream ends with `[DONE]`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Chunk {
     /// Echo of the request id.
     pub id: RequestId,
@@ -65,7 +68,8 @@
 
 /// The one choice of a [`Chunk`]. Chat streams carry the same shape here:
 /// the daemon makes the chat shape towards its caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Choice {
     /// Always 0.
     pub index: u32,
@@ -79,7 +83,8 @@
 }
 
 /// Tokens counted for one request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
@@ -92,7 +97,8 @@
 /// Order to load an adapter version. The answer comes when it is loaded:
 /// 200, 409 with the newer number when `fencing` is old, 503 when the load
 /// failed, 507 when no slot is free.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadAdapter {
     /// `adapter@version`.
     pub lora_name: String,
@@ -104,7 +110,8 @@
 
 /// Order to unload an adapter version; 200 also when it is not loaded,
 /// 409 as for [`LoadAdapter`] or while a request still uses it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UnloadAdapter {
     /// `adapter@version`.
     pub lora_name: String,
@@ -113,14 +120,16 @@
 }
 
 /// Order to cancel a stream; 200 also when it is not running.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cancel {
     /// The stream's request.
     pub request_id: RequestId,
 }
 
 /// An engine's report of its load, which lags.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Changes when the engine restarts.
     pub incarnation: u64,
@@ -136,14 +145,16 @@
 
 /// Prefix cache and residency events after a sequence number; some are
 /// missing, as the numbers show.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Events {
     /// The events.
     pub events: Vec<Event>,
 }
 
 /// One event.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// Sequence number within the engine's incarnation.
     pub seq: u64,
@@ -154,7 +165,8 @@
 }
 
 /// Kinds of [`Event`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EventKind {
     /// The adapter version is loaded.
--- a/kingcupbay_core/src/wire/error.rs
+++ b/kingcupbay_core/src/wire/error.rs
@@ -5,7 +5,8 @@
 use crate::time::Span;
 
 /// Whether a refused or failed request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ran {
     /// It provably never reached an engine or service.
@@ -87,7 +88,8 @@
 }
 
 /// A refusal or failure, complete for the caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Failure {
     /// Stable code.
     pub code: Code,
--- a/kingcupbay_core/src/wire/fleet.rs
+++ b/kingcupbay_core/src/wire/fleet.rs
@@ -5,7 +5,8 @@
 use crate::id::Name;
 
 /// One host as the list shows it. The list lags behind the truth.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Host {
     /// The host's name.
     pub name: Name,
@@ -16,7 +17,8 @@
 }
 
 /// The list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Hosts {
     /// Hosts in the order of their names.
     pub hosts: Vec<Host>,
--- a/kingcupbay_core/src/wire/run.rs
+++ b/kingcupbay_core/src/wire/run.rs
@@ -17,7 +17,8 @@
 };
 
 /// One request, as the entry admitted it. It never carries the key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Identity on every hop.
     pub request: RequestId,
@@ -35,7 +36,8 @@
 }
 
 /// What a [`Run`] asks for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Work {
     /// Generate with an adapter version.
     Generate {
@@ -64,7 +66,8 @@
 }
 
 /// The two prompt shapes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Prompt {
     /// Text completion.
     Text(String),
@@ -87,7 +90,8 @@
 }
 
 /// One frame of the answer.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Frame {
     /// The request it belongs to; a frame of another request is dropped and
     /// ends the stream.
@@ -97,7 +101,8 @@
 }
 
 /// Content of a [`Frame`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum RunEvent {
     /// Still alive; nothing new.
     Heartbeat,
--- a/kingcupbay_core/src/wire/table.rs
+++ b/kingcupbay_core/src/wire/table.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A row as read. A row that does not exist is not listed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// The row's key.
     pub key: String,
@@ -14,7 +15,8 @@
 }
 
 /// A condition on one row: its revision, 0 when it must not exist.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Condition {
     /// The row's key.
     pub key: String,
@@ -23,7 +25,8 @@
 }
 
 /// A write to one row; `None` removes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// The row's key.
     pub key: String,
@@ -32,7 +35,8 @@
 }
 
 /// All writes happen when all conditions hold, and none otherwise.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Txn {
     /// What must hold.
     pub conditions: Vec<Condition>,
@@ -41,7 +45,8 @@
 }
 
 /// The answer to a [`Txn`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TxnAnswer {
     /// Every write took effect.
@@ -51,7 +56,8 @@
 }
 
 /// What to read in one consistent step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Read {
     /// These rows.
@@ -68,7 +74,8 @@
 }
 
 /// The rows found, in the order of their keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Rows {
     /// The rows.
     pub rows: Vec<Row>,
--- a/kingcupbay_standin/src/control.rs
+++ b/kingcupbay_standin/src/control.rs
@@ -30,7 +30,8 @@
 }
 
 /// Why a [`Control`] got no answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ControlError {
     /// The request was not answered.
     #[error("no answer: {0}")]
--- a/kingcupbay_standin/src/engine/mod.rs
+++ b/kingcupbay_standin/src/engine/mod.rs
@@ -88,7 +88,8 @@
 }
 
 /// JSON body of a 409 that refuses an old fencing number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fenced {
     /// The newest number the engine has seen.
     pub fencing: u64,
--- a/kingcupbay_standin/src/engine/record.rs
+++ b/kingcupbay_standin/src/engine/record.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an engine recorded since it was started, over all incarnations.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineRecord {
     /// Every stream accepted, in order.
     pub ran: Vec<Ran>,
@@ -25,7 +26,8 @@
 }
 
 /// One stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ran {
     /// Adapter and version, or base model.
     pub model: String,
@@ -40,7 +42,8 @@
 }
 
 /// Where a stream stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Waits for a place in the batch.
--- a/kingcupbay_standin/src/engine/stream.rs
+++ b/kingcupbay_standin/src/engine/stream.rs
@@ -24,7 +24,8 @@
 const DONE: &str = "data: [DONE]\n\n";
 
 /// Ends the connection without completing the answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("the stream was cut")]
 pub(crate) struct Cut;
 
--- a/kingcupbay_standin/src/fault.rs
+++ b/kingcupbay_standin/src/fault.rs
@@ -11,7 +11,8 @@
 use crate::changes::Changes;
 
 /// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// The request has no effect and is answered 503.
@@ -67,7 +68,8 @@
 }
 
 /// A fault and the requests, loads, streams, reports or events it hits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Rule {
     /// What goes wrong.
     pub fault: Fault,
@@ -83,7 +85,8 @@
 }
 
 /// Body of `POST /fault`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultOrder {
     /// Puts a rule in force; answered with its [`RuleId`].
@@ -100,12 +103,14 @@
 }
 
 /// Names a rule until it is cleared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RuleId(pub u64);
 
 /// A rule in force, or spent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Active {
     /// The rule.
     pub rule: Rule,
@@ -117,7 +122,8 @@
 }
 
 /// Answer to `GET /fault`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Faults {
     /// The rules that are not cleared.
     pub rules: BTreeMap<u64, Active>,
--- a/kingcupbay_standin/src/hosts.rs
+++ b/kingcupbay_standin/src/hosts.rs
@@ -19,7 +19,8 @@
 };
 
 /// Body of `PUT /hosts/lag`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Lag {
     /// Milliseconds until a change shows.
     pub millis: u64,
--- a/kingcupbay_standin/src/objects.rs
+++ b/kingcupbay_standin/src/objects.rs
@@ -15,7 +15,8 @@
 };
 
 /// What the object store counted since it started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ObjectsRecord {
     /// Objects written.
     pub puts: u64,
--- a/kingcupbay_standin/src/platform.rs
+++ b/kingcupbay_standin/src/platform.rs
@@ -24,7 +24,8 @@
 };
 
 /// What the platform counted since it started; `GET /state`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlatformRecord {
     /// The table's counts.
     pub table: TableRecord,
--- a/kingcupbay_standin/src/server/admin.rs
+++ b/kingcupbay_standin/src/server/admin.rs
@@ -23,7 +23,8 @@
 const HOSTS: &str = "/hosts";
 
 /// Body of `PUT /received`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Recording {
     /// Whether to record from now on.
     pub(crate) on: bool,
--- a/kingcupbay_standin/src/service.rs
+++ b/kingcupbay_standin/src/service.rs
@@ -24,7 +24,8 @@
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
 /// Executions counted since the start.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Executions {
     /// All of them.
     pub total: u64,
@@ -33,7 +34,8 @@
 }
 
 /// The JSON answer to a call.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Executed {
     /// Path below [`CALL_PATH`].
     pub path: String,
--- a/kingcupbay_standin/src/table.rs
+++ b/kingcupbay_standin/src/table.rs
@@ -14,7 +14,8 @@
 };
 
 /// What the table counted since it started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TableRecord {
     /// Transactions that took effect.
     pub committed: u64,
--- a/kingcupbay_standin/src/weights.rs
+++ b/kingcupbay_standin/src/weights.rs
@@ -29,14 +29,16 @@
 pub const LOAD_TIME: Duration = Duration::from_millis(250);
 
 /// Body of `POST /weights/take`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Take {
     /// What to load.
     pub path: String,
 }
 
 /// What the weight store counted since it started.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightsRecord {
     /// Loads in flight now.
     pub in_flight: u32,
--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -95,7 +95,8 @@
 }
 
 /// Why an attempt ended without an answer or a failure of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 enum Broken {
     /// The daemon could not be reached; nothing was sent.
     #[error("unreachable")]
--- a/kingcupbayd/src/fleet/peer.rs
+++ b/kingcupbayd/src/fleet/peer.rs
@@ -37,7 +37,8 @@
 const ANSWER_LIMIT: usize = 64 << 20;
 
 /// Why a peer gave no answer.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum PeerError {
     #[error("no such member")]
     Unknown,
--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -13,7 +13,8 @@
 use thiserror::Error;
 
 /// Why an answer's body is not whole.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub(crate) enum Partial {
     /// The connection failed, or the body is too long.
     #[error("the answer broke off: {0}")]
--- a/kingcupbayd/src/main.rs
+++ b/kingcupbayd/src/main.rs
@@ -9,7 +9,8 @@
 mod signal;
 
 /// Daemon of kingcupbay; its role stands in its settings.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "kingcupbayd", version)]
 struct Args {
     /// Settings, an INI file.
--- a/kingcupbayd/src/platform/object.rs
+++ b/kingcupbayd/src/platform/object.rs
@@ -12,7 +12,8 @@
 const OBJECT_LIMIT: usize = 256 << 20;
 
 /// Why an object could not be read or written.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("the object store: {0}")]
 pub(crate) struct ObjectError(String);
 
--- a/kingcupbayd/src/platform/table.rs
+++ b/kingcupbayd/src/platform/table.rs
@@ -15,7 +15,8 @@
 const ANSWER_LIMIT: usize = 64 << 20;
 
 /// What became of a call whose answer did not come.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub(crate) enum TableError {
     /// The call provably never arrived, or was refused before any effect.
     #[error("the table cannot be reached: {0}")]
--- a/kingcupbayd/src/upstream/engine.rs
+++ b/kingcupbayd/src/upstream/engine.rs
@@ -29,7 +29,8 @@
 const DONE: &str = "[DONE]";
 
 /// Why an engine did not do as it was ordered.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub(crate) enum EngineError {
     /// It could not be reached; it did nothing.
     #[error("the engine cannot be reached: {0}")]
--- a/kingcupbayd/src/upstream/fence.rs
+++ b/kingcupbayd/src/upstream/fence.rs
@@ -30,7 +30,8 @@
 const PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
 
 /// Row of one engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Fence {
     /// The number in force.
     number: u64,
