--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -246,6 +246,43 @@
     assert_eq!(refused.retry_after, Some(1));
 }
 
+/// An order for the first upstream, under the configuration in force.
+async fn order(fleet: &Fleet) -> Run {
+    let text = get(&fleet.entries[0], "/admin/config").await;
+    let config: Config = serde_json::from_str(&text).unwrap();
+    Run {
+        request: RequestId([7; 16]),
+        organisation: config.organisation_names[&name("winery")],
+        number: config.number,
+        upstream: config.upstream_names[&name("gpu-1")],
+        left: Span::from_secs(30),
+        work: Work::Generate {
+            version: config.version_of("tasting@v1").unwrap(),
+            prompt: Prompt::Text("a tour".into()),
+            max_tokens: TOKENS,
+            offset: 0,
+            sampling: Default::default(),
+        },
+    }
+}
+
+/// An entry that missed the news sends an order, under the number before, to
+/// an upstream that is leaving. Its daemon must refuse it, truly as not run.
+#[actix_rt::test]
+async fn a_leaving_upstream_refuses_an_entry_that_missed_the_news() {
+    let mut fleet = pair("0").await;
+    let order = order(&fleet).await;
+    let text = get(&fleet.entries[0], "/admin/config").await;
+    let config: Config = serde_json::from_str(&text).unwrap();
+    let mut upstream = config.upstreams.get(order.upstream).unwrap().clone();
+    upstream.leaving = true;
+    fleet.apply(&[Change::SetUpstream { upstream }]).await;
+    let answer = run(&fleet.upstreams[0], &order).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.contains("no_upstream") && answer.contains("not_run"), "{answer}");
+    assert_eq!(record(&fleet.engines[0]).await.ran.len(), 0);
+}
+
 /// An order as an entry sends it; the body of its answer.
 async fn run(upstream: &Process, order: &Run) -> Vec<u8> {
     let url = format!("http://{}/run", upstream.address("peers"));
@@ -260,24 +297,9 @@
 #[actix_rt::test]
 async fn a_repeated_order_does_not_push_the_first_aside() {
     let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], TIGHT).await;
-    let text = get(&fleet.entries[0], "/admin/config").await;
-    let config: Config = serde_json::from_str(&text).unwrap();
+    let order = order(&fleet).await;
     let engine = control(&fleet.engines[0]);
     engine.set(Rule::new(Fault::Slow { millis: 300 }).path("/v1/load").times(1)).await.unwrap();
-    let order = Run {
-        request: RequestId([7; 16]),
-        organisation: config.organisation_names[&name("winery")],
-        number: config.number,
-        upstream: config.upstream_names[&name("gpu-1")],
-        left: Span::from_secs(30),
-        work: Work::Generate {
-            version: config.version_of("tasting@v1").unwrap(),
-            prompt: Prompt::Text("a tour".into()),
-            max_tokens: TOKENS,
-            offset: 0,
-            sampling: Default::default(),
-        },
-    };
     let upstream = &fleet.upstreams[0];
     let first = run(upstream, &order);
     let second = async {
--- a/kingcupbayd/tests/input.rs
+++ b/kingcupbayd/tests/input.rs
@@ -179,6 +179,36 @@
     assert!(!find(&hash));
 }
 
+/// The same for a plain service behind a route that may be repeated and one
+/// that may not.
+#[actix_rt::test]
+async fn no_byte_of_a_key_reaches_a_service() {
+    let mut fleet = small().await;
+    let service = common::standin("service", &[]);
+    let mut changes = vec![common::service_upstream("desk-1", "upstream-1", &service)];
+    for (route, once) in [("book", true), ("look", false)] {
+        changes.push(Change::SetRoute {
+            name: name(route),
+            organisation: name("winery"),
+            service: name("booking"),
+            once,
+        });
+    }
+    fleet.apply(&changes).await;
+    let recorder = control(&service);
+    recorder.record(true).await.unwrap();
+    for route in ["book", "look"] {
+        let request = ask(&fleet.entries[0], &format!("/v1/call/{route}/seats"));
+        let request = request.insert_header(("idempotency-key", route));
+        let answer = finish(request, &json!({"seat": "the one by the window"})).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    let received = recorder.received().await.unwrap();
+    let find = |text: &str| received.windows(text.len()).any(|part| part == text.as_bytes());
+    assert!(find("by the window"), "the recording holds the calls");
+    assert!(!find(SECRET) && !find(&SECRET[4..]) && !find("uthorization"));
+}
+
 #[actix_rt::test]
 async fn models_are_listed_by_key() {
     let mut fleet = small().await;
