Let a successor wait for its join before an engine that ignores fencing

Cause: read once more, the wait of 5 s began when the fencing row was written. Standing rests on peers' vouches too, so a paused predecessor keeps it until they know it is replaced; a successor whose join was not yet in force could order the same engine about. On such an engine nothing else holds the two apart. Ruled out: a longer wait; how long a join takes to be in force has no bound. Change: for engines that do not check, the wait begins when the join is in force. Conclusion: the claim in upstream/fence.rs now holds under vouches.

--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -117,6 +117,12 @@
         self.gossip.borrow().standing().own().is_some()
     }
 
+    /// Whether this daemon's own join is in force, and its predecessor's
+    /// membership so over for everybody with standing.
+    pub(crate) fn is_joined(&self) -> bool {
+        self.is_member() && self.in_force() == self.number()
+    }
+
     /// Reads until this daemon knows `number` or newer.
     pub(crate) async fn catch_up(self: &Rc<Fleet>, number: Number) -> bool {
         if self.number() < number {
--- a/kingcupbayd/src/upstream/fence.rs
+++ b/kingcupbayd/src/upstream/fence.rs
@@ -53,6 +53,12 @@
         match take(upstream, engine, &attempt).await {
             Ok(Some(number)) => {
                 if !checked && number > 1 {
+                    // A predecessor that was paused keeps the standing that
+                    // its peers vouch for until they know it is replaced, so
+                    // the wait begins only when this daemon's join is in force.
+                    while !upstream.fleet.is_joined() {
+                        tokio::time::sleep(PAUSE).await;
+                    }
                     tokio::time::sleep((FRESHNESS + ORDER_FLIGHT).into()).await;
                 }
                 info!(upstream.log, ""; "event" => "owned", "upstream" => %engine,
--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -246,6 +246,34 @@
     assert_eq!(refused.retry_after, Some(1));
 }
 
+/// A daemon before an engine that ignores fencing numbers is replaced while it
+/// may only be paused. Its peers have not heard of the successor and still
+/// vouch for it, so the successor must not order the engine about yet.
+#[actix_rt::test]
+async fn a_successor_waits_until_its_join_is_in_force() {
+    let mut fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "0"], TIGHT).await;
+    let text = get(&fleet.entries[0], "/admin/config").await;
+    let config: Config = serde_json::from_str(&text).unwrap();
+    let id = config.upstream_names[&name("gpu-1")];
+    let mut upstream = config.upstreams.get(id).unwrap().clone();
+    upstream.serves = Serves::Model { base: name("base"), slots: 8, fenced: false };
+    fleet.apply(&[Change::SetUpstream { upstream }]).await;
+    until("the owner", async || {
+        let dump = get(&fleet.upstreams[0], "/admin/dump").await;
+        dump.contains("upstream=gpu-1 fencing=2 ").then_some(())
+    })
+    .await;
+    fleet.upstreams[0].signal("-STOP");
+    fleet.entries[0].signal("-STOP");
+    let mut successor = daemon("upstream", "upstream-1", &fleet.platform, TIGHT);
+    // Longer than the wait that follows a join in force.
+    tokio::time::sleep(std::time::Duration::from_secs(8)).await;
+    let dump = get(&successor, "/admin/dump").await;
+    assert!(dump.contains("upstream=gpu-1 fencing=0 "), "{dump}");
+    fleet.entries[0].signal("-CONT");
+    successor.wait_line("event=owned");
+}
+
 /// An order for the first upstream, under the configuration in force.
 async fn order(fleet: &Fleet) -> Run {
     let text = get(&fleet.entries[0], "/admin/config").await;
