--- /dev/null
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -0,0 +1,404 @@
+//! Which requests one model engine takes and when, and which adapters it holds.
+//!
+//! The daemon beside an engine is the only one that orders it about, and every
+//! request asks it for a place first. So places, memory and adapters need no
+//! agreement between hosts. [`queue`] keeps what waits and says how long it
+//! will; [`order`] and [`report`] are what the engine is told and tells;
+//! [`pace`] learns how fast it reads prompts.
+//!
+//! An engine reads prompts between the tokens of running requests. What is
+//! sent to it beyond what it reads in [`WINDOW`] only waits inside, where it
+//! can be neither overtaken by something more urgent nor refused any more.
+//! So it waits here: the most urgent first, those that would be late anyway
+//! behind those that can still be on time.
+
+pub mod order;
+mod orders;
+pub mod pace;
+pub mod queue;
+pub mod report;
+
+use std::collections::BTreeMap;
+
+use crate::{
+    deployment::model::{AdapterName, Engine},
+    time::{Instant, Span},
+    wire::sidecar::{Pressure, Refusal, Verdict, Want},
+};
+
+use self::{
+    order::{Order, Reply},
+    pace::Pace,
+    queue::{Queue, Waiter},
+    report::Report,
+};
+
+/// Prompts sent to the engine and not read yet, as time to read them: two of
+/// the engine's steps with prompts, so that it never runs out of them between
+/// two reports.
+const WINDOW: Span = Span::from_millis(200);
+
+/// Time of an adapter's load from the weight store at full speed.
+const LOAD: Span = Span::from_millis(250);
+
+/// A place that was granted and whose request no report has shown by then was
+/// never used: its entry died or its request was lost on the way.
+const UNSEEN: Span = Span::from_secs(3);
+
+/// A request that a report has shown and later ones do not any more has ended;
+/// the entry says so within a round trip, unless it died.
+const ENDED: Span = Span::from_secs(1);
+
+/// Shortest time to come back: one report later.
+const RETRY_MIN: Span = Span::from_millis(200);
+
+/// Part of the engine's memory that is given out, in percent: the engine
+/// rounds each request up to whole blocks.
+const MEMORY_PART: u64 = 95;
+
+/// Key of a request that asked for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// What the shell has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tell the entry.
+    Answer(Ticket, Verdict),
+    /// Give the engine an order and say what it replied.
+    Order(Order),
+}
+
+/// A request that was let through and has not ended.
+#[derive(Clone, Debug)]
+struct Running {
+    name: AdapterName,
+    /// Tokens of memory kept for it.
+    kept: u64,
+    /// Tokens of its prompt that the engine has not read yet.
+    unread: u64,
+    since: Instant,
+    /// When a report last showed it.
+    seen: Option<Instant>,
+}
+
+/// One engine's places, memory, adapters and queue.
+#[derive(Debug)]
+pub struct Admission {
+    holder: String,
+    spec: Engine,
+    /// Known once the store was read; no order is given without it.
+    fencing: Option<u64>,
+    /// Newest announced versions.
+    newest: BTreeMap<AdapterName, u32>,
+    /// The youngest report; `None` while the engine does not answer.
+    report: Option<Report>,
+    reported: Instant,
+    queue: Queue,
+    /// By attempt id.
+    running: BTreeMap<String, Running>,
+    pace: Pace,
+    orders: orders::Orders,
+}
+
+impl Admission {
+    /// Places of an engine that `holder` orders about.
+    pub fn new(holder: &str) -> Admission {
+        Admission {
+            holder: holder.to_owned(),
+            spec: Engine::default(),
+            fencing: None,
+            newest: BTreeMap::new(),
+            report: None,
+            reported: Instant::default(),
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            pace: Pace::default(),
+            orders: orders::Orders::default(),
+        }
+    }
+
+    /// Takes what the operator declares of the engine.
+    pub fn on_spec(&mut self, spec: Engine) {
+        self.spec = spec;
+    }
+
+    /// Takes the fencing number; it never goes back.
+    pub fn on_fencing(&mut self, number: u64) {
+        self.fencing = Some(self.fencing.unwrap_or_default().max(number));
+    }
+
+    /// Takes an announced version.
+    pub fn on_version(&mut self, name: AdapterName, version: u32) {
+        let known = self.newest.entry(name).or_default();
+        *known = version.max(*known);
+    }
+
+    /// Takes a request in.
+    pub fn on_want(&mut self, now: Instant, ticket: Ticket, want: Want) -> Vec<Action> {
+        if let Some(refusal) = self.closed(&want) {
+            return vec![refuse(ticket, refusal, RETRY_MIN)];
+        }
+        let estimate = self.estimate(&want);
+        if estimate > want.patience {
+            let after = estimate.saturating_sub(want.patience).max(RETRY_MIN);
+            return vec![refuse(ticket, Refusal::Busy, after)];
+        }
+        self.orders.on_use(now, &want.name);
+        self.queue.push(Waiter::new(now, ticket, want));
+        self.pump(now)
+    }
+
+    /// Takes back a request whose entry does not wait any more.
+    pub fn on_cancel(&mut self, now: Instant, ticket: Ticket) -> Vec<Action> {
+        self.queue.remove(ticket);
+        self.pump(now)
+    }
+
+    /// A request has ended, or its place will not be used.
+    pub fn on_done(&mut self, now: Instant, attempt: &str) -> Vec<Action> {
+        if let Some(ended) = self.running.remove(attempt) {
+            self.orders.on_use(now, &ended.name);
+            self.pace.on_end(now, self.running.len());
+        }
+        self.pump(now)
+    }
+
+    /// Takes a report.
+    pub fn on_report(&mut self, now: Instant, report: Report) -> Vec<Action> {
+        if self.report.as_ref().is_some_and(|before| report.orders < before.orders) {
+            // It restarted: nothing of what ran is there any more.
+            self.running.clear();
+            self.orders.on_restart();
+        }
+        let read = self.settle(now, &report);
+        self.pace.on_read(now.since(self.reported), read, self.unread());
+        self.orders.on_report();
+        self.report = Some(report);
+        self.reported = now;
+        self.pump(now)
+    }
+
+    /// The engine did not answer when asked for a report.
+    pub fn on_silence(&mut self, now: Instant) -> Vec<Action> {
+        self.report = None;
+        self.pump(now)
+    }
+
+    /// Takes the engine's reply to the order in flight.
+    pub fn on_reply(&mut self, now: Instant, reply: Reply) {
+        self.orders.on_reply(now, reply);
+    }
+
+    /// Time has passed.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<Action> {
+        self.pump(now)
+    }
+
+    /// Time until the next report is of use.
+    pub fn next_report(&self) -> Span {
+        /// An order was answered: what it did decides about the next.
+        const AFTER_ORDER: Span = Span::from_micros(500);
+        /// Somebody waits for a load, which takes 25 ms at best.
+        const LOADING: Span = Span::from_millis(10);
+        /// Somebody waits for prompts to be read, one to each step of 10 ms.
+        const WAITING: Span = Span::from_millis(20);
+        /// Requests run; their first events free the window.
+        const RUNNING: Span = Span::from_millis(60);
+        /// Nothing runs; the engine may have restarted or be leaving.
+        const IDLE: Span = Span::from_millis(200);
+        let pending = self.report.as_ref().is_some_and(|report| !report.pending.is_empty());
+        if self.orders.unsettled() {
+            AFTER_ORDER
+        } else if pending && !self.queue.is_empty() {
+            LOADING
+        } else if !self.queue.is_empty() {
+            WAITING
+        } else if !self.running.is_empty() {
+            RUNNING
+        } else {
+            IDLE
+        }
+    }
+
+    /// What entries are told.
+    pub fn pressure(&self) -> Pressure {
+        let held = self.report.iter().flat_map(Report::adapters);
+        Pressure {
+            engine: None,
+            running: self.running.len() as u32,
+            waiting: self.queue.len() as u32,
+            slots: self.spec.slots,
+            delay: self.pace.time(self.unread() + self.queue.tokens()),
+            open: self.report.as_ref().is_some_and(|report| !report.leaving),
+            held: held.collect(),
+        }
+    }
+
+    /// One line for a dump.
+    pub fn dump(&self) -> String {
+        format!(
+            "running={} waiting={} unread={} pace={:.1} report={} fencing={:?}\n",
+            self.running.len(),
+            self.queue.len(),
+            self.unread(),
+            self.pace.tokens(),
+            self.report.is_some(),
+            self.fencing,
+        )
+    }
+
+    /// Why no request for `want` is taken at all.
+    fn closed(&self, want: &Want) -> Option<Refusal> {
+        let Some(report) = &self.report else { return Some(Refusal::Unready) };
+        if report.leaving {
+            return Some(Refusal::Leaving);
+        }
+        if !report.has_model(&want.name) {
+            return Some(Refusal::Unready);
+        }
+        if want.size.total() > self.memory(report) {
+            return Some(Refusal::TooLarge);
+        }
+        // A replacement waits until nothing runs on the old version, which
+        // would keep this request waiting for seconds; another engine loads
+        // the new version in a quarter of one.
+        let outdated = report.version(&want.name).is_some_and(|held| self.is_old(&want.name, held));
+        (outdated && self.is_used(&want.name)).then_some(Refusal::Replacing)
+    }
+
+    /// How long `want` would wait for its place.
+    fn estimate(&self, want: &Want) -> Span {
+        let ahead = self.unread() + self.queue.tokens_before(want.rank);
+        let reading = self.pace.time(ahead).saturating_sub(WINDOW);
+        let loaded = self.report.as_ref().is_some_and(|report| {
+            report.version(&want.name).is_some_and(|held| !self.is_old(&want.name, held))
+        });
+        let loading = if loaded { Span::ZERO } else { LOAD };
+        let full = self.running.len() + self.queue.len() >= self.spec.slots.max(1) as usize;
+        let leaving = match full {
+            true => {
+                let over = self.running.len() + self.queue.len() + 1 - self.spec.slots as usize;
+                self.pace.ends(over as u64)
+            }
+            false => Span::ZERO,
+        };
+        reading.max(loading).max(leaving)
+    }
+
+    /// Starts what may start, refuses what has no prospect, and orders what
+    /// is missing.
+    fn pump(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for waiter in self.queue.expire(now) {
+            actions.push(refuse(waiter.ticket, Refusal::Busy, RETRY_MIN));
+        }
+        self.refuse_hopeless(&mut actions);
+        self.start(now, &mut actions);
+        let Some(report) = &self.report else { return actions };
+        let Some(fencing) = self.fencing else { return actions };
+        let used: Vec<&AdapterName> = self.running.values().map(|run| &run.name).collect();
+        let view = orders::View {
+            spec: &self.spec,
+            report,
+            newest: &self.newest,
+            used: &used,
+            wanted: &self.queue.names(),
+        };
+        if let Some((name, target)) = self.orders.plan(now, &view) {
+            let (holder, after) = (self.holder.clone(), Some(report.orders));
+            actions.push(Action::Order(Order { name, target, after, holder, fencing }));
+        }
+        actions
+    }
+
+    /// Refuses those that wait for an engine that went away or is leaving:
+    /// another may still serve them in time.
+    fn refuse_hopeless(&mut self, actions: &mut Vec<Action>) {
+        let why = match &self.report {
+            None => Refusal::Unready,
+            Some(report) if report.leaving => Refusal::Leaving,
+            Some(_) => return,
+        };
+        for waiter in self.queue.clear() {
+            actions.push(refuse(waiter.ticket, why, RETRY_MIN));
+        }
+    }
+
+    fn start(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let Some(report) = &self.report else { return };
+        let memory = self.memory(report);
+        let window = self.pace.tokens_in(WINDOW);
+        let mut unread = self.unread();
+        let mut kept: u64 = self.running.values().map(|run| run.kept).sum();
+        let mut places = (self.spec.slots as usize).saturating_sub(self.running.len());
+        for ticket in self.queue.order(now) {
+            if places == 0 || unread >= window {
+                return;
+            }
+            let Some(waiter) = self.queue.get(ticket) else { continue };
+            let want = &waiter.want;
+            let Some(held) = report.version(&want.name) else { continue };
+            if self.newest.get(&want.name).is_some_and(|&newest| held < newest) {
+                continue;
+            }
+            // Smaller ones behind do not pass, or a large one would never run.
+            if kept + want.size.total() > memory {
+                return;
+            }
+            let version = want.name.adapter.is_some().then_some(held);
+            let run = Running {
+                name: want.name.clone(),
+                kept: want.size.total(),
+                unread: want.size.prompt,
+                since: now,
+                seen: None,
+            };
+            places -= 1;
+            unread += run.unread;
+            kept += run.kept;
+            self.running.insert(want.attempt.clone(), run);
+            self.queue.remove(ticket);
+            actions.push(Action::Answer(ticket, Verdict::Granted { version }));
+        }
+    }
+
+    /// Compares what runs with a report; gives the prompt tokens read since
+    /// the one before.
+    fn settle(&mut self, now: Instant, report: &Report) -> u64 {
+        let mut read = 0;
+        for shown in &report.runs {
+            let Some(run) = self.running.get_mut(&shown.attempt) else { continue };
+            run.seen = Some(now);
+            if shown.events > 0 {
+                read += std::mem::take(&mut run.unread);
+            }
+        }
+        self.running.retain(|_, run| match run.seen {
+            Some(seen) => now.since(seen) < ENDED,
+            None => report.waiting > 0 || now.since(run.since) < UNSEEN,
+        });
+        read
+    }
+
+    fn unread(&self) -> u64 {
+        self.running.values().map(|run| run.unread).sum()
+    }
+
+    fn memory(&self, report: &Report) -> u64 {
+        let memory = if report.memory > 0 { report.memory } else { self.spec.memory };
+        memory * MEMORY_PART / 100
+    }
+
+    fn is_old(&self, name: &AdapterName, held: u32) -> bool {
+        self.newest.get(name).is_some_and(|&newest| held < newest)
+    }
+
+    fn is_used(&self, name: &AdapterName) -> bool {
+        self.running.values().any(|run| run.name == *name)
+    }
+}
+
+fn refuse(ticket: Ticket, why: Refusal, after: Span) -> Action {
+    Action::Answer(ticket, Verdict::Refused { why, after })
+}
--- /dev/null
+++ b/kingcupbay_core/src/admission/queue.rs
@@ -0,0 +1,126 @@
+//! Requests that wait for a place, and the order in which they get it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    deployment::model::AdapterName,
+    time::{Instant, Span},
+    wire::sidecar::Want,
+};
+
+use super::Ticket;
+
+/// What one step of rank is worth in waiting time. An urgent request passes
+/// those that came up to this long before it; one that has waited longer goes
+/// first whatever its rank, so no rank is starved.
+const RANK_STEP: Span = Span::from_millis(300);
+
+/// Time from a place to the first event: reading the prompt.
+const FIRST_EVENT: Span = Span::from_millis(150);
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub struct Waiter {
+    /// Its key.
+    pub ticket: Ticket,
+    /// What it wants.
+    pub want: Want,
+    /// When it came.
+    since: Instant,
+}
+
+impl Waiter {
+    /// A request that came at `now`.
+    pub fn new(now: Instant, ticket: Ticket, want: Want) -> Waiter {
+        Waiter { ticket, want, since: now }
+    }
+
+    /// Until when a place is of use.
+    fn until(&self) -> Instant {
+        self.since + self.want.patience
+    }
+
+    /// Whether it can still be on time.
+    fn on_time(&self, now: Instant) -> bool {
+        now + FIRST_EVENT <= self.since + self.want.aim
+    }
+
+    /// Its turn: the smaller goes first.
+    fn turn(&self) -> Instant {
+        self.since + Span::from_micros(RANK_STEP.as_micros() * u64::from(self.want.rank))
+    }
+}
+
+/// The requests that wait.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiters: BTreeMap<Ticket, Waiter>,
+}
+
+impl Queue {
+    /// Takes a request in.
+    pub fn push(&mut self, waiter: Waiter) {
+        self.waiters.insert(waiter.ticket, waiter);
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiter> {
+        self.waiters.remove(&ticket)
+    }
+
+    /// Takes all requests out.
+    pub fn clear(&mut self) -> Vec<Waiter> {
+        std::mem::take(&mut self.waiters).into_values().collect()
+    }
+
+    /// Takes out those that a place would not help any more.
+    pub fn expire(&mut self, now: Instant) -> Vec<Waiter> {
+        let over = |waiter: &Waiter| waiter.until() <= now;
+        let gone: Vec<Ticket> =
+            self.waiters.values().filter(|waiter| over(waiter)).map(|w| w.ticket).collect();
+        gone.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
+    }
+
+    /// A request by its key.
+    pub fn get(&self, ticket: Ticket) -> Option<&Waiter> {
+        self.waiters.get(&ticket)
+    }
+
+    /// Keys in the order in which they get places: those that can be on time
+    /// before those that cannot, as a place spent on a late one makes the
+    /// next one late too.
+    pub fn order(&self, now: Instant) -> Vec<Ticket> {
+        let turn = |waiter: &Waiter| (!waiter.on_time(now), waiter.turn(), waiter.ticket);
+        let mut order: Vec<_> = self.waiters.values().map(turn).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, ticket)| ticket).collect()
+    }
+
+    /// Adapters that are waited for, the longest first.
+    pub fn names(&self) -> Vec<AdapterName> {
+        let mut seen = BTreeSet::new();
+        let names = self.waiters.values().map(|waiter| &waiter.want.name);
+        names.filter(|name| seen.insert(*name)).cloned().collect()
+    }
+
+    /// Prompt tokens of all that wait.
+    pub fn tokens(&self) -> u64 {
+        self.waiters.values().map(|waiter| waiter.want.size.prompt).sum()
+    }
+
+    /// Prompt tokens of those that go before a new request of `rank`.
+    pub fn tokens_before(&self, rank: u8) -> u64 {
+        let before = self.waiters.values().filter(|waiter| waiter.want.rank <= rank);
+        before.map(|waiter| waiter.want.size.prompt).sum()
+    }
+
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+}
--- /dev/null
+++ b/kingcupbay_core/src/admission/report.rs
@@ -0,0 +1,91 @@
+//! What an engine reports of itself.
+
+use std::collections::BTreeMap;
+
+use crate::{deployment::model::AdapterName, time::Span};
+
+/// A report, true at the moment at which the engine made it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// It takes nothing new.
+    pub leaving: bool,
+    /// How long until it is gone, where it knows.
+    pub left: Option<Span>,
+    /// An order about a base model is in progress.
+    pub busy: bool,
+    /// Orders accepted since it started; fewer than before tell a restart.
+    pub orders: u64,
+    /// Requests that wait inside.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Tokens of memory that running requests hold.
+    pub memory_used: u64,
+    /// Tokens of memory.
+    pub memory: u64,
+    /// Base models with their adapters.
+    pub held: Vec<Held>,
+    /// Adapters on their way, with their versions.
+    pub pending: Vec<(AdapterName, u32)>,
+    /// Requests that run.
+    pub runs: Vec<Run>,
+}
+
+/// A loaded base model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Its name.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u32,
+    /// Versions of its loaded adapters by name.
+    pub adapters: BTreeMap<String, u32>,
+}
+
+/// A running request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Identity of the caller's attempt.
+    pub attempt: String,
+    /// Tokens of it in memory.
+    pub tokens: u64,
+    /// Events made so far; from the first on, its prompt has been read.
+    pub events: u64,
+}
+
+impl Report {
+    /// The version in which `name` is loaded.
+    pub fn version(&self, name: &AdapterName) -> Option<u32> {
+        let held = self.held.iter().find(|held| held.model == name.model)?;
+        match &name.adapter {
+            Some(adapter) => held.adapters.get(adapter).copied(),
+            None => Some(held.version),
+        }
+    }
+
+    /// Whether the base model of `name` is loaded.
+    pub fn has_model(&self, name: &AdapterName) -> bool {
+        self.held.iter().any(|held| held.model == name.model)
+    }
+
+    /// Whether `name` is on its way.
+    pub fn is_pending(&self, name: &AdapterName) -> bool {
+        self.pending.iter().any(|(other, _)| other == name)
+    }
+
+    /// Places that adapters take, those on their way included.
+    pub fn places_taken(&self) -> usize {
+        self.held.iter().map(|held| held.adapters.len()).sum::<usize>() + self.pending.len()
+    }
+
+    /// Every loaded adapter with its version.
+    pub fn adapters(&self) -> impl Iterator<Item = (AdapterName, u32)> {
+        self.held.iter().flat_map(|held| {
+            held.adapters.iter().map(|(adapter, &version)| {
+                let name =
+                    AdapterName { model: held.model.clone(), adapter: Some(adapter.clone()) };
+                (name, version)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/kingcupbay_core/src/allowance.rs
@@ -0,0 +1,272 @@
+//! What an organisation may still use, counted over all entries.
+//!
+//! Every entry keeps the fleet's bucket of each organisation: it takes its own
+//! admissions off at once and those of the others when their tallies come, some
+//! ten times a second. While the bucket is well filled, any entry admits
+//! anything. When less is left than the others may spend before their next
+//! tally comes ([`LAG`]), several entries would spend the same tokens, so each
+//! then keeps to its own part of the rate, in proportion to what is asked of it. An entry that has lost touch with another
+//! keeps to its part as it was, as the other does, so the parts never add up
+//! to more than the whole.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    deployment::model::Organisation,
+    id::Number,
+    time::{Instant, Span},
+    wire::tally::{Tally, Use},
+};
+
+/// How long the others may spend before this entry hears of it: two periods of
+/// the tallies, in seconds, and the time that one takes.
+const LAG: f64 = 0.25;
+
+/// Most of the burst that is set aside for what the others may have spent. An
+/// organisation that sends more than this covers is over its limit anyway.
+const ASIDE_MAX: f64 = 0.5;
+
+/// An entry that was not heard for this long may be spending unseen: three
+/// tallies in a row are missing.
+const SILENT: Span = Span::from_millis(350);
+
+/// Time over which demand is averaged.
+const DEMAND: f64 = 1.0;
+
+/// Demand that every entry is taken to have at least, as part of the rate
+/// divided by the entries, so that a caller who comes to a new entry finds a
+/// part there.
+const FLOOR: f64 = 0.2;
+
+/// Part of a full bucket that admits even what is larger than the bucket; the
+/// bucket goes into debt for the rest. Otherwise an organisation's largest
+/// requests could never run once its burst is lowered.
+const ENOUGH: f64 = 0.9;
+
+/// An entry that was started less than this ago takes over the levels that the
+/// others believe in.
+const YOUNG: Span = Span::from_secs(2);
+
+/// Longest time to come back that a caller is told.
+const AFTER_MAX: Span = Span::from_secs(5);
+
+/// Why a request is over the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Over {
+    /// When there will be enough.
+    pub after: Span,
+}
+
+/// One organisation at this entry.
+#[derive(Clone, Debug)]
+struct Account {
+    /// What is left of the fleet's bucket; below zero is debt.
+    level: f64,
+    /// What is left of this entry's part of it.
+    part: f64,
+    at: Instant,
+    spent: i64,
+    /// As of `asked`.
+    demand: f64,
+    asked: Instant,
+}
+
+/// Another entry, as its last tally showed it.
+#[derive(Clone, Debug)]
+struct Peer {
+    incarnation: u64,
+    heard: Instant,
+    uses: BTreeMap<String, Use>,
+}
+
+/// The buckets of one entry.
+#[derive(Debug)]
+pub struct Allowance {
+    host: String,
+    incarnation: u64,
+    started: Instant,
+    accounts: BTreeMap<String, Account>,
+    /// Entries by host. `None`: registered, but not heard since this one
+    /// started.
+    peers: BTreeMap<String, Option<Peer>>,
+    /// This entry was taken off the list of entries, so others may use its
+    /// part.
+    removed: bool,
+}
+
+impl Allowance {
+    /// Buckets of the entry on `host`, started at `now`.
+    pub fn new(host: &str, incarnation: u64, now: Instant) -> Allowance {
+        Allowance {
+            host: host.to_owned(),
+            incarnation,
+            started: now,
+            accounts: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            removed: false,
+        }
+    }
+
+    /// Takes the list of registered entries.
+    pub fn on_entries<'a>(&mut self, hosts: impl Iterator<Item = &'a str>) {
+        let mut before = std::mem::take(&mut self.peers);
+        let mut listed = false;
+        for host in hosts {
+            match host == self.host {
+                true => listed = true,
+                false => {
+                    let peer = before.remove(host).flatten();
+                    self.peers.insert(host.to_owned(), peer);
+                }
+            }
+        }
+        self.removed = !listed;
+    }
+
+    /// Whether another entry was not heard since `limit` ago.
+    pub fn silent_since(&self, now: Instant, limit: Span) -> impl Iterator<Item = &str> {
+        self.peers.iter().filter_map(move |(host, peer)| {
+            let since = peer.as_ref().map_or(self.started, |peer| peer.heard);
+            (now.since(since) >= limit).then_some(host.as_str())
+        })
+    }
+
+    /// How many entries there are, this one included.
+    pub fn entries(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Asks for `cost` tokens of `who`; they are taken if there are enough.
+    pub fn ask(&mut self, now: Instant, who: &Organisation, cost: u64) -> Result<(), Over> {
+        if who.rate == 0 {
+            return Ok(());
+        }
+        let share = self.share(who);
+        let blind = self.is_blind(now);
+        let aside = (self.others(who) * LAG).min(who.burst as f64 * ASIDE_MAX);
+        let alone = self.removed && !self.peers.is_empty();
+        let account = self.account(now, who, share);
+        let cost = cost as f64;
+        account.demand += cost / DEMAND;
+        let burst = who.burst as f64;
+        let needed = cost.min(burst * ENOUGH);
+        let part_needed = cost.min(burst * share * ENOUGH);
+        let plenty = !blind && account.level >= aside + needed;
+        let own = account.part >= part_needed && (blind || account.level >= needed.min(0.0));
+        if !alone && (plenty || own) {
+            account.level -= cost;
+            account.part = match own {
+                true => account.part - cost,
+                false => (account.part - cost).max(0.0),
+            };
+            account.spent += cost as i64;
+            return Ok(());
+        }
+        let rate = who.rate as f64;
+        let wait = ((part_needed - account.part) / (rate * share).max(1.0))
+            .max((needed.min(0.0) - account.level) / rate);
+        let after = Span::from_micros((wait.max(0.05) * 1e6) as u64);
+        Err(Over { after: after.min(AFTER_MAX) })
+    }
+
+    /// Gives back what a request did not use because it did not run.
+    pub fn give_back(&mut self, now: Instant, who: &Organisation, cost: u64) {
+        if who.rate == 0 {
+            return;
+        }
+        let share = self.share(who);
+        let account = self.account(now, who, share);
+        account.level = (account.level + cost as f64).min(who.burst as f64);
+        account.part = (account.part + cost as f64).min(who.burst as f64 * share);
+        account.spent -= cost as i64;
+    }
+
+    /// What the other entries are told.
+    pub fn tally(&mut self, now: Instant, number: Number) -> Tally {
+        let uses = self.accounts.iter_mut().map(|(name, account)| {
+            account.fade(now);
+            let Account { spent, demand, level, .. } = *account;
+            (name.clone(), Use { spent, demand, level })
+        });
+        Tally {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            number,
+            uses: uses.collect(),
+        }
+    }
+
+    /// Takes what another entry told.
+    pub fn on_tally(&mut self, now: Instant, tally: Tally) {
+        let young = now.since(self.started) < YOUNG;
+        let before = self.peers.get(&tally.host).cloned().flatten();
+        let same = before.as_ref().is_some_and(|peer| peer.incarnation == tally.incarnation);
+        for (name, used) in &tally.uses {
+            let known = before.as_ref().filter(|_| same).and_then(|peer| peer.uses.get(name));
+            let Some(account) = self.accounts.get_mut(name) else { continue };
+            match known {
+                Some(known) => account.level -= (used.spent - known.spent) as f64,
+                // This entry knows nothing of before; the other does.
+                None if young && !same => account.level = account.level.min(used.level),
+                None => account.level -= used.spent as f64,
+            }
+        }
+        let peer = Peer { incarnation: tally.incarnation, heard: now, uses: tally.uses };
+        self.peers.insert(tally.host, Some(peer));
+    }
+
+    /// What is left of an organisation's bucket, for dumps and metrics.
+    pub fn levels(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.accounts.iter().map(|(name, account)| (name.as_str(), account.level))
+    }
+
+    /// Whether another entry may be spending unseen.
+    fn is_blind(&self, now: Instant) -> bool {
+        self.silent_since(now, SILENT).next().is_some()
+    }
+
+    /// This entry's part of the rate of `who`.
+    fn share(&self, who: &Organisation) -> f64 {
+        let floor = who.rate as f64 * FLOOR / self.entries() as f64;
+        let own = self.accounts.get(&who.name).map_or(0.0, |account| account.demand) + floor;
+        let other = |peer: &Option<Peer>| {
+            let known = peer.as_ref().and_then(|peer| peer.uses.get(&who.name));
+            known.map_or(0.0, |used| used.demand) + floor
+        };
+        own / (own + self.peers.values().map(other).sum::<f64>()).max(1.0)
+    }
+
+    /// Tokens of `who` that the other entries are asked for a second.
+    fn others(&self, who: &Organisation) -> f64 {
+        let known = self.peers.values().flatten();
+        known.filter_map(|peer| peer.uses.get(&who.name)).map(|used| used.demand).sum()
+    }
+
+    fn account(&mut self, now: Instant, who: &Organisation, share: f64) -> &mut Account {
+        let burst = who.burst as f64;
+        let account = self.accounts.entry(who.name.clone()).or_insert_with(|| Account {
+            level: burst,
+            part: burst * share,
+            at: now,
+            spent: 0,
+            demand: 0.0,
+            asked: now,
+        });
+        let passed = now.since(account.at).as_secs_f64();
+        account.fade(now);
+        account.at = now;
+        let gained = who.rate as f64 * passed;
+        account.level = (account.level + gained).min(burst);
+        account.part = (account.part + gained * share).min(burst * share);
+        account
+    }
+}
+
+impl Account {
+    /// Lets the demand fade to what it is at `now`.
+    fn fade(&mut self, now: Instant) {
+        let passed = now.since(self.asked).as_secs_f64();
+        self.demand *= (-passed / DEMAND).exp();
+        self.asked = now;
+    }
+}
--- /dev/null
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -0,0 +1,181 @@
+//! The newest of everything that a daemon has learned from the store.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::model::Role,
+    time::{Instant, Span},
+};
+
+use super::model::{AdapterName, Deployment, Instance};
+
+/// Another daemon of the fleet, as it has registered itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Member {
+    /// Its host's name.
+    pub host: String,
+    /// Its role.
+    pub role: Role,
+    /// Where it takes messages of other daemons.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// The engine beside it; upstream daemons only.
+    pub engine: Option<SocketAddr>,
+    /// Drawn at its start, so that a restart is told from a stall.
+    pub incarnation: u64,
+}
+
+/// What a daemon knows of the deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Catalogue {
+    /// The configuration in force; `None` until one is known.
+    deployment: Option<Rc<Deployment>>,
+    /// Newest version of each adapter and base model that was ever announced.
+    versions: BTreeMap<AdapterName, u32>,
+    /// Registered upstreams by id.
+    instances: BTreeMap<String, Rc<Instance>>,
+    /// Upstreams that vanished while the store was away, by when.
+    missing: BTreeMap<String, Instant>,
+    /// Daemons by host.
+    members: BTreeMap<String, Member>,
+}
+
+/// How long an upstream that vanished around an outage of the store is still
+/// used: the registration lapses while nobody can renew it, and those that
+/// live are back within two seconds of the store's return.
+const LAPSE: Span = Span::from_millis(2_500);
+
+impl Catalogue {
+    /// The configuration in force.
+    pub fn deployment(&self) -> Option<&Rc<Deployment>> {
+        self.deployment.as_ref()
+    }
+
+    /// Takes `next` unless it is older than what is in force. Says whether it
+    /// was taken. A version never goes back while the process lives: a read
+    /// that was answered late, or a peer that lags, must not revive a dropped
+    /// route or a withdrawn key.
+    pub fn on_deployment(&mut self, next: Deployment) -> bool {
+        if self.deployment.as_ref().is_some_and(|now| now.number >= next.number) {
+            return false;
+        }
+        self.deployment = Some(Rc::new(next));
+        true
+    }
+
+    /// Newest announced version of an adapter.
+    pub fn version(&self, name: &AdapterName) -> Option<u32> {
+        self.versions.get(name).copied()
+    }
+
+    /// Every announced version.
+    pub fn versions(&self) -> &BTreeMap<AdapterName, u32> {
+        &self.versions
+    }
+
+    /// Takes an announced version unless a newer one is known; says whether
+    /// it was taken.
+    pub fn on_version(&mut self, name: AdapterName, version: u32) -> bool {
+        let known = self.versions.entry(name).or_default();
+        let newer = version > *known;
+        *known = version.max(*known);
+        newer
+    }
+
+    /// An upstream by id.
+    pub fn instance(&self, id: &str) -> Option<&Rc<Instance>> {
+        self.instances.get(id)
+    }
+
+    /// Every registered upstream.
+    pub fn instances(&self) -> impl Iterator<Item = &Rc<Instance>> {
+        self.instances.values()
+    }
+
+    /// Upstreams of `service` that take new work.
+    pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Instance>> {
+        self.instances().filter(move |row| row.service == service && !row.leaving)
+    }
+
+    /// Takes a registration.
+    pub fn on_instance(&mut self, row: Instance) {
+        self.missing.remove(&row.id);
+        self.instances.insert(row.id.clone(), Rc::new(row));
+    }
+
+    /// An upstream's registration is gone; it gets nothing new.
+    pub fn on_instance_gone(&mut self, id: &str) {
+        self.missing.remove(id);
+        self.instances.remove(id);
+    }
+
+    /// Takes the whole list of registrations. After an outage of the store the
+    /// ones that are missing stay for a while: see [`LAPSE`].
+    pub fn on_instances(&mut self, rows: Vec<Instance>, after_outage: bool, now: Instant) {
+        let mut before = std::mem::take(&mut self.instances);
+        self.missing.clear();
+        for row in rows {
+            before.remove(&row.id);
+            self.instances.insert(row.id.clone(), Rc::new(row));
+        }
+        if after_outage {
+            for (id, row) in before {
+                self.missing.insert(id.clone(), now);
+                self.instances.insert(id, row);
+            }
+        }
+    }
+
+    /// Drops upstreams that did not come back after an outage.
+    pub fn on_tick(&mut self, now: Instant) {
+        let over = |since: &Instant| now.since(*since) >= LAPSE;
+        let gone: Vec<String> = self
+            .missing
+            .iter()
+            .filter(|(_, since)| over(since))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.on_instance_gone(&id);
+        }
+    }
+
+    /// Every known daemon.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Daemons of one role.
+    pub fn of_role(&self, role: Role) -> impl Iterator<Item = &Member> {
+        self.members().filter(move |member| member.role == role)
+    }
+
+    /// The daemon beside the engine at `address`.
+    pub fn beside(&self, address: SocketAddr) -> Option<&Member> {
+        self.members().find(|member| member.engine == Some(address))
+    }
+
+    /// Takes a daemon's registration.
+    pub fn on_member(&mut self, member: Member) {
+        // A replacement at a dead host's address takes its place.
+        self.members.retain(|_, other| other.address != member.address);
+        self.members.insert(member.host.clone(), member);
+    }
+
+    /// A daemon's registration is gone.
+    pub fn on_member_gone(&mut self, host: &str) {
+        self.members.remove(host);
+    }
+
+    /// Takes the whole list of daemons.
+    pub fn on_members(&mut self, rows: Vec<Member>) {
+        self.members.clear();
+        for row in rows {
+            self.on_member(row);
+        }
+    }
+}
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -5,14 +5,20 @@
 //! The daemon's shells turn sockets, timers and answers of the platform into
 //! calls, and carry out what the calls return.
 
+pub mod admission;
+pub mod allowance;
 pub mod arena;
 pub mod claim;
 pub mod config;
 pub mod declare;
+pub mod deployment;
 pub mod gossip;
+pub mod health;
 pub mod id;
 pub mod ini;
+pub mod placement;
 pub mod queue;
+pub mod repeat;
 pub mod route;
 pub mod share;
 pub mod slot;
--- /dev/null
+++ b/kingcupbay_core/src/placement.rs
@@ -0,0 +1,141 @@
+//! Which engine a generation is sent to.
+//!
+//! Every entry ranks the engines for an adapter in the same order, so an
+//! adapter has one home over the whole fleet and is loaded once; an engine that
+//! held it before also loads it ten times as fast. A home that is busier than
+//! the others passes requests on to the next in the order, so a popular adapter
+//! has as many copies as its demand needs.
+
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+};
+
+use crate::{
+    deployment::model::AdapterName,
+    time::{Instant, Span},
+    wire::sidecar::Pressure,
+};
+
+/// An engine is too busy for more of its adapters when its pressure is above
+/// the mean by this factor. Below 1.2, copies of middling adapters push each
+/// other out; above 1.5, the busiest engine's prompts wait for each other.
+const OVER_MEAN: f64 = 1.3;
+
+/// Pressure, as part of the places taken, that is never too busy: sharing out
+/// a load this small only makes more copies.
+const EASY: f64 = 0.2;
+
+/// Time to read waiting prompts that counts as much as all places taken.
+const DELAY_SCALE: f64 = 1_500.0;
+
+/// What an engine said longer ago than this says nothing of how busy it is.
+const STALE: Span = Span::from_secs(2);
+
+/// An engine that told nothing for this long is tried after the others. Six
+/// reports in a row are missing then.
+const SILENT: Span = Span::from_millis(1_500);
+
+/// What is known of one engine.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    pressure: Pressure,
+    /// When it was told.
+    at: Option<Instant>,
+    /// Requests sent there since.
+    since: u32,
+}
+
+/// The engines as one entry sees them.
+#[derive(Debug, Default)]
+pub struct Placement {
+    engines: BTreeMap<SocketAddr, Seen>,
+}
+
+impl Placement {
+    /// Takes what the daemon beside an engine told.
+    pub fn on_pressure(&mut self, now: Instant, engine: SocketAddr, pressure: Pressure) {
+        self.engines.insert(engine, Seen { pressure, at: Some(now), since: 0 });
+    }
+
+    /// A request was sent there.
+    pub fn on_send(&mut self, engine: SocketAddr) {
+        self.engines.entry(engine).or_default().since += 1;
+    }
+
+    /// A request was refused there, or did not arrive.
+    pub fn on_refusal(&mut self, engine: SocketAddr) {
+        let seen = self.engines.entry(engine).or_default();
+        seen.since = seen.since.saturating_sub(1);
+    }
+
+    /// Whether the daemon beside `engine` has stopped telling anything.
+    pub fn is_silent(&self, now: Instant, engine: SocketAddr) -> bool {
+        let at = self.engines.get(&engine).and_then(|seen| seen.at);
+        at.is_some_and(|at| now.since(at) >= SILENT)
+    }
+
+    /// The version in which `engine` was last known to hold `name`.
+    pub fn held(&self, engine: SocketAddr, name: &AdapterName) -> Option<u32> {
+        let seen = self.engines.get(&engine)?;
+        let (_, version) = seen.pressure.held.iter().find(|(held, _)| held == name)?;
+        Some(*version)
+    }
+
+    /// The best of `candidates` for `name`.
+    pub fn choose(
+        &self,
+        now: Instant,
+        name: &AdapterName,
+        candidates: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let mean = self.mean(now, candidates);
+        let bound = (mean * OVER_MEAN).max(EASY);
+        let mut order: Vec<(u64, SocketAddr)> =
+            candidates.iter().map(|&engine| (weight(name, engine), engine)).collect();
+        order.sort_unstable();
+        let calm = |engine: SocketAddr| self.pressure(now, engine) <= bound;
+        let holds = |engine: SocketAddr| self.held(engine, name).is_some();
+        let mut ranked = order.iter().map(|&(_, engine)| engine);
+        let best = ranked
+            .clone()
+            .find(|&engine| holds(engine) && calm(engine))
+            .or_else(|| ranked.find(|&engine| calm(engine)));
+        best.or_else(|| {
+            let busy = |engine: &SocketAddr| self.pressure(now, *engine);
+            candidates.iter().copied().min_by(|a, b| busy(a).total_cmp(&busy(b)))
+        })
+    }
+
+    /// How busy an engine is: the part of its places that is taken, and the
+    /// prompts that wait.
+    fn pressure(&self, now: Instant, engine: SocketAddr) -> f64 {
+        let Some(seen) = self.engines.get(&engine) else { return 0.0 };
+        let told = &seen.pressure;
+        let slots = f64::from(told.slots.max(1));
+        let sent = f64::from(seen.since) / slots;
+        let fresh = seen.at.is_some_and(|at| now.since(at) < STALE);
+        match fresh {
+            true => {
+                let taken = f64::from(told.running + told.waiting) / slots;
+                taken + told.delay.as_millis() as f64 / DELAY_SCALE + sent
+            }
+            false => sent,
+        }
+    }
+
+    fn mean(&self, now: Instant, candidates: &[SocketAddr]) -> f64 {
+        let sum: f64 = candidates.iter().map(|&engine| self.pressure(now, engine)).sum();
+        sum / candidates.len().max(1) as f64
+    }
+}
+
+/// Rank of `engine` for `name`, the same at every entry of one build.
+fn weight(name: &AdapterName, engine: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.model.hash(&mut hasher);
+    name.adapter.hash(&mut hasher);
+    engine.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/kingcupbay_core/src/wire/tally.rs
@@ -0,0 +1,61 @@
+//! Between entries: what organisations have used, as MessagePack over HTTP.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::Number;
+
+/// Takes a [`Tally`] of another entry.
+pub const TALLY_PATH: &str = "/tally";
+/// Gives the rows that this daemon knows, to one that cannot reach the store.
+pub const ROWS_PATH: &str = "/rows";
+
+/// What one entry's callers have used.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Tally {
+    /// The entry's host.
+    pub host: String,
+    /// Drawn at its start; counts begin anew with each.
+    pub incarnation: u64,
+    /// Number of the configuration that it acts on.
+    pub number: Number,
+    /// Use by organisation.
+    pub uses: BTreeMap<String, Use>,
+}
+
+/// One organisation's use of one entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Use {
+    /// Tokens admitted since the entry started, less those given back.
+    pub spent: i64,
+    /// Tokens asked for a second lately, refused ones included.
+    pub demand: f64,
+    /// What the entry believes to be left of the burst.
+    pub level: f64,
+}
+
+/// Rows as read from the store, by table and key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Copies {
+    /// Version of the store that they show.
+    pub version: u64,
+    /// Table, key and content.
+    pub rows: Vec<(String, String, serde_bytes_vec::Bytes)>,
+}
+
+/// Bytes that travel as bytes, not as a list of numbers.
+pub mod serde_bytes_vec {
+    use serde::{Deserialize, Serialize};
+    use serde_with::{Bytes as AsBytes, serde_as};
+
+    /// Content of a row.
+    #[serde_as]
+    #[derive(Clone, Debug, Default, PartialEq, Eq)]
+    #[derive(Serialize, Deserialize)]
+    #[serde(transparent)]
+    pub struct Bytes(#[serde_as(as = "AsBytes")] pub Vec<u8>);
+}
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -25,6 +25,8 @@
 mod lagged;
 mod objects;
 mod platform;
+mod registry;
+mod runner;
 mod server;
 mod service;
 mod table;
@@ -41,6 +43,8 @@
     hosts::{HostList, Lag},
     objects::{Objects, ObjectsRecord},
     platform::{Platform, PlatformRecord},
+    registry::Registry,
+    runner::{MODEL, Runner, RunnerRun, RunnerSettings},
     server::Server,
     service::{CALL_PATH, Executed, Executions, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
--- /dev/null
+++ b/kingcupbay_standin/src/registry.rs
@@ -0,0 +1,205 @@
+//! The platform's store of rows: reads, transactions under conditions, and a
+//! feed of changes. The handle writes the operator's rows and the upstreams'.
+
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{Method, StatusCode};
+use futures_util::FutureExt;
+use serde::Serialize;
+use serde_json::{Value, json};
+use serde_with::{base64::Base64, serde_as};
+
+use crate::{
+    changes::{Changes, until},
+    server::{
+        Behaviour, Handler, Server,
+        call::{self, Answer, Call},
+    },
+};
+
+/// Table and key.
+type RowKey = (String, String);
+
+/// One change: version, row, new content as the wire writes it.
+type Entry = (u64, RowKey, Option<String>);
+
+/// A running store.
+pub struct Registry {
+    server: Server,
+    state: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    rows: RefCell<BTreeMap<RowKey, (String, u64)>>,
+    history: RefCell<Vec<Entry>>,
+    /// History before this version is gone.
+    forgotten: RefCell<u64>,
+    version: RefCell<u64>,
+    changes: Changes,
+}
+
+impl Registry {
+    /// Starts an empty store on `address`, on the current thread.
+    pub fn start(address: SocketAddr) -> io::Result<Registry> {
+        let state = Rc::<State>::default();
+        let server = Server::start(address, Behaviour::new(handler(&state)))?;
+        Ok(Registry { server, state })
+    }
+
+    /// The server under it.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Writes a row as the operator or an upstream does; its version.
+    pub fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
+        self.put_bytes(table, key, value.to_string().as_bytes())
+    }
+
+    /// Writes a row that need not be JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) -> u64 {
+        self.state.write(vec![((table.to_owned(), key.to_owned()), Some(encode(value)))])
+    }
+
+    /// Drops a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.state.write(vec![((table.to_owned(), key.to_owned()), None)]);
+    }
+
+    /// Drops the history, so that feeds have to begin anew.
+    pub fn forget(&self) {
+        let version = *self.state.version.borrow();
+        *self.state.forgotten.borrow_mut() = version;
+        self.state.history.borrow_mut().clear();
+        self.state.changes.notify();
+    }
+
+    /// Keys of a table.
+    pub fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.state.rows.borrow();
+        rows.keys().filter(|(own, _)| own == table).map(|(_, key)| key.clone()).collect()
+    }
+}
+
+impl State {
+    fn write(&self, writes: Vec<(RowKey, Option<String>)>) -> u64 {
+        *self.version.borrow_mut() += 1;
+        let version = *self.version.borrow();
+        for (key, value) in writes {
+            match &value {
+                Some(text) => {
+                    self.rows.borrow_mut().insert(key.clone(), (text.clone(), version));
+                }
+                None => drop(self.rows.borrow_mut().remove(&key)),
+            }
+            self.history.borrow_mut().push((version, key, value));
+        }
+        self.changes.notify();
+        version
+    }
+
+    fn read(&self, query: &BTreeMap<String, String>) -> Answer {
+        let table = query.get("table").cloned().unwrap_or_default();
+        let from = query.get("from").cloned().unwrap_or_default();
+        let rows = self.rows.borrow();
+        let found: Vec<Value> = rows
+            .range((table.clone(), from)..)
+            .take_while(|((own, _), _)| *own == table)
+            .map(|((table, key), (value, ver))| row(table, key, Some(value), *ver))
+            .collect();
+        call::json(&json!({"rows": found, "morePages": false, "ver": *self.version.borrow(),
+            "nowMs": 0}))
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>) -> Answer {
+        let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+        let table = query.get("table").cloned().unwrap_or_default();
+        let after = number("after").unwrap_or_default();
+        let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
+        let pending = || {
+            let history = self.history.borrow();
+            let newer = |(ver, (own, _), _): &&Entry| *ver > after && *own == table;
+            history.iter().filter(newer).cloned().collect::<Vec<Entry>>()
+        };
+        let lost = || after < *self.forgotten.borrow();
+        let changed = until(self.changes.subscribe(), || !pending().is_empty() || lost());
+        // At the end of the wait the answer is empty.
+        let _ = tokio::time::timeout(wait, changed).await;
+        if lost() {
+            return call::text(StatusCode::GONE, "the history is gone");
+        }
+        let rows: Vec<Value> = pending()
+            .iter()
+            .map(|(ver, (table, key), value)| row(table, key, value.as_ref(), *ver))
+            .collect();
+        call::json(&json!({"rows": rows, "ver": *self.version.borrow(), "nowMs": 0}))
+    }
+
+    fn transact(&self, call: &Call) -> Answer {
+        let txn: Value = match call.json() {
+            Ok(txn) => txn,
+            Err(refusal) => return refusal,
+        };
+        let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+        let key = |row: &Value| {
+            let text = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
+            (text("table"), text("key"))
+        };
+        let holds = |row: &Value| {
+            let ver = self.rows.borrow().get(&key(row)).map_or(0, |(_, ver)| *ver);
+            row["ver"].as_u64() == Some(ver)
+        };
+        if list("expectRevision").iter().any(|row| !holds(row)) {
+            let body = json!({"rows": [], "ver": *self.version.borrow(), "nowMs": 0});
+            return call::status_json(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        let value = |row: &Value| row["value"].as_str().map(str::to_owned);
+        let mut writes: Vec<_> = list("put").iter().map(|row| (key(row), value(row))).collect();
+        writes.extend(list("remove").iter().map(|row| (key(row), None)));
+        let ver = self.write(writes);
+        call::json(&json!({"ver": ver, "nowMs": 0}))
+    }
+}
+
+fn handler(state: &Rc<State>) -> Handler {
+    let state = Rc::clone(state);
+    Rc::new(move |call| {
+        let state = Rc::clone(&state);
+        async move {
+            let query = pairs(&call.query);
+            match (&call.method, call.path.as_str()) {
+                (&Method::GET, "/v1/rows-get") => state.read(&query),
+                (&Method::GET, "/v1/rows-feed") => state.feed(&query).await,
+                (&Method::POST, "/v1/rows-tx") => state.transact(&call),
+                _ => call::unknown(),
+            }
+        }
+        .boxed_local()
+    })
+}
+
+fn pairs(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn row(table: &str, key: &str, value: Option<&String>, ver: u64) -> Value {
+    match value {
+        Some(value) => {
+            json!({"table": table, "part": "", "key": key, "value": value, "ver": ver})
+        }
+        None => json!({"table": table, "part": "", "key": key, "ver": ver, "deleted": true}),
+    }
+}
+
+/// Bytes in base64, as the wire has them.
+#[serde_as]
+#[derive(Serialize)]
+#[serde(transparent)]
+struct Encoded<'a>(#[serde_as(as = "Base64")] &'a [u8]);
+
+fn encode(bytes: &[u8]) -> String {
+    let text = serde_json::to_value(Encoded(bytes)).expect("bytes always encode");
+    text.as_str().unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/kingcupbay_standin/src/runner.rs
@@ -0,0 +1,310 @@
+//! An upstream of a registered fleet: a plain service, or a model engine with
+//! adapters that it is ordered to hold.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_http::{Method, Response, StatusCode, body::BodyStream, header};
+use bytes::Bytes;
+use futures_util::{FutureExt, stream};
+use serde_json::{Value, json};
+
+use crate::{
+    changes::{Changes, until},
+    server::{
+        Behaviour, Handler, Server,
+        call::{self, Answer, Call},
+    },
+};
+
+/// The base model of every engine.
+pub const MODEL: &str = "base";
+
+/// How an upstream behaves.
+#[derive(Clone, Debug)]
+pub struct RunnerSettings {
+    /// Its id.
+    pub id: String,
+    /// Whether it is a model engine.
+    pub engine: bool,
+    /// Events of each stream.
+    pub events: u64,
+    /// Pause between two events.
+    pub pause: Duration,
+    /// One stream breaks off after this many events.
+    pub cut: Option<u64>,
+    /// Places for adapters.
+    pub places: usize,
+}
+
+impl RunnerSettings {
+    /// A plain service.
+    pub fn plain(id: &str) -> RunnerSettings {
+        RunnerSettings {
+            id: id.to_owned(),
+            engine: false,
+            events: 0,
+            pause: Duration::ZERO,
+            cut: None,
+            places: 0,
+        }
+    }
+
+    /// An engine whose streams have `events` events.
+    pub fn engine(id: &str, events: u64) -> RunnerSettings {
+        let pause = Duration::from_millis(5);
+        RunnerSettings { engine: true, events, pause, places: 2, ..RunnerSettings::plain(id) }
+    }
+}
+
+/// A request that an upstream began to run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunnerRun {
+    /// Identity of the caller's attempt.
+    pub attempt: String,
+    /// Headers as they came, by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// Path and query.
+    pub path: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A running upstream.
+pub struct Runner {
+    server: Server,
+    state: Rc<State>,
+}
+
+struct State {
+    settings: RunnerSettings,
+    cut: Cell<Option<u64>>,
+    runs: RefCell<Vec<RunnerRun>>,
+    /// Streams whose caller has left before their end.
+    left: Cell<u32>,
+    open: RefCell<BTreeMap<String, u64>>,
+    adapters: RefCell<BTreeMap<String, u32>>,
+    newest: RefCell<BTreeMap<String, u32>>,
+    orders: Cell<u64>,
+    order_log: RefCell<Vec<Value>>,
+    changes: Changes,
+}
+
+impl Runner {
+    /// Starts an upstream on `address`, on the current thread.
+    pub fn start(address: SocketAddr, settings: RunnerSettings) -> io::Result<Runner> {
+        let state = Rc::new(State {
+            cut: Cell::new(settings.cut),
+            settings,
+            runs: RefCell::default(),
+            left: Cell::new(0),
+            open: RefCell::default(),
+            adapters: RefCell::default(),
+            newest: RefCell::default(),
+            orders: Cell::new(0),
+            order_log: RefCell::default(),
+            changes: Changes::default(),
+        });
+        let server = Server::start(address, Behaviour::new(handler(&state)))?;
+        Ok(Runner { server, state })
+    }
+
+    /// The server under it.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Its registration, as it writes it.
+    pub fn registration(&self, service: &str, state: &str) -> Value {
+        json!({"service": service, "address": self.server.address().to_string(),
+            "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
+            "coldRemainingMs": 0, "seq": 0, "born": 1})
+    }
+
+    /// What it began to run.
+    pub fn runs(&self) -> Vec<RunnerRun> {
+        self.state.runs.borrow().clone()
+    }
+
+    /// Waits until it has begun to run this many requests.
+    pub async fn ran(&self, count: usize) {
+        let state = &self.state;
+        until(state.changes.subscribe(), || state.runs.borrow().len() >= count).await;
+    }
+
+    /// Waits until this many callers have left a stream before its end.
+    pub async fn left(&self, count: u32) {
+        let state = &self.state;
+        until(state.changes.subscribe(), || state.left.get() >= count).await;
+    }
+
+    /// Orders that it accepted, as they came.
+    pub fn orders(&self) -> Vec<Value> {
+        self.state.order_log.borrow().clone()
+    }
+
+    /// Makes a newer version of an adapter the one that loads fetch.
+    pub fn announce(&self, adapter: &str, version: u32) {
+        self.state.newest.borrow_mut().insert(adapter.to_owned(), version);
+    }
+}
+
+impl State {
+    fn order(&self, call: &Call) -> Answer {
+        let order: Value = match call.json() {
+            Ok(order) => order,
+            Err(refusal) => return refusal,
+        };
+        if order["expectRevision"].as_u64().is_some_and(|seq| seq != self.orders.get()) {
+            return call::empty(StatusCode::CONFLICT);
+        }
+        self.orders.set(self.orders.get() + 1);
+        self.order_log.borrow_mut().push(order.clone());
+        let adapter = order["adapter"].as_str().unwrap_or_default().to_owned();
+        let mut adapters = self.adapters.borrow_mut();
+        match order["operation"].as_str() {
+            Some("unload") => drop(adapters.remove(&adapter)),
+            _ if adapters.len() >= self.settings.places && !adapters.contains_key(&adapter) => {
+                return call::empty(StatusCode::BAD_REQUEST);
+            }
+            _ => {
+                let newest = self.newest.borrow().get(&adapter).copied().unwrap_or(1);
+                adapters.insert(adapter, newest);
+            }
+        }
+        self.changes.notify();
+        call::empty(StatusCode::ACCEPTED)
+    }
+
+    fn report(&self) -> Answer {
+        let adapters: Vec<String> =
+            self.adapters.borrow().iter().map(|(name, ver)| format!("{name}@{ver}")).collect();
+        let open = self.open.borrow();
+        let runs: Vec<Value> = open.iter().map(|(id, events)| json!([id, 10, events, 5])).collect();
+        call::json(&json!({"stage": "colocated", "busy": false, "seq": self.orders.get(),
+            "models": [{"name": MODEL, "version": 1, "adapters": adapters}],
+            "queued": 0, "inFlight": runs.len(), "kvUsed": 0, "kvTotal": 100_000,
+            "handles": 0, "pending": [], "runs": runs, "state": "ready", "born": 1}))
+    }
+
+    fn run(self: &Rc<Self>, call: &Call) -> Answer {
+        let text = |name: &str| {
+            let value = call.headers.get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        if text("x-expect-instance").is_some_and(|id| id != self.settings.id) {
+            return refusal(StatusCode::MISDIRECTED_REQUEST);
+        }
+        let adapter = text("x-model").and_then(|model| Some(model.split_once('/')?.1.to_owned()));
+        if let Some(adapter) = adapter {
+            let held = self.adapters.borrow().get(&adapter).copied();
+            let expected = text("x-expect-version").and_then(|text| text.parse().ok());
+            if held.is_none() || expected.is_some_and(|version| held != Some(version)) {
+                return refusal(StatusCode::MISDIRECTED_REQUEST);
+            }
+        }
+        let attempt = text("x-attempt-id").unwrap_or_default();
+        let named = |(name, value): (&header::HeaderName, &header::HeaderValue)| {
+            (name.as_str().to_owned(), value.to_str().unwrap_or_default().to_owned())
+        };
+        let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
+        self.runs.borrow_mut().push(RunnerRun {
+            attempt: attempt.clone(),
+            headers: call.headers.iter().map(named).collect(),
+            path: format!("{}{query}", call.path),
+            body: call.body.to_vec(),
+        });
+        self.changes.notify();
+        if !self.settings.engine {
+            return answer(&attempt)
+                .body(format!("done by {}", self.settings.id))
+                .map_into_boxed_body();
+        }
+        let first = text("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.open.borrow_mut().insert(attempt.clone(), 0);
+        let events = Events {
+            state: Rc::clone(self),
+            attempt: attempt.clone(),
+            next: first + 1,
+            sent: 0,
+            ended: false,
+        };
+        let events = stream::unfold(events, |mut events| async {
+            let item = events.next().await?;
+            Some((item, events))
+        });
+        answer(&attempt)
+            .insert_header((header::CONTENT_TYPE, "text/event-stream"))
+            .body(BodyStream::new(Box::pin(events)))
+            .map_into_boxed_body()
+    }
+}
+
+/// A stream that runs; its drop before the end counts as a caller's leaving.
+struct Events {
+    state: Rc<State>,
+    attempt: String,
+    next: u64,
+    /// Events sent on this stream.
+    sent: u64,
+    ended: bool,
+}
+
+impl Events {
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        if self.ended || self.next > self.state.settings.events {
+            self.ended = true;
+            return None;
+        }
+        tokio::time::sleep(self.state.settings.pause).await;
+        if self.state.cut.get().is_some_and(|cut| self.sent >= cut) {
+            self.state.cut.set(None);
+            self.ended = true;
+            return Some(Err(io::Error::other("cut")));
+        }
+        let event = format!("id: {}\ndata: event {} of {}\n\n", self.next, self.next, self.attempt);
+        self.state.open.borrow_mut().insert(self.attempt.clone(), self.next);
+        self.next += 1;
+        self.sent += 1;
+        Some(Ok(event.into()))
+    }
+}
+
+impl Drop for Events {
+    fn drop(&mut self) {
+        self.state.open.borrow_mut().remove(&self.attempt);
+        if !self.ended {
+            self.state.left.set(self.state.left.get() + 1);
+        }
+        self.state.changes.notify();
+    }
+}
+
+fn answer(attempt: &str) -> actix_http::ResponseBuilder {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header(("x-attempt-id", attempt.to_owned()));
+    builder.insert_header(("x-response-stamp", format!("stamp-of-{attempt}")));
+    builder
+}
+
+fn refusal(status: StatusCode) -> Answer {
+    Response::build(status).insert_header(("x-not-executed", "1")).finish().map_into_boxed_body()
+}
+
+fn handler(state: &Rc<State>) -> Handler {
+    let state = Rc::clone(state);
+    Rc::new(move |call| {
+        let answer = match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/v1/report") if state.settings.engine => state.report(),
+            (&Method::POST, "/v1/order") if state.settings.engine => state.order(&call),
+            _ => state.run(&call),
+        };
+        async { answer }.boxed_local()
+    })
+}
--- a/kingcupbayd/examples/embedded.rs
+++ b/kingcupbayd/examples/embedded.rs
@@ -115,7 +115,10 @@
     );
     let settings = Settings::parse("embedded.ini", &text);
     let settings = settings.expect("the sample's settings are valid");
-    Ok(start(settings, logger(host))?)
+    let (log, written) = logger(host);
+    // The example ends with its last line; nothing waits longer than that.
+    std::mem::forget(written);
+    Ok(start(settings, log)?)
 }
 
 fn sample() -> Vec<Change> {
--- a/kingcupbayd/src/config/mod.rs
+++ b/kingcupbayd/src/config/mod.rs
@@ -13,12 +13,14 @@
 mod listener;
 mod platform;
 mod reader;
+mod registry;
 mod tuning;
 
 pub use callers::Callers;
 pub use daemon::Daemon;
 pub use listener::Listener;
 pub use platform::Platform;
+pub use registry::Registry;
 pub use tuning::Tuning;
 
 use reader::Reader;
@@ -34,12 +36,21 @@
     pub peers: Listener,
     /// Where operators and probes connect.
     pub operators: Listener,
-    /// Where the platform's services are.
-    pub platform: Platform,
+    /// Where the configuration lives.
+    pub backing: Backing,
     /// Timeouts and bounds that seldom need a change.
     pub tuning: Tuning,
 }
 
+/// Where the configuration lives, and who changes it.
+#[derive(Clone, Debug)]
+pub enum Backing {
+    /// In the table, as patches that operators send to the daemons.
+    Patches(Platform),
+    /// In the platform's store, where the operator writes it whole.
+    Registry(Registry),
+}
+
 impl Settings {
     /// Reads and checks `path`.
     pub fn load(path: &Path) -> Result<Settings, Vec<Mistake>> {
@@ -64,12 +75,16 @@
         let daemon = Daemon::read(&mut reader);
         let entry = daemon.role == Role::Entry;
         let callers = entry.then(|| Callers::read(&mut reader));
+        let backing = match reader.has("registry") {
+            true => Backing::Registry(Registry::read(&mut reader, daemon.role)),
+            false => Backing::Patches(Platform::read(&mut reader)),
+        };
         let settings = Settings {
             daemon,
             callers,
             peers: Listener::read(&mut reader, "peers"),
             operators: Listener::read(&mut reader, "operators"),
-            platform: Platform::read(&mut reader),
+            backing,
             tuning: Tuning::read(&mut reader),
         };
         reader.finish()?;
--- a/kingcupbayd/src/config/reader.rs
+++ b/kingcupbayd/src/config/reader.rs
@@ -98,6 +98,27 @@
         stand_in.parse().expect("the stand-in is a valid value")
     }
 
+    /// Values separated by commas, none where the key is left out or empty.
+    pub(crate) fn list<T: FromStr>(
+        &mut self,
+        section: &'static str,
+        key: &str,
+        allowed: &str,
+    ) -> Vec<T> {
+        let Some((text, line)) = self.take(section, key) else { return Vec::new() };
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parsed: Option<Vec<T>> = parts.map(|part| part.parse().ok()).collect();
+        if parsed.is_none() {
+            self.mistake(line, section, key, text.clone(), allowed.to_owned());
+        }
+        parsed.unwrap_or_default()
+    }
+
+    /// Whether the file has `section`.
+    pub(crate) fn has(&self, section: &str) -> bool {
+        self.sections.iter().any(|row| row.name == section)
+    }
+
     /// A number of `unit` within bounds, or the default.
     pub(crate) fn number<T>(
         &mut self,
--- /dev/null
+++ b/kingcupbayd/src/config/registry.rs
@@ -0,0 +1,58 @@
+//! `[registry]`: a fleet whose configuration and upstreams the platform keeps.
+
+use std::net::SocketAddr;
+
+use kingcupbay_core::{config::model::Role, repeat::RepeatLimits, time::Span};
+
+use super::reader::Reader;
+
+/// Where a daemon finds its configuration, and bounds that hold there.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    /// The store with the configuration and the registered upstreams.
+    pub store: SocketAddr,
+    /// Where the balancer asks whether an entry is ready; entries only.
+    pub ready: Option<SocketAddr>,
+    /// The engine beside this daemon; upstream daemons only.
+    pub engine: Option<SocketAddr>,
+    /// The service that this engine serves; upstream daemons only.
+    pub service: Option<String>,
+    /// Port at which the daemons beside engines take messages; entries only.
+    pub sidecars: u16,
+    /// Other daemons to ask while the store is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds on sending a request to a second upstream.
+    pub repeats: RepeatLimits,
+    /// Time between a signal to stop and the end of the process.
+    pub grace: Span,
+}
+
+impl Registry {
+    pub(crate) fn read(reader: &mut Reader, role: Role) -> Registry {
+        let section = "registry";
+        let address = "IP:PORT";
+        let entry = role == Role::Entry;
+        let ready = entry.then(|| reader.required(section, "ready", address, "127.0.0.1:0"));
+        let engine = (!entry).then(|| reader.required(section, "engine", address, "127.0.0.1:0"));
+        let service = (!entry).then(|| reader.required(section, "service", "a name", "unnamed"));
+        let percent = reader.number(section, "repeat_percent", 0..=100, 20_u32);
+        let slack = reader.number(section, "repeat_slack", 0..=100_000, 50_u32);
+        Registry {
+            store: reader.required(section, "store", address, "127.0.0.1:0"),
+            ready,
+            engine,
+            service,
+            sidecars: match entry {
+                true => reader.required(section, "sidecars", "a port", "0"),
+                false => 0,
+            },
+            seeds: reader.list(section, "seeds", "IP:PORT, IP:PORT, ..."),
+            repeats: RepeatLimits {
+                ratio: f64::from(percent) / 100.0,
+                slack: f64::from(slack),
+                window: reader.millis(section, "repeat_window_ms", 100..=600_000, 10_000),
+            },
+            grace: reader.millis(section, "grace_ms", 100..=600_000, 8_000),
+        }
+    }
+}
--- a/kingcupbayd/src/fleet/accept.rs
+++ b/kingcupbayd/src/fleet/accept.rs
@@ -11,7 +11,7 @@
 };
 
 use super::Fleet;
-use crate::{clock, platform::table::TableError};
+use crate::{clock, store::table::TableError};
 
 /// Time for a patch to be held by enough members. Longer than the freshness
 /// bound, so that a member that has just died has not vouched for that long.
--- a/kingcupbayd/src/fleet/mod.rs
+++ b/kingcupbayd/src/fleet/mod.rs
@@ -28,7 +28,7 @@
     config::Settings,
     http::client::Clients,
     metrics::Metrics,
-    platform::{object::Objects, table::Table},
+    store::{object::Objects, table::Table},
 };
 
 pub(crate) use accept::PatchOutcome;
--- a/kingcupbayd/src/fleet/table.rs
+++ b/kingcupbayd/src/fleet/table.rs
@@ -12,7 +12,7 @@
 use slog::warn;
 
 use super::Fleet;
-use crate::{clock, platform::table::TableError};
+use crate::{clock, store::table::TableError};
 
 /// Most patches read in one step.
 const DELTAS: usize = 256;
--- /dev/null
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and latencies of an entry of a registered fleet.
+
+use kingcupbay_core::{time::Span, wire::error::Code};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, Registry};
+
+use crate::metrics::{LATENCY, counter, counters, histograms, text};
+
+/// Every metric of an entry.
+pub(crate) struct Metrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    refusals: IntCounterVec,
+    sends: IntCounterVec,
+    latency: HistogramVec,
+    first_event: HistogramVec,
+    resumed: IntCounter,
+    broken: IntCounterVec,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        let (answers, refusals) = (
+            counters(
+                &registry,
+                "kingcupbay_answers_total",
+                "Upstreams' answers passed on",
+                &["route", "status"],
+            ),
+            counters(&registry, "kingcupbay_refusals_total", "Requests refused", &["code"]),
+        );
+        Metrics {
+            answers,
+            refusals,
+            sends: counters(
+                &registry,
+                "kingcupbay_sends_total",
+                "Attempts at upstreams by outcome",
+                &["outcome"],
+            ),
+            latency: histograms(
+                &registry,
+                "kingcupbay_answer_seconds",
+                "Time to a whole answer of a plain service",
+                &["route"],
+                LATENCY,
+            ),
+            first_event: histograms(
+                &registry,
+                "kingcupbay_first_event_seconds",
+                "Time to the first event of a stream",
+                &["route"],
+                LATENCY,
+            ),
+            resumed: counter(
+                &registry,
+                "kingcupbay_resumed_total",
+                "Streams that went on at another engine",
+            ),
+            broken: counters(
+                &registry,
+                "kingcupbay_broken_total",
+                "Streams that ended early",
+                &["route"],
+            ),
+            registry,
+        }
+    }
+
+    pub(crate) fn on_answer(&self, route: &str, status: u16, took: Span) {
+        self.answers.with_label_values(&[route, &status.to_string()]).inc();
+        self.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn on_first_event(&self, route: &str, took: Span) {
+        self.first_event.with_label_values(&[route]).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn on_stream(&self, route: &str) {
+        self.answers.with_label_values(&[route, "200"]).inc();
+    }
+
+    pub(crate) fn on_resumed(&self) {
+        self.resumed.inc();
+    }
+
+    pub(crate) fn on_broken(&self, route: &str) {
+        self.broken.with_label_values(&[route]).inc();
+    }
+
+    pub(crate) fn on_refusal(&self, code: Code) {
+        self.refusals.with_label_values(&[code.as_str()]).inc();
+    }
+
+    pub(crate) fn on_send(&self, outcome: &str) {
+        self.sends.with_label_values(&[outcome]).inc();
+    }
+
+    /// All metrics in Prometheus's text format.
+    pub(crate) fn text(&self) -> String {
+        text(&self.registry)
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/gateway/place.rs
@@ -0,0 +1,158 @@
+//! Places at engines: asking the daemon beside an engine for one, and giving
+//! it back.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use actix_http::Method;
+use kingcupbay_core::{
+    deployment::model::AdapterName,
+    health::Ending,
+    time::Span,
+    wire::{
+        ask::Size,
+        sidecar::{DONE_PATH, Verdict, WANT_PATH, Want},
+    },
+};
+use slog::warn;
+
+use crate::{
+    clock,
+    gateway::{Gateway, job::Job},
+};
+
+/// Time that a message between two daemons takes at most, beside what it
+/// waits for: within a region a round trip takes 2 ms.
+const MESSAGE: Span = Span::from_millis(250);
+
+/// How long ended requests are collected before they are told. A place that
+/// comes back this much later costs an engine with 48 places nothing.
+const COLLECT: Span = Span::from_millis(4);
+
+/// Tries to tell of ended requests; afterwards the engine's own reports do.
+const TRIES: u32 = 2;
+
+/// Ended requests to tell of, by the daemon that gave the place.
+#[derive(Default)]
+pub(crate) struct Dones {
+    waiting: RefCell<BTreeMap<SocketAddr, Vec<String>>>,
+    collecting: Cell<bool>,
+}
+
+/// A place at an engine; its drop gives it back. It is made before the place
+/// is asked for, as the answer may be lost after the place was given.
+pub(crate) struct Place {
+    gateway: Rc<Gateway>,
+    sidecar: SocketAddr,
+    attempt: String,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let attempt = std::mem::take(&mut self.attempt);
+        let dones = &self.gateway.dones;
+        dones.waiting.borrow_mut().entry(self.sidecar).or_default().push(attempt);
+        if !dones.collecting.replace(true) {
+            actix_rt::spawn(tell(self.gateway.clone()));
+        }
+    }
+}
+
+/// Address of the daemon beside `engine`: on its host, where all daemons take
+/// messages.
+pub(crate) fn beside(gateway: &Gateway, engine: SocketAddr) -> SocketAddr {
+    SocketAddr::new(engine.ip(), gateway.node.registry.sidecars)
+}
+
+/// What the names of daemons beside engines begin with; no upstream's id has
+/// a space.
+const BESIDE: &str = "beside ";
+
+/// Name under which the daemon beside `engine` is judged.
+pub(crate) fn sidecar_id(engine: SocketAddr) -> String {
+    format!("{BESIDE}{engine}")
+}
+
+/// Whether `id` names a daemon beside an engine, not an upstream.
+pub(crate) fn is_sidecar(id: &str) -> bool {
+    id.starts_with(BESIDE)
+}
+
+/// Asks for a place at `engine`. `None`: the daemon there does not answer.
+pub(crate) async fn ask(
+    job: &Job,
+    engine: SocketAddr,
+    name: &AdapterName,
+    patience: Span,
+) -> Option<(Verdict, Place)> {
+    let gateway = &job.gateway;
+    let sidecar = beside(gateway, engine);
+    let place = Place { gateway: gateway.clone(), sidecar, attempt: job.attempt().to_owned() };
+    let waited = clock::now().since(job.arrived);
+    let want = Want {
+        attempt: job.attempt().to_owned(),
+        name: name.clone(),
+        rank: job.rank(),
+        size: job.ask.size.unwrap_or(Size { prompt: 500, output: 200 }),
+        aim: job.route.aim.saturating_sub(waited),
+        patience,
+        entry: gateway.node.peers,
+    };
+    let body = rmp_serde::to_vec_named(&want).expect("a want has only plain fields");
+    gateway.placement.borrow_mut().on_send(engine);
+    let pool = &gateway.node.pool;
+    let called = pool.call(sidecar, Method::POST, WANT_PATH, &body, patience + MESSAGE).await;
+    let answer = match called {
+        Ok(answer) if answer.status == 200 => {
+            rmp_serde::from_slice(&answer.body).map_err(|error| error.to_string())
+        }
+        Ok(answer) => Err(format!("status {}", answer.status)),
+        Err(error) => Err(error.to_string()),
+    };
+    match answer {
+        Ok(verdict) => Some((verdict, place)),
+        Err(error) => {
+            let now = clock::now();
+            gateway.health.borrow_mut().on_ending(now, &sidecar_id(engine), Ending::Away);
+            gateway.placement.borrow_mut().on_refusal(engine);
+            warn!(gateway.node.log, ""; "event" => "sidecar_lost",
+                "request" => &job.ask.attempt, "sidecar" => %sidecar, "error" => error);
+            None
+        }
+    }
+}
+
+/// Tells of ended requests what was collected.
+async fn tell(gateway: Rc<Gateway>) {
+    tokio::time::sleep(COLLECT.into()).await;
+    gateway.dones.collecting.set(false);
+    let waiting = std::mem::take(&mut *gateway.dones.waiting.borrow_mut());
+    for (sidecar, attempts) in waiting {
+        actix_rt::spawn(tell_one(gateway.clone(), sidecar, attempts));
+    }
+}
+
+async fn tell_one(gateway: Rc<Gateway>, sidecar: SocketAddr, attempts: Vec<String>) {
+    let body = rmp_serde::to_vec(&attempts).expect("a list of strings");
+    for _ in 0..TRIES {
+        let pool = &gateway.node.pool;
+        let called = pool.call(sidecar, Method::POST, DONE_PATH, &body, MESSAGE).await;
+        match called {
+            Ok(answer) if answer.status == 204 => return,
+            Ok(answer) => {
+                let status = answer.status;
+                warn!(gateway.node.log, ""; "event" => "done_refused", "sidecar" => %sidecar,
+                    "status" => status);
+                return;
+            }
+            Err(error) => {
+                warn!(gateway.node.log, ""; "event" => "done_lost", "sidecar" => %sidecar,
+                    "count" => attempts.len(), "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/gateway/reply.rs
@@ -0,0 +1,103 @@
+//! Answers that are the entry's own, and those it passes on whole.
+
+use actix_http::{Response, ResponseBuilder, StatusCode, body::BoxBody, header};
+use bytes::Bytes;
+use kingcupbay_core::{
+    time::Span,
+    wire::{ask::Ask, error::Code},
+};
+use kingcupbay_platform::{answer, request};
+
+use crate::{gateway::Gateway, server::drain::Phase};
+
+/// Why a request gets no upstream's answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) why: &'static str,
+    /// When coming back helps.
+    pub(crate) after: Option<Span>,
+    /// It provably did not run and never will.
+    pub(crate) not_run: bool,
+}
+
+impl Refusal {
+    /// It did not run; coming back does not help.
+    pub(crate) fn plain(code: Code, why: &'static str) -> Refusal {
+        Refusal { code, why, after: None, not_run: true }
+    }
+
+    /// It did not run; coming back after `after` helps.
+    pub(crate) fn retry(code: Code, why: &'static str, after: Span) -> Refusal {
+        Refusal { code, why, after: Some(after), not_run: true }
+    }
+
+    /// It may have run.
+    pub(crate) fn unknown(code: Code, why: &'static str) -> Refusal {
+        Refusal { code, why, after: None, not_run: false }
+    }
+
+    /// The status promises "not run" exactly where that is so.
+    fn status(&self) -> StatusCode {
+        let status = match self.code {
+            Code::OverRate => StatusCode::TOO_MANY_REQUESTS,
+            Code::NotFound => StatusCode::NOT_FOUND,
+            Code::BadKey => StatusCode::UNAUTHORIZED,
+            Code::BadRequest => StatusCode::BAD_REQUEST,
+            Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Code::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Code::Deadline if !self.not_run => StatusCode::GATEWAY_TIMEOUT,
+            _ if !self.not_run => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        debug_assert!(self.not_run || status.as_u16() == 502 || status.as_u16() == 504);
+        status
+    }
+}
+
+/// The answer for a refusal.
+pub(crate) fn refuse(gateway: &Gateway, ask: &Ask, refusal: Refusal) -> Response<BoxBody> {
+    gateway.metrics.on_refusal(refusal.code);
+    let mut builder = ResponseBuilder::new(refusal.status());
+    builder.insert_header((header::CONTENT_TYPE, "application/json"));
+    if let Some(attempt) = &ask.attempt {
+        builder.insert_header((request::ATTEMPT, attempt.as_str()));
+    }
+    if let Some(after) = refusal.after {
+        builder.insert_header((header::RETRY_AFTER, format!("{:.3}", after.as_secs_f64())));
+    }
+    close_if_leaving(gateway, &mut builder);
+    let body = format!("{{\"error\":\"{}\",\"code\":\"{}\"}}", refusal.why, refusal.code.as_str());
+    builder.body(body).map_into_boxed_body()
+}
+
+/// An upstream's whole answer, unchanged.
+pub(crate) fn whole(
+    gateway: &Gateway,
+    status: StatusCode,
+    headers: &header::HeaderMap,
+    body: Bytes,
+) -> Response<BoxBody> {
+    head(gateway, status, headers).body(body).map_into_boxed_body()
+}
+
+/// The head of an upstream's answer, unchanged but for its connection.
+pub(crate) fn head(
+    gateway: &Gateway,
+    status: StatusCode,
+    headers: &header::HeaderMap,
+) -> ResponseBuilder {
+    let mut builder = ResponseBuilder::new(status);
+    for (name, value) in answer::encode(headers) {
+        builder.append_header((name, value));
+    }
+    close_if_leaving(gateway, &mut builder);
+    builder
+}
+
+/// A caller that learns early goes elsewhere with its next request.
+fn close_if_leaving(gateway: &Gateway, builder: &mut ResponseBuilder) {
+    if gateway.node.drain.phase() != Phase::Serving {
+        builder.force_close();
+    }
+}
--- a/kingcupbayd/src/http/mod.rs
+++ b/kingcupbayd/src/http/mod.rs
@@ -5,4 +5,6 @@
 
 pub(crate) mod body;
 pub(crate) mod client;
+pub(crate) mod link;
+pub(crate) mod pool;
 pub(crate) mod reply;
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -10,13 +10,16 @@
 pub mod config;
 mod entry;
 mod fleet;
+mod gateway;
 mod http;
 mod logging;
 mod metrics;
-mod platform;
+mod registered;
 mod server;
 mod share;
+mod sidecar;
 mod start;
+mod store;
 mod upstream;
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
@@ -26,6 +29,7 @@
 use slog::Logger;
 
 pub use logging::logger;
+pub use registered::start::run as run_registered;
 pub use start::{Running, start};
 
 use config::Settings;
--- a/kingcupbayd/src/main.rs
+++ b/kingcupbayd/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::Parser;
-use kingcupbayd::config::Settings;
+use kingcupbayd::config::{Backing, Settings};
 use slog::error;
 
 mod signal;
@@ -38,7 +38,7 @@
     if args.check {
         return ExitCode::SUCCESS;
     }
-    let log = kingcupbayd::logger(settings.daemon.host.as_str());
+    let (log, _written) = kingcupbayd::logger(settings.daemon.host.as_str());
     match actix_rt::System::new().block_on(run(settings, log.clone())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -49,8 +49,12 @@
 }
 
 async fn run(settings: Settings, log: slog::Logger) -> std::io::Result<()> {
-    let running = kingcupbayd::start(settings, log)?;
-    signal::stop().await?;
+    if let Backing::Registry(registry) = settings.backing.clone() {
+        let stop = signal::stop(&log)?;
+        return kingcupbayd::run_registered(settings, registry, log.clone(), stop).await;
+    }
+    let running = kingcupbayd::start(settings, log.clone())?;
+    signal::stop(&log)?.await;
     running.stop().await;
     Ok(())
 }
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -6,7 +6,7 @@
 };
 
 /// Bounds of latencies in seconds: from relaying to a cold start in a queue.
-const LATENCY: &[f64] =
+pub(crate) const LATENCY: &[f64] =
     &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
 /// Bounds of gaps between tokens in seconds, close around the aim of 43 ms.
@@ -52,10 +52,8 @@
     /// Metrics at zero.
     pub(crate) fn new() -> Metrics {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let metric = IntCounterVec::new(Opts::new(name, help), labels);
-            registered(&registry, metric)
-        };
+        let counters =
+            |name: &str, help: &str, labels: &[&str]| counters(&registry, name, help, labels);
         let histogram = |name: &str, help: &str, bounds: &[f64]| {
             let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
             registered(&registry, Histogram::with_opts(options))
@@ -64,10 +62,14 @@
         let gauges = |name: &str, help: &str| {
             registered(&registry, IntGaugeVec::new(Opts::new(name, help), &["upstream"]))
         };
-        let counter = |name: &str, help: &str| registered(&registry, IntCounter::new(name, help));
-        let first = HistogramOpts::new("kingcupbay_first_token_seconds", "Time to first token")
-            .buckets(LATENCY.to_vec());
-        let first_token = registered(&registry, HistogramVec::new(first, &["organisation"]));
+        let counter = |name: &str, help: &str| counter(&registry, name, help);
+        let first_token = histograms(
+            &registry,
+            "kingcupbay_first_token_seconds",
+            "Time to first token",
+            &["organisation"],
+            LATENCY,
+        );
         Metrics {
             requests: counters(
                 "kingcupbay_requests_total",
@@ -113,14 +115,44 @@
 
     /// All metrics in Prometheus's text format.
     pub(crate) fn text(&self) -> String {
-        let mut out = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut out)
-            .expect("writing to memory cannot fail");
-        String::from_utf8(out).expect("the text format is UTF-8")
+        text(&self.registry)
     }
 }
 
+/// A new counter for each set of labels.
+pub(crate) fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> IntCounterVec {
+    registered(registry, IntCounterVec::new(Opts::new(name, help), labels))
+}
+
+/// A new counter.
+pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    registered(registry, IntCounter::new(name, help))
+}
+
+/// A new histogram for each set of labels.
+pub(crate) fn histograms(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+    bounds: &[f64],
+) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    registered(registry, HistogramVec::new(options, labels))
+}
+
+/// Everything in `registry` in Prometheus's text format.
+pub(crate) fn text(registry: &Registry) -> String {
+    let mut out = Vec::new();
+    TextEncoder::new().encode(&registry.gather(), &mut out).expect("writing to memory cannot fail");
+    String::from_utf8(out).expect("the text format is UTF-8")
+}
+
 fn registered<M>(registry: &Registry, metric: prometheus::Result<M>) -> M
 where
     M: prometheus::core::Collector + Clone + 'static,
--- /dev/null
+++ b/kingcupbayd/src/registered/members.rs
@@ -0,0 +1,57 @@
+//! The list of entries in the store: who shares the organisations' limits.
+
+use std::rc::Rc;
+
+use kingcupbay_core::{
+    deployment::catalogue::Member,
+    time::Span,
+    wire::rows::{RowKey, Txn, TxnAnswer},
+};
+use slog::{info, warn};
+
+use crate::registered::Node;
+
+/// Table of the entries.
+pub(crate) const ENTRIES: &str = "entries";
+
+/// Pause between two attempts to register.
+const PAUSE: Span = Span::from_millis(300);
+
+/// Registers this entry, again and again until the store has taken it.
+pub(crate) async fn register(node: Rc<Node>) {
+    let member = Member {
+        host: node.host().to_owned(),
+        role: node.settings.daemon.role,
+        address: node.peers,
+        zone: node.settings.daemon.zone.to_string(),
+        engine: node.registry.engine,
+        incarnation: node.incarnation,
+    };
+    let value = serde_json::to_vec(&member).expect("a member has only strings and numbers");
+    let key = RowKey { table: ENTRIES.to_owned(), key: member.host };
+    let txn = Txn { conditions: Vec::new(), writes: vec![(key, Some(value))] };
+    loop {
+        match node.store.transact(&txn).await {
+            Ok(TxnAnswer::Committed(version)) => {
+                info!(node.log, ""; "event" => "registered", "version" => version);
+                return;
+            }
+            Ok(TxnAnswer::Conflict(_)) => unreachable!("the write has no condition"),
+            Err(error) => warn!(node.log, ""; "event" => "register_failed", "error" => %error),
+        }
+        tokio::time::sleep(PAUSE.into()).await;
+    }
+}
+
+/// Takes entries off the list that have not been heard for long.
+pub(crate) async fn remove(node: Rc<Node>, host: String) {
+    let key = RowKey { table: ENTRIES.to_owned(), key: host.clone() };
+    let txn = Txn { conditions: Vec::new(), writes: vec![(key, None)] };
+    match node.store.transact(&txn).await {
+        Ok(_) => info!(node.log, ""; "event" => "entry_removed", "host" => host),
+        Err(error) => {
+            warn!(node.log, ""; "event" => "entry_not_removed", "host" => host,
+                "error" => %error);
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/registered/mod.rs
@@ -0,0 +1,104 @@
+//! A daemon of a fleet whose configuration and upstreams the platform keeps.
+//!
+//! The operator writes the whole configuration to the store and upstreams
+//! register themselves there. [`store`] calls it, [`follow`] keeps the
+//! [`Catalogue`] up to date from its feeds, or from other daemons while it is
+//! away ([`copies`]); [`members`] lists the entries there and [`tallies`] tells
+//! them what organisations have used. [`start`] sets up either role:
+//! `gateway` in front of callers, `sidecar` beside an engine.
+
+pub(crate) mod copies;
+pub(crate) mod follow;
+pub(crate) mod members;
+pub(crate) mod start;
+pub(crate) mod store;
+pub(crate) mod tallies;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use kingcupbay_core::{
+    deployment::{catalogue::Catalogue, model::Deployment},
+    time::Instant,
+};
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::{
+    config::{Registry, Settings},
+    http::pool::Pool,
+    server::drain::Drain,
+};
+
+use copies::Rows;
+use store::Store;
+
+/// What both roles share.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) registry: Registry,
+    /// Where other daemons reach this one.
+    pub(crate) peers: SocketAddr,
+    /// Drawn at the start of this process.
+    pub(crate) incarnation: u64,
+    pub(crate) pool: Pool,
+    pub(crate) store: Store,
+    /// The store's version at the first read, under which orders are given.
+    pub(crate) fencing: Cell<Option<u64>>,
+    pub(crate) catalogue: RefCell<Catalogue>,
+    /// The operator's rows as read, for daemons that cannot read them.
+    pub(crate) rows: RefCell<Rows>,
+    /// Told whenever the catalogue has changed.
+    pub(crate) changed: Notify,
+    /// Told whenever the store has failed a call of the first feed.
+    pub(crate) lost: Notify,
+    pub(crate) drain: Drain,
+    pub(crate) log: Logger,
+}
+
+impl Node {
+    /// A daemon that knows nothing yet.
+    pub(crate) fn new(
+        settings: Settings,
+        registry: Registry,
+        peers: SocketAddr,
+        log: Logger,
+    ) -> Node {
+        let mut incarnation = [0; 8];
+        getrandom::fill(&mut incarnation).expect("the system's random source works");
+        let pool = Pool::default();
+        Node {
+            incarnation: u64::from_le_bytes(incarnation),
+            store: Store::new(pool.clone(), registry.store, log.clone()),
+            fencing: Cell::default(),
+            catalogue: RefCell::default(),
+            rows: RefCell::default(),
+            changed: Notify::new(),
+            lost: Notify::new(),
+            drain: Drain::new(),
+            settings,
+            registry,
+            peers,
+            pool,
+            log,
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn deployment(&self) -> Option<Rc<Deployment>> {
+        self.catalogue.borrow().deployment().cloned()
+    }
+
+    /// Name of this host.
+    pub(crate) fn host(&self) -> &str {
+        self.settings.daemon.host.as_str()
+    }
+
+    /// Lets what hangs on time happen.
+    pub(crate) fn tick(&self, now: Instant) {
+        self.catalogue.borrow_mut().on_tick(now);
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/registered/start.rs
@@ -0,0 +1,227 @@
+//! Start, planned stop and reload of a daemon of a registered fleet.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use actix_rt::net::TcpListener;
+use kingcupbay_core::{
+    config::model::Role,
+    time::Span,
+    wire::{
+        sidecar::{DONE_PATH, PRESSURE_PATH, Pressure, WANT_PATH},
+        tally::{ROWS_PATH, TALLY_PATH},
+    },
+};
+use slog::{Logger, info, warn};
+
+use crate::{
+    config::{Registry, Settings},
+    gateway::{self, Gateway, place},
+    http,
+    registered::{
+        Node,
+        follow::{Table, follow},
+        members, tallies,
+    },
+    server::{
+        self,
+        drain::{Drain, Phase},
+    },
+    sidecar::{Sidecar, desk, engine, tell},
+};
+
+/// Time for the head of a message of another daemon.
+const HEAD_TIME: Span = Span::from_secs(5);
+
+/// Time for a message of another daemon.
+const MESSAGE_TIME: Span = Span::from_millis(500);
+
+/// Longest message of another daemon.
+const MESSAGE_MAX: usize = 256 << 10;
+
+/// How long readiness fails before connections are closed: the balancer asks
+/// each second and looks elsewhere after two answers, so callers come until
+/// then.
+const LEAVING: Span = Span::from_millis(2_200);
+
+/// Time kept before the end of the grace, for the last bytes.
+const MARGIN: Span = Span::from_millis(250);
+
+/// Listeners of a daemon, bound before anything is told of them.
+struct Listeners {
+    callers: Option<(TcpListener, SocketAddr)>,
+    ready: Option<(TcpListener, SocketAddr)>,
+    peers: (TcpListener, SocketAddr),
+    operators: (TcpListener, SocketAddr),
+}
+
+/// Runs a daemon until `stop` ends, and then until what runs has ended.
+pub async fn run(
+    settings: Settings,
+    registry: Registry,
+    log: Logger,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    let callers = settings.callers.as_ref().map(|callers| server::bind(callers.listen));
+    let listeners = Listeners {
+        callers: callers.transpose()?,
+        ready: registry.ready.map(server::bind).transpose()?,
+        peers: server::bind(settings.peers.listen)?,
+        operators: server::bind(settings.operators.listen)?,
+    };
+    let node = Rc::new(Node::new(settings, registry, listeners.peers.1, log));
+    let text =
+        |bound: &Option<(TcpListener, SocketAddr)>| bound.as_ref().map(|(_, at)| at.to_string());
+    info!(node.log, ""; "event" => "listening", "role" => ?node.settings.daemon.role,
+        "callers" => text(&listeners.callers), "ready" => text(&listeners.ready),
+        "peers" => %listeners.peers.1, "operators" => %listeners.operators.1,
+        "store" => %node.registry.store, "incarnation" => node.incarnation);
+    match node.settings.daemon.role {
+        Role::Entry => start_entry(&node, listeners),
+        Role::Upstream => start_sidecar(&node, listeners),
+    }
+    stop.await;
+    finish(&node).await;
+    Ok(())
+}
+
+fn start_entry(node: &Rc<Node>, listeners: Listeners) {
+    let gateway = Rc::new(Gateway::new(node.clone()));
+    for table in [Table::Operator, Table::Upstreams, Table::Entries] {
+        actix_rt::spawn(follow(node.clone(), table));
+    }
+    actix_rt::spawn(members::register(node.clone()));
+    actix_rt::spawn(tallies::send(gateway.clone()));
+    actix_rt::spawn(update_entries(gateway.clone()));
+    if let (Some((listener, _)), Some(callers)) = (listeners.callers, &node.settings.callers) {
+        let state = gateway.clone();
+        let handle = move |request| gateway::handle(state.clone(), request);
+        listen(listener, callers.head_timeout, node.drain.clone(), handle);
+    }
+    if let Some((listener, _)) = listeners.ready {
+        let state = gateway.clone();
+        let handle = move |request| answer_ready(state.clone(), request);
+        listen(listener, HEAD_TIME, Drain::new(), handle);
+    }
+    let state = gateway.clone();
+    let handle = move |request| handle_entry_peer(state.clone(), request);
+    listen(listeners.peers.0, HEAD_TIME, Drain::new(), handle);
+    let handle = move |request| answer_operator(gateway.clone(), request);
+    listen(listeners.operators.0, HEAD_TIME, Drain::new(), handle);
+}
+
+fn start_sidecar(node: &Rc<Node>, listeners: Listeners) {
+    let engine = node.registry.engine.expect("settings of an upstream daemon name its engine");
+    let sidecar = Rc::new(Sidecar::new(node.clone(), engine));
+    actix_rt::spawn(follow(node.clone(), Table::Operator));
+    actix_rt::spawn(engine::watch(sidecar.clone()));
+    actix_rt::spawn(tell::run(sidecar.clone()));
+    actix_rt::spawn(tell::follow(sidecar.clone()));
+    let state = sidecar.clone();
+    let handle = move |request| handle_sidecar_peer(state.clone(), request);
+    listen(listeners.peers.0, HEAD_TIME, Drain::new(), handle);
+    let handle = move |request| answer_sidecar_operator(sidecar.clone(), request);
+    listen(listeners.operators.0, HEAD_TIME, Drain::new(), handle);
+}
+
+fn listen<F, Fut>(listener: TcpListener, head: Span, drain: Drain, handle: F)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<BoxBody>> + 'static,
+{
+    drop(actix_rt::spawn(server::serve(listener, head, drain, handle)));
+}
+
+/// Stops as planned: readiness fails first, running requests finish.
+async fn finish(node: &Rc<Node>) {
+    let log = &node.log;
+    info!(log, ""; "event" => "stopping", "connections" => node.drain.open());
+    node.drain.advance(Phase::Leaving);
+    if node.settings.daemon.role == Role::Entry {
+        tokio::time::sleep(LEAVING.into()).await;
+        node.drain.advance(Phase::Closing);
+        let limit = node.registry.grace.saturating_sub(LEAVING).saturating_sub(MARGIN);
+        let whole = tokio::time::timeout(limit.into(), node.drain.idle()).await.is_ok();
+        let cut = node.drain.open();
+        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
+    } else {
+        info!(log, ""; "event" => "stopped");
+    }
+}
+
+/// Keeps the list of entries that share the limits.
+async fn update_entries(gateway: Rc<Gateway>) {
+    loop {
+        let changed = gateway.node.changed.notified();
+        take_entries(&gateway);
+        changed.await;
+    }
+}
+
+fn take_entries(gateway: &Gateway) {
+    let catalogue = gateway.node.catalogue.borrow();
+    let entries = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
+    gateway.allowance.borrow_mut().on_entries(entries);
+    let known = |id: &str| catalogue.instance(id).is_some() || place::is_sidecar(id);
+    gateway.health.borrow_mut().retain(known);
+}
+
+async fn answer_ready(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
+    match (request.path(), gateway.ready()) {
+        ("/ready", true) => http::reply::text(StatusCode::OK, "ready\n"),
+        ("/ready", false) => http::reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+async fn handle_entry_peer(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
+    match request.path() {
+        TALLY_PATH => tallies::handle(gateway, request).await,
+        PRESSURE_PATH => take_pressure(gateway, request).await,
+        ROWS_PATH => {
+            let copies = gateway.node.rows.borrow().copies();
+            let body = rmp_serde::to_vec_named(&copies).expect("copies have only plain fields");
+            http::reply::bytes("application/msgpack", body.into())
+        }
+        _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+async fn take_pressure(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
+    let read = http::body::read(request.take_payload(), MESSAGE_MAX, MESSAGE_TIME).await;
+    let pressure = read.ok().and_then(|body| rmp_serde::from_slice::<Pressure>(&body).ok());
+    match pressure {
+        Some(pressure) => {
+            gateway.on_pressure(pressure);
+            Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+        }
+        None => {
+            warn!(gateway.node.log, ""; "event" => "pressure_unreadable");
+            http::reply::text(StatusCode::BAD_REQUEST, "not a pressure\n")
+        }
+    }
+}
+
+async fn handle_sidecar_peer(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
+    match request.path() {
+        WANT_PATH => desk::want(sidecar, request).await,
+        DONE_PATH => desk::done(sidecar, request).await,
+        _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+async fn answer_operator(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
+    match request.path() {
+        "/metrics" => http::reply::text(StatusCode::OK, gateway.metrics.text()),
+        _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+async fn answer_sidecar_operator(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
+    match request.path() {
+        "/metrics" | "/dump" => {
+            http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump())
+        }
+        _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/registered/store.rs
@@ -0,0 +1,119 @@
+//! Calls of the platform's store.
+
+use std::{cell::Cell, net::SocketAddr};
+
+use actix_http::Method;
+use kingcupbay_core::{
+    time::{Instant, Span},
+    wire::rows::{Page, Txn, TxnAnswer},
+};
+use kingcupbay_platform::{Call, DecodeError, store as encode};
+use slog::{Logger, info, warn};
+use thiserror::Error;
+
+use crate::{
+    clock,
+    http::{
+        link::LinkError,
+        pool::{Answer, Pool},
+    },
+};
+
+/// Time for an answer that does not wait for anything: the store answers in
+/// 4 ms, and up to sixty times as slowly when it is slow.
+const ANSWER: Span = Span::from_millis(700);
+
+/// Why a call of the store brought nothing.
+#[derive(Debug)]
+#[derive(Error)]
+pub(crate) enum StoreError {
+    /// No answer: a write may have taken effect, or may do so later.
+    #[error("{0}")]
+    Link(#[from] LinkError),
+    /// It refused; nothing was done.
+    #[error("status {0}")]
+    Refused(u16),
+    /// The history from which to go on has been dropped.
+    #[error("the history is gone")]
+    Forgotten,
+    /// The answer cannot be read.
+    #[error("{0}")]
+    Decode(#[from] DecodeError),
+}
+
+/// The store, and whether it answers.
+pub(crate) struct Store {
+    pool: Pool,
+    address: SocketAddr,
+    /// Since when no call has been answered.
+    away: Cell<Option<Instant>>,
+    log: Logger,
+}
+
+impl Store {
+    /// A client of the store at `address`.
+    pub(crate) fn new(pool: Pool, address: SocketAddr, log: Logger) -> Store {
+        Store { pool, address, away: Cell::new(None), log }
+    }
+
+    /// Since when the store has not answered.
+    pub(crate) fn away(&self) -> Option<Instant> {
+        self.away.get()
+    }
+
+    /// Rows of `table` from the key `from` on.
+    pub(crate) async fn read(&self, table: &str, from: &str) -> Result<Page, StoreError> {
+        let answer = self.call(&encode::read(table, from), ANSWER).await?;
+        Ok(encode::page(&answer.body)?)
+    }
+
+    /// What has changed in `table` after version `after`; waits up to `wait`
+    /// for a first change.
+    pub(crate) async fn feed(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Span,
+    ) -> Result<Page, StoreError> {
+        let answer = self.call(&encode::feed(table, after, wait), wait + ANSWER).await?;
+        Ok(encode::page(&answer.body)?)
+    }
+
+    /// Runs a transaction.
+    pub(crate) async fn transact(&self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
+        let answer = self.call(&encode::transact(txn), ANSWER).await?;
+        Ok(encode::transacted(answer.status == 412, &answer.body)?)
+    }
+
+    async fn call(&self, call: &Call, time: Span) -> Result<Answer, StoreError> {
+        let method = if call.method == "GET" { Method::GET } else { Method::POST };
+        let answered = self.pool.call(self.address, method, &call.path, &call.body, time).await;
+        let result = match answered {
+            Ok(answer) => match answer.status {
+                200 | 412 => Ok(answer),
+                410 => Err(StoreError::Forgotten),
+                status => Err(StoreError::Refused(status)),
+            },
+            Err(error) => Err(error.into()),
+        };
+        self.note(&result);
+        result
+    }
+
+    /// Logs when the store is lost and when it is back.
+    fn note(&self, result: &Result<Answer, StoreError>) {
+        let now = clock::now();
+        match (result, self.away.get()) {
+            (Ok(_) | Err(StoreError::Forgotten), Some(since)) => {
+                self.away.set(None);
+                let away = now.since(since).as_millis();
+                info!(self.log, ""; "event" => "store_back", "away_ms" => away);
+            }
+            (Err(error), None) if !matches!(error, StoreError::Forgotten) => {
+                self.away.set(Some(now));
+                warn!(self.log, ""; "event" => "store_lost", "error" => %error);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -0,0 +1,120 @@
+//! Tells other entries what organisations have used here.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use kingcupbay_core::{
+    config::model::Role,
+    time::Span,
+    wire::tally::{TALLY_PATH, Tally},
+};
+use slog::{info, warn};
+
+use crate::{
+    clock,
+    gateway::Gateway,
+    http,
+    registered::{copies, members},
+};
+
+/// Period of the tallies. Within it entries spend the same tokens unseen.
+const PERIOD: Span = Span::from_millis(100);
+
+/// Time for a peer's answer; longer, and the next tally says more.
+const ANSWER: Span = Span::from_millis(300);
+
+/// An entry that was silent for this long is taken off the list, and its part
+/// of the limits falls to the others. A restart or a cut is over by then.
+const GONE: Span = Span::from_secs(20);
+
+/// Pause between two tries to take the same entries off.
+const REMOVALS: Span = Span::from_secs(5);
+
+/// Longest tally: a thousand organisations with names of 100 bytes.
+const TALLY_MAX: usize = 256 << 10;
+
+/// Sends tallies for ever.
+pub(crate) async fn send(gateway: Rc<Gateway>) {
+    let mut removed = clock::now();
+    loop {
+        tokio::time::sleep(PERIOD.into()).await;
+        let now = clock::now();
+        gateway.node.tick(now);
+        let number = gateway.node.deployment().map_or_else(Default::default, |d| d.number);
+        let peers = peers(&gateway);
+        if peers.is_empty() {
+            continue;
+        }
+        let tally = gateway.allowance.borrow_mut().tally(now, number);
+        let body = rmp_serde::to_vec_named(&tally).expect("a tally has only plain fields");
+        let body = Bytes::from(body);
+        for peer in peers {
+            drop(actix_rt::spawn(tell(gateway.clone(), peer, body.clone())));
+        }
+        if now.since(removed) >= REMOVALS {
+            removed = now;
+            remove_gone(&gateway);
+        }
+    }
+}
+
+/// Takes another entry's tally.
+pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
+    let read = http::body::read(request.take_payload(), TALLY_MAX, ANSWER).await;
+    let Ok(body) = read else {
+        return http::reply::text(StatusCode::BAD_REQUEST, "the body did not come\n");
+    };
+    let Ok(tally) = rmp_serde::from_slice::<Tally>(&body) else {
+        return http::reply::text(StatusCode::BAD_REQUEST, "not a tally\n");
+    };
+    let now = clock::now();
+    let number = gateway.node.deployment().map_or_else(Default::default, |d| d.number);
+    if tally.number > number {
+        let from = gateway.node.catalogue.borrow();
+        let from = from.members().find(|member| member.host == tally.host);
+        if let Some(address) = from.map(|member| member.address) {
+            info!(gateway.node.log, ""; "event" => "newer_elsewhere", "peer" => &tally.host,
+                "number" => number.0, "theirs" => tally.number.0);
+            let node = gateway.node.clone();
+            drop(actix_rt::spawn(async move { copies::fetch(&node, address).await }));
+        }
+    }
+    gateway.allowance.borrow_mut().on_tally(now, tally);
+    Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+}
+
+fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
+    let catalogue = gateway.node.catalogue.borrow();
+    let others = catalogue.of_role(Role::Entry).filter(|member| member.host != gateway.node.host());
+    others.map(|member| member.address).collect()
+}
+
+async fn tell(gateway: Rc<Gateway>, peer: SocketAddr, body: Bytes) {
+    let called = gateway.node.pool.call(peer, Method::POST, TALLY_PATH, &body, ANSWER).await;
+    let failed = match &called {
+        Ok(answer) => answer.status != 204,
+        Err(_) => true,
+    };
+    let changed = match failed {
+        true => gateway.deaf.borrow_mut().insert(peer),
+        false => gateway.deaf.borrow_mut().remove(&peer),
+    };
+    if changed && failed {
+        let error = called.err().map(|error| error.to_string());
+        warn!(gateway.node.log, ""; "event" => "entry_lost", "peer" => %peer, "error" => error);
+    } else if changed {
+        info!(gateway.node.log, ""; "event" => "entry_back", "peer" => %peer);
+    }
+}
+
+fn remove_gone(gateway: &Rc<Gateway>) {
+    if gateway.node.store_away().is_some() {
+        return;
+    }
+    let now = clock::now();
+    let allowance = gateway.allowance.borrow();
+    for host in allowance.silent_since(now, GONE) {
+        drop(actix_rt::spawn(members::remove(gateway.node.clone(), host.to_owned())));
+    }
+}
--- a/kingcupbayd/src/share/epoch.rs
+++ b/kingcupbayd/src/share/epoch.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock,
     fleet::{decode, encode},
-    platform::table::TableError,
+    store::table::TableError,
 };
 
 /// Pause between two looks for what is to be written or read.
--- a/kingcupbayd/src/share/mod.rs
+++ b/kingcupbayd/src/share/mod.rs
@@ -18,7 +18,7 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
-use crate::{clock, fleet::Fleet, http::client::Clients, platform::table::Table};
+use crate::{clock, fleet::Fleet, http::client::Clients, store::table::Table};
 
 mod epoch;
 mod peer;
--- /dev/null
+++ b/kingcupbayd/src/sidecar/desk.rs
@@ -0,0 +1,98 @@
+//! Entries' requests for places.
+
+use std::rc::Rc;
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use kingcupbay_core::{
+    admission::Ticket,
+    time::Span,
+    wire::sidecar::{Refusal, Verdict, Want},
+};
+use slog::{debug, info};
+use tokio::sync::oneshot;
+
+use crate::{clock, http, server::drain::Phase, sidecar::Sidecar};
+
+/// Longest message of an entry: a few thousand attempt ids.
+const MESSAGE_MAX: usize = 256 << 10;
+
+/// Time for a message to arrive.
+const MESSAGE_TIME: Span = Span::from_millis(500);
+
+/// When to come back to a daemon that stops; its successor is there soon.
+const STOPPING: Span = Span::from_secs(1);
+
+/// A request that waits; its drop takes it out of the queue.
+struct Waiting {
+    sidecar: Rc<Sidecar>,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        // Answered tickets are gone already, and only then is there nothing
+        // to cancel.
+        if self.sidecar.answers.borrow_mut().remove(&self.ticket).is_some() {
+            let actions = self.sidecar.admission.borrow_mut().on_cancel(clock::now(), self.ticket);
+            self.sidecar.perform(actions);
+        }
+    }
+}
+
+/// Answers when there is a place, or none in time.
+pub(crate) async fn want(sidecar: Rc<Sidecar>, mut request: Request) -> Response<BoxBody> {
+    let Some(want) = read::<Want>(request.take_payload()).await else {
+        return http::reply::text(StatusCode::BAD_REQUEST, "not a want\n");
+    };
+    let now = clock::now();
+    sidecar.entries.borrow_mut().insert(want.entry, now);
+    if sidecar.node.drain.phase() != Phase::Serving {
+        let verdict = Verdict::Refused { why: Refusal::Unready, after: STOPPING };
+        return answer(&verdict);
+    }
+    let ticket = Ticket(sidecar.tickets.get() + 1);
+    sidecar.tickets.set(ticket.0);
+    let (sender, receiver) = oneshot::channel();
+    sidecar.answers.borrow_mut().insert(ticket, sender);
+    let waiting = Waiting { sidecar: sidecar.clone(), ticket };
+    let (attempt, name) = (want.attempt.clone(), want.name.adapter.clone());
+    let actions = sidecar.admission.borrow_mut().on_want(now, ticket, want);
+    sidecar.perform(actions);
+    sidecar.wake.notify_one();
+    let verdict =
+        receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING });
+    drop(waiting);
+    let waited = clock::now().since(now).as_millis();
+    match &verdict {
+        Verdict::Granted { version } => debug!(sidecar.node.log, ""; "event" => "granted",
+            "request" => attempt, "adapter" => name, "version" => version,
+            "waited_ms" => waited),
+        Verdict::Refused { why, after } => info!(sidecar.node.log, ""; "event" => "no_place",
+            "request" => attempt, "adapter" => name, "why" => why.as_str(),
+            "after_ms" => after.as_millis(), "waited_ms" => waited),
+    }
+    answer(&verdict)
+}
+
+/// Takes places back.
+pub(crate) async fn done(sidecar: Rc<Sidecar>, mut request: Request) -> Response<BoxBody> {
+    let Some(attempts) = read::<Vec<String>>(request.take_payload()).await else {
+        return http::reply::text(StatusCode::BAD_REQUEST, "not a list\n");
+    };
+    let now = clock::now();
+    for attempt in attempts {
+        let actions = sidecar.admission.borrow_mut().on_done(now, &attempt);
+        sidecar.perform(actions);
+    }
+    Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+}
+
+async fn read<T: serde::de::DeserializeOwned>(payload: actix_http::Payload) -> Option<T> {
+    let body = http::body::read(payload, MESSAGE_MAX, MESSAGE_TIME).await.ok()?;
+    rmp_serde::from_slice(&body).ok()
+}
+
+fn answer(verdict: &Verdict) -> Response<BoxBody> {
+    let body = rmp_serde::to_vec_named(verdict).expect("a verdict has only plain fields");
+    http::reply::bytes("application/msgpack", body.into())
+}
--- /dev/null
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -0,0 +1,108 @@
+//! The engine's reports and orders.
+
+use std::rc::Rc;
+
+use actix_http::Method;
+use kingcupbay_core::{
+    admission::{
+        order::{Order, Reply},
+        report::Report,
+    },
+    time::Span,
+};
+use kingcupbay_platform::engine as encode;
+use slog::{info, warn};
+
+use crate::{clock, sidecar::Sidecar};
+
+/// Time for a report. The engine is on the same host and answers at once.
+const REPORT: Span = Span::from_millis(400);
+
+/// Time for the reply to an order.
+const ORDER: Span = Span::from_millis(800);
+
+/// Reports in a row that did not come before the engine counts as gone.
+const MISSES: u32 = 2;
+
+/// Asks for reports for ever, as often as they are of use.
+pub(crate) async fn watch(sidecar: Rc<Sidecar>) {
+    let mut misses = 0;
+    loop {
+        match report(&sidecar).await {
+            Ok(()) => {
+                if misses >= MISSES {
+                    info!(sidecar.node.log, ""; "event" => "engine_back");
+                }
+                misses = 0;
+            }
+            Err(error) => {
+                misses += 1;
+                if misses == MISSES {
+                    warn!(sidecar.node.log, ""; "event" => "engine_lost", "error" => error);
+                    let actions = sidecar.admission.borrow_mut().on_silence(clock::now());
+                    sidecar.perform(actions);
+                }
+            }
+        }
+        let asked = clock::now();
+        loop {
+            let wait = sidecar.admission.borrow().next_report();
+            let passed = clock::now().since(asked);
+            if passed >= wait {
+                break;
+            }
+            // A new request may want the next report sooner.
+            let rest = wait.saturating_sub(passed);
+            tokio::select! {
+                () = tokio::time::sleep(rest.into()) => {}
+                () = sidecar.wake.notified() => {}
+            }
+        }
+    }
+}
+
+async fn report(sidecar: &Rc<Sidecar>) -> Result<(), String> {
+    let call = encode::ask();
+    let pool = &sidecar.node.pool;
+    let called = pool.call(sidecar.engine, Method::GET, &call.path, &[], REPORT).await;
+    let answer = called.map_err(|error| error.to_string())?;
+    if answer.status != 200 {
+        return Err(format!("status {}", answer.status));
+    }
+    let report = encode::report(&answer.body).map_err(|error| error.to_string())?;
+    note_report(sidecar, &report);
+    let actions = sidecar.admission.borrow_mut().on_report(clock::now(), report);
+    sidecar.perform(actions);
+    Ok(())
+}
+
+/// Logs what an order has changed; reports in between only repeat it.
+fn note_report(sidecar: &Sidecar, report: &Report) {
+    if report.orders == sidecar.orders.replace(report.orders) {
+        return;
+    }
+    let pending = report.pending.iter().map(|(name, version)| {
+        format!("{}@{version}", name.adapter.as_deref().unwrap_or(&name.model))
+    });
+    let pending: Vec<String> = pending.collect();
+    info!(sidecar.node.log, ""; "event" => "report", "orders" => report.orders,
+        "held" => report.adapters().count(), "pending" => pending.join(","),
+        "busy" => report.busy, "running" => report.running, "waiting" => report.waiting,
+        "leaving" => report.leaving);
+}
+
+/// Gives the engine an order.
+pub(crate) async fn order(sidecar: Rc<Sidecar>, order: Order) {
+    let call = encode::order(&order);
+    let pool = &sidecar.node.pool;
+    let called = pool.call(sidecar.engine, Method::POST, &call.path, &call.body, ORDER).await;
+    let reply = match &called {
+        Ok(answer) => encode::ordered(answer.status),
+        Err(_) => Reply::Unknown,
+    };
+    let error = called.err().map(|error| error.to_string());
+    info!(sidecar.node.log, ""; "event" => "ordered", "model" => &order.name.model,
+        "adapter" => &order.name.adapter, "reply" => reply.as_str(), "error" => error);
+    sidecar.admission.borrow_mut().on_reply(clock::now(), reply);
+    sidecar.wake.notify_one();
+}
--- /dev/null
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -0,0 +1,82 @@
+//! The daemon beside a model engine of a registered fleet.
+//!
+//! It alone orders the engine about and gives out its places; streams go
+//! straight from the engine to the entries. [`desk`] answers entries that want
+//! a place, [`engine`] asks the engine for reports and gives it orders, and
+//! [`tell`] lets entries know how busy it is. All decisions are
+//! `kingcupbay_core::admission`'s.
+
+pub(crate) mod desk;
+pub(crate) mod engine;
+pub(crate) mod tell;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use kingcupbay_core::{
+    admission::{Action, Admission, Ticket},
+    time::Instant,
+    wire::sidecar::Verdict,
+};
+use slog::info;
+use tokio::sync::{Notify, oneshot};
+
+use crate::registered::Node;
+
+/// State of the daemon beside an engine.
+pub(crate) struct Sidecar {
+    pub(crate) node: Rc<Node>,
+    /// The engine's address.
+    pub(crate) engine: SocketAddr,
+    pub(crate) admission: RefCell<Admission>,
+    /// Who waits for a verdict.
+    pub(crate) answers: RefCell<BTreeMap<Ticket, oneshot::Sender<Verdict>>>,
+    pub(crate) tickets: Cell<u64>,
+    /// Orders that the last report counted; before the first, more than any.
+    pub(crate) orders: Cell<u64>,
+    /// Wakes the loop that asks for reports.
+    pub(crate) wake: Notify,
+    /// Entries that asked for places lately.
+    pub(crate) entries: RefCell<BTreeMap<SocketAddr, Instant>>,
+}
+
+impl Sidecar {
+    /// A daemon beside the engine at `engine`.
+    pub(crate) fn new(node: Rc<Node>, engine: SocketAddr) -> Sidecar {
+        Sidecar {
+            admission: RefCell::new(Admission::new(node.host())),
+            engine,
+            answers: RefCell::default(),
+            tickets: Cell::default(),
+            orders: Cell::new(u64::MAX),
+            wake: Notify::new(),
+            entries: RefCell::default(),
+            node,
+        }
+    }
+
+    /// Carries out what the core decided.
+    pub(crate) fn perform(self: &Rc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Answer(ticket, verdict) => {
+                    if let Some(answer) = self.answers.borrow_mut().remove(&ticket) {
+                        // The entry may have left; its place comes back by
+                        // its own word or the engine's next reports.
+                        let _ = answer.send(verdict);
+                    }
+                }
+                Action::Order(order) => {
+                    info!(self.node.log, ""; "event" => "order", "model" => &order.name.model,
+                        "adapter" => &order.name.adapter, "target" => ?order.target,
+                        "after" => order.after, "fencing" => order.fencing);
+                    drop(actix_rt::spawn(engine::order(self.clone(), order)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/kingcupbayd/src/sidecar/tell.rs
@@ -0,0 +1,78 @@
+//! Lets entries know how busy the engine is and what it holds, and takes over
+//! what the operator declares of it.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_http::Method;
+use bytes::Bytes;
+use kingcupbay_core::{time::Span, wire::sidecar::PRESSURE_PATH};
+use slog::debug;
+
+use crate::{clock, sidecar::Sidecar};
+
+/// Period of the messages; an entry's own sends since the last one count too.
+const PERIOD: Span = Span::from_millis(250);
+
+/// Time for an entry's answer.
+const ANSWER: Span = Span::from_millis(300);
+
+/// An entry that asked for no place for this long is told nothing.
+const QUIET: Span = Span::from_secs(20);
+
+/// Tells entries for ever.
+pub(crate) async fn run(sidecar: Rc<Sidecar>) {
+    loop {
+        tokio::time::sleep(PERIOD.into()).await;
+        let now = clock::now();
+        let actions = sidecar.admission.borrow_mut().on_tick(now);
+        sidecar.perform(actions);
+        sidecar.entries.borrow_mut().retain(|_, asked| now.since(*asked) < QUIET);
+        let mut pressure = sidecar.admission.borrow().pressure();
+        pressure.engine = Some(sidecar.engine);
+        let body = rmp_serde::to_vec_named(&pressure).expect("a pressure has only plain fields");
+        let body = Bytes::from(body);
+        let entries: Vec<SocketAddr> = sidecar.entries.borrow().keys().copied().collect();
+        for entry in entries {
+            drop(actix_rt::spawn(tell(sidecar.clone(), entry, body.clone())));
+        }
+    }
+}
+
+async fn tell(sidecar: Rc<Sidecar>, entry: SocketAddr, body: Bytes) {
+    let pool = &sidecar.node.pool;
+    let called = pool.call(entry, Method::POST, PRESSURE_PATH, &body, ANSWER).await;
+    if let Err(error) = called {
+        // The next message says more; an entry that is gone asks no more.
+        debug!(sidecar.node.log, ""; "event" => "tell_failed", "entry" => %entry,
+            "error" => %error);
+    }
+}
+
+/// Takes over what is declared of the engine, whenever that changes.
+pub(crate) async fn follow(sidecar: Rc<Sidecar>) {
+    let node = &sidecar.node;
+    loop {
+        let changed = node.changed.notified();
+        take(&sidecar);
+        changed.await;
+    }
+}
+
+fn take(sidecar: &Rc<Sidecar>) {
+    let node = &sidecar.node;
+    let mut admission = sidecar.admission.borrow_mut();
+    let catalogue = node.catalogue.borrow();
+    let service = node.registry.service.as_deref().unwrap_or_default();
+    let spec = catalogue
+        .deployment()
+        .and_then(|deployment| deployment.services.get(service)?.engine.clone());
+    if let Some(spec) = spec {
+        admission.on_spec(spec);
+    }
+    for (name, &version) in catalogue.versions() {
+        admission.on_version(name.clone(), version);
+    }
+    if let Some(number) = node.fencing.get() {
+        admission.on_fencing(number);
+    }
+}
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -13,18 +13,18 @@
 
 use crate::{
     Addresses, Daemon, RoleState, admin,
-    config::Settings,
+    config::{Backing, Platform, Settings},
     entry::{self, Entry},
     fleet::{self, Fleet, PatchOutcome},
     handle_peer,
     http::client::Clients,
     metrics::Metrics,
-    platform::{object::Objects, table::Table},
     server::{
         self,
         drain::{Drain, Phase},
     },
     share::{self, Shares},
+    store::{object::Objects, table::Table},
     upstream::Upstream,
 };
 
@@ -42,8 +42,13 @@
     servers: Vec<actix_rt::task::JoinHandle<()>>,
 }
 
-/// Starts a daemon on the present thread's runtime.
+/// Starts a daemon that keeps its configuration as patches in the table, on
+/// the present thread's runtime.
 pub fn start(settings: Settings, log: Logger) -> std::io::Result<Running> {
+    let Backing::Patches(platform) = settings.backing.clone() else {
+        let message = "these settings name a registry, not a table of patches";
+        return Err(std::io::Error::new(std::io::ErrorKind::InvalidInput, message));
+    };
     let settings = Rc::new(settings);
     let (peers, peers_at) = server::bind(settings.peers.listen)?;
     let (operators, operators_at) = server::bind(settings.operators.listen)?;
@@ -54,7 +59,7 @@
         peers: peers_at,
         operators: operators_at,
     };
-    let daemon = assemble(settings.clone(), log);
+    let daemon = assemble(settings.clone(), &platform, log);
     actix_rt::spawn(fleet::run(daemon.fleet.clone(), settings.clone()));
     actix_rt::spawn(join(daemon.clone(), peers_at.to_string()));
     match &daemon.role {
@@ -86,11 +91,11 @@
     Ok(Running { addresses, daemon, servers })
 }
 
-fn assemble(settings: Rc<Settings>, log: Logger) -> Rc<Daemon> {
+fn assemble(settings: Rc<Settings>, platform: &Platform, log: Logger) -> Rc<Daemon> {
     let tuning = &settings.tuning;
     let clients = Clients::new(tuning.connect_timeout);
-    let table = Table::new(clients.clone(), settings.platform.table, tuning.platform_timeout);
-    let objects = Objects::new(clients.clone(), settings.platform.objects, Span::from_secs(30));
+    let table = Table::new(clients.clone(), platform.table, tuning.platform_timeout);
+    let objects = Objects::new(clients.clone(), platform.objects, Span::from_secs(30));
     let metrics = Rc::new(Metrics::new());
     let drain = Drain::new();
     let mut incarnation = [0; 8];
--- a/kingcupbayd/src/upstream/fence.rs
+++ b/kingcupbayd/src/upstream/fence.rs
@@ -19,7 +19,7 @@
 use crate::{
     entry::new_request,
     fleet::{FRESHNESS, decode, encode},
-    platform::table::TableError,
+    store::table::TableError,
 };
 
 /// Longest time between a daemon's look at its standing and the arrival of
--- a/kingcupbayd/src/upstream/mod.rs
+++ b/kingcupbayd/src/upstream/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     active::Active, clock, config::Settings, fleet::Fleet, http::client::Clients, metrics::Metrics,
-    platform::table::Table, server::drain::Drain,
+    server::drain::Drain, store::table::Table,
 };
 
 mod call;
--- a/kingcupbayd/src/upstream/once.rs
+++ b/kingcupbayd/src/upstream/once.rs
@@ -33,8 +33,8 @@
     clock,
     entry::new_request,
     http::{body, client::never_left},
-    platform::table::TableError,
     server::drain::Phase,
+    store::table::TableError,
 };
 
 /// Pause after a call of the table that gave no answer.
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Whether a line that holds `text` has come. It does not wait: a test
+    /// whose stand-ins run on its own thread would stop them.
+    pub(crate) fn has_line(&mut self, text: &str) -> bool {
+        self.seen.extend(self.lines.try_iter());
+        self.seen.iter().any(|line| line.contains(text))
+    }
+
     /// An address from the listening line.
     pub(crate) fn address(&self, key: &str) -> SocketAddr {
         self.listening[key].parse().unwrap()
