Load first what most requests wait for, and log callers that leave

Cause: after a restart of everything all adapters are cold, and one that a single request waited for went before one that many did. Ruled out: more loads at once (the weight store's throughput binds). Change: among adapters that are waited for, the one with most waiters is loaded first. A relay that is dropped before its end says so, with the last event.

--- a/kingcupbay_core/src/admission/queue.rs
+++ b/kingcupbay_core/src/admission/queue.rs
@@ -99,12 +99,18 @@
         order.into_iter().map(|(_, _, ticket)| ticket).collect()
     }
 
-    /// Adapters that are waited for, in the order of `tickets`.
+    /// Adapters that are waited for, in the order in which to load them: those
+    /// that most wait for first, as one load serves them all; among equals in
+    /// the order of `tickets`.
     pub fn names(&self, tickets: &[Ticket]) -> Vec<AdapterName> {
-        let mut seen = BTreeSet::new();
+        let mut counts: BTreeMap<&AdapterName, (usize, usize)> = BTreeMap::new();
         let waiters = tickets.iter().filter_map(|ticket| self.get(*ticket));
-        let names = waiters.map(|waiter| &waiter.want.name);
-        names.filter(|name| seen.insert(*name)).cloned().collect()
+        for (turn, waiter) in waiters.enumerate() {
+            counts.entry(&waiter.want.name).or_insert((0, turn)).0 += 1;
+        }
+        let mut names: Vec<_> = counts.into_iter().collect();
+        names.sort_unstable_by_key(|&(_, (count, turn))| (std::cmp::Reverse(count), turn));
+        names.into_iter().map(|(name, _)| name.clone()).collect()
     }
 
     /// Adapters that are waited for, each once.
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -250,6 +250,25 @@
     assert_eq!(answers(&actions)[0], (2, GRANTED));
 }
 
+/// After a restart everything is cold. An adapter that five visitors wait for
+/// goes before one that a single visitor asked for earlier: the same load
+/// serves five instead of one.
+#[test]
+fn what_most_wait_for_is_loaded_first() {
+    let mut engine = engine();
+    engine.on_report(at(0), report(0, &[]));
+    engine.on_want(at(1), Ticket(1), want("a", "first"));
+    engine.on_want(at(2), Ticket(2), want("b", "rare"));
+    for ticket in 3..6 {
+        engine.on_want(at(3), Ticket(ticket), want(&format!("c{ticket}"), "popular"));
+    }
+    engine.on_reply(at(4), Reply::Accepted);
+    let mut shown = report(1, &[]);
+    shown.pending = vec![(name("first"), 1)];
+    let actions = engine.on_report(at(5), shown);
+    assert_eq!(orders(&actions)[0].name, name("popular"));
+}
+
 /// Many cold adapters are asked for at once on all engines, 72 a second where
 /// the store gives 32. It serves eight at full speed and slows in proportion
 /// beyond, so engines that each keep four on their way get every load late.
@@ -272,7 +291,7 @@
         let on_way: usize = engines.iter().map(|engine| engine.pending.len()).sum();
         let speed = (8.0 / on_way.max(1) as f64).min(1.0);
         for (number, engine) in engines.iter_mut().enumerate() {
-            let asks = (now / STEP + number as u64) % (250 / STEP) == 0;
+            let asks = (now / STEP + number as u64).is_multiple_of(250 / STEP);
             in_time += engine.step(now, STEP as f64 * speed, asks);
         }
     }
--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -94,7 +94,7 @@
                 }
             }
         }
-        if now % PERIOD == 0 {
+        if now.is_multiple_of(PERIOD) {
             for (from, entry) in self.entries.iter_mut().enumerate() {
                 self.on_way.push_back((now + DELAY, from, entry.tally(at(now), Number(1))));
             }
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -212,6 +212,20 @@
     }
 }
 
+impl Drop for Relay {
+    /// A relay that is dropped before its end has lost its caller. With it goes
+    /// the connection to the engine, which stops work at once.
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let ms = clock::now().since(self.job.arrived).as_millis();
+        info!(self.job.gateway.node.log, ""; "event" => "left",
+            "request" => &self.job.ask.attempt, "upstream" => &self.instance.id,
+            "last_event" => self.last_event, "ms" => ms);
+    }
+}
+
 /// Where the last whole event of `bytes` ends.
 fn events_end(bytes: &[u8]) -> Option<usize> {
     let at = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
