Tell callers truly when an engine without its base model can serve

Cause: after a restart of everything, callers were told to come back after 0.2 to 0.7 s, when the base model was still being loaded from disk (1.2 s); a caller comes back once, and in vain. The order for the base model waited for the next tick, 120 ms after the configuration was known. Ruled out: holding them (no first event within their aim either way). Change: such a refusal names 1.8 s; new knowledge leads to orders at once.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -46,6 +46,10 @@
 /// the entry says so within a round trip, unless it died.
 const ENDED: Span = Span::from_secs(1);
 
+/// When to come back to an engine without its base model: it is loaded from the
+/// engine's own disk in 1.2 s, and then an adapter from the store.
+const BASE: Span = Span::from_millis(1_800);
+
 /// Shortest time to come back: one report later.
 const RETRY_MIN: Span = Span::from_millis(200);
 
@@ -139,7 +143,8 @@
             self.on_version(want.name.clone(), newest);
         }
         if let Some(refusal) = self.closed(&want) {
-            return vec![refuse(ticket, refusal, RETRY_MIN)];
+            let after = if refusal == Refusal::Unready { BASE } else { RETRY_MIN };
+            return vec![refuse(ticket, refusal, after)];
         }
         let estimate = self.estimate(now, &want);
         if estimate > want.patience {
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -201,7 +201,7 @@
             info!(gateway.node.log, ""; "event" => "no_place", "request" => &job.ask.attempt,
                 "upstream" => &instance.id, "why" => why.as_str(),
                 "after_ms" => after.as_millis());
-            Err((why == Closed::Busy).then_some(after))
+            Err(matches!(why, Closed::Busy | Closed::Unready).then_some(after))
         }
         None => {
             let held = gateway.placement.borrow().held(engine, name);
--- a/kingcupbayd/src/sidecar/tell.rs
+++ b/kingcupbayd/src/sidecar/tell.rs
@@ -54,6 +54,9 @@
     loop {
         let changed = node.changed.notified();
         take(&sidecar);
+        // An engine that came back empty waits for just this.
+        let actions = sidecar.admission.borrow_mut().on_tick(clock::now());
+        sidecar.perform(actions);
         changed.await;
     }
 }
