Reset a connection whose request is given up

Ruled out: a shorter time for unacknowledged bytes (healthy links may need it). Change: a connection with an unfinished request is reset when it is dropped, which discards what was not delivered. A test that fails without it.

--- a/kingcupbay_core/src/config/model.rs
+++ b/kingcupbay_core/src/config/model.rs
@@ -28,7 +28,7 @@
     }
 }
 
-/// A tenant.
+/// A customer with keys, adapters and a limit of its own.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Organisation {
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -88,6 +88,8 @@
     written: bool,
     /// The last answer allows another request.
     reusable: bool,
+    /// A request was sent whose answer has not been read to its end.
+    unfinished: bool,
     /// Used before.
     pub(crate) used: bool,
     /// Until when an idle connection is taken to be open.
@@ -109,6 +111,7 @@
             parser: Some(Parser::Head(ClientCodec::default())),
             written: true,
             reusable: false,
+            unfinished: false,
             used: false,
             fresh_until: Instant::default(),
         })
@@ -135,6 +138,7 @@
         let output = self.encode(method, path, headers, body)?;
         self.written = false;
         self.reusable = false;
+        self.unfinished = true;
         let (mut reader, mut writer) = self.stream.split();
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             unreachable!("a connection carries one request at a time");
@@ -171,7 +175,10 @@
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, LinkError> {
         loop {
             match self.parser.as_mut().expect("there between two calls") {
-                Parser::Head(_) => return Ok(None),
+                Parser::Head(_) => {
+                    self.unfinished = false;
+                    return Ok(None);
+                }
                 Parser::UntilEnd(_) => {
                     if !self.input.is_empty() {
                         return Ok(Some(self.input.split().freeze()));
@@ -231,6 +238,7 @@
         match self.parser.take() {
             Some(Parser::UntilEnd(codec)) => {
                 self.parser = Some(Parser::Head(codec));
+                self.unfinished = false;
                 Ok(None)
             }
             other => {
@@ -243,6 +251,7 @@
     fn end_body(&mut self) {
         let Some(Parser::Body(codec)) = self.parser.take() else { return };
         self.parser = Some(Parser::Head(codec.into_message_codec()));
+        self.unfinished = false;
     }
 
     fn encode(
@@ -272,6 +281,19 @@
     }
 }
 
+impl Drop for Link {
+    /// A request that is given up must not arrive any more. While the way to an
+    /// upstream is cut, the kernel keeps what was written and would deliver it
+    /// when the way is back, seconds after the caller left; the upstream would
+    /// work for nobody. A reset drops those bytes at once.
+    fn drop(&mut self) {
+        if self.unfinished {
+            // Where this fails the connection is closed in the usual way.
+            let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// Reads heads until one is not informational.
 fn decode_head(
     codec: &mut ClientCodec,
--- a/kingcupbayd/tests/registered.rs
+++ b/kingcupbayd/tests/registered.rs
@@ -483,6 +483,39 @@
     tokio::time::timeout(PATIENCE, engine.left(1)).await.unwrap();
 }
 
+/// A caller gives up while nothing comes from the desk. What was sent there must
+/// not arrive later, when the way to it is back: the entry resets the
+/// connection, which drops what the kernel still holds; a plain close would
+/// deliver it.
+#[actix_rt::test]
+async fn a_request_that_is_given_up_is_reset() {
+    let fleet = Fleet::start(1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (ended, end) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut bytes = [0; 4_096];
+        let end = loop {
+            match stream.read(&mut bytes) {
+                Ok(0) => break None,
+                Ok(_) => {}
+                Err(error) => break Some(error.kind()),
+            }
+        };
+        ended.send(end).unwrap();
+    });
+    let row = json!({"service": "desk", "address": address, "zone": "zone-a", "state": "ready"});
+    fleet.store.put("servers", "mute", &row);
+    fleet.ready().await;
+    let asked = fleet.ask("POST", "/book/table", "a1");
+    // The caller's own patience; the request is not answered by then.
+    let gone = tokio::time::timeout(Duration::from_millis(300), asked).await;
+    assert!(gone.is_err());
+    let end = until("the end", async || end.try_recv().ok()).await;
+    assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
+}
+
 /// The platform stops an entry. It says at once that it is not ready, lets the
 /// running stream end whole, and only then goes.
 #[actix_rt::test]
