Write the pages of the registered fleet; drop what nobody reads

Cause: the design, the promises and the way from a failed request's id to its cause were not written; the entry parsed prompt parts and length hints, and members named engines, that nothing used. Ruled out: keeping them for later (each request paid for the parsing). Conclusion: no behaviour is meant to change.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -23,8 +23,6 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
-    /// The engine beside it; upstream daemons only.
-    pub engine: Option<SocketAddr>,
     /// Drawn at its start, so that a restart is told from a stall.
     pub incarnation: u64,
 }
@@ -154,11 +152,6 @@
         self.members().filter(move |member| member.role == role)
     }
 
-    /// The daemon beside the engine at `address`.
-    pub fn beside(&self, address: SocketAddr) -> Option<&Member> {
-        self.members().find(|member| member.engine == Some(address))
-    }
-
     /// Takes a daemon's registration.
     pub fn on_member(&mut self, member: Member) {
         // A replacement at a dead host's address takes its place.
--- a/kingcupbay_core/src/health.rs
+++ b/kingcupbay_core/src/health.rs
@@ -15,6 +15,9 @@
 /// can be: a restart takes a second or more.
 const AWAY: Span = Span::from_millis(700);
 
+/// How long a load that an upstream told counts.
+const TOLD: Span = Span::from_millis(300);
+
 /// How an exchange with an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -44,9 +47,6 @@
     records: BTreeMap<String, Record>,
 }
 
-/// How long a load that an upstream told counts.
-const TOLD: Span = Span::from_millis(300);
-
 impl Health {
     /// A request goes there.
     pub fn on_send(&mut self, id: &str) {
--- a/kingcupbay_core/src/wire/ask.rs
+++ b/kingcupbay_core/src/wire/ask.rs
@@ -35,12 +35,8 @@
     pub model: Option<AdapterName>,
     /// Its tokens.
     pub size: Option<Size>,
-    /// Parts of the prompt in order: id and tokens.
-    pub parts: Vec<(u64, u64)>,
     /// The last event that the caller has of this stream.
     pub last_event: Option<u64>,
-    /// The caller's guess of the tokens generated.
-    pub length: Option<u64>,
 }
 
 /// What an upstream is given besides the caller's own headers.
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -146,7 +146,6 @@
         role: Role::Entry,
         address: "10.0.0.1:7600".parse().unwrap(),
         zone: "a".into(),
-        engine: None,
         incarnation: 1,
     };
     let mut catalogue = Catalogue::default();
--- a/kingcupbay_core/tests/docs.rs
+++ b/kingcupbay_core/tests/docs.rs
@@ -43,7 +43,8 @@
             })
             .collect()
     };
-    let made = names(&read("kingcupbayd/src/metrics.rs"));
+    let mut made = names(&read("kingcupbayd/src/metrics.rs"));
+    made.extend(names(&read("kingcupbayd/src/gateway/metrics.rs")));
     let page = read("docs/OPERATIONS.md");
     let explained = names(&page);
     let unexplained: Vec<_> = made.difference(&explained).collect();
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -93,23 +93,16 @@
 ) -> Result<Started, Refusal> {
     let name = job.ask.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
-    let mut full = false;
     let began = clock::now();
     for _ in 0..ASKED_MAX {
-        if job.left() <= PATIENCE_MIN {
-            break;
-        }
-        let again = tried.sends > 0;
-        if again && (tried.sends >= job.route.attempts || !job.gateway.may_repeat(service)) {
+        if job.left() <= PATIENCE_MIN || !may_send(job, service, tried) {
             break;
         }
         let Some(instance) = choose(job, service, &name, &tried.engines) else { break };
-        let engine = instance.address;
-        tried.engines.push(engine);
+        tried.engines.push(instance.address);
         let (version, place) = match enter(job, &instance, &name).await {
             Ok(entered) => entered,
             Err(wait) => {
-                full |= wait.is_some();
                 after = after.min(wait).or(wait).or(after);
                 if clock::now().since(began) >= WAITED {
                     break;
@@ -135,14 +128,24 @@
             }
         }
     }
-    Err(match (tried.may_have_run, job.left() == Span::ZERO) {
-        (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
-        (true, false) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
-        (false, _) if full => {
-            Refusal::retry(Code::Overloaded, "engines are full", after.unwrap_or(NONE))
-        }
-        (false, _) => Refusal::retry(Code::NoUpstream, "no engine", after.unwrap_or(NONE)),
-    })
+    Err(give_up(job, tried, after))
+}
+
+/// Whether the request may be sent to one more engine.
+fn may_send(job: &Job, service: &str, tried: &Tried) -> bool {
+    let again = tried.sends > 0;
+    !again || (tried.sends < job.route.attempts && job.gateway.may_repeat(service))
+}
+
+/// What the caller is told when no engine runs the request; `after` is when one
+/// may have a place.
+fn give_up(job: &Job, tried: &Tried, after: Option<Span>) -> Refusal {
+    match (tried.may_have_run, job.left() == Span::ZERO, after) {
+        (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
+        (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
+        (false, _, Some(after)) => Refusal::retry(Code::Overloaded, "engines are full", after),
+        (false, _, None) => Refusal::retry(Code::NoUpstream, "no engine", NONE),
+    }
 }
 
 /// The engine to try next.
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -102,12 +102,17 @@
     if let Some((head, body)) = failure {
         return Ok(deliver(&job, &head, body));
     }
-    Err(match (may_have_run, job.left() == Span::ZERO) {
+    Err(give_up(&job, sends, may_have_run))
+}
+
+/// What the caller is told when no upstream answers.
+fn give_up(job: &Job, sends: u32, may_have_run: bool) -> Refusal {
+    match (may_have_run, job.left() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
         (false, _) if sends > 0 => Refusal::retry(Code::Overloaded, "upstreams are full", FULL),
         (false, _) => Refusal::retry(Code::NoUpstream, "no upstream", NONE),
-    })
+    }
 }
 
 fn pick(job: &Job, service: &str, tried: &[String]) -> Option<Rc<Instance>> {
--- a/kingcupbayd/src/registered/members.rs
+++ b/kingcupbayd/src/registered/members.rs
@@ -24,7 +24,6 @@
         role: node.settings.daemon.role,
         address: node.peers,
         zone: node.settings.daemon.zone.to_string(),
-        engine: node.registry.engine,
         incarnation: node.incarnation,
     };
     let value = serde_json::to_vec(&member).expect("a member has only strings and numbers");
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub(crate) mod registered;
+
 use std::{
     collections::BTreeMap,
     io::{BufRead, BufReader},
--- /dev/null
+++ b/kingcupbayd/tests/streams.rs
@@ -0,0 +1,154 @@
+//! Streams of a registered fleet: adapters, resumption, callers that leave.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{path::PathBuf, time::Duration};
+
+use common::{
+    PATIENCE, Process, client,
+    registered::{KEY, STREAM, engine_fleet, ids, settings, tour},
+    until,
+};
+use kingcupbay_standin::{Registry, Runner, RunnerSettings};
+use serde_json::json;
+
+/// A tour driver asks for an itinerary by an adapter that no engine holds. The
+/// daemon beside the engine has it loaded, and the request names the version
+/// that came, so that no other can run it.
+#[actix_rt::test]
+async fn a_cold_adapter_is_loaded_and_its_version_named() {
+    let (fleet, engine, _beside) = engine_fleet(RunnerSettings::engine("gpu-1", 4)).await;
+    let got = tour(&fleet, "a1", None).await;
+    assert_eq!((got.status, ids(got.body.as_ref().unwrap())), (200, vec![1, 2, 3, 4]));
+    let orders = engine.orders();
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!((&orders[0]["operation"], &orders[0]["adapter"]), (&json!("load"), &json!("roses")));
+    assert_eq!(orders[0]["holder"], "upstream-1");
+    assert_eq!(engine.runs()[0].headers["x-expect-version"], "1");
+}
+
+/// A stream has ended whole. Its connection carries the next one; a new one for
+/// each would cost the engine a handshake and a slot for its time.
+#[actix_rt::test]
+async fn a_whole_stream_leaves_its_connection_for_the_next() {
+    let (fleet, engine, _beside) = engine_fleet(RunnerSettings::engine("gpu-1", 2)).await;
+    assert_eq!(tour(&fleet, "a1", None).await.status, 200);
+    let before = engine.server().connections();
+    assert_eq!(tour(&fleet, "a2", None).await.status, 200);
+    assert_eq!(engine.server().connections(), before);
+    assert_eq!(engine.runs().len(), 2);
+}
+
+/// A new version of an adapter is announced while the old one is loaded and
+/// idle. The next visitor must be answered by the new one.
+#[actix_rt::test]
+async fn an_announced_version_replaces_the_old_one() {
+    let (fleet, engine, _beside) = engine_fleet(RunnerSettings::engine("gpu-1", 2)).await;
+    assert_eq!(tour(&fleet, "a1", None).await.status, 200);
+    engine.announce("roses", 2);
+    let row = json!({"model": "base", "adapter": "roses", "version": 2});
+    fleet.store.put("op", "version/base.roses", &row);
+    until("the new version", async || {
+        let got = tour(&fleet, "a2", None).await;
+        let run = engine.runs().last().cloned().unwrap();
+        (got.status == 200 && run.headers["x-expect-version"] == "2").then_some(())
+    })
+    .await;
+}
+
+/// The daemon beside a second engine listens where the entry looks for it: at
+/// that engine's address, at the port of the first.
+fn second_sidecar(store: &Registry, engine: &Runner, port: u16) -> Process {
+    let text = settings(
+        "upstream",
+        "upstream-2",
+        store.server().address(),
+        &format!("engine = {}\nservice = writer\n", engine.server().address()),
+    );
+    let peers = format!("[peers]\nlisten = 127.0.0.2:{port}");
+    let text = text.replacen("[peers]\nlisten = 127.0.0.1:0", &peers, 1);
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("second-{port}.ini"));
+    std::fs::write(&file, text).unwrap();
+    let args = ["--config".to_owned(), file.display().to_string()];
+    let process = Process::start("kingcupbayd", &args);
+    std::fs::remove_file(&file).unwrap();
+    process
+}
+
+/// An engine breaks a stream off in its middle. Another one goes on after the
+/// last whole event, and the caller gets each event once.
+#[actix_rt::test]
+async fn a_broken_stream_goes_on_at_another_engine() {
+    let cut = |id| RunnerSettings { cut: Some(3), ..RunnerSettings::engine(id, 6) };
+    let (mut fleet, first, mut beside) = engine_fleet(cut("gpu-1")).await;
+    let second = Runner::start("127.0.0.2:0".parse().unwrap(), cut("gpu-2")).unwrap();
+    let mut other = second_sidecar(&fleet.store, &second, beside.address("peers").port());
+    fleet.register("gpu-2", "writer", &second);
+    until("both engines", async || {
+        let known = fleet.entry.has_line("id=gpu-2");
+        let asked = beside.has_line("event=report") && other.has_line("event=report");
+        (known && asked).then_some(())
+    })
+    .await;
+    let got = tour(&fleet, "a1", None).await;
+    assert_eq!((got.status, ids(&got.body.unwrap())), (200, vec![1, 2, 3, 4, 5, 6]));
+    let runs: Vec<_> = first.runs().into_iter().chain(second.runs()).collect();
+    assert_eq!(runs.len(), 2);
+    let resumed = runs.iter().filter(|run| run.headers.contains_key("last-event-id"));
+    assert_eq!(resumed.map(|run| run.headers["last-event-id"].as_str()).collect::<Vec<_>>(), ["3"]);
+}
+
+/// A caller closes its connection in the middle of a stream. The engine must
+/// be told at once, or it works on for nobody.
+#[actix_rt::test]
+async fn a_caller_that_leaves_ends_the_engines_run() {
+    let slow = RunnerSettings {
+        pause: Duration::from_millis(50),
+        ..RunnerSettings::engine("gpu-1", 100_000)
+    };
+    let (fleet, engine, _beside) = engine_fleet(slow).await;
+    let url = format!("http://{}/tour/day", fleet.entry.address("callers"));
+    for attempt in 0..200 {
+        let request = client()
+            .post(&url)
+            .insert_header(("host", "desk.example"))
+            .insert_header(("x-attempt-id", format!("a{attempt}")))
+            .insert_header(("x-deadline-ms", "10000"))
+            .insert_header(STREAM[0])
+            .insert_header(STREAM[1])
+            .bearer_auth(KEY);
+        let response = request.send().await.unwrap();
+        if response.status() == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    engine.ran(1).await;
+    tokio::time::timeout(PATIENCE, engine.left(1)).await.unwrap();
+}
+
+/// The platform stops an entry. It says at once that it is not ready, lets the
+/// running stream end whole, and only then goes.
+#[actix_rt::test]
+async fn a_planned_stop_cuts_no_stream() {
+    let slow =
+        RunnerSettings { pause: Duration::from_millis(20), ..RunnerSettings::engine("gpu-1", 60) };
+    let (fleet, engine, _beside) = engine_fleet(slow).await;
+    let asked = tour(&fleet, "a1", None);
+    let stopped = async {
+        engine.ran(1).await;
+        fleet.entry.signal("-TERM");
+        let url = format!("http://{}/ready", fleet.entry.address("ready"));
+        until("unreadiness", async || {
+            let answer = client().get(&url).send().await;
+            answer.map_or(true, |answer| !answer.status().is_success()).then_some(())
+        })
+        .await;
+    };
+    let (got, ()) = tokio::join!(asked, stopped);
+    assert_eq!(ids(&got.body.unwrap()).len(), 60);
+    let (ok, lines) = fleet.entry.wait();
+    assert!(ok, "{}", lines.join("\n"));
+}
