Soak a registered fleet: real processes, faults from outside

The daemon's connection is made public instead and used. Rewriting the entries' rows to lead their messages through proxies: entries get a setting `advertise`, as behind a mapped address.

Change: crate kingcupbay_soak (fleet, proxy, callers, troubles drawn from a seed, promises judged from what callers got and upstreams saw); the stand-in upstream restarts empty and keeps method, time and overloads. One generator in kingcupbay_core::random in place of four.

--- a/kingcupbay_bench/src/serve/random.rs
+++ b/kingcupbay_bench/src/serve/random.rs
@@ -1,28 +1,24 @@
 //! A seeded generator (SplitMix64) and the distributions of the experiment.
 
+use kingcupbay_core::random;
+
 /// The generator's state.
 #[derive(Clone, Debug)]
-pub(crate) struct Random(u64);
+pub(crate) struct Random(random::Random);
 
 impl Random {
     /// The `stream`-th generator of `seed`; streams do not influence each
     /// other, so one organisation can send more and the others the same.
     pub(crate) fn new(seed: u64, stream: u64) -> Random {
-        let mut random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (stream << 32));
-        random.next();
-        random
-    }
-
-    pub(crate) fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let value = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        value ^ (value >> 31)
+        let own = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (stream << 32);
+        let mut random = random::Random::new(own);
+        random.draw();
+        Random(random)
     }
 
     /// Even over `[0, 1)`.
     pub(crate) fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+        self.0.unit()
     }
 
     pub(crate) fn below(&mut self, bound: usize) -> usize {
@@ -31,7 +27,7 @@
 
     /// Exponential with the given mean.
     pub(crate) fn exponential(&mut self, mean: f64) -> f64 {
-        -(1.0 - self.unit()).ln() * mean
+        self.0.exponential(mean)
     }
 
     pub(crate) fn shuffle<T>(&mut self, items: &mut [T]) {
--- a/kingcupbay_bench/src/share/load.rs
+++ b/kingcupbay_bench/src/share/load.rs
@@ -1,6 +1,6 @@
 //! Seeded callers.
 
-use kingcupbay_core::time::Span;
+use kingcupbay_core::{random::Random, time::Span};
 
 /// Entries of the fleet.
 pub(crate) const ENTRIES: usize = 4;
@@ -15,35 +15,6 @@
 /// Prompt and permitted output of a request.
 const TOKENS: std::ops::Range<u64> = 100..900;
 
-/// SplitMix64, after Steele, Lea and Flood (2014).
-#[derive(Debug)]
-pub(crate) struct Random(u64);
-
-impl Random {
-    pub(crate) fn new(seed: u64) -> Random {
-        Random(seed)
-    }
-
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
-    }
-
-    /// Uniform below `bound`.
-    pub(crate) fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound
-    }
-
-    /// Exponential with the given mean.
-    fn exponential(&mut self, mean: f64) -> f64 {
-        let uniform = (self.next() >> 11) as f64 / (1u64 << 53) as f64;
-        -mean * (1.0 - uniform).ln()
-    }
-}
-
 /// One request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request {
--- a/kingcupbay_bench/src/share/sim.rs
+++ b/kingcupbay_bench/src/share/sim.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 
 use kingcupbay_core::{
+    random::Random,
     share::{bucket::ReservationId, message::Envelope, plan::Holder, shares::Reservation},
     time::{Instant, Span},
 };
 
 use super::{
     chunk::Chunks,
-    load::{self, ENTRIES, ORGANISATIONS, Random, Request},
+    load::{self, ENTRIES, ORGANISATIONS, Request},
     queue::Queue,
     score::Score,
     shared::Shared,
--- a/kingcupbay_core/src/gossip/mod.rs
+++ b/kingcupbay_core/src/gossip/mod.rs
@@ -14,7 +14,6 @@
 
 pub mod message;
 mod news;
-pub mod peers;
 pub mod record;
 
 use std::collections::BTreeMap;
@@ -22,13 +21,13 @@
 use crate::{
     config::model::Config,
     id::{MemberId, Number},
+    random::Random,
     standing::{Membership, Standing},
     time::{Instant, Span},
 };
 
 use message::{Answer, Pull, Snapshot, pack, unpack};
 use news::News;
-use peers::Random;
 use record::Records;
 
 /// Settings of [`Gossip`].
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ini;
 pub mod placement;
 pub mod queue;
+pub mod random;
 pub mod repeat;
 pub mod route;
 pub mod share;
--- a/kingcupbay_core/src/route/group.rs
+++ b/kingcupbay_core/src/route/group.rs
@@ -3,6 +3,7 @@
 use super::holders::Place;
 use crate::{
     id::{Id, UpstreamId, VersionId},
+    random::mix,
     time::Instant,
 };
 
@@ -16,14 +17,6 @@
     pub(super) bounded: Option<Instant>,
 }
 
-/// Mixes the bits of `value` so that each depends on all (the finaliser of
-/// SplitMix64).
-pub(super) const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 /// Rank of `upstream` for `version`, the same on every entry.
 pub(super) fn rank(version: VersionId, upstream: UpstreamId) -> u64 {
     let pair = (u64::from(version.raw()) << 32) | u64::from(upstream.raw());
--- a/kingcupbay_core/src/route/router.rs
+++ b/kingcupbay_core/src/route/router.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    group::{Group, mix, rank},
+    group::{Group, rank},
     holders::{Holders, Place},
     peer::{InFlight, Peer, Report},
 };
 use crate::{
     config::model::{Config, Serves, Upstream},
     id::{Name, UpstreamId, VersionId},
+    random::mix,
     time::{Instant, Span},
 };
 
--- /dev/null
+++ b/kingcupbay_soak/tests/promises.rs
@@ -0,0 +1,247 @@
+//! Each promise is seen to be broken where it is.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use actix_http::Method;
+use kingcupbay_soak::{
+    operator::{CLUB, GUESTS, WINERY, guest_key},
+    promises::{Evidence, Witness, breaches},
+    sent::{Answer, End, Kind, Sent},
+};
+use kingcupbay_standin::RunnerRun;
+use serde_json::json;
+
+/// One request of each shape, its answer, and the run that made it.
+struct Case {
+    sent: Vec<Sent>,
+    witness: Witness,
+    planned: BTreeSet<u32>,
+    numbers: BTreeSet<u64>,
+    begun: Instant,
+}
+
+impl Case {
+    fn new() -> Case {
+        let witness =
+            Witness { id: "desk-0".to_owned(), runs: vec![], orders: vec![], overloads: 0 };
+        Case {
+            sent: vec![],
+            witness,
+            planned: BTreeSet::from([1]),
+            numbers: BTreeSet::from([1, 2, 3]),
+            begun: Instant::now(),
+        }
+    }
+
+    /// A booking that ran and was answered.
+    fn booked() -> Case {
+        let mut case = Case::new();
+        case.sends("a", Kind::Book, WINERY);
+        case.runs("a");
+        case.answers("a", 200);
+        case
+    }
+
+    fn sends(&mut self, attempt: &str, kind: Kind, organisation: &'static str) -> &mut Sent {
+        self.sent.push(Sent {
+            attempt: attempt.to_owned(),
+            kind,
+            organisation,
+            key: format!("{organisation}-key"),
+            entry: 0,
+            incarnation: 1,
+            round: 1,
+            path: "/book/1".to_owned(),
+            body: "two seats".to_owned(),
+            adapter: None,
+            tokens: 1_000,
+            at: self.begun,
+            newest: 3,
+            end: None,
+        });
+        self.sent.last_mut().unwrap()
+    }
+
+    fn runs(&mut self, attempt: &str) -> &mut RunnerRun {
+        let sent = self.sent.iter().find(|one| one.attempt == attempt).unwrap();
+        let headers = BTreeMap::from([("x-tenant".to_owned(), sent.organisation.to_owned())]);
+        self.witness.runs.push(RunnerRun {
+            attempt: attempt.to_owned(),
+            at: sent.at,
+            method: Method::try_from(sent.kind.method().as_str()).unwrap(),
+            headers,
+            path: sent.path.clone(),
+            body: sent.body.clone().into_bytes(),
+        });
+        self.witness.runs.last_mut().unwrap()
+    }
+
+    fn answers(&mut self, attempt: &str, status: u16) -> &mut Answer {
+        let sent = self.sent.iter_mut().find(|one| one.attempt == attempt).unwrap();
+        let answer = Answer {
+            status,
+            stamp: Some(format!("stamp-of-{attempt}")),
+            attempt: Some(attempt.to_owned()),
+            returns: false,
+            body: "done by desk-0".to_owned(),
+        };
+        let End::Answered(answer) = sent.end.insert(End::Answered(answer)) else {
+            unreachable!("it was just put there")
+        };
+        answer
+    }
+
+    /// A guest with the key of configuration `number`.
+    fn guest(&mut self, attempt: &str, number: u64, status: u16) {
+        self.sends(attempt, Kind::Guest, GUESTS).key = guest_key(number);
+        if status == 200 {
+            self.runs(attempt);
+        }
+        self.answers(attempt, status);
+    }
+
+    fn broken(&self) -> Vec<&'static str> {
+        let witnesses = [self.witness.clone()];
+        let evidence = Evidence {
+            sent: &self.sent,
+            witnesses: &witnesses,
+            planned: &self.planned,
+            numbers: &self.numbers,
+        };
+        breaches(&evidence).into_iter().map(|breach| breach.promise).collect()
+    }
+}
+
+#[test]
+fn a_booking_that_ran_once_keeps_all() {
+    assert_eq!(Case::booked().broken(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_second_run_is_seen() {
+    let mut case = Case::booked();
+    case.runs("a");
+    assert_eq!(case.broken(), ["it runs at most so often"]);
+}
+
+#[test]
+fn a_refusal_that_ran_is_seen() {
+    let mut case = Case::booked();
+    case.answers("a", 503);
+    assert_eq!(case.broken(), ["what is refused has not run"]);
+}
+
+#[test]
+fn a_run_that_nobody_sent_is_seen() {
+    let mut case = Case::booked();
+    case.witness.runs[0].attempt = "b".to_owned();
+    let broken = case.broken();
+    assert!(broken.contains(&"nobody sent it"), "{broken:?}");
+}
+
+#[test]
+fn a_changed_request_is_seen() {
+    let mut case = Case::booked();
+    case.witness.runs[0].body.push(b'!');
+    assert_eq!(case.broken(), ["the request is unchanged"]);
+}
+
+#[test]
+fn a_key_that_is_passed_on_is_seen() {
+    let mut case = Case::booked();
+    case.witness.runs[0].headers.insert("authorization".to_owned(), "Bearer k".to_owned());
+    assert_eq!(case.broken(), ["it runs for its key's organisation"]);
+}
+
+#[test]
+fn an_answer_to_another_request_is_seen() {
+    let mut case = Case::booked();
+    case.answers("a", 200).attempt = Some("b".to_owned());
+    assert_eq!(case.broken(), ["a success is whole and its own"]);
+}
+
+#[test]
+fn a_stream_with_an_event_twice_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Tour, WINERY);
+    case.runs("a");
+    case.answers("a", 200).body =
+        (1..=20).map(|id| format!("id: {id}\ndata: event {id} of a\n\n")).collect();
+    assert_eq!(case.broken(), Vec::<&str>::new());
+    let twice = "id: 20\ndata: event 20 of a\n\n";
+    case.answers("a", 200).body =
+        (1..=20).map(|id| format!("id: {id}\ndata: event {id} of a\n\n")).collect::<String>()
+            + twice;
+    assert_eq!(case.broken(), ["a success is whole and its own"]);
+}
+
+#[test]
+fn a_request_that_planned_work_cuts_is_seen() {
+    let mut case = Case::booked();
+    case.sent[0].end = Some(End::Broken("early".to_owned()));
+    assert_eq!(case.broken(), ["planned work loses nothing"]);
+    case.sent[0].round = 2;
+    assert_eq!(case.broken(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_configuration_that_goes_back_is_seen() {
+    let mut case = Case::new();
+    case.guest("a", 2, 200);
+    case.guest("b", 3, 200);
+    case.guest("c", 2, 401);
+    assert_eq!(case.broken(), Vec::<&str>::new());
+    case.guest("d", 2, 200);
+    assert_eq!(case.broken(), ["a configuration never goes back"]);
+}
+
+#[test]
+fn a_key_that_dies_while_it_is_the_newest_is_seen() {
+    let mut case = Case::new();
+    case.guest("a", 3, 200);
+    case.guest("b", 3, 401);
+    assert_eq!(case.broken(), ["a configuration never goes back"]);
+}
+
+#[test]
+fn a_key_that_never_was_is_seen() {
+    let mut case = Case::new();
+    case.guest("a", 7, 200);
+    assert_eq!(case.broken(), ["an unknown key opens nothing"]);
+}
+
+#[test]
+fn use_beyond_the_limit_is_seen() {
+    let mut case = Case::new();
+    for at in 0..80 {
+        let attempt = format!("a{at}");
+        case.sends(&attempt, Kind::Book, CLUB).at += Duration::from_millis(90 * at);
+        case.runs(&attempt);
+        case.answers(&attempt, 200);
+        let allowed = at <= 69;
+        assert_eq!(case.broken().is_empty(), allowed, "{at}");
+    }
+}
+
+#[test]
+fn orders_out_of_order_are_seen() {
+    let mut case = Case::new();
+    let order = |holder: &str, fence: u64| json!({"holder": holder, "fenceToken": fence});
+    case.witness.orders = vec![order("h", 3), order("h", 3), order("h", 5)];
+    assert_eq!(case.broken(), Vec::<&str>::new());
+    case.witness.orders.push(order("g", 4));
+    case.witness.overloads = 1;
+    assert_eq!(
+        case.broken(),
+        [
+            "no order beyond the places",
+            "one host orders an engine",
+            "fencing numbers never go back"
+        ]
+    );
+}
--- /dev/null
+++ b/kingcupbay_soak/tests/soak.rs
@@ -0,0 +1,41 @@
+//! The soak itself: short seeded runs, and seeds that once failed.
+
+#![allow(clippy::unwrap_used)]
+
+use std::path::{Path, PathBuf};
+
+use kingcupbay_soak::{
+    daemon::{Workshop, beside},
+    fleet::Size,
+    run::{Outcome, Plan, play},
+};
+
+/// Plays `seed`; what the processes wrote stays in a folder of its own.
+async fn soak(seed: u64, rounds: u32) -> Outcome {
+    let program = beside(Path::new(env!("CARGO_BIN_EXE_kingcupbay_soak")));
+    assert!(program.exists(), "build the workspace's programs first: {}", program.display());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    let size = Size { entries: 3, engines: 3, desks: 2 };
+    let workshop = Workshop { program, folder };
+    play(&Plan { seed, rounds, size, callers: 3, workshop }).await.unwrap()
+}
+
+fn kept(outcome: &Outcome) {
+    assert!(outcome.served > 0, "{outcome:?}");
+    let seen: Vec<String> = outcome.breaches.iter().map(ToString::to_string).collect();
+    assert!(seen.is_empty(), "{seen:#?}\nafter {:#?}", outcome.troubles);
+}
+
+/// Processes are killed, paused and stopped, and ways cut, while callers go on.
+/// Whatever becomes of single requests, no promise is broken, and afterwards
+/// everything is served again.
+#[actix_rt::test]
+async fn promises_hold_through_two_rounds() {
+    kept(&soak(1, 2).await);
+}
+
+/// The same troubles, drawn from another seed.
+#[actix_rt::test]
+async fn promises_hold_through_other_troubles() {
+    kept(&soak(14, 2).await);
+}
--- a/kingcupbay_standin/src/runner.rs
+++ b/kingcupbay_standin/src/runner.rs
@@ -7,7 +7,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use actix_http::{Method, Response, StatusCode, body::BodyStream, header};
@@ -64,10 +64,14 @@
 }
 
 /// A request that an upstream began to run.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerRun {
     /// Identity of the caller's attempt.
     pub attempt: String,
+    /// When it began.
+    pub at: Instant,
+    /// The method.
+    pub method: Method,
     /// Headers as they came, by lower-case name.
     pub headers: BTreeMap<String, String>,
     /// Path and query.
@@ -93,6 +97,7 @@
     newest: RefCell<BTreeMap<String, u32>>,
     orders: Cell<u64>,
     order_log: RefCell<Vec<Value>>,
+    overloads: Cell<u32>,
     changes: Changes,
 }
 
@@ -109,9 +114,13 @@
             newest: RefCell::default(),
             orders: Cell::new(0),
             order_log: RefCell::default(),
+            overloads: Cell::new(0),
             changes: Changes::default(),
         });
-        let server = Server::start(address, Behaviour::new(handler(&state)))?;
+        let restarted = Rc::clone(&state);
+        let restart = Rc::new(move || restarted.restart());
+        let behaviour = Behaviour { restart, ..Behaviour::new(handler(&state)) };
+        let server = Server::start(address, behaviour)?;
         Ok(Runner { server, state })
     }
 
@@ -144,6 +153,17 @@
         until(state.changes.subscribe(), || state.left.get() >= count).await;
     }
 
+    /// Identities of the streams that run.
+    pub fn open(&self) -> Vec<String> {
+        self.state.open.borrow().keys().cloned().collect()
+    }
+
+    /// Orders to hold more than there are places for; a real engine would
+    /// have crashed at each.
+    pub fn overloads(&self) -> u32 {
+        self.state.overloads.get()
+    }
+
     /// Orders that it accepted, as they came.
     pub fn orders(&self) -> Vec<Value> {
         self.state.order_log.borrow().clone()
@@ -156,6 +176,13 @@
 }
 
 impl State {
+    /// It comes back empty and counts anew; what it has run stays known.
+    fn restart(&self) {
+        self.adapters.borrow_mut().clear();
+        self.orders.set(0);
+        self.changes.notify();
+    }
+
     fn order(&self, call: &Call) -> Answer {
         let order: Value = match call.json() {
             Ok(order) => order,
@@ -171,6 +198,7 @@
         match order["operation"].as_str() {
             Some("unload") => drop(adapters.remove(&adapter)),
             _ if adapters.len() >= self.settings.places && !adapters.contains_key(&adapter) => {
+                self.overloads.set(self.overloads.get() + 1);
                 return call::empty(StatusCode::BAD_REQUEST);
             }
             _ => {
@@ -216,6 +244,8 @@
         let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
         self.runs.borrow_mut().push(RunnerRun {
             attempt: attempt.clone(),
+            at: Instant::now(),
+            method: call.method.clone(),
             headers: call.headers.iter().map(named).collect(),
             path: format!("{}{query}", call.path),
             body: call.body.to_vec(),
--- a/kingcupbayd/src/config/registry.rs
+++ b/kingcupbayd/src/config/registry.rs
@@ -19,6 +19,9 @@
     pub service: Option<String>,
     /// Port at which the daemons beside engines take messages; entries only.
     pub sidecars: u16,
+    /// Where other daemons reach this one, if not where it listens: behind an
+    /// address that is mapped. Entries only.
+    pub advertise: Option<SocketAddr>,
     /// Other daemons to ask while the store is away.
     pub seeds: Vec<SocketAddr>,
     /// Bounds on sending a request to a second upstream.
@@ -46,6 +49,10 @@
                 true => reader.required(section, "sidecars", "a port", "0"),
                 false => 0,
             },
+            advertise: match entry {
+                true => reader.optional(section, "advertise", address),
+                false => None,
+            },
             seeds: reader.list(section, "seeds", "IP:PORT, IP:PORT, ..."),
             repeats: RepeatLimits {
                 ratio: f64::from(percent) / 100.0,
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -45,7 +45,7 @@
 /// Why an exchange has no whole answer.
 #[derive(Debug)]
 #[derive(Error)]
-pub(crate) enum LinkError {
+pub enum LinkError {
     /// No connection came about, so the request provably never left.
     #[error("no connection: {0}")]
     Unsent(io::Error),
@@ -65,7 +65,7 @@
 
 impl LinkError {
     /// Whether the request provably never left.
-    pub(crate) fn is_unsent(&self) -> bool {
+    pub fn is_unsent(&self) -> bool {
         matches!(self, LinkError::Unsent(_))
     }
 }
@@ -79,7 +79,7 @@
 }
 
 /// A connection.
-pub(crate) struct Link {
+pub struct Link {
     stream: TcpStream,
     input: BytesMut,
     /// Always there between two calls.
@@ -98,7 +98,7 @@
 
 impl Link {
     /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Link, LinkError> {
+    pub async fn open(address: SocketAddr) -> Result<Link, LinkError> {
         let connecting = TcpStream::connect(address);
         let stream = match tokio::time::timeout(CONNECT, connecting).await {
             Ok(stream) => stream.map_err(LinkError::Unsent)?,
@@ -119,7 +119,7 @@
 
     /// Whether a pooled connection is still open and silent. Bytes that came
     /// meanwhile belong to no request.
-    pub(crate) fn is_clean(&self) -> bool {
+    pub fn is_clean(&self) -> bool {
         let mut byte = [0; 1];
         let open = self.stream.try_read(&mut byte);
         self.input.is_empty()
@@ -128,7 +128,7 @@
 
     /// Sends a request and reads the head of the answer. Upstreams may answer
     /// before they have read a long body, so both go on at the same time.
-    pub(crate) async fn exchange(
+    pub async fn exchange(
         &mut self,
         method: Method,
         path: &str,
@@ -172,7 +172,7 @@
     }
 
     /// The next part of the body; `None` after its proper end.
-    pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, LinkError> {
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, LinkError> {
         loop {
             match self.parser.as_mut().expect("there between two calls") {
                 Parser::Head(_) => {
@@ -228,7 +228,7 @@
 
     /// Whether the connection can carry another request: its answer is whole,
     /// and nothing follows it.
-    pub(crate) fn is_reusable(&self) -> bool {
+    pub fn is_reusable(&self) -> bool {
         let done = matches!(self.parser, Some(Parser::Head(_)));
         done && self.reusable && self.input.is_empty()
     }
--- a/kingcupbayd/src/lib.rs
+++ b/kingcupbayd/src/lib.rs
@@ -28,6 +28,7 @@
 use kingcupbay_core::gossip::message::{PULL_PATH, SNAPSHOT_PATH};
 use slog::Logger;
 
+pub use http::link::{Link, LinkError};
 pub use logging::logger;
 pub use registered::start::run as run_registered;
 pub use start::{Running, start};
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -69,7 +69,8 @@
         peers: server::bind(settings.peers.listen)?,
         operators: server::bind(settings.operators.listen)?,
     };
-    let node = Rc::new(Node::new(settings, registry, listeners.peers.1, log));
+    let peers = registry.advertise.unwrap_or(listeners.peers.1);
+    let node = Rc::new(Node::new(settings, registry, peers, log));
     let text =
         |bound: &Option<(TcpListener, SocketAddr)>| bound.as_ref().map(|(_, at)| at.to_string());
     info!(node.log, ""; "event" => "listening", "role" => ?node.settings.daemon.role,
