Let prompts through no faster than running streams can bear

Cause: on the grown sites over half of the streams were late although 97 in 100 had their first event in time. An engine reads prompts in pieces of some 2,000 tokens between the tokens of running streams; with three tokens to an event and prompts always ready, an event took 350 ms of the 300 that a route allows.

Change: admission/pauses.rs lets through what an engine reads within a pause, from a pace that is learned from first events by a line through prompts of different lengths, and from the tokens and time of events; routes' longest pauses reach the daemon beside the engine. Files of their own for requests that run and for loads.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -3,20 +3,23 @@
 //! The daemon beside an engine is the only one that orders it about, and every
 //! request asks it for a place first. So places, memory and adapters need no
 //! agreement between hosts. [`queue`] keeps what waits and says how long it
-//! will; [`order`] and [`report`] are what the engine is told and tells;
-//! [`pace`] learns how fast it reads prompts.
+//! will, [`running`] what was let through; [`order`] and [`report`] are what
+//! the engine is told and tells; [`pace`] and [`loads`] learn how fast it is.
 //!
 //! An engine reads prompts between the tokens of running requests. What is
-//! sent to it beyond what it reads in [`WINDOW`] only waits inside, where it
-//! can be neither overtaken by something more urgent nor refused any more.
-//! So it waits here: the most urgent first, those that would be late anyway
-//! behind those that can still be on time.
+//! sent to it beyond what it reads within a pause of their streams ([`pauses`])
+//! makes those streams late, and can be neither overtaken by something more
+//! urgent nor refused any more. So it waits here: the most urgent first, those
+//! that would be late anyway behind those that can still be on time.
 
+pub mod loads;
 pub mod order;
 mod orders;
 pub mod pace;
+pub mod pauses;
 pub mod queue;
 pub mod report;
+mod running;
 
 use std::collections::BTreeMap;
 
@@ -27,24 +30,18 @@
 };
 
 use self::{
+    loads::Loads,
     order::{Order, Reply},
-    pace::{Loads, Pace},
+    pace::Pace,
+    pauses::{Limit, Recent},
     queue::{Queue, Waiter},
     report::Report,
+    running::Running,
 };
 
-/// Prompts sent to the engine and not read yet, as time to read them: two of
-/// the engine's steps with prompts, so that it never runs out of them between
-/// two reports.
-const WINDOW: Span = Span::from_millis(200);
-
-/// A place that was granted and whose request no report has shown by then was
-/// never used: its entry died or its request was lost on the way.
-const UNSEEN: Span = Span::from_secs(3);
-
-/// A request that a report has shown and later ones do not any more has ended;
-/// the entry says so within a round trip, unless it died.
-const ENDED: Span = Span::from_secs(1);
+/// Longest pause between two events where routes name none: as long as the
+/// users' routes that do.
+const GAP: Span = Span::from_millis(300);
 
 /// When to come back to an engine without its base model: it is loaded from the
 /// engine's own disk in 1.2 s, and then an adapter from the store.
@@ -70,19 +67,6 @@
     Order(Order),
 }
 
-/// A request that was let through and has not ended.
-#[derive(Clone, Debug)]
-struct Running {
-    name: AdapterName,
-    /// Tokens of memory kept for it.
-    kept: u64,
-    /// Tokens of its prompt that the engine has not read yet.
-    unread: u64,
-    since: Instant,
-    /// When a report last showed it.
-    seen: Option<Instant>,
-}
-
 /// One engine's places, memory, adapters and queue.
 #[derive(Debug)]
 pub struct Admission {
@@ -96,8 +80,8 @@
     report: Option<Report>,
     reported: Instant,
     queue: Queue,
-    /// By attempt id.
-    running: BTreeMap<String, Running>,
+    running: Running,
+    recent: Recent,
     pace: Pace,
     loads: Loads,
     orders: orders::Orders,
@@ -114,7 +98,8 @@
             report: None,
             reported: Instant::default(),
             queue: Queue::default(),
-            running: BTreeMap::new(),
+            running: Running::default(),
+            recent: Recent::default(),
             pace: Pace::default(),
             loads: Loads::default(),
             orders: orders::Orders::default(),
@@ -164,8 +149,8 @@
 
     /// A request has ended, or its place will not be used.
     pub fn on_done(&mut self, now: Instant, attempt: &str) -> Vec<Action> {
-        if let Some(ended) = self.running.remove(attempt) {
-            self.orders.on_use(now, &ended.name);
+        if let Some(name) = self.running.on_end(attempt) {
+            self.orders.on_use(now, &name);
             self.pace.on_end(now, self.running.len());
         }
         self.pump(now)
@@ -179,8 +164,8 @@
             self.orders.on_restart();
             self.loads.on_restart();
         }
-        let read = self.settle(now, &report);
-        self.pace.on_read(now.since(self.reported), read, self.unread());
+        let passed = now.since(self.reported);
+        self.running.on_report(now, passed, &report, &mut self.pace);
         self.orders.on_report();
         let held = |name: &AdapterName| report.version(name).is_some();
         self.loads.on_report(now, held, |name| report.is_pending(name));
@@ -241,7 +226,7 @@
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32,
             slots: self.spec.slots,
-            delay: self.pace.time(self.unread() + self.queue.tokens()),
+            delay: self.reading(self.running.unread() + self.queue.tokens()),
             open: self.report.as_ref().is_some_and(|report| !report.leaving),
             held: held.collect(),
         }
@@ -250,11 +235,12 @@
     /// One line for a dump.
     pub fn dump(&self) -> String {
         format!(
-            "running={} waiting={} unread={} pace={:.1} report={} fencing={:?}\n",
+            "running={} waiting={} unread={} pace={:.1} event_ms={} report={} fencing={:?}\n",
             self.running.len(),
             self.queue.len(),
-            self.unread(),
+            self.running.unread(),
             self.pace.tokens(),
+            self.pace.event().as_millis(),
             self.report.is_some(),
             self.fencing,
         )
@@ -281,8 +267,8 @@
 
     /// How long `want` would wait for its place.
     fn estimate(&self, now: Instant, want: &Want) -> Span {
-        let ahead = self.unread() + self.queue.tokens_before(want.rank);
-        let reading = self.pace.time(ahead).saturating_sub(WINDOW);
+        let ahead = self.running.unread() + self.queue.tokens_before(want.rank);
+        let reading = self.reading(ahead.saturating_sub(self.limit().at_once()));
         let full = self.running.len() + self.queue.len() >= self.spec.slots.max(1) as usize;
         let leaving = match full {
             true => {
@@ -294,6 +280,21 @@
         reading.max(self.loading(now, &want.name)).max(leaving)
     }
 
+    /// Longest pause between events that is to be kept.
+    fn gap(&self) -> Span {
+        self.running.gap().unwrap_or(GAP)
+    }
+
+    /// How fast prompts may be let through.
+    fn limit(&self) -> Limit {
+        Limit::new(&self.pace, self.gap())
+    }
+
+    /// Time until the last of `tokens` is let through.
+    fn reading(&self, tokens: u64) -> Span {
+        self.limit().time(&self.pace, self.gap(), tokens)
+    }
+
     /// Time until `name` is loaded, behind the others that are waited for.
     fn loading(&self, now: Instant, name: &AdapterName) -> Span {
         let Some(report) = &self.report else { return Span::ZERO };
@@ -322,7 +323,7 @@
         self.start(now, &order, &mut actions);
         let Some(report) = &self.report else { return actions };
         let Some(fencing) = self.fencing else { return actions };
-        let used: Vec<&AdapterName> = self.running.values().map(|run| &run.name).collect();
+        let used: Vec<&AdapterName> = self.running.names().collect();
         let view = orders::View {
             spec: &self.spec,
             report,
@@ -363,12 +364,12 @@
     fn start(&mut self, now: Instant, order: &[Ticket], actions: &mut Vec<Action>) {
         let Some(report) = &self.report else { return };
         let memory = self.memory(report);
-        let window = self.pace.tokens_in(WINDOW);
-        let mut unread = self.unread();
-        let mut kept: u64 = self.running.values().map(|run| run.kept).sum();
+        let limit = self.limit();
+        self.recent.forget(now, self.gap());
+        let mut kept = self.running.kept();
         let mut places = (self.spec.slots as usize).saturating_sub(self.running.len());
         for &ticket in order {
-            if places == 0 || unread >= window {
+            if places == 0 {
                 return;
             }
             let Some(waiter) = self.queue.get(ticket) else { continue };
@@ -378,48 +379,22 @@
                 continue;
             }
             // Smaller ones behind do not pass, or a large one would never run.
-            if kept + want.size.total() > memory {
+            let unread = self.running.unread();
+            if kept + want.size.total() > memory
+                || !self.recent.fits(limit, unread, want.size.prompt)
+            {
                 return;
             }
             let version = want.name.adapter.is_some().then_some(held);
-            let run = Running {
-                name: want.name.clone(),
-                kept: want.size.total(),
-                unread: want.size.prompt,
-                since: now,
-                seen: None,
-            };
             places -= 1;
-            unread += run.unread;
-            kept += run.kept;
-            self.running.insert(want.attempt.clone(), run);
+            kept += want.size.total();
+            self.recent.on_grant(now, want.size.prompt);
+            self.running.on_grant(now, want);
             self.queue.remove(ticket);
             actions.push(Action::Answer(ticket, Verdict::Granted { version }));
         }
     }
 
-    /// Compares what runs with a report; gives the prompt tokens read since
-    /// the one before.
-    fn settle(&mut self, now: Instant, report: &Report) -> u64 {
-        let mut read = 0;
-        for shown in &report.runs {
-            let Some(run) = self.running.get_mut(&shown.attempt) else { continue };
-            run.seen = Some(now);
-            if shown.events > 0 {
-                read += std::mem::take(&mut run.unread);
-            }
-        }
-        self.running.retain(|_, run| match run.seen {
-            Some(seen) => now.since(seen) < ENDED,
-            None => report.waiting > 0 || now.since(run.since) < UNSEEN,
-        });
-        read
-    }
-
-    fn unread(&self) -> u64 {
-        self.running.values().map(|run| run.unread).sum()
-    }
-
     fn memory(&self, report: &Report) -> u64 {
         let memory = if report.memory > 0 { report.memory } else { self.spec.memory };
         memory * MEMORY_PART / 100
@@ -430,7 +405,7 @@
     }
 
     fn is_used(&self, name: &AdapterName) -> bool {
-        self.running.values().any(|run| run.name == *name)
+        self.running.names().any(|used| used == name)
     }
 }
 
--- a/kingcupbay_core/src/admission/orders.rs
+++ b/kingcupbay_core/src/admission/orders.rs
@@ -16,8 +16,8 @@
 };
 
 use super::{
+    loads::Loads,
     order::{Reply, Target},
-    pace::Loads,
     report::Report,
 };
 
--- a/kingcupbay_core/src/admission/pace.rs
+++ b/kingcupbay_core/src/admission/pace.rs
@@ -1,24 +1,39 @@
-//! How fast an engine reads prompts, finishes requests and gets adapters,
+//! How fast an engine reads prompts, makes events and finishes requests,
 //! learned from what it does.
 
-use std::collections::{BTreeMap, BTreeSet};
+use crate::time::{Instant, Span};
 
-use crate::{
-    deployment::model::AdapterName,
-    time::{Instant, Span},
-};
-
-/// Tokens of prompts read in a millisecond before anything was measured; low,
-/// so that a first burst waits here and not in the engine.
-const FIRST_PACE: f64 = 12.0;
+/// Prompt tokens read in a millisecond before anything was measured. What the
+/// users' engines read, less a tenth for what is read beside.
+const FIRST_PACE: f64 = 17.0;
 
 /// Bounds on what is believed of a measurement, in tokens a millisecond.
-const PACE_BOUNDS: (f64, f64) = (4.0, 40.0);
+const PACE_BOUNDS: (f64, f64) = (2.0, 40.0);
+
+/// Milliseconds to a first event beside the reading of its prompt, before
+/// anything was measured: two hops, a step, and half the time between reports.
+const FIRST_OFFSET: f64 = 50.0;
+
+/// Prompt tokens of the second of the two measurements that the first belief is
+/// worth; the other one has none.
+const FIRST_PROMPT: f64 = 2_000.0;
+
+/// How many measurements the first belief is worth.
+const FIRST_WEIGHT: f64 = 8.0;
+
+/// Part of the weight that earlier measurements keep with each new one: the
+/// last hundred count.
+const KEEP: f64 = 0.99;
 
-/// Least backlog, in tokens, that keeps an engine reading without a pause
-/// between two reports. Less would measure how much was asked for, not how
-/// fast it reads.
-const BUSY: u64 = 3_000;
+/// Milliseconds between two events of a stream while no prompt is read, before
+/// any was measured: three steps of 12 ms.
+const FIRST_EVENT: f64 = 36.0;
+
+/// Tokens of an event before any was counted.
+const FIRST_STRIDE: f64 = 3.0;
+
+/// Longest time for an event that is believed, in milliseconds.
+const EVENT_MAX: f64 = 500.0;
 
 /// Weight of one measurement against all before it.
 const WEIGHT: f64 = 0.1;
@@ -33,36 +48,93 @@
 /// Learned pace of one engine.
 #[derive(Debug)]
 pub struct Pace {
-    /// Prompt tokens a millisecond.
-    tokens: f64,
+    /// Time to a first event against the length of its prompt.
+    fit: Fit,
+    /// Milliseconds between two events of a stream.
+    event: f64,
+    /// Tokens of an event after the first.
+    stride: f64,
     /// Milliseconds between two ends.
     interval: f64,
     ended: Option<Instant>,
 }
 
+/// Weighted sums of a straight line through measurements.
+#[derive(Debug)]
+struct Fit {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Fit {
+    fn add(&mut self, x: f64, y: f64) {
+        self.weight = self.weight * KEEP + 1.0;
+        self.x = self.x * KEEP + x;
+        self.y = self.y * KEEP + y;
+        self.xx = self.xx * KEEP + x * x;
+        self.xy = self.xy * KEEP + x * y;
+    }
+
+    /// How much `y` grows with `x`. Prompts of one length tell nothing.
+    fn slope(&self) -> Option<f64> {
+        let spread = self.xx - self.x * self.x / self.weight;
+        (spread > 0.0).then(|| (self.xy - self.x * self.y / self.weight) / spread)
+    }
+}
+
 impl Default for Pace {
     fn default() -> Pace {
-        Pace { tokens: FIRST_PACE, interval: FIRST_INTERVAL, ended: None }
+        let late = FIRST_OFFSET + FIRST_PROMPT / FIRST_PACE;
+        let half = FIRST_WEIGHT / 2.0;
+        let fit = Fit {
+            weight: FIRST_WEIGHT,
+            x: half * FIRST_PROMPT,
+            y: half * (FIRST_OFFSET + late),
+            xx: half * FIRST_PROMPT * FIRST_PROMPT,
+            xy: half * FIRST_PROMPT * late,
+        };
+        Pace {
+            fit,
+            event: FIRST_EVENT,
+            stride: FIRST_STRIDE,
+            interval: FIRST_INTERVAL,
+            ended: None,
+        }
     }
 }
 
 impl Pace {
-    /// Between two reports `span` apart `read` tokens were read, and `left`
-    /// are left.
-    pub fn on_read(&mut self, span: Span, read: u64, left: u64) {
-        let millis = span.as_micros() as f64 / 1e3;
-        if left < BUSY || read == 0 || millis < 1.0 {
+    /// A prompt of `tokens`, before which no other was unread, had its first
+    /// event `took` after it was let through. Only how much longer a longer one
+    /// takes tells the pace; what all take beside is the same.
+    pub fn on_first(&mut self, tokens: u64, took: Span) {
+        self.fit.add(tokens as f64, millis(took));
+    }
+
+    /// While no prompt was unread, streams made `events` in `time`, both summed
+    /// over them.
+    pub fn on_events(&mut self, events: u64, time: Span) {
+        if events == 0 {
             return;
         }
-        let (low, high) = PACE_BOUNDS;
-        let measured = (read as f64 / millis).clamp(low, high);
-        self.tokens += WEIGHT * (measured - self.tokens);
+        let measured = (millis(time) / events as f64).min(EVENT_MAX);
+        self.event += WEIGHT * (measured - self.event);
+    }
+
+    /// A stream made `events` of `tokens` in all.
+    pub fn on_tokens(&mut self, events: u64, tokens: u64) {
+        if events > 0 {
+            self.stride += WEIGHT * (tokens as f64 / events as f64 - self.stride);
+        }
     }
 
     /// A request ended, after which `running` still run.
     pub fn on_end(&mut self, now: Instant, running: usize) {
         if let Some(before) = self.ended {
-            let millis = now.since(before).as_micros() as f64 / 1e3;
+            let millis = millis(now.since(before));
             self.interval += WEIGHT * (millis.min(INTERVAL_MAX) - self.interval);
         }
         self.ended = (running > 0).then_some(now);
@@ -70,17 +142,28 @@
 
     /// Prompt tokens a millisecond.
     pub fn tokens(&self) -> f64 {
-        self.tokens
+        let (low, high) = PACE_BOUNDS;
+        self.fit.slope().map_or(FIRST_PACE, |slope| (1.0 / slope.max(1.0 / high)).clamp(low, high))
+    }
+
+    /// Time between two events of a stream while no prompt is read.
+    pub fn event(&self) -> Span {
+        Span::from_micros((self.event * 1e3) as u64)
+    }
+
+    /// Tokens of an event after the first.
+    pub fn stride(&self) -> f64 {
+        self.stride
     }
 
     /// Time to read `tokens`.
     pub fn time(&self, tokens: u64) -> Span {
-        Span::from_micros((tokens as f64 / self.tokens * 1e3) as u64)
+        Span::from_micros((tokens as f64 / self.tokens() * 1e3) as u64)
     }
 
     /// Tokens read in `span`.
     pub fn tokens_in(&self, span: Span) -> u64 {
-        (self.tokens * span.as_micros() as f64 / 1e3) as u64
+        (self.tokens() * millis(span)) as u64
     }
 
     /// Time until `count` more have ended.
@@ -89,162 +172,6 @@
     }
 }
 
-/// Adapters that may be on their way to one engine at a time; it refuses more.
-const TRANSIT: u32 = 4;
-
-/// Time of a load from the weight store at full speed, in milliseconds.
-const LOAD: f64 = 250.0;
-
-/// Loads shorter than this came from the engine's own memory, in milliseconds.
-/// They take a tenth of a load from the store and do not slow others down.
-const OWN: f64 = 120.0;
-
-/// A load this much longer than at full speed tells that too many are on their
-/// way over all engines.
-const SLOW: f64 = 1.4;
-
-/// A load this close to full speed tells that there is room for more.
-const QUICK: f64 = 1.2;
-
-/// Part of what a load took too long that the pause grows by.
-const MORE: f64 = 0.5;
-
-/// Part of the pause that stays after a quick load.
-const LESS: f64 = 0.7;
-
-/// Longest pause between two loads, in milliseconds. With it 64 engines have
-/// eight loads on their way.
-const PAUSE_MAX: f64 = 1_750.0;
-
-/// A pause shorter than this, in milliseconds, is none.
-const PAUSE_MIN: f64 = 20.0;
-
-/// Weight of one load against those before it.
-const LOAD_WEIGHT: f64 = 0.3;
-
-/// Time in which a slow load is half forgotten, in seconds.
-const FORGET: f64 = 2.0;
-
-/// How fast adapters come, and how many this engine has on their way at once.
-///
-/// The weight store serves eight loads over all engines at full speed and slows
-/// down in proportion beyond, so more at once bring no more a second; they only
-/// make each take longer. Engines do not know of each other's loads, but each
-/// sees how long its own take: when they are slow it has one on its way, and
-/// pauses between two. The store then brings as many, each in less time, so
-/// that those who ask last still get a first event in time.
-#[derive(Debug)]
-pub struct Loads {
-    /// Most loads on their way. Invariant: 1 to [`TRANSIT`].
-    most: u32,
-    /// Milliseconds between the end of a load and the next one.
-    pause: f64,
-    free_at: Instant,
-    /// Milliseconds that a load from the store takes, as of `at`.
-    time: f64,
-    at: Instant,
-    /// Loads on their way and since when.
-    begun: BTreeMap<AdapterName, Instant>,
-    /// Adapters that the engine has held since it started; it has kept copies.
-    had: BTreeSet<AdapterName>,
-}
-
-impl Default for Loads {
-    fn default() -> Loads {
-        Loads {
-            most: 2,
-            pause: 0.0,
-            free_at: Instant::default(),
-            time: LOAD,
-            at: Instant::default(),
-            begun: BTreeMap::new(),
-            had: BTreeSet::new(),
-        }
-    }
-}
-
-impl Loads {
-    /// The engine has restarted and kept nothing.
-    pub fn on_restart(&mut self) {
-        self.begun.clear();
-        self.had.clear();
-    }
-
-    /// The engine has accepted the load of `name`.
-    pub fn on_begin(&mut self, now: Instant, name: AdapterName) {
-        self.begun.entry(name).or_insert(now);
-    }
-
-    /// A report shows what is loaded and what is on its way.
-    pub fn on_report(
-        &mut self,
-        now: Instant,
-        held: impl Fn(&AdapterName) -> bool,
-        pending: impl Fn(&AdapterName) -> bool,
-    ) {
-        let begun = std::mem::take(&mut self.begun);
-        for (name, since) in begun {
-            if held(&name) {
-                if !self.had.contains(&name) {
-                    self.on_load(now, now.since(since));
-                }
-                self.had.insert(name);
-            } else if pending(&name) {
-                self.begun.insert(name, since);
-            }
-        }
-    }
-
-    /// Whether the load of `name` may begin while `pending` are on their way.
-    pub fn may_begin(&self, now: Instant, name: &AdapterName, pending: usize) -> bool {
-        match self.had.contains(name) {
-            true => pending < TRANSIT as usize,
-            false => pending < self.most as usize && now >= self.free_at,
-        }
-    }
-
-    /// Time of a load from the store.
-    pub fn time(&self, now: Instant) -> Span {
-        Span::from_micros((self.faded(now) * 1e3) as u64)
-    }
-
-    /// Time until `name` and the `ahead` loads before it have come.
-    pub fn wait(&self, now: Instant, name: &AdapterName, ahead: usize) -> Span {
-        if self.had.contains(name) {
-            return Span::from_millis(OWN as u64 / 2);
-        }
-        // With none before it, it is worth a try whatever the last ones took:
-        // refusing all would leave slow loads the last that were measured.
-        let own = if ahead == 0 { LOAD } else { self.faded(now) };
-        let rounds = (ahead / self.most as usize) as f64;
-        let before = rounds * (self.faded(now) + self.pause);
-        self.free_at.since(now) + Span::from_micros(((before + own) * 1e3) as u64)
-    }
-
-    fn on_load(&mut self, now: Instant, took: Span) {
-        let took = took.as_micros() as f64 / 1e3;
-        if took < OWN {
-            return;
-        }
-        let before = self.faded(now);
-        self.time = before + LOAD_WEIGHT * (took - before);
-        self.at = now;
-        if took > LOAD * SLOW {
-            self.most = 1;
-            self.pause = (self.pause + MORE * (took - LOAD)).min(PAUSE_MAX);
-        } else if took < LOAD * QUICK {
-            self.pause *= LESS;
-            if self.pause < PAUSE_MIN {
-                self.pause = 0.0;
-                self.most = (self.most + 1).min(TRANSIT);
-            }
-        }
-        self.free_at = now + Span::from_micros((self.pause * 1e3) as u64);
-    }
-
-    /// A slow load says little of the next one some seconds later.
-    fn faded(&self, now: Instant) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        LOAD + (self.time - LOAD) * (-age / FORGET).exp2()
-    }
+fn millis(span: Span) -> f64 {
+    span.as_micros() as f64 / 1e3
 }
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -30,6 +30,9 @@
     pub aim: Span,
     /// Longest wait for a place.
     pub patience: Span,
+    /// Longest pause between two of its events, if its route names one.
+    #[serde(default)]
+    pub gap: Option<Span>,
     /// Where the entry takes a [`Pressure`].
     pub entry: std::net::SocketAddr,
 }
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -35,6 +35,7 @@
         size: Size { prompt: 1_000, output: 200 },
         aim: Span::from_millis(800),
         patience: Span::from_millis(1_600),
+        gap: None,
         entry: "127.0.0.1:1".parse().unwrap(),
     }
 }
@@ -47,7 +48,11 @@
 }
 
 fn runs(mut report: Report, runs: &[(&str, u64)]) -> Report {
-    let run = |&(attempt, events): &(&str, u64)| Run { attempt: attempt.into(), tokens: 1, events };
+    let run = |&(attempt, events): &(&str, u64)| Run {
+        attempt: attempt.into(),
+        tokens: 100 + 3 * events,
+        events,
+    };
     report.runs = runs.iter().map(run).collect();
     report
 }
@@ -231,7 +236,7 @@
 }
 
 /// Prompts come faster than they are read. What the engine cannot read within
-/// the window waits here, where an urgent request passes it.
+/// a pause of its streams waits here, where an urgent request passes it.
 #[test]
 fn an_urgent_request_passes_what_waits() {
     let mut engine = engine();
@@ -241,8 +246,9 @@
     }
     let urgent = Want { rank: 0, ..want("urgent", "roses") };
     assert_eq!(answers(&engine.on_want(at(2), Ticket(6), urgent)), []);
-    let read = runs(report(0, &[("roses", 1)]), &[("a1", 1)]);
-    let actions = engine.on_report(at(60), read);
+    let read = runs(report(0, &[("roses", 1)]), &[("a1", 1), ("a2", 1), ("a3", 1)]);
+    assert_eq!(answers(&engine.on_report(at(250), read.clone())), []);
+    let actions = engine.on_report(at(302), read);
     assert_eq!(answers(&actions)[0], (6, GRANTED));
 }
 
--- a/kingcupbayd/src/gateway/place.rs
+++ b/kingcupbayd/src/gateway/place.rs
@@ -101,6 +101,7 @@
         size: job.ask.size.unwrap_or(Size { prompt: 500, output: 200 }),
         aim: job.route.aim.saturating_sub(waited),
         patience,
+        gap: job.route.gap,
         entry: gateway.node.peers,
     };
     let body = rmp_serde::to_vec_named(&want).expect("a want has only plain fields");
