Refuse early what a plain service could only answer late

Ruled out: refusing all while its queue is long: entries hear of it only by answers, and would all stop and all come back together.

Change: core backlog.rs refuses a part of the requests, larger the later the answer of the least busy upstream would come by its own word, with the time until its queue is worked off. A line `answered` names its upstream.

--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod arena;
+pub mod backlog;
 pub mod claim;
 pub mod config;
 pub mod declare;
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 use actix_http::{HttpMessage, Request, Response, body::BoxBody};
 use kingcupbay_core::{
     allowance::Allowance,
+    backlog::Backlog,
     deployment::{
         lookup::Caller,
         model::{Deployment, Organisation, Route},
@@ -61,6 +62,7 @@
     pub(crate) allowance: RefCell<Allowance>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) health: RefCell<Health>,
+    pub(crate) backlog: RefCell<Backlog>,
     /// Sends of each service.
     pub(crate) repeats: RefCell<BTreeMap<String, Repeats>>,
     /// Entries that did not take the last tally.
@@ -77,6 +79,7 @@
             allowance: RefCell::new(allowance),
             placement: RefCell::default(),
             health: RefCell::default(),
+            backlog: RefCell::default(),
             repeats: RefCell::default(),
             deaf: RefCell::default(),
             dones: place::Dones::default(),
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -77,6 +77,9 @@
         if again && (sends >= job.route.attempts || !job.gateway.may_repeat(service)) {
             break;
         }
+        if let Some(after) = behind(&job, &instance).filter(|_| tried.is_empty()) {
+            return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
+        }
         tried.push(instance.id.clone());
         let last = sends + 1 >= job.route.attempts;
         let outcome = attempt(&job, &instance, last).await;
@@ -84,12 +87,12 @@
         sends += u32::from(!matches!(outcome, Outcome::Unsent(_)));
         match outcome {
             Outcome::Answer(head, body) if !head.status.is_server_error() => {
-                return Ok(deliver(&job, &head, body));
+                return Ok(deliver(&job, &instance, &head, body));
             }
             Outcome::Answer(head, body) if !job.route.repeat.repeatable() => {
-                return Ok(deliver(&job, &head, body));
+                return Ok(deliver(&job, &instance, &head, body));
             }
-            Outcome::Answer(head, body) => failure = Some((head, body)),
+            Outcome::Answer(head, body) => failure = Some((instance, head, body)),
             Outcome::NotRun | Outcome::Unsent(_) => {}
             Outcome::Unknown(_) => {
                 may_have_run = true;
@@ -99,8 +102,8 @@
             }
         }
     }
-    if let Some((head, body)) = failure {
-        return Ok(deliver(&job, &head, body));
+    if let Some((instance, head, body)) = failure {
+        return Ok(deliver(&job, &instance, &head, body));
     }
     Err(give_up(&job, sends, may_have_run))
 }
@@ -125,6 +128,14 @@
     free.iter().find(|row| row.id == id).map(|row| Rc::clone(row))
 }
 
+/// When to come back, if the answer of `instance`, the least busy one, would
+/// come late.
+fn behind(job: &Job, instance: &Instance) -> Option<Span> {
+    let now = clock::now();
+    let aim = job.route.aim.saturating_sub(now.since(job.arrived));
+    job.gateway.backlog.borrow().refuse(now, &instance.id, aim, job.draw())
+}
+
 async fn attempt(job: &Job, instance: &Instance, last: bool) -> Outcome {
     let _open = Open::new(&job.gateway, &instance.id);
     let mut time = job.left();
@@ -138,14 +149,26 @@
 }
 
 async fn exchange(job: &Job, instance: &Instance) -> Outcome {
+    let began = clock::now();
     let sent = match send::send(job, instance, Extra::default()).await {
         Ok(sent) => sent,
         Err(error) if error.is_unsent() => return Outcome::Unsent(error),
         Err(error) => return Outcome::Unknown(error),
     };
     match send::whole_body(job, instance, sent).await {
-        Ok((_, said, _)) if said.not_run => Outcome::NotRun,
+        Ok((_, said, _)) if said.not_run => {
+            if let Some(load) = said.load {
+                let mut backlog = job.gateway.backlog.borrow_mut();
+                backlog.on_refusal(clock::now(), &instance.id, load);
+            }
+            Outcome::NotRun
+        }
         Ok((head, said, body)) => {
+            if let Some(load) = said.load {
+                let now = clock::now();
+                let mut backlog = job.gateway.backlog.borrow_mut();
+                backlog.on_answer(now, &instance.id, load, now.since(began));
+            }
             let proper = said.stamped && !said.encoded;
             match proper || !head.status.is_success() {
                 true => Outcome::Answer(head, body),
@@ -182,10 +205,11 @@
         "ms" => now.since(job.arrived).as_millis());
 }
 
-fn deliver(job: &Job, head: &ResponseHead, body: Bytes) -> Response<BoxBody> {
+fn deliver(job: &Job, instance: &Instance, head: &ResponseHead, body: Bytes) -> Response<BoxBody> {
     let ms = clock::now().since(job.arrived);
     job.gateway.metrics.on_answer(&job.route.name, head.status.as_u16(), ms);
     info!(job.gateway.node.log, ""; "event" => "answered", "request" => &job.ask.attempt,
-        "route" => &job.route.name, "status" => head.status.as_u16(), "ms" => ms.as_millis());
+        "route" => &job.route.name, "upstream" => &instance.id,
+        "status" => head.status.as_u16(), "ms" => ms.as_millis());
     reply::whole(&job.gateway, head.status, &head.headers, body)
 }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -166,6 +166,7 @@
     gateway.allowance.borrow_mut().on_entries(entries);
     let known = |id: &str| catalogue.instance(id).is_some() || place::is_sidecar(id);
     gateway.health.borrow_mut().retain(known);
+    gateway.backlog.borrow_mut().retain(known);
 }
 
 async fn answer_ready(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
