--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -5,9 +5,9 @@
 //! ten times a second. While the bucket is well filled, any entry admits
 //! anything. When less is left than the others may spend before their next
 //! tally comes ([`LAG`]), several entries would spend the same tokens, so each
-//! then keeps to its own part of the rate, in proportion to what is asked of it. An entry that has lost touch with another
-//! keeps to its part as it was, as the other does, so the parts never add up
-//! to more than the whole.
+//! then keeps to its own part of the rate, in proportion to what is asked of
+//! it. An entry that has lost touch with another keeps to its part as it was, as
+//! the other does, so the parts do not add up to more than the whole.
 
 use std::collections::BTreeMap;
 
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use kingcupbay_core::{time::Span, wire::error::Code};
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, Registry};
 
-use crate::metrics::{LATENCY, counter, counters, histograms, text};
+use crate::metrics::{GAP, LATENCY, counter, counters, histograms, text};
 
 /// Every metric of an entry.
 pub(crate) struct Metrics {
@@ -13,6 +13,7 @@
     sends: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
+    gap: HistogramVec,
     resumed: IntCounter,
     broken: IntCounterVec,
 }
@@ -53,6 +54,13 @@
                 &["route"],
                 LATENCY,
             ),
+            gap: histograms(
+                &registry,
+                "kingcupbay_event_gap_seconds",
+                "Longest time between two events of a whole stream",
+                &["route"],
+                GAP,
+            ),
             resumed: counter(
                 &registry,
                 "kingcupbay_resumed_total",
@@ -77,8 +85,10 @@
         self.first_event.with_label_values(&[route]).observe(took.as_secs_f64());
     }
 
-    pub(crate) fn on_stream(&self, route: &str) {
+    /// A stream came whole; the longest time between two of its events.
+    pub(crate) fn on_stream(&self, route: &str, pause: Span) {
         self.answers.with_label_values(&[route, "200"]).inc();
+        self.gap.with_label_values(&[route]).observe(pause.as_secs_f64());
     }
 
     pub(crate) fn on_resumed(&self) {
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -12,7 +12,7 @@
 use kingcupbay_core::{
     deployment::model::{Instance, Repeat},
     health::Ending,
-    time::Span,
+    time::{Instant, Span},
 };
 use slog::{info, warn};
 
@@ -45,8 +45,11 @@
     idle: Option<Span>,
     /// Bytes of an event that is not whole yet.
     partial: BytesMut,
-    /// Id of the last event that the caller was given.
+    /// Id of the last event that the caller was given, and when.
     last_event: Option<u64>,
+    passed: Instant,
+    /// Longest time between two events.
+    pause: Span,
     /// Whether the body is a series of events.
     events: bool,
     ended: bool,
@@ -70,6 +73,8 @@
         let mut builder = reply::head(&job.gateway, head.status, &head.headers);
         let relay = Relay {
             last_event: job.ask.last_event,
+            passed: clock::now(),
+            pause: Span::ZERO,
             idle: sent.said.idle,
             partial: BytesMut::new(),
             ended: false,
@@ -151,6 +156,9 @@
         if let Some(id) = last_id(&whole) {
             self.last_event = Some(id);
         }
+        let now = clock::now();
+        self.pause = self.pause.max(now.since(self.passed));
+        self.passed = now;
         Some(whole)
     }
 
@@ -206,9 +214,10 @@
         let gateway = &self.job.gateway;
         let now = clock::now();
         gateway.health.borrow_mut().on_ending(now, &self.instance.id, Ending::Good);
-        gateway.metrics.on_stream(&self.job.route.name);
+        gateway.metrics.on_stream(&self.job.route.name, self.pause);
         info!(gateway.node.log, ""; "event" => "streamed", "request" => &self.job.ask.attempt,
             "upstream" => &self.instance.id, "last_event" => self.last_event,
+            "pause_ms" => self.pause.as_millis(),
             "ms" => now.since(self.job.arrived).as_millis());
         self.place = None;
         if let Some(link) = self.link.take() {
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -9,8 +9,9 @@
 pub(crate) const LATENCY: &[f64] =
     &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
-/// Bounds of gaps between tokens in seconds, close around the aim of 43 ms.
-const GAP: &[f64] =
+/// Bounds of gaps between tokens or events in seconds, close around the aim of
+/// 43 ms.
+pub(crate) const GAP: &[f64] =
     &[0.005, 0.01, 0.015, 0.02, 0.025, 0.03, 0.035, 0.043, 0.06, 0.1, 0.25, 0.5, 1.0, 5.0];
 
 /// Every metric of a daemon; those of the other role stay at zero.
@@ -59,9 +60,7 @@
             registered(&registry, Histogram::with_opts(options))
         };
         let gauge = |name: &str, help: &str| registered(&registry, IntGauge::new(name, help));
-        let gauges = |name: &str, help: &str| {
-            registered(&registry, IntGaugeVec::new(Opts::new(name, help), &["upstream"]))
-        };
+        let gauges = |name: &str, help: &str| gauges(&registry, name, help, &["upstream"]);
         let counter = |name: &str, help: &str| counter(&registry, name, help);
         let first_token = histograms(
             &registry,
@@ -129,6 +128,11 @@
     registered(registry, IntCounterVec::new(Opts::new(name, help), labels))
 }
 
+/// A new gauge for each set of labels.
+pub(crate) fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    registered(registry, IntGaugeVec::new(Opts::new(name, help), labels))
+}
+
 /// A new counter.
 pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     registered(registry, IntCounter::new(name, help))
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -223,9 +223,11 @@
 
 async fn answer_sidecar_operator(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
     match request.path() {
-        "/metrics" | "/dump" => {
-            http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump())
+        "/metrics" => {
+            let pressure = sidecar.admission.borrow().pressure();
+            http::reply::text(StatusCode::OK, sidecar.metrics.text(&pressure))
         }
+        "/dump" => http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump()),
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/kingcupbayd/src/sidecar/desk.rs
+++ b/kingcupbayd/src/sidecar/desk.rs
@@ -62,7 +62,9 @@
     let verdict =
         receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING });
     drop(waiting);
-    let waited = clock::now().since(now).as_millis();
+    let waited = clock::now().since(now);
+    sidecar.metrics.on_verdict(&verdict, waited);
+    let waited = waited.as_millis();
     match &verdict {
         Verdict::Granted { version } => debug!(sidecar.node.log, ""; "event" => "granted",
             "request" => attempt, "adapter" => name, "version" => version,
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -100,6 +100,7 @@
         Ok(answer) => encode::ordered(answer.status),
         Err(_) => Reply::Unknown,
     };
+    sidecar.metrics.on_order(order.target, reply);
     let error = called.err().map(|error| error.to_string());
     info!(sidecar.node.log, ""; "event" => "ordered", "model" => &order.name.model,
         "adapter" => &order.name.adapter, "reply" => reply.as_str(), "error" => error);
--- /dev/null
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -0,0 +1,78 @@
+//! Counters and latencies of a daemon beside an engine.
+
+use kingcupbay_core::{
+    admission::order::{Reply, Target},
+    time::Span,
+    wire::sidecar::{Pressure, Verdict},
+};
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec, Registry};
+
+use crate::metrics::{LATENCY, counters, gauges, histograms, text};
+
+/// Every metric of a daemon beside an engine.
+pub(crate) struct Metrics {
+    registry: Registry,
+    verdicts: IntCounterVec,
+    wait: HistogramVec,
+    orders: IntCounterVec,
+    requests: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub(crate) fn new() -> Metrics {
+        let registry = Registry::new();
+        Metrics {
+            verdicts: counters(
+                &registry,
+                "kingcupbay_places_total",
+                "Requests for a place by what became of them",
+                &["verdict"],
+            ),
+            wait: histograms(
+                &registry,
+                "kingcupbay_place_wait_seconds",
+                "Time to a verdict on a place",
+                &["verdict"],
+                LATENCY,
+            ),
+            orders: counters(
+                &registry,
+                "kingcupbay_orders_total",
+                "Orders to the engine by its reply",
+                &["target", "reply"],
+            ),
+            requests: gauges(
+                &registry,
+                "kingcupbay_engine_requests",
+                "Requests that run at the engine or wait for a place there",
+                &["state"],
+            ),
+            registry,
+        }
+    }
+
+    pub(crate) fn on_verdict(&self, verdict: &Verdict, waited: Span) {
+        let name = match verdict {
+            Verdict::Granted { .. } => "granted",
+            Verdict::Refused { why, .. } => why.as_str(),
+        };
+        self.verdicts.with_label_values(&[name]).inc();
+        self.wait.with_label_values(&[name]).observe(waited.as_secs_f64());
+    }
+
+    pub(crate) fn on_order(&self, target: Target, reply: Reply) {
+        let target = match target {
+            Target::Load { .. } => "load",
+            Target::Unload => "unload",
+        };
+        self.orders.with_label_values(&[target, reply.as_str()]).inc();
+    }
+
+    /// All metrics in Prometheus's text format, with the load of this moment.
+    pub(crate) fn text(&self, now: &Pressure) -> String {
+        self.requests.with_label_values(&["running"]).set(i64::from(now.running));
+        self.requests.with_label_values(&["waiting"]).set(i64::from(now.waiting));
+        text(&self.registry)
+    }
+}
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -3,11 +3,12 @@
 //! It alone orders the engine about and gives out its places; streams go
 //! straight from the engine to the entries. [`desk`] answers entries that want
 //! a place, [`engine`] asks the engine for reports and gives it orders, and
-//! [`tell`] lets entries know how busy it is. All decisions are
-//! `kingcupbay_core::admission`'s.
+//! [`tell`] lets entries know how busy it is; [`metrics`] counts. All decisions
+//! are `kingcupbay_core::admission`'s.
 
 pub(crate) mod desk;
 pub(crate) mod engine;
+pub(crate) mod metrics;
 pub(crate) mod tell;
 
 use std::{
@@ -27,6 +28,8 @@
 
 use crate::registered::Node;
 
+use metrics::Metrics;
+
 /// State of the daemon beside an engine.
 pub(crate) struct Sidecar {
     pub(crate) node: Rc<Node>,
@@ -42,6 +45,7 @@
     pub(crate) wake: Notify,
     /// Entries that asked for places lately.
     pub(crate) entries: RefCell<BTreeMap<SocketAddr, Asking>>,
+    pub(crate) metrics: Metrics,
 }
 
 /// An entry that asks for places.
@@ -63,6 +67,7 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
+            metrics: Metrics::new(),
             node,
         }
     }
--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -7,7 +7,7 @@
 use std::{path::PathBuf, time::Duration};
 
 use common::{
-    PATIENCE, Process, client,
+    PATIENCE, Process, client, get,
     registered::{KEY, STREAM, engine_fleet, ids, settings, tour},
     until,
 };
@@ -29,6 +29,25 @@
     assert_eq!(engine.runs()[0].headers["x-expect-version"], "1");
 }
 
+/// Whoever is on call finds how long places were waited for, what was ordered
+/// and how long streams stood still on the metrics addresses of both daemons.
+#[actix_rt::test]
+async fn both_daemons_count_what_became_of_a_stream() {
+    let (fleet, _engine, beside) = engine_fleet(RunnerSettings::engine("gpu-1", 4)).await;
+    assert_eq!(tour(&fleet, "a1", None).await.status, 200);
+    let counts = get(&beside, "/metrics").await;
+    for line in [
+        "kingcupbay_places_total{verdict=\"granted\"} 1",
+        "kingcupbay_place_wait_seconds_count{verdict=\"granted\"} 1",
+        "kingcupbay_orders_total{reply=\"accepted\",target=\"load\"} 1",
+    ] {
+        assert!(counts.contains(line), "no {line} in\n{counts}");
+    }
+    let counts = get(&fleet.entry, "/metrics").await;
+    let line = "kingcupbay_event_gap_seconds_count{route=\"tour\"} 1";
+    assert!(counts.contains(line), "no {line} in\n{counts}");
+}
+
 /// A stream has ended whole. Its connection carries the next one; a new one for
 /// each would cost the engine a handshake and a slot for its time.
 #[actix_rt::test]
