--- a/kingcupbay/src/adapter.rs
+++ b/kingcupbay/src/adapter.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::{
-    args::Against,
+    against::Against,
     error::Error,
     output::{Column, or_dash},
     session::Session,
--- a/kingcupbay/src/args.rs
+++ b/kingcupbay/src/args.rs
@@ -133,12 +133,3 @@
     /// Write the man page
     Man,
 }
-
-/// The number a single change is made against.
-#[derive(Clone, Copy, Debug)]
-#[derive(clap::Args)]
-pub(crate) struct Against {
-    /// Refuse unless this number is in force; else the one read just before
-    #[arg(long, value_name = "N")]
-    pub(crate) against: Option<u64>,
-}
--- a/kingcupbay/src/key.rs
+++ b/kingcupbay/src/key.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::{
-    args::Against,
+    against::Against,
     error::Error,
     output::{self, Column},
     session::Session,
--- a/kingcupbay/src/main.rs
+++ b/kingcupbay/src/main.rs
@@ -5,6 +5,7 @@
 //! code. A command returns the text to print; nothing else prints.
 
 mod adapter;
+mod against;
 mod args;
 mod client;
 mod declaration;
--- a/kingcupbay/src/route.rs
+++ b/kingcupbay/src/route.rs
@@ -4,7 +4,7 @@
 use kingcupbay_core::{config::change::Change, declare::Declaration, id::Name};
 use serde::Serialize;
 
-use crate::{args::Against, error::Error, output::Column, session::Session};
+use crate::{against::Against, error::Error, output::Column, session::Session};
 
 /// Commands on routes.
 #[derive(Debug)]
--- a/kingcupbay/src/session.rs
+++ b/kingcupbay/src/session.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::{
-    args::Against,
+    against::Against,
     client::Client,
     error::Error,
     output::{self, Column},
--- a/kingcupbay/src/upstream.rs
+++ b/kingcupbay/src/upstream.rs
@@ -11,7 +11,7 @@
     id::Name,
 };
 
-use crate::{args::Against, error::Error, output::Column, session::Session};
+use crate::{against::Against, error::Error, output::Column, session::Session};
 
 /// Commands on upstreams.
 #[derive(Debug)]
--- a/kingcupbay/src/version.rs
+++ b/kingcupbay/src/version.rs
@@ -8,7 +8,7 @@
 };
 use serde::Serialize;
 
-use crate::{args::Against, error::Error, output::Column, session::Session};
+use crate::{against::Against, error::Error, output::Column, session::Session};
 
 /// Commands on versions.
 #[derive(Debug)]
