Fetch what the store has not told once at a time

Each tally that named a newer configuration made a lagging entry fetch all rows from its sender: 1,900 to 4,000 `newer_elsewhere` in four seconds, nearly as many `copies_failed`. The fetches filled the links of the hosts that knew more, none ended within its 500 ms, and so all went on lagging and asking.

Ruled out: the limits (7,045 answers 429 were a consequence: entries that cannot hear each other keep to their parts), the engines, the weight store.

The soak ends its daemons before its proxies.

On the deciding code alone: 200 fetches a second before, in ten seconds 1 where it succeeds and 3 to 6 where none does.

--- /dev/null
+++ b/kingcupbay_core/src/deployment/catchup.rs
@@ -0,0 +1,76 @@
+//! When to ask another entry for a configuration that it has and this one
+//! lacks.
+//!
+//! Tallies carry the number that their sender acts on, ten a second from each of
+//! many. An entry that lags because the store is away for it must learn of
+//! withdrawn keys from the others, but one fetch for each tally is a storm: it
+//! fills the links of the hosts that know more, so that no fetch ends in time,
+//! and lasts for as long as it prevents what would end it.
+
+use crate::{
+    id::Number,
+    time::{Instant, Span},
+};
+
+/// Time in which the store's own feed brings what others have already.
+const FEED: Span = Span::from_millis(400);
+
+/// Pause after a fetch, whatever it brought.
+const PAUSE_MIN: Span = Span::from_millis(250);
+
+/// Longest pause; it doubles with each fetch that brought nothing. A withdrawn
+/// key has to be dead some seconds later.
+const PAUSE_MAX: Span = Span::from_secs(2);
+
+/// How far this entry has been behind, and what it did about it.
+#[derive(Clone, Debug)]
+pub struct CatchUp {
+    /// Newest number that was heard of.
+    newest: Number,
+    /// When it was first heard of.
+    heard: Instant,
+    /// A fetch is on its way.
+    asking: bool,
+    /// No fetch before this.
+    next: Instant,
+    pause: Span,
+}
+
+impl Default for CatchUp {
+    fn default() -> CatchUp {
+        CatchUp {
+            newest: Number::default(),
+            heard: Instant::default(),
+            asking: false,
+            next: Instant::default(),
+            pause: PAUSE_MIN,
+        }
+    }
+}
+
+impl CatchUp {
+    /// Another entry acts on `theirs`, this one on `own`: whether to ask that
+    /// one now. If so, [`CatchUp::on_end`] is owed.
+    pub fn ask(&mut self, now: Instant, own: Number, theirs: Number) -> bool {
+        if theirs > self.newest {
+            self.newest = theirs;
+            self.heard = now;
+        }
+        let behind = theirs > own && now.since(self.heard) >= FEED;
+        if !behind || self.asking || now < self.next {
+            return false;
+        }
+        self.asking = true;
+        true
+    }
+
+    /// The fetch has ended; `own` is the number that this entry acts on now.
+    pub fn on_end(&mut self, now: Instant, own: Number) {
+        self.asking = false;
+        self.pause = match own >= self.newest {
+            true => PAUSE_MIN,
+            false => Span::from_micros(self.pause.as_micros() * 2).min(PAUSE_MAX),
+        };
+        self.next = now + self.pause;
+    }
+}
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -92,8 +92,11 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        // First the daemons: what they would still send to ports of this run
+        // could reach another one that is given the same ports.
         for host in self.hosts() {
             host.over.set(true);
+            host.daemon.borrow_mut().kill();
         }
         self.supervisors.iter().for_each(JoinHandle::abort);
     }
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -102,8 +102,12 @@
 
 fn unasked(sent: &[Sent], runs: &Runs<'_>) -> Vec<Breach> {
     let known: BTreeSet<&str> = sent.iter().map(|one| one.attempt.as_str()).collect();
-    let strange = runs.keys().filter(|attempt| !known.contains(*attempt));
-    strange.map(|attempt| breach("nobody sent it", (*attempt).to_owned())).collect()
+    let strange = runs.iter().filter(|(attempt, _)| !known.contains(*attempt));
+    let seen = |(attempt, ran): (&&str, &Vec<(&str, &RunnerRun)>)| {
+        let ran: Vec<_> = ran.iter().map(|(id, run)| (id, &run.method, &run.path)).collect();
+        breach("nobody sent it", format!("{attempt:?} at {ran:?}"))
+    };
+    strange.map(seen).collect()
 }
 
 /// Upstreams get the caller's request, whose it is, and never the key.
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -29,6 +29,7 @@
     allowance::Allowance,
     backlog::Backlog,
     deployment::{
+        catchup::CatchUp,
         lookup::Caller,
         model::{Deployment, Organisation, Route},
     },
@@ -67,6 +68,7 @@
     pub(crate) repeats: RefCell<BTreeMap<String, Repeats>>,
     /// Entries that did not take the last tally.
     pub(crate) deaf: RefCell<BTreeSet<SocketAddr>>,
+    pub(crate) catch_up: RefCell<CatchUp>,
     pub(crate) dones: place::Dones,
     pub(crate) metrics: Metrics,
 }
@@ -82,6 +84,7 @@
             backlog: RefCell::default(),
             repeats: RefCell::default(),
             deaf: RefCell::default(),
+            catch_up: RefCell::default(),
             dones: place::Dones::default(),
             metrics: Metrics::new(),
             node,
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -22,6 +22,7 @@
 
 use kingcupbay_core::{
     deployment::{catalogue::Catalogue, model::Deployment},
+    id::Number,
     time::Instant,
 };
 use slog::Logger;
@@ -95,6 +96,18 @@
         self.catalogue.borrow().deployment().cloned()
     }
 
+    /// Its number, the lowest before one is known.
+    pub(crate) fn number(&self) -> Number {
+        self.deployment().map_or_else(Number::default, |deployment| deployment.number)
+    }
+
+    /// Where other daemons reach the one on `host`, if it is listed.
+    pub(crate) fn address_of(&self, host: &str) -> Option<SocketAddr> {
+        let catalogue = self.catalogue.borrow();
+        let member = catalogue.members().find(|member| member.host == host);
+        member.map(|member| member.address)
+    }
+
     /// Name of this host.
     pub(crate) fn host(&self) -> &str {
         self.settings.daemon.host.as_str()
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -39,7 +39,7 @@
         tokio::time::sleep(period.into()).await;
         let now = clock::now();
         gateway.node.tick(now);
-        let number = gateway.node.deployment().map_or_else(Default::default, |d| d.number);
+        let number = gateway.node.number();
         let peers = peers(&gateway);
         if peers.is_empty() {
             continue;
@@ -67,21 +67,26 @@
         return http::reply::text(StatusCode::BAD_REQUEST, "not a tally\n");
     };
     let now = clock::now();
-    let number = gateway.node.deployment().map_or_else(Default::default, |d| d.number);
-    if tally.number > number {
-        let from = gateway.node.catalogue.borrow();
-        let from = from.members().find(|member| member.host == tally.host);
-        if let Some(address) = from.map(|member| member.address) {
-            info!(gateway.node.log, ""; "event" => "newer_elsewhere", "peer" => &tally.host,
-                "number" => number.0, "theirs" => tally.number.0);
-            let node = gateway.node.clone();
-            drop(actix_rt::spawn(async move { copies::fetch(&node, address).await }));
-        }
+    let from = gateway.node.address_of(&tally.host);
+    let number = gateway.node.number();
+    if let Some(address) = from
+        && gateway.catch_up.borrow_mut().ask(now, number, tally.number)
+    {
+        info!(gateway.node.log, ""; "event" => "newer_elsewhere", "peer" => &tally.host,
+            "number" => number.0, "theirs" => tally.number.0);
+        drop(actix_rt::spawn(catch_up(gateway.clone(), address)));
     }
     gateway.allowance.borrow_mut().on_tally(now, tally);
     Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
 }
 
+/// Takes from another entry what the store has not told.
+async fn catch_up(gateway: Rc<Gateway>, from: SocketAddr) {
+    let node = &gateway.node;
+    copies::fetch(node, from).await;
+    gateway.catch_up.borrow_mut().on_end(clock::now(), node.number());
+}
+
 fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
     let catalogue = gateway.node.catalogue.borrow();
     let others = catalogue.of_role(Role::Entry).filter(|member| member.host != gateway.node.host());
