Give each process of tests a second host of its own

Cause: a_broken_stream_goes_on_at_another_engine failed in 4 of 1,800 runs, 30 at a time: the daemon beside the second engine takes the port that the first got, at an address which all runs shared, where another one held that port.

Ruled out: the daemons; the line is `start_failed`, Address already in use.

Change: the second host's address comes from the process's id.

Conclusion: the verdict no longer hangs on who else runs.

--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -4,7 +4,11 @@
 
 mod common;
 
-use std::{path::PathBuf, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    time::Duration,
+};
 
 use common::{
     PATIENCE, Process, client, get,
@@ -77,6 +81,14 @@
     .await;
 }
 
+/// Address of a second host. Each process of tests has its own: the port that a
+/// daemon has to take there is chosen by what another host got, so at a shared
+/// address somebody else may hold it.
+fn second_host() -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (high & 0x7f), low, 2).into()
+}
+
 /// The daemon beside a second engine listens where the entry looks for it: at
 /// that engine's address, at the port of the first.
 fn second_sidecar(store: &Registry, engine: &Runner, port: u16) -> Process {
@@ -86,7 +98,7 @@
         store.server().address(),
         &format!("engine = {}\nservice = writer\n", engine.server().address()),
     );
-    let peers = format!("[peers]\nlisten = 127.0.0.2:{port}");
+    let peers = format!("[peers]\nlisten = {}:{port}", second_host());
     let text = text.replacen("[peers]\nlisten = 127.0.0.1:0", &peers, 1);
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("second-{port}.ini"));
     std::fs::write(&file, text).unwrap();
@@ -102,7 +114,7 @@
 async fn a_broken_stream_goes_on_at_another_engine() {
     let cut = |id| RunnerSettings { cut: Some(3), ..RunnerSettings::engine(id, 6) };
     let (mut fleet, first, mut beside) = engine_fleet(cut("gpu-1")).await;
-    let second = Runner::start("127.0.0.2:0".parse().unwrap(), cut("gpu-2")).unwrap();
+    let second = Runner::start(SocketAddr::new(second_host(), 0), cut("gpu-2")).unwrap();
     let mut other = second_sidecar(&fleet.store, &second, beside.address("peers").port());
     fleet.register("gpu-2", "writer", &second);
     until("both engines", async || {
