Keep the platform's words of the soak and of tests in the stand-ins

Cause: the soak wrote configurations, headers and orders in the platform's words, and so did the tests of registered fleets, each for itself.

Change: the stand-ins build a declared configuration, an announcement and a caller's headers, and read orders and runs into fields; both use them.

Conclusion: one place knows these words beside platform/.

--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -6,19 +6,19 @@
     time::{Duration, Instant},
 };
 
-use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{self, HeaderMap};
 use kingcupbay_core::random::Random;
-use kingcupbay_standin::MODEL;
+use kingcupbay_standin::{Asked, named};
 use kingcupbayd::{Link, LinkError};
 
 use crate::{
     fleet::Fleet,
-    operator::{CLUB, GUESTS, HOST, TIMEOUT, WINERY, guest_key, lasting_key},
+    operator::{CLUB, GUESTS, TIMEOUT, WINERY, guest_key, lasting_key},
     sent::{Answer, End, Kind, Sent},
 };
 
-/// The adapters that callers name. One more than an engine has places for, on
-/// each of two engines, so that adapters come and go.
+/// The adapters that callers name: more than two engines have places for, so that
+/// they come and go when the third is away.
 pub const ADAPTERS: [&str; 7] =
     ["roses", "tulips", "irises", "asters", "lilies", "violets", "peonies"];
 
@@ -232,32 +232,25 @@
     while let Some(chunk) = link.chunk().await? {
         bytes.extend_from_slice(&chunk);
     }
-    let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+    let (attempt, stamp) = named(&head.headers);
     Ok(Answer {
         status: head.status.as_u16(),
-        stamp: text("x-response-stamp"),
-        attempt: text("x-attempt-id"),
+        stamp,
+        attempt,
         returns: head.headers.contains_key(header::RETRY_AFTER),
         body: String::from_utf8_lossy(&bytes).into_owned(),
     })
 }
 
 fn headers(sent: &Sent) -> HeaderMap {
-    let (prompt, output) = tokens(sent.organisation);
-    let mut headers = HeaderMap::new();
-    let mut insert = |name: &'static str, value: &str| {
-        let value = HeaderValue::from_str(value).expect("visible ASCII");
-        headers.insert(HeaderName::from_static(name), value);
+    let asked = Asked {
+        attempt: &sent.attempt,
+        key: &sent.key,
+        deadline: TIMEOUT,
+        tokens: tokens(sent.organisation),
+        adapter: sent.adapter.as_deref(),
     };
-    insert("host", HOST);
-    insert("x-attempt-id", &sent.attempt);
-    insert("x-deadline-ms", &TIMEOUT.to_string());
-    insert("x-token-usage", &format!("{prompt},{output}"));
-    insert("authorization", &format!("Bearer {}", sent.key));
-    if let Some(adapter) = &sent.adapter {
-        insert("x-model", &format!("{MODEL}/{adapter}"));
-    }
-    headers
+    asked.headers()
 }
 
 fn tokens(organisation: &str) -> (u64, u64) {
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -10,7 +10,6 @@
 
 use actix_rt::task::JoinHandle;
 use kingcupbay_standin::{Registry, Runner, RunnerSettings};
-use serde_json::json;
 
 use crate::{
     daemon::{Daemon, Workshop},
@@ -102,10 +101,6 @@
     }
 }
 
-fn loopback(last: [u8; 2]) -> IpAddr {
-    Ipv4Addr::new(127, 0, last[0], last[1]).into()
-}
-
 fn any() -> SocketAddr {
     SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0)
 }
@@ -165,9 +160,8 @@
     /// Writes an upstream's registration.
     pub fn register(&self, upstream: &Upstream, leaving: bool) {
         upstream.leaving.set(leaving);
-        let state = if leaving { "draining" } else { "ready" };
-        let mut row = upstream.runner.registration(upstream.service, state);
-        row["address"] = json!(upstream.proxy.address().to_string());
+        let at = upstream.proxy.address();
+        let row = upstream.runner.registered_at(at, upstream.service, leaving);
         self.store.put("servers", &upstream.id, &row);
     }
 
@@ -268,9 +262,10 @@
     }
 }
 
+/// Each engine has an address of its own, as its host would.
 fn engine_ip(at: usize) -> IpAddr {
-    let at = u8::try_from(at + 1).expect("fewer engines than the last byte can tell apart");
-    loopback([1, at])
+    let last = u8::try_from(at + 1).expect("fewer engines than the last byte can tell apart");
+    Ipv4Addr::new(127, 0, 1, last).into()
 }
 
 /// Proxies in front of the daemons beside engines: all at one port, each at the
--- a/kingcupbay_soak/src/operator.rs
+++ b/kingcupbay_soak/src/operator.rs
@@ -5,11 +5,9 @@
     collections::{BTreeMap, BTreeSet},
 };
 
-use kingcupbay_standin::{MODEL, Registry};
-use serde_json::{Value, json};
+use kingcupbay_standin::{Declared, DeclaredOrganisation, DeclaredRoute, Registry, announcement};
 
-/// Name that callers address.
-pub const HOST: &str = "desk.example";
+use crate::fleet::PLACES;
 
 /// The organisation whose key every configuration holds, without a limit.
 pub const WINERY: &str = "winery";
@@ -52,7 +50,7 @@
     pub fn configure(&self, store: &Registry, step: u64) {
         let number = self.number() + step;
         self.numbers.borrow_mut().insert(number);
-        store.put("op", "config", &configuration(number));
+        store.put("op", "config", &configuration(number).row());
     }
 
     /// Announces the next version of `adapter`; the version.
@@ -60,8 +58,8 @@
         let mut versions = self.versions.borrow_mut();
         let version = versions.entry(adapter.to_owned()).or_insert(1);
         *version += 1;
-        let row = json!({"model": MODEL, "adapter": adapter, "version": *version});
-        store.put("op", &format!("version/{MODEL}.{adapter}"), &row);
+        let (key, row) = announcement(adapter, *version);
+        store.put("op", &key, &row);
         *version
     }
 
@@ -86,29 +84,35 @@
     format!("{organisation}-key")
 }
 
-fn configuration(number: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32| {
-        json!({"name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": TIMEOUT, "targetLatencyMs": AIM, "priority": 1, "service": service,
-            "maxAttempts": attempts, "allowAnonymous": false, "resumable": name == "tour"})
+fn configuration(number: u64) -> Declared {
+    let route = |name, kind, service, attempts| DeclaredRoute {
+        name,
+        kind,
+        resumable: name == "tour",
+        service,
+        attempts,
     };
-    let tenant = |name: &str, key: String, rate: u64| {
-        json!({"name": name, "apiKeys": [key], "unit": "tokens", "plainTokens": 10,
-            "ratePerS": rate, "burst": rate})
+    let organisation = |name: &str, key: String, rate: u64| DeclaredOrganisation {
+        name: name.to_owned(),
+        keys: vec![key],
+        rate,
+        plain: 10,
     };
-    json!({"version": number,
-        "routes": [route("seats", "idempotent", "desk", 2),
+    Declared {
+        number,
+        routes: vec![
+            route("seats", "idempotent", "desk", 2),
             route("book", "non_idempotent", "desk", 1),
             route("tour", "stream", "writer", 2),
-            route("note", "stream", "writer", 1)],
-        "services": [{"name": "desk", "maxConns": 200},
-            {"name": "writer", "maxConns": 200, "engine": {"slots": 8,
-                "kvCacheTokens": 100_000, "adapterSlots": super::fleet::PLACES,
-                "weightsMb": 100.0, "models": [{"name": MODEL, "weightsMb": 50.0,
-                "loadS": 1.0, "adapters": 10}]}}],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "tenants": [tenant(WINERY, lasting_key(WINERY), 0),
-            tenant(CLUB, lasting_key(CLUB), CLUB_RATE),
-            tenant(GUESTS, guest_key(number), 0)]})
+            route("note", "stream", "writer", 1),
+        ],
+        organisations: vec![
+            organisation(WINERY, lasting_key(WINERY), 0),
+            organisation(CLUB, lasting_key(CLUB), CLUB_RATE),
+            organisation(GUESTS, guest_key(number), 0),
+        ],
+        timeout: TIMEOUT,
+        aim: AIM,
+        places: PLACES,
+    }
 }
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -9,8 +9,7 @@
     time::Duration,
 };
 
-use kingcupbay_standin::RunnerRun;
-use serde_json::Value;
+use kingcupbay_standin::{RunnerOrder, RunnerRun};
 
 use crate::{
     fleet::EVENTS,
@@ -33,7 +32,7 @@
     /// Requests that it ran.
     pub runs: Vec<RunnerRun>,
     /// Orders that it accepted, by order of coming.
-    pub orders: Vec<Value>,
+    pub orders: Vec<RunnerOrder>,
     /// Orders to hold more than it has places for.
     pub overloads: u32,
 }
@@ -116,13 +115,9 @@
         run.method.as_str() == one.kind.method().as_str()
             && run.path == one.path
             && run.body == one.body.as_bytes()
-            && run.headers.get("x-model").and_then(|model| Some(model.split_once('/')?.1))
-                == one.adapter.as_deref()
-    };
-    let own = |run: &RunnerRun| {
-        run.headers.get("x-tenant").map(String::as_str) == Some(one.organisation)
-            && !run.headers.contains_key("authorization")
+            && run.adapter() == one.adapter.as_deref()
     };
+    let own = |run: &RunnerRun| run.organisation() == Some(one.organisation) && !run.has_key();
     let mut found = Vec::new();
     for (id, run) in ran {
         if !same(run) {
@@ -251,12 +246,12 @@
     if witness.overloads > 0 {
         found.push(breach("no order beyond the places", format!("{} at {id}", witness.overloads)));
     }
-    let holders: BTreeSet<_> = witness.orders.iter().map(|o| o["holder"].to_string()).collect();
+    let holders: BTreeSet<&str> =
+        witness.orders.iter().map(|order| order.holder.as_str()).collect();
     if holders.len() > 1 {
         found.push(breach("one host orders an engine", format!("{holders:?} at {id}")));
     }
-    let fences: Vec<u64> =
-        witness.orders.iter().filter_map(|order| order["fenceToken"].as_u64()).collect();
+    let fences: Vec<u64> = witness.orders.iter().map(|order| order.fencing).collect();
     if !fences.is_sorted() {
         found.push(breach("fencing numbers never go back", format!("{fences:?} at {id}")));
     }
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -22,7 +22,7 @@
 };
 
 /// Longest time until all is well after the last trouble. It only ends a run
-/// that would never end; a fleet comes back in one to four seconds.
+/// that would never end; fleets of six daemons came back in 3 to 13 s.
 const PATIENCE: Duration = Duration::from_secs(60);
 
 /// Pause between two looks at a state that is waited for.
@@ -185,7 +185,7 @@
     let newest = sent.adapter.as_deref().map(|name| office.fleet.operator.version(name));
     let runs = office.fleet.engines.iter().flat_map(|engine| engine.runner.runs());
     let run = runs.filter(|run| run.attempt == sent.attempt).last();
-    let version = run.and_then(|run| run.headers.get("x-expect-version")?.parse().ok());
+    let version = run.and_then(|run| run.version());
     sent.status() == Some(200) && version == newest
 }
 
@@ -213,7 +213,7 @@
         .map(|upstream| Witness {
             id: upstream.id.clone(),
             runs: upstream.runner.runs(),
-            orders: upstream.runner.orders(),
+            orders: upstream.runner.holders(),
             overloads: upstream.runner.overloads(),
         })
         .collect();
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -13,8 +13,7 @@
     promises::{Evidence, Witness, breaches},
     sent::{Answer, End, Kind, Sent},
 };
-use kingcupbay_standin::RunnerRun;
-use serde_json::json;
+use kingcupbay_standin::{RunnerOrder, RunnerRun};
 
 /// One request of each shape, its answer, and the run that made it.
 struct Case {
@@ -231,7 +230,7 @@
 #[test]
 fn orders_out_of_order_are_seen() {
     let mut case = Case::new();
-    let order = |holder: &str, fence: u64| json!({"holder": holder, "fenceToken": fence});
+    let order = |holder: &str, fencing| RunnerOrder { holder: holder.to_owned(), fencing };
     case.witness.orders = vec![order("h", 3), order("h", 3), order("h", 5)];
     assert_eq!(case.broken(), Vec::<&str>::new());
     case.witness.orders.push(order("g", 4));
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -24,6 +24,7 @@
 mod hosts;
 mod lagged;
 mod objects;
+mod operator;
 mod platform;
 mod registry;
 mod runner;
@@ -42,9 +43,10 @@
     fault::{Active, Fault, FaultOrder, Faults, Rule, RuleId},
     hosts::{HostList, Lag},
     objects::{Objects, ObjectsRecord},
+    operator::{Asked, Declared, DeclaredOrganisation, DeclaredRoute, HOST, announcement, named},
     platform::{Platform, PlatformRecord},
     registry::Registry,
-    runner::{MODEL, Runner, RunnerRun, RunnerSettings},
+    runner::{MODEL, Runner, RunnerOrder, RunnerRun, RunnerSettings},
     server::Server,
     service::{CALL_PATH, Executed, Executions, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
--- a/kingcupbay_standin/src/runner.rs
+++ b/kingcupbay_standin/src/runner.rs
@@ -80,6 +80,37 @@
     pub body: Vec<u8>,
 }
 
+impl RunnerRun {
+    /// The organisation that it is told to run for.
+    pub fn organisation(&self) -> Option<&str> {
+        self.headers.get("x-tenant").map(String::as_str)
+    }
+
+    /// The adapter that it names.
+    pub fn adapter(&self) -> Option<&str> {
+        Some(self.headers.get("x-model")?.split_once('/')?.1)
+    }
+
+    /// The only version of the adapter that may run it.
+    pub fn version(&self) -> Option<u32> {
+        self.headers.get("x-expect-version")?.parse().ok()
+    }
+
+    /// Whether the caller's key came along.
+    pub fn has_key(&self) -> bool {
+        self.headers.contains_key("authorization")
+    }
+}
+
+/// Who gave an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerOrder {
+    /// The host.
+    pub holder: String,
+    /// Its fencing number.
+    pub fencing: u64,
+}
+
 /// A running upstream.
 pub struct Runner {
     server: Server,
@@ -169,6 +200,23 @@
         self.state.order_log.borrow().clone()
     }
 
+    /// Who gave the orders that it accepted, as they came.
+    pub fn holders(&self) -> Vec<RunnerOrder> {
+        let order = |order: &Value| RunnerOrder {
+            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
+            fencing: order["fenceToken"].as_u64().unwrap_or_default(),
+        };
+        self.state.order_log.borrow().iter().map(order).collect()
+    }
+
+    /// Its registration at another address, leaving or not.
+    pub fn registered_at(&self, address: SocketAddr, service: &str, leaving: bool) -> Value {
+        let state = if leaving { "draining" } else { "ready" };
+        let mut row = self.registration(service, state);
+        row["address"] = json!(address.to_string());
+        row
+    }
+
     /// Makes a newer version of an adapter the one that loads fetch.
     pub fn announce(&self, adapter: &str, version: u32) {
         self.state.newest.borrow_mut().insert(adapter.to_owned(), version);
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -3,8 +3,10 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use kingcupbay_standin::{Registry, Runner, RunnerSettings};
-use serde_json::{Value, json};
+use kingcupbay_standin::{
+    Declared, DeclaredOrganisation, DeclaredRoute, Registry, Runner, RunnerSettings,
+};
+use serde_json::Value;
 
 use super::{Process, client, until};
 
@@ -21,23 +23,32 @@
 
 /// The configuration `version`, in which the winery holds `keys`.
 pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-        json!({"name": name, "host": "desk.example", "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": 10_000, "targetLatencyMs": 800, "priority": 1, "service": service,
-            "maxAttempts": attempts, "allowAnonymous": false, "resumable": kind == "stream"})
+    let route = |name, kind, service, attempts| DeclaredRoute {
+        name,
+        kind,
+        resumable: kind == "stream",
+        service,
+        attempts,
     };
-    json!({"version": version,
-        "routes": [route("seats", "/seats/", "idempotent", "desk", 2),
-            route("book", "/book/", "non_idempotent", "desk", 1),
-            route("tour", "/tour/", "stream", "writer", 2)],
-        "services": [{"name": "desk", "maxConns": 100},
-            {"name": "writer", "maxConns": 100, "engine": {"slots": 8, "kvCacheTokens": 100_000,
-                "adapterSlots": 2, "weightsMb": 100.0,
-                "models": [{"name": "base", "weightsMb": 50.0, "loadS": 1.0, "adapters": 10}]}}],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "tenants": [{"name": "winery", "apiKeys": keys, "unit": "tokens", "plainTokens": 100,
-            "ratePerS": 100_000, "burst": 100_000}]})
+    let winery = DeclaredOrganisation {
+        name: "winery".to_owned(),
+        keys: keys.iter().map(|&key| key.to_owned()).collect(),
+        rate: 100_000,
+        plain: 100,
+    };
+    let declared = Declared {
+        number: version,
+        routes: vec![
+            route("seats", "idempotent", "desk", 2),
+            route("book", "non_idempotent", "desk", 1),
+            route("tour", "stream", "writer", 2),
+        ],
+        organisations: vec![winery],
+        timeout: 10_000,
+        aim: 800,
+        places: 2,
+    };
+    declared.row()
 }
 
 pub(crate) fn settings(role: &str, host: &str, store: SocketAddr, rest: &str) -> String {
