--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -4,7 +4,8 @@
 //! request asks it for a place first. So places, memory and adapters need no
 //! agreement between hosts. [`queue`] keeps what waits and says how long it
 //! will, [`running`] what was let through; [`order`] and [`report`] are what
-//! the engine is told and tells, [`told`] what entries are; [`pace`] and [`loads`] learn how fast it is.
+//! the engine is told and tells, [`told`] what entries are; [`pace`] and
+//! [`loads`] learn how fast it is.
 //!
 //! An engine reads prompts between the tokens of running requests. What is
 //! sent to it beyond what it reads within a pause of their streams ([`pauses`])
--- a/kingcupbayd/src/registered/copies.rs
+++ b/kingcupbayd/src/registered/copies.rs
@@ -18,7 +18,7 @@
 
 use crate::registered::{Node, follow};
 
-/// Time for another daemon's answer: some 100 KB over the slowest hosts' links of
+/// Time for another daemon's answer: even 100 KB over the slowest hosts' links of
 /// 10 Mbit/s take a tenth of a second, and several may ask at once.
 const ANSWER: Span = Span::from_millis(1_500);
 
