--- a/kingcupbay_core/src/admission/loads.rs
+++ b/kingcupbay_core/src/admission/loads.rs
@@ -13,9 +13,9 @@
 
 /// Adapters on their way at once before any load was seen. After a restart of
 /// everything all engines begin together, and the store has room for fewer than
-/// there are engines: with two each, 40 were on their way of 8 and all of them
-/// took 1.2 s; with one, three days with such a restart served 0.829, 0.719 and
-/// 0.780 of what was asked for, then 0.843, 0.739 and 0.784.
+/// there are engines. With two each, three days with such a restart served 0.829,
+/// 0.719 and 0.780 of what was asked for, with one 0.843, 0.739 and 0.784, one
+/// run each.
 const FIRST_MOST: u32 = 1;
 
 /// Time of a load from the weight store at full speed, in milliseconds.
