Let an entry's feed of upstreams wait two seconds, not twenty

Cause: a feed that begins while the store drops its history hears nothing until its wait is over. An entry's feed of upstreams began at 8.24 s, was answered at 28.26 s, and a booking went to a service that had been leaving for 3.1 s. Ruled out: a lost connection (the answer came whole, at the end of the wait); a service that never said so (other entries knew within 0.24 s). Change: an entry's feeds of the operator's rows and of upstreams wait 2 s, that of entries 5 s. The stand-in's store can be made deaf for a moment; the test was seen to fail with 20 s.

--- a/kingcupbay_standin/src/registry.rs
+++ b/kingcupbay_standin/src/registry.rs
@@ -1,7 +1,14 @@
 //! The platform's store of rows: reads, transactions under conditions, and a
 //! feed of changes. The handle writes the operator's rows and the upstreams'.
 
-use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_http::{Method, StatusCode};
 use futures_util::FutureExt;
@@ -41,6 +48,12 @@
     forgotten: RefCell<u64>,
     version: RefCell<u64>,
     changes: Changes,
+    /// Feeds that begin now hear of nothing until their wait is over.
+    deaf: Cell<bool>,
+    /// Feeds that began while it was so, by table.
+    deaf_feeds: RefCell<BTreeMap<String, u32>>,
+    /// Longest wait that a feed asked for, in milliseconds, by table.
+    waits: RefCell<BTreeMap<String, u64>>,
 }
 
 impl Registry {
@@ -79,6 +92,22 @@
         self.state.changes.notify();
     }
 
+    /// Makes feeds that begin from now on deaf, or no longer: one that began deaf
+    /// stays so, and is answered at the end of its wait with all that it missed.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.state.deaf.set(deaf);
+    }
+
+    /// How many feeds of a table began deaf.
+    pub fn deaf_feeds(&self, table: &str) -> u32 {
+        self.state.deaf_feeds.borrow().get(table).copied().unwrap_or_default()
+    }
+
+    /// Longest wait that a feed of a table asked for, in milliseconds.
+    pub fn longest_wait(&self, table: &str) -> u64 {
+        self.state.waits.borrow().get(table).copied().unwrap_or_default()
+    }
+
     /// Keys of a table.
     pub fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.state.rows.borrow();
@@ -122,14 +151,22 @@
         let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
         let table = query.get("table").cloned().unwrap_or_default();
         let after = number("after").unwrap_or_default();
-        let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
+        let millis = number("waitMs").unwrap_or_default();
+        let wait = Duration::from_millis(millis);
+        let longest = self.waits.borrow().get(&table).copied().unwrap_or_default().max(millis);
+        self.waits.borrow_mut().insert(table.clone(), longest);
         let pending = || {
             let history = self.history.borrow();
             let newer = |(ver, (own, _), _): &&Entry| *ver > after && *own == table;
             history.iter().filter(newer).cloned().collect::<Vec<Entry>>()
         };
         let lost = || after < *self.forgotten.borrow();
-        let changed = until(self.changes.subscribe(), || !pending().is_empty() || lost());
+        let deaf = self.deaf.get();
+        if deaf {
+            *self.deaf_feeds.borrow_mut().entry(table.clone()).or_default() += 1;
+        }
+        let changed =
+            until(self.changes.subscribe(), || !deaf && (!pending().is_empty() || lost()));
         // At the end of the wait the answer is empty.
         let _ = tokio::time::timeout(wait, changed).await;
         if lost() {
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -19,14 +19,21 @@
     registered::{Node, copies, members::ENTRIES, store::StoreError},
 };
 
-/// How long an entry's feed of the operator's rows waits. It doubles as the sign
-/// that the store is there: an answer that was lost with its connection shows at
-/// its end, and a withdrawn key has to be dead a few seconds later.
+/// How long an entry's feeds of the operator's rows and of upstreams wait. A
+/// feed that begins while the store drops its history may stay deaf: it is
+/// answered at its end only, with all that it missed. A withdrawn key has to be
+/// dead by then, and an upstream that leaves gets nothing new. The first feed
+/// doubles as the sign that the store is there. A deaf feed of upstreams that
+/// waited 20 s sent a booking to one that had been leaving for 3.1 s.
 const ENTRY_WAIT: Span = Span::from_millis(2_000);
 
-/// How long the other feeds wait. Those of an entry start anew whenever its first
-/// fails. A daemon beside an engine learns of new versions from the entries too.
-const OTHER_WAIT: Span = Span::from_secs(20);
+/// How long an entry's feed of entries waits. While it is deaf, an entry that
+/// others do not know yet admits its small part of the limits only.
+const MEMBERS_WAIT: Span = Span::from_secs(5);
+
+/// How long a feed of a daemon beside an engine waits. It learns of new versions
+/// from the entries too.
+const SIDECAR_WAIT: Span = Span::from_secs(20);
 
 /// Pause between two calls of the operator's feed. Changes that come in quick
 /// succession arrive together; all are in force within two seconds.
@@ -69,8 +76,9 @@
     /// How long a call waits for a first change.
     fn wait(self, role: Role) -> Span {
         match (self, role) {
-            (Table::Operator, Role::Entry) => ENTRY_WAIT,
-            _ => OTHER_WAIT,
+            (_, Role::Upstream) => SIDECAR_WAIT,
+            (Table::Operator | Table::Upstreams, Role::Entry) => ENTRY_WAIT,
+            (Table::Entries, Role::Entry) => MEMBERS_WAIT,
         }
     }
 
--- a/kingcupbayd/tests/registered.rs
+++ b/kingcupbayd/tests/registered.rs
@@ -320,3 +320,35 @@
     // on what the other's next tally would have told it.
     assert!((8..=12).contains(&served), "{served}");
 }
+
+/// A booking goes to a desk that said three seconds ago that it leaves. The store
+/// drops its history; the entry reads everything again and begins its feeds
+/// while the store is still busy with that. Such a feed is told of nothing until
+/// its wait is over, so the wait decides how long the entry does not know.
+#[actix_rt::test]
+async fn a_deaf_feed_tells_of_a_leaving_upstream_at_the_end_of_a_short_wait() {
+    /// Within this an upstream that leaves must get nothing new.
+    const LEAVING_MS: u64 = 2_000;
+    let fleet = Fleet::start(1).await;
+    let desk = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
+    fleet.register("desk-1", "desk", &desk);
+    fleet.ready().await;
+    fleet.store.set_deaf(true);
+    fleet.store.forget();
+    until("deaf feeds", async || {
+        let all =
+            ["op", "servers", "entries"].iter().all(|table| fleet.store.deaf_feeds(table) > 0);
+        all.then_some(())
+    })
+    .await;
+    fleet.store.set_deaf(false);
+    fleet.store.put("servers", "desk-1", &desk.registration("desk", "draining"));
+    until("no more bookings at the desk", async || {
+        (fleet.ask("GET", "/seats/today", "a1").await.status == 503).then_some(())
+    })
+    .await;
+    for table in ["op", "servers"] {
+        let longest = fleet.store.longest_wait(table);
+        assert!(longest <= LEAVING_MS, "{table}: {longest} ms");
+    }
+}
