Tell refused callers when the queue of now is served

Cause: an engine that refused a request told its caller when the queue would be just short enough to take it in, and one that had waited in vain to come back in 200 ms. All came back together, most callers only once, and were refused for good. Change: the time is that of everything before it, at least 200 ms. Both tests fail without it.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -137,7 +137,10 @@
         }
         let estimate = self.estimate(now, &want);
         if estimate > want.patience {
-            let after = estimate.saturating_sub(want.patience).max(RETRY_MIN);
+            // When the queue of now is served, not when it would be short enough to
+            // take this one in: all who are refused come back by then, and most
+            // callers come back once only.
+            let after = estimate.max(RETRY_MIN);
             return vec![refuse(ticket, Refusal::Busy, after)];
         }
         self.orders.on_use(now, &want.name);
@@ -328,7 +331,8 @@
     fn pump(&mut self, now: Instant) -> Vec<Action> {
         let mut actions = Vec::new();
         for waiter in self.queue.expire(now) {
-            actions.push(refuse(waiter.ticket, Refusal::Busy, RETRY_MIN));
+            let after = self.estimate(now, &waiter.want).max(RETRY_MIN);
+            actions.push(refuse(waiter.ticket, Refusal::Busy, after));
         }
         self.refuse_hopeless(&mut actions);
         let order = self.order(now);
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -289,6 +289,40 @@
     assert_eq!(orders(&actions)[0].name, name("popular"));
 }
 
+/// Many ask for adapters that the engine has to load one after the other. One
+/// more caller was told to come back when the queue would be just short enough
+/// to take it in, came back together with all others who were told so, and was
+/// refused for good. It is told when those who wait now will have been served.
+#[test]
+fn a_refused_caller_comes_back_when_the_queue_is_served() {
+    let mut engine = engine();
+    engine.on_report(at(0), report(0, &[]));
+    for ticket in 1..7 {
+        engine.on_want(at(1), Ticket(ticket), want("a", &format!("cold-{ticket}")));
+    }
+    let actions = engine.on_want(at(2), Ticket(7), want("b", "cold-7"));
+    let [(7, Verdict::Refused { why: Refusal::Busy, after })] = answers(&actions)[..] else {
+        panic!("{actions:?}")
+    };
+    assert!(after >= Span::from_millis(6 * 250), "{after:?}");
+}
+
+/// A caller waited for a load as long as that was of use. What is before it
+/// still has to be loaded when it is told to come back.
+#[test]
+fn a_caller_who_waited_in_vain_does_not_come_back_at_once() {
+    let mut engine = engine();
+    engine.on_report(at(0), report(0, &[]));
+    for ticket in 1..5 {
+        engine.on_want(at(ticket), Ticket(ticket), want("a", &format!("cold-{ticket}")));
+    }
+    let actions = engine.on_tick(at(1_601));
+    let [(1, Verdict::Refused { why: Refusal::Busy, after })] = answers(&actions)[..] else {
+        panic!("{actions:?}")
+    };
+    assert!(after >= Span::from_millis(3 * 250), "{after:?}");
+}
+
 /// Many cold adapters are asked for at once on all engines, 72 a second where
 /// the store gives 32. It serves eight at full speed and slows in proportion
 /// beyond, so engines that each keep four on their way get every load late.
