Tell other entries only what has changed of organisations' use

Cause: each entry told each other all organisations' use nine times a second. Ruled out: fewer tallies; a flood that begins as halves are cut passes the limit before their silence shows (allowance.rs). Change: one tally of eight is whole, the others name organisations whose use has changed or whose demand has grown; an entry without a whole one asks for it. All tests of the limits run on the new tallies unchanged.

--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -31,6 +31,17 @@
 /// Longest time between two tallies: beyond it, parts follow demand too late.
 const PERIOD_MAX: Span = Span::from_secs(1);
 
+/// One tally in so many names every organisation; the others name those whose use
+/// has changed since the last. Most organisations ask nothing of an entry within a
+/// tenth of a second, and tallies were most of what entries sent each other: 23 of
+/// them moved 0.17 GB between availability zones on a quiet day of 48 s. What a lost
+/// tally told is told again within a second.
+const WHOLE_EACH: u32 = 8;
+
+/// Growth of demand that is told although nothing was spent, as a multiple: parts
+/// follow demand. That it has faded is told with the next whole tally.
+const GROWN: f64 = 1.1;
+
 /// How long the others may spend before this entry hears of it, in periods of
 /// the tallies: two, and the time that one takes.
 const LAG: f64 = 2.5;
@@ -107,6 +118,10 @@
     /// Entries by host. `None`: registered, but not heard since this one
     /// started.
     peers: BTreeMap<String, Option<Peer>>,
+    /// What the others were last told of each organisation.
+    told: BTreeMap<String, Use>,
+    /// Tallies until the next whole one.
+    until_whole: u32,
     /// Another entry was silent when the limits were last looked at.
     blind: bool,
     /// This entry was taken off the list of entries, so others may use its
@@ -123,6 +138,8 @@
             started: now,
             accounts: BTreeMap::new(),
             peers: BTreeMap::new(),
+            told: BTreeMap::new(),
+            until_whole: 0,
             blind: false,
             removed: false,
         }
@@ -212,27 +229,41 @@
     /// What the other entries are told.
     pub fn tally(&mut self, now: Instant, number: Number) -> Tally {
         let blind = self.look(now);
-        let uses = self.accounts.iter_mut().map(|(name, account)| {
+        let whole = self.until_whole == 0;
+        self.until_whole = if whole { WHOLE_EACH - 1 } else { self.until_whole - 1 };
+        let mut uses = BTreeMap::new();
+        for (name, account) in &mut self.accounts {
             account.fade(now);
+            let Account { spent, demand, level, .. } = *account;
+            let last = self.told.get(name);
+            let same =
+                last.is_some_and(|last| last.spent == spent && demand <= last.demand * GROWN);
+            if same && !whole {
+                continue;
+            }
             if !blind {
-                account.told = account.demand;
+                account.told = demand;
             }
-            let Account { spent, demand, level, .. } = *account;
-            (name.clone(), Use { spent, demand, level })
-        });
-        Tally {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-            number,
-            uses: uses.collect(),
+            uses.insert(name.clone(), Use { spent, demand, level });
         }
+        self.told.extend(uses.iter().map(|(name, used)| (name.clone(), *used)));
+        Tally { host: self.host.clone(), incarnation: self.incarnation, number, whole, uses }
+    }
+
+    /// Another entry lacks what the last whole tally told; the next one is whole.
+    pub fn on_unknown(&mut self) {
+        self.until_whole = 0;
     }
 
-    /// Takes what another entry told.
-    pub fn on_tally(&mut self, now: Instant, tally: Tally) {
+    /// Takes what another entry told. False: this entry has no whole tally of it,
+    /// without which it cannot tell what was spent since.
+    pub fn on_tally(&mut self, now: Instant, tally: Tally) -> bool {
         let young = now.since(self.started) < YOUNG;
         let before = self.peers.get(&tally.host).cloned().flatten();
         let same = before.as_ref().is_some_and(|peer| peer.incarnation == tally.incarnation);
+        if !tally.whole && !same {
+            return false;
+        }
         for (name, used) in &tally.uses {
             let known = before.as_ref().filter(|_| same).and_then(|peer| peer.uses.get(name));
             let Some(account) = self.accounts.get_mut(name) else { continue };
@@ -243,8 +274,14 @@
                 None => account.level -= used.spent as f64,
             }
         }
-        let peer = Peer { incarnation: tally.incarnation, heard: now, uses: tally.uses };
+        let mut uses = match before {
+            Some(peer) if !tally.whole => peer.uses,
+            _ => BTreeMap::new(),
+        };
+        uses.extend(tally.uses);
+        let peer = Peer { incarnation: tally.incarnation, heard: now, uses };
         self.peers.insert(tally.host, Some(peer));
+        true
     }
 
     /// What is left of an organisation's bucket, for dumps and metrics.
--- a/kingcupbay_core/src/wire/tally.rs
+++ b/kingcupbay_core/src/wire/tally.rs
@@ -6,7 +6,8 @@
 
 use crate::id::Number;
 
-/// Takes a [`Tally`] of another entry.
+/// Takes a [`Tally`] of another entry. The answer is 204, or 202 if a whole one is
+/// needed.
 pub const TALLY_PATH: &str = "/tally";
 /// Gives the rows that this daemon knows, to one that cannot reach the store.
 pub const ROWS_PATH: &str = "/rows";
@@ -21,6 +22,8 @@
     pub incarnation: u64,
     /// Number of the configuration that it acts on.
     pub number: Number,
+    /// It names every organisation, not only those whose use has changed.
+    pub whole: bool,
     /// Use by organisation.
     pub uses: BTreeMap<String, Use>,
 }
--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -89,7 +89,10 @@
             let (_, from, tally) = self.on_way.pop_front().unwrap();
             for to in (0..self.entries.len()).filter(|&to| to != from) {
                 if (self.linked)(from, to) {
-                    self.entries[to].on_tally(at(now), tally.clone());
+                    let known = self.entries[to].on_tally(at(now), tally.clone());
+                    if !known {
+                        self.entries[from].on_unknown();
+                    }
                 }
             }
         }
@@ -178,6 +181,47 @@
     }
 }
 
+/// An entry restarts in the middle of a flood. It has heard no whole tally, so a
+/// tally that names only what has changed tells it nothing: taken for all that was
+/// ever spent, it would put an organisation into debt for what it did not use. It
+/// asks for a whole one, and the limit holds and is used.
+#[test]
+fn a_restarted_entry_asks_for_whole_tallies() {
+    let mut fleet = Fleet::new(4);
+    fleet.play(0, 4_000, 1_500, |_| RATE as f64);
+    let mut fresh = Allowance::new("entry-0", 77, at(4_000));
+    fresh.on_entries(["entry-0", "entry-1", "entry-2", "entry-3"].into_iter());
+    let part = Tally { whole: false, ..fleet.entries[1].tally(at(4_000), Number(1)) };
+    assert!(!fresh.on_tally(at(4_000), part));
+    fleet.entries[0] = fresh;
+    fleet.through.clear();
+    fleet.play(4_000, 20_000, 1_500, |_| RATE as f64);
+    let worst = fleet.worst_window();
+    assert!(worst <= BOUND, "{worst}");
+    assert!(worst >= 8 * RATE * 9 / 10, "{worst}");
+}
+
+/// Most organisations ask nothing of an entry between two tallies. They are not
+/// named each time, but the others hear within a second that demand has faded.
+#[test]
+fn tallies_name_what_has_changed() {
+    let other = Organisation { name: "drivers".into(), ..winery() };
+    let mut entry = Allowance::new("entry-0", 1, at(0));
+    entry.on_entries(["entry-0", "entry-1"].into_iter());
+    let names = |entry: &mut Allowance, now| {
+        let tally = entry.tally(at(now), Number(1));
+        (tally.whole, tally.uses.into_keys().collect::<Vec<_>>())
+    };
+    entry.ask(at(0), &winery(), 500).unwrap();
+    entry.ask(at(0), &other, 500).unwrap();
+    assert_eq!(names(&mut entry, 100), (true, vec!["drivers".to_owned(), "winery".to_owned()]));
+    entry.ask(at(150), &other, 500).unwrap();
+    assert_eq!(names(&mut entry, 200), (false, vec!["drivers".to_owned()]));
+    assert_eq!(names(&mut entry, 300), (false, vec![]));
+    let whole = (4..12).filter(|tenth| names(&mut entry, tenth * 100).0).count();
+    assert_eq!(whole, 1);
+}
+
 /// An entry that was taken off the list has lost its part to the others. It may
 /// be cut off and not know why; it lets nothing more through.
 #[test]
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -76,8 +76,9 @@
             "number" => number.0, "theirs" => tally.number.0);
         drop(actix_rt::spawn(catch_up(gateway.clone(), address)));
     }
-    gateway.allowance.borrow_mut().on_tally(now, tally);
-    Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+    let known = gateway.allowance.borrow_mut().on_tally(now, tally);
+    let status = if known { StatusCode::NO_CONTENT } else { StatusCode::ACCEPTED };
+    Response::with_body(status, BoxBody::new(()))
 }
 
 /// Takes from another entry what the store has not told.
@@ -96,9 +97,12 @@
 async fn tell(gateway: Rc<Gateway>, peer: SocketAddr, body: Bytes) {
     let called = gateway.node.pool.call(peer, Method::POST, TALLY_PATH, &body, ANSWER).await;
     let failed = match &called {
-        Ok(answer) => answer.status != 204,
+        Ok(answer) => !matches!(answer.status, 202 | 204),
         Err(_) => true,
     };
+    if called.as_ref().is_ok_and(|answer| answer.status == 202) {
+        gateway.allowance.borrow_mut().on_unknown();
+    }
     let changed = match failed {
         true => gateway.deaf.borrow_mut().insert(peer),
         false => gateway.deaf.borrow_mut().remove(&peer),
