Keep a place free for loads from before an engine's restart

An order names how many came before it, which voids a late one; a restarted engine counts anew, so one from before fits again when the count is its own. Ruled out: orders that name the engine's id, which may start again under the same; stale reports (an order from one names a count that has passed, and is refused). Change: loads without an answer are remembered with their count; after a restart a place is kept free for each count that may still come, for 20 s. Measured: the test fails without it.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -175,7 +175,7 @@
         if self.report.as_ref().is_some_and(|before| report.orders < before.orders) {
             // It restarted: nothing of what ran is there any more.
             self.running.clear();
-            self.orders.on_restart();
+            self.orders.on_restart(now);
             self.loads.on_restart();
         }
         let passed = now.since(self.reported);
--- a/kingcupbay_core/src/admission/orders.rs
+++ b/kingcupbay_core/src/admission/orders.rs
@@ -28,6 +28,10 @@
 /// Pause before an order that the engine refused is tried again.
 const REFUSED: Span = Span::from_secs(1);
 
+/// An order without an answer may still be carried out this much later. The
+/// platform says "seconds"; the latest that was seen came after 12.
+const LATE: Span = Span::from_secs(20);
+
 /// Orders load the newest version there is.
 const LOAD: Target = Target::Load { version: None };
 
@@ -49,11 +53,24 @@
     /// No order, or a report has shown what became of the last.
     None,
     /// The engine has not replied.
-    Sent(AdapterName, Target),
+    Sent {
+        name: AdapterName,
+        target: Target,
+        /// Orders that the engine had accepted before.
+        after: u64,
+    },
     /// It has; a report is due.
     Replied,
 }
 
+/// A load that was never answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Unanswered {
+    /// Orders that the engine must have accepted before it.
+    after: u64,
+    sent: Instant,
+}
+
 /// What was ordered, used and refused lately.
 #[derive(Debug)]
 pub(super) struct Orders {
@@ -64,6 +81,10 @@
     refused: BTreeMap<AdapterName, Instant>,
     /// Older versions of these were unloaded; the newer ones are due.
     renewed: BTreeSet<AdapterName>,
+    /// Loads without an answer since the engine started.
+    unanswered: Vec<Unanswered>,
+    /// Those from before it did.
+    stray: Vec<Unanswered>,
 }
 
 impl Default for Orders {
@@ -73,6 +94,8 @@
             uses: BTreeMap::new(),
             refused: BTreeMap::new(),
             renewed: BTreeSet::new(),
+            unanswered: Vec::new(),
+            stray: Vec::new(),
         }
     }
 }
@@ -85,8 +108,12 @@
     /// Takes the engine's reply; gives the name whose load has begun.
     pub(super) fn on_reply(&mut self, now: Instant, reply: Reply) -> Option<AdapterName> {
         let before = std::mem::replace(&mut self.flight, Flight::Replied);
-        let Flight::Sent(name, target) = before else { return None };
+        let Flight::Sent { name, target, after } = before else { return None };
         match (reply, target) {
+            (Reply::Unknown, Target::Load { .. }) => {
+                self.unanswered.push(Unanswered { after, sent: now });
+                None
+            }
             (Reply::Refused | Reply::Fenced, _) => {
                 self.refused.insert(name, now + REFUSED);
                 None
@@ -102,10 +129,26 @@
         }
     }
 
-    /// The engine came back empty; adapters are loaded again as they are asked
-    /// for.
-    pub(super) fn on_restart(&mut self) {
+    /// The engine came back empty and counts its orders anew; adapters are loaded
+    /// again as they are asked for. Its counts hold late orders back no more: one
+    /// from before is carried out when the count happens to be the one that it
+    /// names.
+    pub(super) fn on_restart(&mut self, now: Instant) {
         self.renewed.clear();
+        if let Flight::Sent { target: Target::Load { .. }, after, .. } = self.flight {
+            self.stray.push(Unanswered { after, sent: now });
+        }
+        self.stray.append(&mut self.unanswered);
+    }
+
+    /// Places that late loads from before a restart may still take, each of which
+    /// can be carried out at one count of orders only. Without them such a load
+    /// filled an engine beyond its places, and it crashed.
+    fn kept_free(&mut self, now: Instant, orders: u64) -> usize {
+        let may_come = |load: &Unanswered| now.since(load.sent) < LATE && load.after >= orders;
+        self.stray.retain(may_come);
+        self.unanswered.retain(may_come);
+        self.stray.iter().map(|load| load.after).collect::<BTreeSet<u64>>().len()
     }
 
     /// Whether a reply has come and no report since.
@@ -121,11 +164,12 @@
         self.refused.retain(|_, until| *until > now);
         let held = |name: &AdapterName| view.report.version(name).is_some();
         self.renewed.retain(|name| !held(name) && !view.report.is_pending(name));
+        let kept = self.kept_free(now, view.report.orders);
         let (name, target) = self
             .base(view)
             .or_else(|| self.outdated(now, view))
-            .or_else(|| self.missing(now, view))?;
-        self.flight = Flight::Sent(name.clone(), target);
+            .or_else(|| self.missing(now, view, kept))?;
+        self.flight = Flight::Sent { name: name.clone(), target, after: view.report.orders };
         Some((name, target))
     }
 
@@ -157,7 +201,7 @@
     }
 
     /// An adapter that is waited for or due, or the room for it.
-    fn missing(&self, now: Instant, view: &View<'_>) -> Option<(AdapterName, Target)> {
+    fn missing(&self, now: Instant, view: &View<'_>, kept: usize) -> Option<(AdapterName, Target)> {
         let report = view.report;
         let absent = |name: &&AdapterName| {
             name.adapter.is_some()
@@ -167,7 +211,7 @@
                 && self.allowed(name)
                 && view.loads.may_begin(now, name, report.pending.len())
         };
-        let room = report.places_taken() < view.spec.places as usize;
+        let room = report.places_taken() + kept < view.spec.places as usize;
         if let Some(name) = view.wanted.iter().find(absent) {
             return match room {
                 true => Some((name.clone(), LOAD)),
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -289,6 +289,28 @@
     assert_eq!(orders(&actions)[0].name, name("popular"));
 }
 
+/// A load gets no answer, then the engine crashes and comes back empty, counting
+/// its orders anew. Seconds later, when the count is again the one that the load
+/// names, it is carried out after all. The engine had been filled to its last place
+/// by then, crashed, and cut every stream on it.
+#[test]
+fn a_late_load_from_before_a_restart_finds_a_place() {
+    let mut engine = engine();
+    engine.on_report(at(0), report(2, &[]));
+    let lost = engine.on_want(at(1), Ticket(1), want("a", "roses"));
+    assert_eq!(orders(&lost)[0].after, Some(2));
+    engine.on_reply(at(801), Reply::Unknown);
+    engine.on_cancel(at(802), Ticket(1));
+    engine.on_report(at(2_000), report(0, &[]));
+    engine.on_report(at(4_000), report(2, &[("lilies", 1)]));
+    let running = engine.on_want(at(4_001), Ticket(2), want("b", "lilies"));
+    assert_eq!(answers(&running), [(2, GRANTED)]);
+    let waits = engine.on_want(at(4_002), Ticket(3), want("c", "tulips"));
+    assert_eq!(orders(&waits), Vec::<&Order>::new());
+    let passed = engine.on_report(at(4_100), report(3, &[("lilies", 1)]));
+    assert_eq!(orders(&passed)[0].name, name("tulips"));
+}
+
 /// Many ask for adapters that the engine has to load one after the other. One
 /// more caller was told to come back when the queue would be just short enough
 /// to take it in, came back together with all others who were told so, and was
