Give the estimate of waits a file of its own; one way to milliseconds

Ruled out: a struct of its own for estimates; it would need most of the fields. Change: estimate.rs holds who is taken in and how long that one waits; Span turns into milliseconds and back in one place.

--- a/kingcupbay_core/src/admission/loads.rs
+++ b/kingcupbay_core/src/admission/loads.rs
@@ -131,7 +131,7 @@
 
     /// Time of a load from the store.
     pub fn time(&self, now: Instant) -> Span {
-        Span::from_micros((self.faded(now) * 1e3) as u64)
+        Span::from_millis_f64(self.faded(now))
     }
 
     /// Time until `name` and the `ahead` loads before it have come.
@@ -144,11 +144,11 @@
         let own = if ahead == 0 { LOAD } else { self.faded(now) };
         let rounds = (ahead / self.most as usize) as f64;
         let before = rounds * (self.faded(now) + self.pause);
-        self.free_at.since(now) + Span::from_micros(((before + own) * 1e3) as u64)
+        self.free_at.since(now) + Span::from_millis_f64(before + own)
     }
 
     fn on_load(&mut self, now: Instant, took: Span) {
-        let took = took.as_micros() as f64 / 1e3;
+        let took = took.as_millis_f64();
         if took < OWN {
             return;
         }
@@ -165,7 +165,7 @@
                 self.most = (self.most + 1).min(TRANSIT);
             }
         }
-        self.free_at = now + Span::from_micros((self.pause * 1e3) as u64);
+        self.free_at = now + Span::from_millis_f64(self.pause);
     }
 
     /// A slow load says little of the next one some seconds later.
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! The daemon beside an engine is the only one that orders it about, and every
 //! request asks it for a place first. So places, memory and adapters need no
-//! agreement between hosts. [`queue`] keeps what waits and says how long it
-//! will, [`running`] what was let through; [`order`] and [`report`] are what
-//! the engine is told and tells, [`told`] what entries are; [`pace`] and
+//! agreement between hosts. [`estimate`] says who is taken in and how long that
+//! one will wait; [`queue`] keeps what waits and [`running`] what was let through;
+//! [`orders`] decides what the engine loads. [`order`] and [`report`] are what the
+//! engine is told and tells, [`told`] what entries are; [`pace`], [`pauses`] and
 //! [`loads`] learn how fast it is.
 //!
 //! An engine reads prompts between the tokens of running requests. What is
@@ -13,6 +14,7 @@
 //! urgent nor refused any more. So it waits here: the most urgent first, those
 //! that would be late anyway behind those that can still be on time.
 
+mod estimate;
 pub mod loads;
 pub mod order;
 mod orders;
@@ -35,16 +37,12 @@
     loads::Loads,
     order::{Order, Reply},
     pace::Pace,
-    pauses::{Learned, Limit, Recent},
+    pauses::{Learned, Recent},
     queue::{Queue, Waiter},
     report::Report,
     running::Running,
 };
 
-/// Longest pause between two events where routes name none: as long as the
-/// users' routes that do.
-const GAP: Span = Span::from_millis(300);
-
 /// When to come back to an engine without its base model: it is loaded from the
 /// engine's own disk in 1.2 s, and then an adapter from the store.
 const BASE: Span = Span::from_millis(1_800);
@@ -157,7 +155,7 @@
     /// A request's stream has come whole, with `pause` as its longest.
     pub fn on_stream(&mut self, attempt: &str, pause: Span) {
         if let Some(gap) = self.running.held_gap(attempt) {
-            self.learned.on_stream(pause, gap.unwrap_or(GAP));
+            self.learned.on_stream(pause, gap.unwrap_or(estimate::GAP));
         }
     }
 
@@ -261,71 +259,6 @@
         )
     }
 
-    /// Why no request for `want` is taken at all.
-    fn closed(&self, want: &Want) -> Option<Refusal> {
-        let Some(report) = &self.report else { return Some(Refusal::Unready) };
-        if report.leaving {
-            return Some(Refusal::Leaving);
-        }
-        if !report.has_model(&want.name) {
-            return Some(Refusal::Unready);
-        }
-        if want.size.total() > self.memory(report) {
-            return Some(Refusal::TooLarge);
-        }
-        // A replacement waits until nothing runs on the old version, which
-        // would keep this request waiting for seconds; another engine loads
-        // the new version in a quarter of one.
-        let outdated = report.version(&want.name).is_some_and(|held| self.is_old(&want.name, held));
-        (outdated && self.is_used(&want.name)).then_some(Refusal::Replacing)
-    }
-
-    /// How long `want` would wait for its place.
-    fn estimate(&self, now: Instant, want: &Want) -> Span {
-        let ahead = self.running.unread() + self.queue.tokens_before(want.rank);
-        let reading = self.reading(ahead.saturating_sub(self.limit().at_once()));
-        let full = self.running.len() + self.queue.len() >= self.spec.slots.max(1) as usize;
-        let leaving = match full {
-            true => {
-                let over = self.running.len() + self.queue.len() + 1 - self.spec.slots as usize;
-                self.pace.ends(over as u64)
-            }
-            false => Span::ZERO,
-        };
-        reading.max(self.loading(now, &want.name)).max(leaving)
-    }
-
-    /// Longest pause between events that is to be kept.
-    fn gap(&self) -> Span {
-        self.running.gap().unwrap_or(GAP)
-    }
-
-    /// How fast prompts may be let through.
-    fn limit(&self) -> Limit {
-        Limit::new(&self.pace, self.gap(), self.learned.part())
-    }
-
-    /// Time until the last of `tokens` is let through.
-    fn reading(&self, tokens: u64) -> Span {
-        self.limit().time(&self.pace, self.gap(), tokens)
-    }
-
-    /// Time until `name` is loaded, behind the others that are waited for.
-    fn loading(&self, now: Instant, name: &AdapterName) -> Span {
-        let Some(report) = &self.report else { return Span::ZERO };
-        if report.version(name).is_some_and(|held| !self.is_old(name, held)) {
-            return Span::ZERO;
-        }
-        if report.is_pending(name) {
-            return self.loads.time(now);
-        }
-        let waited = self.queue.wanted().into_iter();
-        let others = waited.filter(|other| {
-            *other != name && report.version(other).is_none() && !report.is_pending(other)
-        });
-        self.loads.wait(now, name, report.pending.len() + others.count())
-    }
-
     /// Starts what may start, refuses what has no prospect, and orders what
     /// is missing.
     fn pump(&mut self, now: Instant) -> Vec<Action> {
--- a/kingcupbay_core/src/admission/pace.rs
+++ b/kingcupbay_core/src/admission/pace.rs
@@ -111,7 +111,7 @@
     /// event `took` after it was let through. Only how much longer a longer one
     /// takes tells the pace; what all take beside is the same.
     pub fn on_first(&mut self, tokens: u64, took: Span) {
-        self.fit.add(tokens as f64, millis(took));
+        self.fit.add(tokens as f64, took.as_millis_f64());
     }
 
     /// While no prompt was unread, streams made `events` in `time`, both summed
@@ -120,7 +120,7 @@
         if events == 0 {
             return;
         }
-        let measured = (millis(time) / events as f64).min(EVENT_MAX);
+        let measured = (time.as_millis_f64() / events as f64).min(EVENT_MAX);
         self.event += WEIGHT * (measured - self.event);
     }
 
@@ -134,7 +134,7 @@
     /// A request ended, after which `running` still run.
     pub fn on_end(&mut self, now: Instant, running: usize) {
         if let Some(before) = self.ended {
-            let millis = millis(now.since(before));
+            let millis = now.since(before).as_millis_f64();
             self.interval += WEIGHT * (millis.min(INTERVAL_MAX) - self.interval);
         }
         self.ended = (running > 0).then_some(now);
@@ -148,7 +148,7 @@
 
     /// Time between two events of a stream while no prompt is read.
     pub fn event(&self) -> Span {
-        Span::from_micros((self.event * 1e3) as u64)
+        Span::from_millis_f64(self.event)
     }
 
     /// Tokens of an event after the first.
@@ -158,20 +158,16 @@
 
     /// Time to read `tokens`.
     pub fn time(&self, tokens: u64) -> Span {
-        Span::from_micros((tokens as f64 / self.tokens() * 1e3) as u64)
+        Span::from_millis_f64(tokens as f64 / self.tokens())
     }
 
     /// Tokens read in `span`.
     pub fn tokens_in(&self, span: Span) -> u64 {
-        (self.tokens() * millis(span)) as u64
+        (self.tokens() * span.as_millis_f64()) as u64
     }
 
     /// Time until `count` more have ended.
     pub fn ends(&self, count: u64) -> Span {
-        Span::from_micros((self.interval * count as f64 * 1e3) as u64)
+        Span::from_millis_f64(self.interval * count as f64)
     }
 }
-
-fn millis(span: Span) -> f64 {
-    span.as_micros() as f64 / 1e3
-}
--- a/kingcupbay_core/src/backlog.rs
+++ b/kingcupbay_core/src/backlog.rs
@@ -57,7 +57,7 @@
     /// An answer came `took` after its request was sent, with the upstream's
     /// word on its load.
     pub fn on_answer(&mut self, now: Instant, id: &str, load: Load, took: Span) {
-        let alone = took.as_micros() as f64 / 1e3 / rounds(load);
+        let alone = took.as_millis_f64() / rounds(load);
         let told =
             self.upstreams.entry(id.to_owned()).or_insert(Told { load, at: now, work: alone });
         told.work += WEIGHT * (alone - told.work);
@@ -87,11 +87,11 @@
             return None;
         }
         let expected = told.work * rounds(told.load);
-        let aim = (aim.as_micros() as f64 / 1e3).max(1.0);
+        let aim = aim.as_millis_f64().max(1.0);
         let part = ((expected / aim - CALM) / (FULL - CALM)).clamp(0.0, MOST);
         let drawn = (draw >> 11) as f64 / (1_u64 << 53) as f64;
         // By then what waits now has been worked off.
-        (drawn < part).then(|| Span::from_micros((expected * 1e3) as u64))
+        (drawn < part).then(|| Span::from_millis_f64(expected))
     }
 }
 
--- a/kingcupbay_core/src/time.rs
+++ b/kingcupbay_core/src/time.rs
@@ -50,6 +50,11 @@
         Span(millis * 1_000)
     }
 
+    /// A span of `millis` milliseconds and parts of one, at least none.
+    pub fn from_millis_f64(millis: f64) -> Span {
+        Span((millis * 1e3) as u64)
+    }
+
     /// A span of `secs` seconds.
     pub const fn from_secs(secs: u64) -> Span {
         Span(secs * 1_000_000)
@@ -65,6 +70,11 @@
         self.0 / 1_000
     }
 
+    /// The span in milliseconds and parts of one.
+    pub fn as_millis_f64(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+
     /// The span in seconds.
     pub fn as_secs_f64(self) -> f64 {
         self.0 as f64 / 1e6
