See an engine's restart also after its silence

Cause: a restart was told by a report that counts fewer orders than the one before, but an engine that crashes is silent first, and its last report was dropped then. Ruled out: an order of ours at that moment (there is none in the lines). Change: the count of the last report is kept through silence.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -79,6 +79,8 @@
     /// The youngest report; `None` while the engine does not answer.
     report: Option<Report>,
     reported: Instant,
+    /// Orders that the last report counted, also while the engine does not answer.
+    counted: u64,
     queue: Queue,
     running: Running,
     recent: Recent,
@@ -98,6 +100,7 @@
             newest: BTreeMap::new(),
             report: None,
             reported: Instant::default(),
+            counted: 0,
             queue: Queue::default(),
             running: Running::default(),
             recent: Recent::default(),
@@ -170,12 +173,16 @@
 
     /// Takes a report.
     pub fn on_report(&mut self, now: Instant, report: Report) -> Vec<Action> {
-        if self.report.as_ref().is_some_and(|before| report.orders < before.orders) {
+        // An engine that crashes is silent first, so there may be no report to
+        // compare with. Taken for the one from before, it was thought to keep
+        // copies of what it had held, and late orders filled it beyond its places.
+        if report.orders < self.counted {
             // It restarted: nothing of what ran is there any more.
             self.running.clear();
             self.orders.on_restart(now);
             self.loads.on_restart();
         }
+        self.counted = report.orders;
         let passed = now.since(self.reported);
         self.running.on_report(now, passed, &report, &mut self.pace);
         self.orders.on_report();
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -301,6 +301,7 @@
     assert_eq!(orders(&lost)[0].after, Some(2));
     engine.on_reply(at(801), Reply::Unknown);
     engine.on_cancel(at(802), Ticket(1));
+    engine.on_silence(at(1_000));
     engine.on_report(at(2_000), report(0, &[]));
     engine.on_report(at(4_000), report(2, &[("lilies", 1)]));
     let running = engine.on_want(at(4_001), Ticket(2), want("b", "lilies"));
