Wait for the daemons beside engines before the last answer of a test

Cause: fleet.rs::an_entry_cut_off_from_table_and_peers_stops failed once beside five plays. Traced, 1 of 72 runs, 24 at a time: the entry was ready, the daemon beside the engine, frozen until then, refused: "the upstream's daemon cannot confirm its configuration", not run. That refusal is true and is what standing asks for. Ruled out: a fault of the entry; the message is the other daemon's. Change: the test waits until those daemons are ready too, then asks for the same 200 as before, and prints the answer. Measured: 72 of 72 runs, 24 at a time, after it. Conclusion: the check is as strict; it waits for an event that it had taken for granted.

--- a/kingcupbayd/tests/fleet.rs
+++ b/kingcupbayd/tests/fleet.rs
@@ -72,7 +72,13 @@
     assert_eq!((refused.code().as_str(), refused.ran().as_str()), ("no_standing", "not_run"));
     fleet.upstreams.iter().for_each(|upstream| upstream.signal("-CONT"));
     ready(entry).await;
-    assert_eq!(answer(&fleet).await.status, 200);
+    // The daemons beside engines were frozen as well, and refuse until they have
+    // heard that what they know is in force.
+    for upstream in &fleet.upstreams {
+        ready(upstream).await;
+    }
+    let again = answer(&fleet).await;
+    assert_eq!(again.status, 200, "{}", again.body);
 }
 
 /// The table takes the withdrawal of a key and its answer is lost. The
