Say where the figures of learning and of copies come from

Cause: reading the change: three constants did not say what they rest on. Change: comments; the part of a pause is worked out in milliseconds. Measured: tests of pauses and placement pass.

--- a/kingcupbay_core/src/admission/pauses.rs
+++ b/kingcupbay_core/src/admission/pauses.rs
@@ -59,15 +59,19 @@
 /// engine's pause.
 const STILL: u32 = 1;
 
-/// Most that prompts grow by at a time, as a multiple.
+/// Most that prompts grow by at a time, as a multiple: one look is enough to reach an
+/// engine's full pace from what is worked out. With 1.12 as many streams stood still.
 const MORE: f64 = 1.25;
 
-/// What still goes when streams stood still.
+/// What still goes when streams stood still, as a multiple; chosen, not measured.
 const LESS: f64 = 0.85;
 
-/// Part of what made streams stand still up to which is gone again, and what that
-/// grows by with each look at streams that did not.
+/// Part of what made streams stand still beyond which prompts do not grow again;
+/// chosen, not measured.
 const AGAIN: f64 = 0.9;
+
+/// What that bound grows by with each look at streams that did not stand still. With
+/// 1.01 engines a third slower than others tried too much again and again.
 const AGAIN_MORE: f64 = 1.002;
 
 /// Bounds of what is learned, as a multiple of what was worked out. At some 1.2
@@ -101,7 +105,7 @@
     /// A stream has ended that ran while prompts were held back; its longest
     /// pause was `pause`, where `gap` is the longest that is to be kept.
     pub(super) fn on_stream(&mut self, pause: Span, gap: Span) {
-        let taken = pause.as_micros() as f64 / gap.as_micros().max(1) as f64;
+        let taken = pause.as_millis_f64() / gap.as_millis_f64().max(1.0);
         self.streams += 1;
         self.still += u32::from(taken > 1.0);
         self.longest = self.longest.max(taken);
--- a/kingcupbay_core/src/placement.rs
+++ b/kingcupbay_core/src/placement.rs
@@ -41,7 +41,8 @@
 /// fifteen plays of days with faults.
 const HOLDER: f64 = 1.0;
 
-/// Pause between two copies of one adapter that this entry asks for.
+/// Pause between two copies of one adapter that this entry asks for: a load at full
+/// speed, three times as long when the weight store is busy, and the word of it.
 const COPIES: Span = Span::from_millis(1_000);
 
 /// What an engine said longer ago than this says nothing of how busy it is.
