Log which missing upstreams stay in use, and since when an entry is behind

Change: `upstreams_read` names those that are kept, `upstream_gone` says why, `feed_deaf` is new, `caught_up` tells the number after a fetch beside the newest that was heard of, and a refusal for want of a route or key names the newest too. Ruled out: metrics; each of these is rare and belongs to one request or change.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -112,8 +112,13 @@
     }
 
     /// Takes the whole list of registrations. After an outage of the store the
-    /// ones that are missing stay for a while: see [`LAPSE`].
-    pub fn on_instances(&mut self, rows: Vec<Instance>, after_outage: bool, now: Instant) {
+    /// ones that are missing stay for a while: see [`LAPSE`]. Says which do.
+    pub fn on_instances(
+        &mut self,
+        rows: Vec<Instance>,
+        after_outage: bool,
+        now: Instant,
+    ) -> Vec<String> {
         let mut before = std::mem::take(&mut self.instances);
         self.missing.clear();
         for row in rows {
@@ -126,10 +131,11 @@
                 self.instances.insert(id, row);
             }
         }
+        self.missing.keys().cloned().collect()
     }
 
-    /// Drops upstreams that did not come back after an outage.
-    pub fn on_tick(&mut self, now: Instant) {
+    /// Drops upstreams that did not come back after an outage, and says which.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<String> {
         let over = |since: &Instant| now.since(*since) >= LAPSE;
         let gone: Vec<String> = self
             .missing
@@ -137,9 +143,10 @@
             .filter(|(_, since)| over(since))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in gone {
-            self.on_instance_gone(&id);
+        for id in &gone {
+            self.on_instance_gone(id);
         }
+        gone
     }
 
     /// Every known daemon.
--- a/kingcupbay_core/src/deployment/catchup.rs
+++ b/kingcupbay_core/src/deployment/catchup.rs
@@ -49,6 +49,11 @@
 }
 
 impl CatchUp {
+    /// Newest number that was heard of.
+    pub fn newest(&self) -> Number {
+        self.newest
+    }
+
     /// Another entry acts on `theirs`, this one on `own`: whether to ask that
     /// one now. If so, [`CatchUp::on_end`] is owed.
     pub fn ask(&mut self, now: Instant, own: Number, theirs: Number) -> bool {
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -130,7 +130,8 @@
         Err(refusal) => {
             warn!(gateway.node.log, ""; "event" => "refused", "request" => &ask.attempt,
                 "code" => refusal.code.as_str(), "configuration" => deployment.number.0,
-                "path" => request.path(), "why" => refusal.why);
+                "newest" => gateway.catch_up.borrow().newest().0, "path" => request.path(),
+                "why" => refusal.why);
             return refuse(&gateway, &ask, refusal);
         }
     };
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -149,6 +149,7 @@
     loop {
         let lost = node.lost.notified();
         let wait = table.wait(node.settings.daemon.role);
+        let began = clock::now();
         let feed = node.store.feed(table.name(), after, wait);
         let page = tokio::select! {
             page = feed => page,
@@ -161,6 +162,12 @@
             Ok(Page { rows, version, .. }) => {
                 after = after.max(version);
                 let changed = !rows.is_empty();
+                let took = clock::now().since(began);
+                if changed && took >= wait {
+                    // Changes end the wait early, unless the feed heard nothing of them.
+                    warn!(node.log, ""; "event" => "feed_deaf", "table" => table.name(),
+                        "ms" => took.as_millis(), "rows" => rows.len(), "version" => version);
+                }
                 for change in rows {
                     take(node, table, change);
                 }
@@ -200,10 +207,10 @@
                 read.inspect_err(|error| unreadable(node, &row.key, error)).ok()
             });
             let instances: Vec<_> = instances.collect();
-            info!(node.log, ""; "event" => "upstreams_read", "count" => instances.len(),
-                "after_outage" => after_outage);
-            let now = clock::now();
-            node.catalogue.borrow_mut().on_instances(instances, after_outage, now);
+            let (count, now) = (instances.len(), clock::now());
+            let kept = node.catalogue.borrow_mut().on_instances(instances, after_outage, now);
+            info!(node.log, ""; "event" => "upstreams_read", "count" => count,
+                "after_outage" => after_outage, "kept_missing" => kept.join(","));
         }
         Table::Entries => {
             let members = rows.iter().filter_map(|row| member(node, row)).collect();
@@ -232,7 +239,7 @@
             }
         }
         (Table::Upstreams, Change::Removed(key)) => {
-            info!(node.log, ""; "event" => "upstream_gone", "id" => &key.key);
+            info!(node.log, ""; "event" => "upstream_gone", "id" => &key.key, "why" => "removed");
             node.catalogue.borrow_mut().on_instance_gone(&key.key);
         }
         (Table::Entries, Change::Put(row)) => {
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -25,7 +25,7 @@
     id::Number,
     time::Instant,
 };
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use crate::{
@@ -115,6 +115,8 @@
 
     /// Lets what hangs on time happen.
     pub(crate) fn tick(&self, now: Instant) {
-        self.catalogue.borrow_mut().on_tick(now);
+        for id in self.catalogue.borrow_mut().on_tick(now) {
+            info!(self.log, ""; "event" => "upstream_gone", "id" => id, "why" => "stayed away");
+        }
     }
 }
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -84,8 +84,13 @@
 /// Takes from another entry what the store has not told.
 async fn catch_up(gateway: Rc<Gateway>, from: SocketAddr) {
     let node = &gateway.node;
+    let began = clock::now();
     copies::fetch(node, from).await;
-    gateway.catch_up.borrow_mut().on_end(clock::now(), node.number());
+    let (now, number) = (clock::now(), node.number());
+    let mut catch_up = gateway.catch_up.borrow_mut();
+    catch_up.on_end(now, number);
+    info!(node.log, ""; "event" => "caught_up", "number" => number.0,
+        "newest" => catch_up.newest().0, "ms" => now.since(began).as_millis());
 }
 
 fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
