--- a/kingcupbay_core/tests/catchup.rs
+++ b/kingcupbay_core/tests/catchup.rs
@@ -63,3 +63,16 @@
     assert!(!catch_up.ask(at(600), Number(6), Number(7)));
     assert!(catch_up.ask(at(1_000), Number(6), Number(7)));
 }
+
+/// The operator writes three times a second while the store is away here. Each newer
+/// number began the wait for the feed anew, so nobody was asked until the last of
+/// them, and withdrawn keys and dropped routes lived on for as long.
+#[test]
+fn a_row_of_changes_does_not_put_off_asking() {
+    let mut catch_up = CatchUp::default();
+    let asked = (0..5_000).step_by(100).find(|&now| {
+        let theirs = Number(6 + now / 300);
+        catch_up.ask(at(now), Number(5), theirs)
+    });
+    assert_eq!(asked, Some(400));
+}
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -127,6 +127,22 @@
     assert_eq!(ids, ["a"]);
 }
 
+/// The way to the store is unsteady: every second a feed fails and the list is read
+/// anew. A desk left meanwhile. Each read took it for lapsed and kept it from then
+/// on, so bookings went to it for as long as the way stayed unsteady.
+#[test]
+fn an_unsteady_way_to_the_store_keeps_no_upstream_for_longer() {
+    let mut catalogue = Catalogue::default();
+    let second = |seconds: u64| Instant::from_micros(seconds * 1_000_000);
+    catalogue.on_instances(vec![instance("a"), instance("b")], false, second(1));
+    for now in 10..14 {
+        catalogue.on_instances(vec![instance("b")], true, second(now));
+        catalogue.on_tick(second(now));
+    }
+    let ids: Vec<_> = catalogue.serving("desk").map(|row| row.id.as_str()).collect();
+    assert_eq!(ids, ["b"]);
+}
+
 /// A list read anew after dropped history, with the store there all the while,
 /// is the truth: what is missing has left.
 #[test]
--- /dev/null
+++ b/kingcupbayd/tests/news.rs
@@ -0,0 +1,128 @@
+//! Entries of a registered fleet that learn from each other what the store does
+//! not tell them. Each entry follows a store of its own, so that a test decides
+//! which of them hears of a change.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{
+    client,
+    registered::{ANY, Fleet, KEY, config, entry},
+    until,
+};
+use kingcupbay_core::{id::Number, wire::tally::Tally};
+use kingcupbay_standin::{Fault, FaultOrder, Registry, Rule, Runner, RunnerSettings};
+use serde_json::json;
+
+/// An entry on `host` that follows a store of its own, which knows `config(1)`.
+fn alone(host: &str) -> Fleet {
+    let store = Registry::start(ANY).unwrap();
+    store.put("op", "config", &config(1, &[KEY]));
+    let entry = entry(host, &store, 1);
+    Fleet { store, entry }
+}
+
+/// Lists the entry on `host` in the store that `reader` follows.
+fn list(reader: &Fleet, host: &str, listed: &Fleet) {
+    list_at(reader, host, &listed.entry.address("peers").to_string());
+}
+
+fn list_at(reader: &Fleet, host: &str, address: &str) {
+    let row = json!({"host": host, "role": "entry", "address": address, "zone": "zone-a",
+        "incarnation": 1});
+    reader.store.put("entries", host, &row);
+}
+
+/// Two entries that list each other.
+fn two() -> [Fleet; 2] {
+    let fleets = [alone("entry-1"), alone("entry-2")];
+    list(&fleets[0], "entry-2", &fleets[1]);
+    list(&fleets[1], "entry-1", &fleets[0]);
+    fleets
+}
+
+/// One entry is cut off from the store, the others are not. A desk says that it
+/// leaves, and its row goes. The entry that was cut off went on booking there for as
+/// long as the cut lasted, and for a while after it, although all others knew.
+#[actix_rt::test]
+async fn an_entry_cut_off_from_the_store_hears_who_leaves() {
+    let [mut cut, other] = two();
+    let desk = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
+    for fleet in [&cut, &other] {
+        fleet.register("desk-1", "desk", &desk);
+        fleet.ready().await;
+    }
+    assert_eq!(cut.ask("GET", "/seats/today", "a1").await.status, 200);
+    cut.store.server().set(Rule::new(Fault::Silent));
+    // The two stores count on their own; a removal is newer than what it removes.
+    for round in 0..20 {
+        other.store.put("op", "round", &json!(round));
+    }
+    other.store.remove("servers", "desk-1");
+    until("no more bookings at the desk", async || {
+        (cut.ask("GET", "/seats/today", "a2").await.status == 503).then_some(())
+    })
+    .await;
+    cut.store.remove("servers", "desk-1");
+    cut.store.server().order(FaultOrder::ClearAll);
+    until("the list after the cut", async || cut.entry.has_line("after_outage=true").then_some(()))
+        .await;
+    assert_eq!(cut.ask("GET", "/seats/today", "a3").await.status, 503);
+}
+
+/// A key is withdrawn. The first entry reads it, the second has it from the first,
+/// and the third hears of it from the second only. What an entry had from another
+/// was not among the rows that it gave, so the third obeyed the withdrawn key.
+#[actix_rt::test]
+async fn what_an_entry_was_told_it_tells_on() {
+    let fleets = [alone("entry-1"), alone("entry-2"), alone("entry-3")];
+    let [first, second, third] = &fleets;
+    let desk = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
+    third.register("desk-1", "desk", &desk);
+    third.ready().await;
+    list(first, "entry-2", second);
+    list(second, "entry-1", first);
+    list(second, "entry-3", third);
+    list(third, "entry-2", second);
+    assert_eq!(third.ask("GET", "/seats/today", "a1").await.status, 200);
+    first.store.put("op", "config", &config(5, &["another-key"]));
+    until("the refusal", async || {
+        (third.ask("GET", "/seats/today", "a2").await.status == 401).then_some(())
+    })
+    .await;
+}
+
+/// A route was added and a key given out, as the operator saw acknowledged. An entry
+/// that has heard of the newer configuration but does not have it yet told their
+/// first callers that there is no such route or key, and nobody asks again after
+/// that. It cannot know, so it has to ask them to come back.
+#[actix_rt::test]
+async fn an_entry_that_is_behind_calls_nothing_unknown() {
+    let fleet = Fleet::start(1).await;
+    let desk = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
+    fleet.register("desk-1", "desk", &desk);
+    fleet.ready().await;
+    assert_eq!(fleet.ask_with("GET", "/seats/today", "a1", "new-key", &[]).await.status, 401);
+    // Nobody answers there.
+    list_at(&fleet, "entry-9", "127.0.0.1:1");
+    let tally = Tally {
+        host: "entry-9".to_owned(),
+        incarnation: 1,
+        number: Number(9),
+        whole: true,
+        ..Tally::default()
+    };
+    let url = format!("http://{}/tally", fleet.entry.address("peers"));
+    until("the tally", async || {
+        let told = client().post(&url).send_body(rmp_serde::to_vec(&tally).unwrap()).await;
+        told.is_ok_and(|answer| answer.status().is_success()).then_some(())
+    })
+    .await;
+    for path in ["/seats/today", "/new-route/today"] {
+        let got = fleet.ask_with("GET", path, "a2", "new-key", &[]).await;
+        assert_eq!(got.status, 503, "{path}: {got:?}");
+        assert!(got.retry_after.is_some(), "{path}");
+    }
+    assert_eq!(fleet.ask("GET", "/seats/today", "a3").await.status, 200);
+}
