Give other entries the rows that this one acts on

Callers: a withdrawn key lived on, and a new route was unknown, at an entry whose feed was late and that asked an entry which had the news second-hand. Cause: rows taken over from another entry were acted on and told of in tallies, but were not among the rows that this one gives. Who asked got the older ones in vain, and waited 0.5, 1 and 2 s before the next question. Ruled out: that the number is told too early; it is in force there. Change: what is taken over is kept like what the store tells, each row under its own version, so that an older one never takes a newer one's place. Daemons of before do not understand the answer; a fleet is restarted whole.

--- a/kingcupbay_core/src/wire/tally.rs
+++ b/kingcupbay_core/src/wire/tally.rs
@@ -40,14 +40,26 @@
     pub level: f64,
 }
 
-/// Rows as read from the store, by table and key.
+/// Rows as read from the store, or as another daemon gave them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Copies {
-    /// Version of the store that they show.
+    /// The rows, in the order of their tables and keys.
+    pub rows: Vec<Copy>,
+}
+
+/// One row.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Copy {
+    /// Its table.
+    pub table: String,
+    /// Its key in the table.
+    pub key: String,
+    /// Its version in the store.
     pub version: u64,
-    /// Table, key and content.
-    pub rows: Vec<(String, String, serde_bytes_vec::Bytes)>,
+    /// Its content.
+    pub value: serde_bytes_vec::Bytes,
 }
 
 /// Bytes that travel as bytes, not as a list of numbers.
--- a/kingcupbayd/src/registered/copies.rs
+++ b/kingcupbayd/src/registered/copies.rs
@@ -11,7 +11,7 @@
     time::Span,
     wire::{
         rows::{Change, Row, RowKey},
-        tally::{Copies, ROWS_PATH, serde_bytes_vec::Bytes},
+        tally::{Copies, Copy, ROWS_PATH, serde_bytes_vec::Bytes},
     },
 };
 use slog::{info, warn};
@@ -22,31 +22,41 @@
 /// 10 Mbit/s take a tenth of a second, and several may ask at once.
 const ANSWER: Span = Span::from_millis(1_500);
 
-/// Rows as read, by table and key, with the version of the store.
+/// The newest rows that this daemon has, from the store or from another daemon. Each
+/// is what the daemon acts on: one that tells others of a newer configuration and then
+/// gives them an older row leaves them behind, and they ask ever more seldom.
 #[derive(Debug, Default)]
 pub(crate) struct Rows {
-    version: u64,
-    rows: BTreeMap<RowKey, Vec<u8>>,
+    /// Version and content.
+    rows: BTreeMap<RowKey, (u64, Vec<u8>)>,
 }
 
 impl Rows {
     /// Takes a change.
     pub(crate) fn on_change(&mut self, change: &Change) {
         match change {
-            Change::Put(row) => {
-                self.version = self.version.max(row.version);
-                self.rows.insert(row.key.clone(), row.value.clone());
-            }
+            Change::Put(row) => self.on_row(row),
             Change::Removed(key) => drop(self.rows.remove(key)),
         }
     }
 
+    /// Takes a row unless a newer one is known.
+    pub(crate) fn on_row(&mut self, row: &Row) {
+        let known = self.rows.get(&row.key).map_or(0, |(version, _)| *version);
+        if known <= row.version {
+            self.rows.insert(row.key.clone(), (row.version, row.value.clone()));
+        }
+    }
+
     /// All rows, for another daemon.
     pub(crate) fn copies(&self) -> Copies {
-        let row = |(key, value): (&RowKey, &Vec<u8>)| {
-            (key.table.clone(), key.key.clone(), Bytes(value.clone()))
+        let copy = |(key, (version, value)): (&RowKey, &(u64, Vec<u8>))| Copy {
+            table: key.table.clone(),
+            key: key.key.clone(),
+            version: *version,
+            value: Bytes(value.clone()),
         };
-        Copies { version: self.version, rows: self.rows.iter().map(row).collect() }
+        Copies { rows: self.rows.iter().map(copy).collect() }
     }
 }
 
@@ -75,11 +85,11 @@
             return false;
         }
     };
+    let newest = copies.rows.iter().map(|copy| copy.version).max();
     info!(node.log, ""; "event" => "copies_taken", "peer" => %address,
-        "rows" => copies.rows.len(), "version" => copies.version);
-    for (table, key, Bytes(value)) in copies.rows {
-        let row = Row { key: RowKey { table, key }, value, version: copies.version };
-        follow::on_copy(node, row);
+        "rows" => copies.rows.len(), "version" => newest);
+    for Copy { table, key, version, value: Bytes(value) } in copies.rows {
+        follow::on_copy(node, &Row { key: RowKey { table, key }, value, version });
     }
     true
 }
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -262,8 +262,9 @@
 }
 
 /// Takes a row that another daemon has read.
-pub(crate) fn on_copy(node: &Rc<Node>, row: Row) {
-    on_operator_row(node, &row);
+pub(crate) fn on_copy(node: &Rc<Node>, row: &Row) {
+    node.rows.borrow_mut().on_row(row);
+    on_operator_row(node, row);
     node.changed.notify_waiters();
 }
 
