Ask callers to come back rather than deny what a newer configuration may hold

Callers: a route was added, as the operator saw acknowledged, and its first callers got 404 from an entry that the change had not reached; nobody asks again after that. Cause: an entry that has heard of a newer configuration still answered 404 and 401 by its older one, as if it knew. Ruled out: to refuse everything while behind; what both configurations hold is served by either, and a withdrawn key is dead once the fetch has ended. Change: while others act on a newer number, an unknown route or key is answered 503 with the time in which the news comes. An entry that is not listed here yet counts.

--- a/kingcupbay_core/src/deployment/catchup.rs
+++ b/kingcupbay_core/src/deployment/catchup.rs
@@ -59,10 +59,15 @@
         self.newest
     }
 
+    /// Another entry acts on `theirs`.
+    pub fn hear(&mut self, theirs: Number) {
+        self.newest = self.newest.max(theirs);
+    }
+
     /// Another entry acts on `theirs`, this one on `own`: whether to ask that
     /// one now. If so, [`CatchUp::on_end`] is owed.
     pub fn ask(&mut self, now: Instant, own: Number, theirs: Number) -> bool {
-        self.newest = self.newest.max(theirs);
+        self.hear(theirs);
         if own >= self.newest || own > self.own {
             self.behind = None;
         }
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -57,6 +57,10 @@
 /// When to come back to an entry that does not know its configuration yet.
 const UNREADY: Span = Span::from_millis(500);
 
+/// When to come back to an entry that has heard of a newer configuration than it
+/// has: by then the store's feed has brought it, or another entry is asked.
+const BEHIND: Span = Span::from_millis(400);
+
 /// State of an entry.
 pub(crate) struct Gateway {
     pub(crate) node: Rc<Node>,
@@ -128,6 +132,7 @@
     let (route, who) = match admit(&deployment, &request, &ask) {
         Ok(admitted) => admitted,
         Err(refusal) => {
+            let refusal = unless_behind(&gateway, &deployment, refusal);
             warn!(gateway.node.log, ""; "event" => "refused", "request" => &ask.attempt,
                 "code" => refusal.code.as_str(), "configuration" => deployment.number.0,
                 "newest" => gateway.catch_up.borrow().newest().0, "path" => request.path(),
@@ -213,6 +218,17 @@
     }
 }
 
+/// What a caller is told whose route or key is not in `deployment`. One that has just
+/// been given either would be told that there is none, and never ask again, by an entry
+/// that the newer configuration has not reached. While others are known to have a newer
+/// one, this entry cannot know.
+fn unless_behind(gateway: &Gateway, deployment: &Deployment, refusal: Refusal) -> Refusal {
+    match gateway.catch_up.borrow().newest() > deployment.number {
+        true => Refusal::retry(Code::NoStanding, "a newer configuration is on its way", BEHIND),
+        false => refusal,
+    }
+}
+
 fn cost(who: &Organisation, ask: &Ask) -> u64 {
     match (who.tokens, ask.size) {
         (true, Some(size)) => size.total(),
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -69,6 +69,8 @@
     let now = clock::now();
     let from = gateway.node.address_of(&tally.host);
     let number = gateway.node.number();
+    // Whoever tells it: one that is not listed here yet has read it all the same.
+    gateway.catch_up.borrow_mut().hear(tally.number);
     if let Some(address) = from
         && gateway.catch_up.borrow_mut().ask(now, number, tally.number)
     {
