Count the time of a missing upstream from when it first went missing

Callers: bookings went to a desk that had left, for as long as the way to the store failed now and then. Cause: each list read after a failure gave all that were missing from it the whole 2.5 s anew. Ruled out: to give none; registrations that lapse in an outage are back only some seconds after it. Change: an upstream keeps the moment at which it was first missing until it is listed. Measured: the test of four reads, a second apart, drops it where it was kept. Conclusion: holds since only a listed row or its end takes the moment away.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -120,14 +120,15 @@
         now: Instant,
     ) -> Vec<String> {
         let mut before = std::mem::take(&mut self.instances);
-        self.missing.clear();
+        let missing = std::mem::take(&mut self.missing);
         for row in rows {
             before.remove(&row.id);
             self.instances.insert(row.id.clone(), Rc::new(row));
         }
         if after_outage {
             for (id, row) in before {
-                self.missing.insert(id.clone(), now);
+                // One that is missing already is not given more time.
+                self.missing.insert(id.clone(), missing.get(&id).copied().unwrap_or(now));
                 self.instances.insert(id, row);
             }
         }
