Let an older row or list undo nothing that is known of an upstream

Callers: none were seen to suffer; looked for as the same cause elsewhere. Cause: rows of upstreams were taken in the order in which they came, whatever their version, and a list replaced all that was known. Once the store has dropped its history a read may be some seconds old: it would show a desk that left as ready. Change: registrations bear their row's version. An older one is ignored, one that left stays away until it is registered anew, and a list drops only what it is newer than. Measured: the new test serves one desk, the new one; with lists taken as before it served the two that had left. Conclusion: holds whatever the order in which answers come.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -1,6 +1,10 @@
 //! The newest of everything that a daemon has learned from the store.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,8 +40,11 @@
     versions: BTreeMap<AdapterName, u32>,
     /// Registered upstreams by id.
     instances: BTreeMap<String, Rc<Instance>>,
-    /// Upstreams that vanished while the store was away, by when.
+    /// Upstreams that vanished while the store was away, by when that showed.
+    /// Invariant: all are among `instances`.
     missing: BTreeMap<String, Instant>,
+    /// Version at which upstreams left.
+    left: BTreeMap<String, u64>,
     /// Daemons by host.
     members: BTreeMap<String, Member>,
 }
@@ -99,42 +106,59 @@
         self.instances().filter(move |row| row.service == service && !row.leaving)
     }
 
-    /// Takes a registration.
+    /// Takes a registration unless newer is known of the upstream: reads may lag once
+    /// the store has dropped its history.
     pub fn on_instance(&mut self, row: Instance) {
+        let known = self.instances.get(&row.id).map_or(0, |known| known.version);
+        let left = self.left.get(&row.id).copied().unwrap_or_default();
+        if row.version < known.max(left) {
+            return;
+        }
+        self.left.remove(&row.id);
         self.missing.remove(&row.id);
         self.instances.insert(row.id.clone(), Rc::new(row));
     }
 
-    /// An upstream's registration is gone; it gets nothing new.
-    pub fn on_instance_gone(&mut self, id: &str) {
-        self.missing.remove(id);
-        self.instances.remove(id);
+    /// An upstream's registration is gone as of `version`; it gets nothing new.
+    pub fn on_instance_gone(&mut self, id: &str, version: u64) {
+        if self.instances.get(id).is_none_or(|known| known.version > version) {
+            return;
+        }
+        self.left.insert(id.to_owned(), version);
+        self.drop_instance(id);
     }
 
-    /// Takes the whole list of registrations. After an outage of the store the
-    /// ones that are missing stay for a while: see [`LAPSE`]. Says which do.
+    /// Takes the whole list of registrations as of `version`. After an outage of the
+    /// store the ones that are missing stay for a while: see [`LAPSE`]. Says which do.
     pub fn on_instances(
         &mut self,
+        now: Instant,
         rows: Vec<Instance>,
+        version: u64,
         after_outage: bool,
-        now: Instant,
     ) -> Vec<String> {
-        let mut before = std::mem::take(&mut self.instances);
-        let missing = std::mem::take(&mut self.missing);
+        let listed: BTreeSet<String> = rows.iter().map(|row| row.id.clone()).collect();
         for row in rows {
-            before.remove(&row.id);
-            self.instances.insert(row.id.clone(), Rc::new(row));
+            self.on_instance(row);
         }
-        if after_outage {
-            for (id, row) in before {
+        let absent =
+            |known: &&Rc<Instance>| !listed.contains(&known.id) && known.version <= version;
+        let absent: Vec<Rc<Instance>> = self.instances.values().filter(absent).cloned().collect();
+        for row in absent {
+            match after_outage && !row.leaving {
                 // One that is missing already is not given more time.
-                self.missing.insert(id.clone(), missing.get(&id).copied().unwrap_or(now));
-                self.instances.insert(id, row);
+                true => drop(self.missing.entry(row.id.clone()).or_insert(now)),
+                false => self.drop_instance(&row.id),
             }
         }
         self.missing.keys().cloned().collect()
     }
 
+    fn drop_instance(&mut self, id: &str) {
+        self.missing.remove(id);
+        self.instances.remove(id);
+    }
+
     /// Drops upstreams that did not come back after an outage, and says which.
     pub fn on_tick(&mut self, now: Instant) -> Vec<String> {
         let over = |since: &Instant| now.since(*since) >= LAPSE;
@@ -145,7 +169,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.on_instance_gone(id);
+            self.drop_instance(id);
         }
         gone
     }
--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -182,6 +182,8 @@
     pub born: u64,
     /// Base models that it held when it wrote this.
     pub models: Vec<String>,
+    /// Version of the store at which it wrote this.
+    pub version: u64,
 }
 
 /// An adapter of a base model.
--- a/kingcupbay_core/src/wire/rows.rs
+++ b/kingcupbay_core/src/wire/rows.rs
@@ -26,8 +26,8 @@
 pub enum Change {
     /// It was written.
     Put(Row),
-    /// It is gone.
-    Removed(RowKey),
+    /// It is gone, as of this version.
+    Removed(RowKey, u64),
 }
 
 /// Rows or changes in order.
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -108,6 +108,7 @@
         leaving: false,
         born: 1,
         models: Vec::new(),
+        version: 1,
     }
 }
 
@@ -118,10 +119,10 @@
 fn upstreams_that_lapsed_in_an_outage_are_kept_for_a_while() {
     let mut catalogue = Catalogue::default();
     let second = |seconds: u64| Instant::from_micros(seconds * 1_000_000);
-    catalogue.on_instances(vec![instance("a"), instance("b")], false, second(1));
-    catalogue.on_instances(Vec::new(), true, second(10));
+    catalogue.on_instances(second(1), vec![instance("a"), instance("b")], 1, false);
+    catalogue.on_instances(second(10), Vec::new(), 2, true);
     assert_eq!(catalogue.serving("desk").count(), 2);
-    catalogue.on_instance(instance("a"));
+    catalogue.on_instance(Instance { version: 3, ..instance("a") });
     catalogue.on_tick(second(13));
     let ids: Vec<_> = catalogue.serving("desk").map(|row| row.id.as_str()).collect();
     assert_eq!(ids, ["a"]);
@@ -134,22 +135,42 @@
 fn an_unsteady_way_to_the_store_keeps_no_upstream_for_longer() {
     let mut catalogue = Catalogue::default();
     let second = |seconds: u64| Instant::from_micros(seconds * 1_000_000);
-    catalogue.on_instances(vec![instance("a"), instance("b")], false, second(1));
+    catalogue.on_instances(second(1), vec![instance("a"), instance("b")], 1, false);
     for now in 10..14 {
-        catalogue.on_instances(vec![instance("b")], true, second(now));
+        catalogue.on_instances(second(now), vec![instance("b")], now, true);
         catalogue.on_tick(second(now));
     }
     let ids: Vec<_> = catalogue.serving("desk").map(|row| row.id.as_str()).collect();
     assert_eq!(ids, ["b"]);
 }
 
+/// A desk left, as the feed told. The store then drops its history, and a list that is
+/// read afterwards is some seconds old: it still shows the desk as ready, and not the
+/// one that came for it. Bookings must go on to the new one.
+#[test]
+fn an_older_list_undoes_nothing() {
+    let mut catalogue = Catalogue::default();
+    let row = |id: &str, version| Instance { version, ..instance(id) };
+    let now = Instant::from_micros(1);
+    catalogue.on_instances(now, vec![row("a", 1), row("b", 2)], 5, false);
+    catalogue.on_instance(Instance { leaving: true, ..row("a", 6) });
+    catalogue.on_instance_gone("b", 7);
+    catalogue.on_instance(row("c", 8));
+    catalogue.on_instances(now, vec![row("a", 1), row("b", 2)], 5, false);
+    let ids: Vec<_> = catalogue.serving("desk").map(|row| row.id.as_str()).collect();
+    assert_eq!(ids, ["c"]);
+    // It may come back under its name.
+    catalogue.on_instance(row("b", 9));
+    assert_eq!(catalogue.serving("desk").count(), 2);
+}
+
 /// A list read anew after dropped history, with the store there all the while,
 /// is the truth: what is missing has left.
 #[test]
 fn upstreams_missing_from_a_list_without_an_outage_are_gone() {
     let mut catalogue = Catalogue::default();
-    catalogue.on_instances(vec![instance("a")], false, Instant::default());
-    catalogue.on_instances(Vec::new(), false, Instant::default());
+    catalogue.on_instances(Instant::default(), vec![instance("a")], 1, false);
+    catalogue.on_instances(Instant::default(), Vec::new(), 2, false);
     assert_eq!(catalogue.instances().count(), 0);
 }
 
--- a/kingcupbayd/src/registered/copies.rs
+++ b/kingcupbayd/src/registered/copies.rs
@@ -36,7 +36,7 @@
     pub(crate) fn on_change(&mut self, change: &Change) {
         match change {
             Change::Put(row) => self.on_row(row),
-            Change::Removed(key) => drop(self.rows.remove(key)),
+            Change::Removed(key, _) => drop(self.rows.remove(key)),
         }
     }
 
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -101,7 +101,7 @@
                 if node.fencing.get().is_none() {
                     node.fencing.set(Some(version));
                 }
-                take_all(&node, table, rows, failed.is_some());
+                take_all(&node, table, rows, version, failed.is_some());
                 pause = PAUSE;
                 failed = None;
                 on_feed(&node, table, version).await
@@ -136,7 +136,7 @@
         // A page begins with the last row of the one before.
         rows.extend(page.rows.into_iter().filter_map(|change| match change {
             Change::Put(row) if before == 0 || row.key.key != from => Some(row),
-            Change::Put(_) | Change::Removed(_) => None,
+            Change::Put(_) | Change::Removed(..) => None,
         }));
         if !page.more || rows.len() == before {
             return Ok((rows, version));
@@ -194,7 +194,7 @@
 }
 
 /// Takes a whole table as read.
-fn take_all(node: &Rc<Node>, table: Table, rows: Vec<Row>, after_outage: bool) {
+fn take_all(node: &Rc<Node>, table: Table, rows: Vec<Row>, version: u64, after_outage: bool) {
     match table {
         Table::Operator => {
             for row in rows {
@@ -203,14 +203,15 @@
         }
         Table::Upstreams => {
             let instances = rows.iter().filter_map(|row| {
-                let read = registration::instance(&row.key.key, &row.value);
+                let read = registration::instance(row);
                 read.inspect_err(|error| unreadable(node, &row.key, error)).ok()
             });
             let instances: Vec<_> = instances.collect();
             let (count, now) = (instances.len(), clock::now());
-            let kept = node.catalogue.borrow_mut().on_instances(instances, after_outage, now);
+            let mut catalogue = node.catalogue.borrow_mut();
+            let kept = catalogue.on_instances(now, instances, version, after_outage);
             info!(node.log, ""; "event" => "upstreams_read", "count" => count,
-                "after_outage" => after_outage, "kept_missing" => kept.join(","));
+                "version" => version, "after_outage" => after_outage, "kept_missing" => kept.join(","));
         }
         Table::Entries => {
             let members = rows.iter().filter_map(|row| member(node, row)).collect();
@@ -224,30 +225,30 @@
 fn take(node: &Rc<Node>, table: Table, change: Change) {
     match (table, change) {
         (Table::Operator, change) => take_operator(node, change),
-        (Table::Upstreams, Change::Put(row)) => {
-            match registration::instance(&row.key.key, &row.value) {
-                Ok(instance) => {
-                    info!(node.log, ""; "event" => "upstream", "id" => &instance.id,
+        (Table::Upstreams, Change::Put(row)) => match registration::instance(&row) {
+            Ok(instance) => {
+                info!(node.log, ""; "event" => "upstream", "id" => &instance.id,
                         "address" => %instance.address, "leaving" => instance.leaving,
                         "born" => instance.born, "version" => row.version);
-                    node.catalogue.borrow_mut().on_instance(instance);
-                }
-                Err(error) => {
-                    unreadable(node, &row.key, &error);
-                    node.catalogue.borrow_mut().on_instance_gone(&row.key.key);
-                }
+                node.catalogue.borrow_mut().on_instance(instance);
             }
-        }
-        (Table::Upstreams, Change::Removed(key)) => {
-            info!(node.log, ""; "event" => "upstream_gone", "id" => &key.key, "why" => "removed");
-            node.catalogue.borrow_mut().on_instance_gone(&key.key);
+            Err(error) => {
+                unreadable(node, &row.key, &error);
+                let mut catalogue = node.catalogue.borrow_mut();
+                catalogue.on_instance_gone(&row.key.key, row.version);
+            }
+        },
+        (Table::Upstreams, Change::Removed(key, version)) => {
+            info!(node.log, ""; "event" => "upstream_gone", "id" => &key.key,
+                "why" => "removed", "version" => version);
+            node.catalogue.borrow_mut().on_instance_gone(&key.key, version);
         }
         (Table::Entries, Change::Put(row)) => {
             if let Some(member) = member(node, &row) {
                 node.catalogue.borrow_mut().on_member(member);
             }
         }
-        (Table::Entries, Change::Removed(key)) => {
+        (Table::Entries, Change::Removed(key, _)) => {
             info!(node.log, ""; "event" => "entry_gone", "host" => &key.key);
             node.catalogue.borrow_mut().on_member_gone(&key.key);
         }
