Prefer listed upstreams of a plain service to missing ones

Callers: where all entries are cut off from the store together, nobody can tell the others that a desk left, and bookings still went to it for 2.5 s after the cut. Cause: a registration that is missing after an outage counted like one that is listed. Ruled out: the same for engines; after a true outage the first that is back would have to load the adapters of all. Change: a plain service's missing upstreams are used only where none is listed. Conclusion: what remains is an engine that leaves without a word while all are cut off.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -108,6 +108,17 @@
         self.instances().filter(move |row| row.service == service && !row.leaving)
     }
 
+    /// Those of them that are listed, or the missing ones where no other is left. After
+    /// a cut of all entries nobody can tell whether an upstream that is missing lapsed
+    /// or left, and a booking at one that left is lost; one at an upstream that is
+    /// listed is not. Engines are not picked so: the daemon beside one that left gives
+    /// no places.
+    pub fn listed<'a>(&'a self, service: &'a str) -> Vec<&'a Rc<Instance>> {
+        let is_missing = |row: &&Rc<Instance>| self.missing.contains_key(&row.id);
+        let (missing, listed): (Vec<_>, Vec<_>) = self.serving(service).partition(is_missing);
+        if listed.is_empty() { missing } else { listed }
+    }
+
     /// Takes a registration unless newer is known of the upstream: reads may lag once
     /// the store has dropped its history, and another entry may have told that it left.
     pub fn on_instance(&mut self, now: Instant, row: Instance) {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -121,7 +121,7 @@
 fn pick(job: &Job, service: &str, tried: &[String]) -> Option<Rc<Instance>> {
     let catalogue = job.gateway.node.catalogue.borrow();
     let free: Vec<&Rc<Instance>> =
-        catalogue.serving(service).filter(|row| !tried.contains(&row.id)).collect();
+        catalogue.listed(service).into_iter().filter(|row| !tried.contains(&row.id)).collect();
     let health = job.gateway.health.borrow();
     let ids = free.iter().map(|row| row.id.as_str());
     let id = health.choose(clock::now(), ids, job.draw())?;
--- a/kingcupbayd/tests/news.rs
+++ b/kingcupbayd/tests/news.rs
@@ -133,3 +133,34 @@
     }
     assert_eq!(fleet.ask("GET", "/seats/today", "a3").await.status, 200);
 }
+
+/// All entries are cut off from the store, or there is only one; a desk leaves, and its
+/// row is missing from the list that is read afterwards. Nobody can tell whether it left
+/// or its registration lapsed. Bookings went to it like to the one that is listed.
+#[actix_rt::test]
+async fn a_listed_desk_goes_before_one_that_is_missing() {
+    let mut fleet = Fleet::start(1).await;
+    let desks = ["desk-1", "desk-2"].map(|id| {
+        let desk = Runner::start(ANY, RunnerSettings::plain(id)).unwrap();
+        fleet.register(id, "desk", &desk);
+        desk
+    });
+    fleet.ready().await;
+    fleet.store.server().set(Rule::new(Fault::Silent));
+    until("the cut to show", async || {
+        fleet.entry.has_line("table=servers event=feed_lost").then_some(())
+    })
+    .await;
+    fleet.store.remove("servers", "desk-1");
+    fleet.store.server().order(FaultOrder::ClearAll);
+    until("the list after the cut", async || {
+        fleet.entry.has_line("after_outage=true").then_some(())
+    })
+    .await;
+    let before = desks[0].runs().len();
+    for attempt in 0..20 {
+        let got = fleet.ask("GET", "/seats/today", &format!("a{attempt}")).await;
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+    assert_eq!(desks[0].runs().len(), before);
+}
