Add up the waits on a change's way, in one place, against the bounds

Callers: refused by an older configuration 3.03 s after a newer one was acknowledged, just after an outage of the store; seen once, not reproduced. Cause: suspected. A feed that died, a pause, a failed call, a tally and a fetch follow one another, and their waits stood in four files; 0.4 s of patience with the own feed and 1.5 s for another entry's rows alone made the second way 2.29 s. Ruled out: shorter feeds; each entry's two feeds of 2 s are most of its calls to the store, and a second teller costs none. Another entry's rows have 1.0 s instead of 1.5 s, after which a further one is asked.

--- a/kingcupbay_core/src/deployment/catchup.rs
+++ b/kingcupbay_core/src/deployment/catchup.rs
@@ -12,8 +12,7 @@
     time::{Instant, Span},
 };
 
-/// Time in which the store's own feed brings what others have already.
-const FEED: Span = Span::from_millis(400);
+use super::waits::OWN_FEED;
 
 /// Pause after a fetch, whatever it brought.
 const PAUSE_MIN: Span = Span::from_millis(250);
@@ -76,7 +75,7 @@
             return false;
         }
         let since = *self.behind.get_or_insert(now);
-        if now.since(since) < FEED || self.asking || now < self.next {
+        if now.since(since) < OWN_FEED || self.asking || now < self.next {
             return false;
         }
         self.asking = true;
--- /dev/null
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -0,0 +1,60 @@
+//! Waits on the way of a change from the store to an entry.
+//!
+//! They follow one another: a feed that hears nothing, a pause, a call that fails,
+//! another entry's tally, a fetch. So they stand in one place, and `tests/waits.rs`
+//! adds them up against the bounds. A daemon's own calls elsewhere have their own.
+
+use crate::time::Span;
+
+/// Within this of its acknowledgement a change is known to every entry that reaches
+/// the store, or one that does: a configuration is in force, and an upstream that
+/// leaves gets nothing new.
+pub const KNOWN: Span = Span::from_millis(2_000);
+
+/// The bounds hold again this long after the store, or an entry's way to it, is back.
+pub const STEADY: Span = Span::from_millis(3_000);
+
+/// A sound store answers within this: 4 ms, the way there and back, and a busy host.
+pub const SOUND: Span = Span::from_millis(100);
+
+/// Time for an answer of the store that waits for nothing: it answers in 4 ms, and up
+/// to sixty times as slowly when it is slow.
+pub const ANSWER: Span = Span::from_millis(700);
+
+/// How long an entry's feeds of the operator's rows and of upstreams wait. A feed that
+/// begins while the store drops its history may stay deaf: it is answered at its end
+/// only, with all that it missed. The first feed doubles as the sign that the store is
+/// there.
+pub const ENTRY_FEED: Span = Span::from_millis(2_000);
+
+/// How long an entry's feed of entries waits. While it is deaf, an entry that others do
+/// not know yet admits its small part of the limits only.
+pub const MEMBERS_FEED: Span = Span::from_secs(5);
+
+/// How long a feed of a daemon beside an engine waits. It learns of new versions from
+/// the entries too.
+pub const SIDECAR_FEED: Span = Span::from_secs(20);
+
+/// Pause between two calls of the operator's feed. Changes that come in quick
+/// succession arrive together.
+pub const OPERATOR_PAUSE: Span = Span::from_millis(150);
+
+/// Pause between two calls of the other feeds. Each upstream writes when its load of
+/// adapters changes, and each entry would be answered each time: with 44 upstreams, 22
+/// entries and 41 daemons beside engines all calls together were 346 a second over a
+/// quiet minute, and are 47 with the pause. An engine that leaves is known sooner, from
+/// the daemon beside it.
+pub const OTHER_PAUSE: Span = Span::from_millis(600);
+
+/// First pause after a failed call.
+pub const RETRY_MIN: Span = Span::from_millis(150);
+
+/// Longest pause after failed calls.
+pub const RETRY_MAX: Span = Span::from_millis(800);
+
+/// Time in which the store's own feed brings a configuration that another entry has.
+pub const OWN_FEED: Span = Span::from_millis(400);
+
+/// Time for another entry's rows: even 100 KB over the slowest hosts' links of
+/// 10 Mbit/s take a tenth of a second, and several may ask at once.
+pub const FETCH: Span = Span::from_millis(1_000);
--- a/kingcupbayd/src/registered/copies.rs
+++ b/kingcupbayd/src/registered/copies.rs
@@ -8,7 +8,7 @@
 
 use actix_http::Method;
 use kingcupbay_core::{
-    time::Span,
+    deployment::waits,
     wire::{
         rows::{Change, Row, RowKey},
         tally::{Copies, Copy, ROWS_PATH, serde_bytes_vec::Bytes},
@@ -18,10 +18,6 @@
 
 use crate::registered::{Node, follow};
 
-/// Time for another daemon's answer: even 100 KB over the slowest hosts' links of
-/// 10 Mbit/s take a tenth of a second, and several may ask at once.
-const ANSWER: Span = Span::from_millis(1_500);
-
 /// The newest rows that this daemon has, from the store or from another daemon. Each
 /// is what the daemon acts on: one that tells others of a newer configuration and then
 /// gives them an older row leaves them behind, and they ask ever more seldom.
@@ -62,7 +58,7 @@
 
 /// Asks the daemon at `address` for its rows and takes what is newer.
 pub(crate) async fn fetch(node: &Rc<Node>, address: SocketAddr) -> bool {
-    let called = node.pool.call(address, Method::GET, ROWS_PATH, &[], ANSWER).await;
+    let called = node.pool.call(address, Method::GET, ROWS_PATH, &[], waits::FETCH).await;
     let answer = match called {
         Ok(answer) if answer.status == 200 => answer,
         Ok(answer) => {
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -4,7 +4,7 @@
 
 use kingcupbay_core::{
     config::model::Role,
-    deployment::catalogue::Member,
+    deployment::{catalogue::Member, waits},
     time::{Instant, Span},
     wire::rows::{Change, Page, Row, RowKey},
 };
@@ -19,40 +19,6 @@
     registered::{Node, copies, members::ENTRIES, store::StoreError},
 };
 
-/// How long an entry's feeds of the operator's rows and of upstreams wait. A
-/// feed that begins while the store drops its history may stay deaf: it is
-/// answered at its end only, with all that it missed. A withdrawn key has to be
-/// dead by then, and an upstream that leaves gets nothing new. The first feed
-/// doubles as the sign that the store is there. A deaf feed of upstreams that
-/// waited 20 s sent a booking to one that had been leaving for 3.1 s.
-const ENTRY_WAIT: Span = Span::from_millis(2_000);
-
-/// How long an entry's feed of entries waits. While it is deaf, an entry that
-/// others do not know yet admits its small part of the limits only.
-const MEMBERS_WAIT: Span = Span::from_secs(5);
-
-/// How long a feed of a daemon beside an engine waits. It learns of new versions
-/// from the entries too.
-const SIDECAR_WAIT: Span = Span::from_secs(20);
-
-/// Pause between two calls of the operator's feed. Changes that come in quick
-/// succession arrive together; all are in force within two seconds.
-const OPERATOR_PAUSE: Span = Span::from_millis(150);
-
-/// Pause between two calls of the other feeds. Each upstream writes when its
-/// load of adapters changes, and each entry would be answered each time: with 44
-/// upstreams, 22 entries and 41 daemons beside engines all calls together were
-/// 346 a second over a quiet minute, and are 47 with the pause. An engine that
-/// leaves is known sooner, from the daemon beside it.
-const OTHER_PAUSE: Span = Span::from_millis(600);
-
-/// First pause after a failed call.
-const PAUSE: Span = Span::from_millis(150);
-
-/// Longest pause, so that a daemon is up to date a second after the store is
-/// back.
-const PAUSE_MAX: Span = Span::from_millis(800);
-
 /// A table that is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Table {
@@ -76,24 +42,24 @@
     /// How long a call waits for a first change.
     fn wait(self, role: Role) -> Span {
         match (self, role) {
-            (_, Role::Upstream) => SIDECAR_WAIT,
-            (Table::Operator | Table::Upstreams, Role::Entry) => ENTRY_WAIT,
-            (Table::Entries, Role::Entry) => MEMBERS_WAIT,
+            (_, Role::Upstream) => waits::SIDECAR_FEED,
+            (Table::Operator | Table::Upstreams, Role::Entry) => waits::ENTRY_FEED,
+            (Table::Entries, Role::Entry) => waits::MEMBERS_FEED,
         }
     }
 
     /// Pause between two calls.
     fn pause(self) -> Span {
         match self {
-            Table::Operator => OPERATOR_PAUSE,
-            Table::Upstreams | Table::Entries => OTHER_PAUSE,
+            Table::Operator => waits::OPERATOR_PAUSE,
+            Table::Upstreams | Table::Entries => waits::OTHER_PAUSE,
         }
     }
 }
 
 /// Follows `table` for ever.
 pub(crate) async fn follow(node: Rc<Node>, table: Table) {
-    let mut pause = PAUSE;
+    let mut pause = waits::RETRY_MIN;
     let mut failed = None;
     loop {
         let error = match read(&node, table).await {
@@ -102,7 +68,7 @@
                     node.fencing.set(Some(version));
                 }
                 take_all(&node, table, rows, version, failed.is_some());
-                pause = PAUSE;
+                pause = waits::RETRY_MIN;
                 failed = None;
                 on_feed(&node, table, version).await
             }
@@ -117,7 +83,7 @@
                 ask_others(&node).await;
             }
             tokio::time::sleep(pause.into()).await;
-            pause = Span::from_micros(pause.as_micros() * 2).min(PAUSE_MAX);
+            pause = Span::from_micros(pause.as_micros() * 2).min(waits::RETRY_MAX);
         }
     }
 }
--- a/kingcupbayd/src/registered/store.rs
+++ b/kingcupbayd/src/registered/store.rs
@@ -4,6 +4,7 @@
 
 use actix_http::Method;
 use kingcupbay_core::{
+    deployment::waits::ANSWER,
     time::{Instant, Span},
     wire::rows::{Page, Txn, TxnAnswer},
 };
@@ -19,10 +20,6 @@
     },
 };
 
-/// Time for an answer that does not wait for anything: the store answers in
-/// 4 ms, and up to sixty times as slowly when it is slow.
-const ANSWER: Span = Span::from_millis(700);
-
 /// Why a call of the store brought nothing.
 #[derive(Debug)]
 #[derive(Error)]
