Ask a further entry a quarter of a second after one that did not answer

Cause: the pause after a fetch doubled before it was first used, and a fetch that nobody answers took 1.0 s. Ruled out: two fetches at a time; they filled the links of small hosts once. Change: 0.25 s after the first fetch in vain, doubling from there to 2 s; 0.8 s for an answer. The sum of waits counts one fetch in vain. Conclusion: one silent entry no longer takes the second way past 2 s.

--- a/kingcupbay_core/src/deployment/catchup.rs
+++ b/kingcupbay_core/src/deployment/catchup.rs
@@ -12,13 +12,10 @@
     time::{Instant, Span},
 };
 
-use super::waits::OWN_FEED;
+use super::waits::{FETCH_PAUSE, OWN_FEED};
 
-/// Pause after a fetch, whatever it brought.
-const PAUSE_MIN: Span = Span::from_millis(250);
-
-/// Longest pause; it doubles with each fetch that brought nothing. A withdrawn
-/// key has to be dead some seconds later.
+/// Longest pause; it doubles with each fetch that brought nothing. A withdrawn key has
+/// to be dead some seconds later.
 const PAUSE_MAX: Span = Span::from_secs(2);
 
 /// How far this entry has been behind, and what it did about it.
@@ -36,6 +33,7 @@
     asking: bool,
     /// No fetch before this.
     next: Instant,
+    /// Pause after the next fetch.
     pause: Span,
 }
 
@@ -47,7 +45,7 @@
             behind: None,
             asking: false,
             next: Instant::default(),
-            pause: PAUSE_MIN,
+            pause: FETCH_PAUSE,
         }
     }
 }
@@ -85,10 +83,13 @@
     /// The fetch has ended; `own` is the number that this entry acts on now.
     pub fn on_end(&mut self, now: Instant, own: Number) {
         self.asking = false;
-        self.pause = match own >= self.newest {
-            true => PAUSE_MIN,
-            false => Span::from_micros(self.pause.as_micros() * 2).min(PAUSE_MAX),
-        };
+        let caught_up = own >= self.newest;
+        if caught_up {
+            self.pause = FETCH_PAUSE;
+        }
         self.next = now + self.pause;
+        if !caught_up {
+            self.pause = Span::from_micros(self.pause.as_micros() * 2).min(PAUSE_MAX);
+        }
     }
 }
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -57,4 +57,7 @@
 
 /// Time for another entry's rows: even 100 KB over the slowest hosts' links of
 /// 10 Mbit/s take a tenth of a second, and several may ask at once.
-pub const FETCH: Span = Span::from_millis(1_000);
+pub const FETCH: Span = Span::from_millis(800);
+
+/// Pause after a fetch before the next one.
+pub const FETCH_PAUSE: Span = Span::from_millis(250);
--- a/kingcupbay_core/tests/catchup.rs
+++ b/kingcupbay_core/tests/catchup.rs
@@ -77,3 +77,19 @@
     });
     assert_eq!(asked, Some(400));
 }
+
+/// A new route was confirmed. The first entry that is asked for it does not answer, and
+/// callers of the route were refused past the bound, as the second was asked late.
+#[test]
+fn after_a_fetch_in_vain_another_entry_is_asked_soon() {
+    let mut catch_up = CatchUp::default();
+    assert!(!catch_up.ask(at(0), Number(5), Number(6)));
+    assert!(catch_up.ask(at(400), Number(5), Number(6)));
+    catch_up.on_end(at(1_200), Number(5));
+    let mut moments = (1_200..3_000).step_by(50);
+    let again = moments.find(|&now| catch_up.ask(at(now), Number(5), Number(6)));
+    assert_eq!(again, Some(1_450));
+    catch_up.on_end(at(2_250), Number(5));
+    let again = moments.find(|&now| now >= 2_250 && catch_up.ask(at(now), Number(5), Number(6)));
+    assert_eq!(again, Some(2_750), "each time in vain the pause doubles");
+}
--- a/kingcupbay_core/tests/waits.rs
+++ b/kingcupbay_core/tests/waits.rs
@@ -3,8 +3,8 @@
 use kingcupbay_core::{
     allowance::Allowance,
     deployment::waits::{
-        ANSWER, ENTRY_FEED, FETCH, KNOWN, OPERATOR_PAUSE, OTHER_PAUSE, OWN_FEED, RETRY_MIN, SOUND,
-        STEADY,
+        ANSWER, ENTRY_FEED, FETCH, FETCH_PAUSE, KNOWN, OPERATOR_PAUSE, OTHER_PAUSE, OWN_FEED,
+        RETRY_MIN, SOUND, STEADY,
     },
     time::{Instant, Span},
 };
@@ -12,6 +12,9 @@
 /// Entries of the largest deployment that keeps the shortest bound.
 const ENTRIES: usize = 27;
 
+/// Another entry's rows mostly come within this.
+const FETCHED: Span = Span::from_millis(150);
+
 /// Time between two tallies there.
 fn tally() -> Span {
     let mut allowance = Allowance::new("entry-0", 1, Instant::default());
@@ -33,8 +36,8 @@
         ("a configuration, by the feed", vec![OPERATOR_PAUSE, SOUND]),
         ("an upstream that leaves, by the feed", vec![OTHER_PAUSE, SOUND]),
         (
-            "a configuration, from an entry that the feed told",
-            vec![OPERATOR_PAUSE, SOUND, tally(), OWN_FEED, FETCH],
+            "a configuration, from the second entry asked, as the first did not answer",
+            vec![OPERATOR_PAUSE, SOUND, tally(), OWN_FEED, FETCH, FETCH_PAUSE, FETCHED],
         ),
         (
             "an upstream that leaves, by the second tally, as the first was lost",
