Read other daemons' messages in one way, and log what cannot be read

Cause: left by earlier work: three copies of reading a message, each of which refused one that did not arrive without a line; so did a caller's body that did not come, and a copy that a daemon refused was logged as asked. Ruled out: a metric; such messages are rare, and a line names the path and the error. Change: registered/message.rs; the gateway logs a body that does not come; a refused copy is logged with its status. A tally has 500 ms to arrive like other messages.

--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -146,6 +146,9 @@
         Ok(body) => body,
         Err(failure) => {
             let refusal = Refusal::plain(failure.code, "the body");
+            warn!(gateway.node.log, ""; "event" => "refused", "request" => &ask.attempt,
+                "code" => refusal.code.as_str(), "why" => refusal.why,
+                "error" => failure.message);
             return refuse(&gateway, &ask, refusal);
         }
     };
--- a/kingcupbayd/src/gateway/place.rs
+++ b/kingcupbayd/src/gateway/place.rs
@@ -142,7 +142,11 @@
     let body = rmp_serde::to_vec_named(&name).expect("a name has only plain fields");
     let sidecar = beside(&gateway, engine);
     let called = gateway.node.pool.call(sidecar, Method::POST, COPY_PATH, &body, MESSAGE).await;
-    let error = called.err().map(|error| error.to_string());
+    let error = match called {
+        Ok(answer) if answer.status == 204 => None,
+        Ok(answer) => Some(format!("status {}", answer.status)),
+        Err(error) => Some(error.to_string()),
+    };
     info!(gateway.node.log, ""; "event" => "copy_asked", "adapter" => &name.adapter,
         "sidecar" => %sidecar, "error" => error);
 }
--- /dev/null
+++ b/kingcupbayd/src/registered/message.rs
@@ -0,0 +1,33 @@
+//! Messages of other daemons of a registered fleet, as MessagePack.
+
+use actix_http::{Request, Response, StatusCode, body::BoxBody};
+use kingcupbay_core::time::Span;
+use serde::de::DeserializeOwned;
+use slog::{Logger, warn};
+
+use crate::http;
+
+/// Longest message: a few thousand attempt ids, or a tally of a thousand
+/// organisations with names of 100 bytes.
+const LONGEST: usize = 256 << 10;
+
+/// Time for a message to arrive.
+const TIME: Span = Span::from_millis(500);
+
+/// Reads a message. One that does not arrive or cannot be read is logged; the error
+/// is the answer to it.
+pub(crate) async fn read<T: DeserializeOwned>(
+    log: &Logger,
+    request: &mut Request,
+) -> Result<T, Response<BoxBody>> {
+    let body = http::body::read(request.take_payload(), LONGEST, TIME).await;
+    let body = body.map_err(|failure| failure.message);
+    let message = body.and_then(|body| {
+        rmp_serde::from_slice(&body).map_err(|error: rmp_serde::decode::Error| error.to_string())
+    });
+    message.map_err(|error| {
+        warn!(log, ""; "event" => "message_unreadable", "path" => request.path(),
+            "error" => error);
+        http::reply::text(StatusCode::BAD_REQUEST, "not a message\n")
+    })
+}
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -4,12 +4,13 @@
 //! register themselves there. [`store`] calls it, [`follow`] keeps the
 //! [`Catalogue`] up to date from its feeds, or from other daemons while it is
 //! away ([`copies`]); [`members`] lists the entries there and [`tallies`] tells
-//! them what organisations have used. [`start`] sets up either role:
+//! them what organisations have used; [`message`] reads what daemons tell each other. [`start`] sets up either role:
 //! `gateway` in front of callers, `sidecar` beside an engine.
 
 pub(crate) mod copies;
 pub(crate) mod follow;
 pub(crate) mod members;
+pub(crate) mod message;
 pub(crate) mod start;
 pub(crate) mod store;
 pub(crate) mod tallies;
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -12,7 +12,7 @@
         tally::{ROWS_PATH, TALLY_PATH},
     },
 };
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 
 use crate::{
     config::{Registry, Settings},
@@ -21,7 +21,7 @@
     registered::{
         Node,
         follow::{Table, follow},
-        members, tallies,
+        members, message, tallies,
     },
     server::{
         self,
@@ -33,12 +33,6 @@
 /// Time for the head of a message of another daemon.
 const HEAD_TIME: Span = Span::from_secs(5);
 
-/// Time for a message of another daemon.
-const MESSAGE_TIME: Span = Span::from_millis(500);
-
-/// Longest message of another daemon.
-const MESSAGE_MAX: usize = 256 << 10;
-
 /// How long readiness fails before connections are closed: the balancer asks
 /// each second and looks elsewhere after two answers, so callers come until
 /// then.
@@ -191,19 +185,13 @@
 }
 
 async fn take_pressure(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
-    let read = http::body::read(request.take_payload(), MESSAGE_MAX, MESSAGE_TIME).await;
-    let pressure = read.ok().and_then(|body| rmp_serde::from_slice::<Pressure>(&body).ok());
-    match pressure {
-        Some(pressure) => {
-            let known = gateway.on_pressure(pressure);
-            let status = if known { StatusCode::NO_CONTENT } else { StatusCode::ACCEPTED };
-            Response::with_body(status, BoxBody::new(()))
-        }
-        None => {
-            warn!(gateway.node.log, ""; "event" => "pressure_unreadable");
-            http::reply::text(StatusCode::BAD_REQUEST, "not a pressure\n")
-        }
-    }
+    let pressure = match message::read::<Pressure>(&gateway.node.log, &mut request).await {
+        Ok(pressure) => pressure,
+        Err(answer) => return answer,
+    };
+    let known = gateway.on_pressure(pressure);
+    let status = if known { StatusCode::NO_CONTENT } else { StatusCode::ACCEPTED };
+    Response::with_body(status, BoxBody::new(()))
 }
 
 async fn handle_sidecar_peer(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -14,8 +14,7 @@
 use crate::{
     clock,
     gateway::Gateway,
-    http,
-    registered::{Node, copies, members},
+    registered::{Node, copies, members, message},
 };
 
 /// Time for a peer's answer; longer, and the next tally says more.
@@ -28,9 +27,6 @@
 /// Pause between two tries to take the same entries off.
 const REMOVALS: Span = Span::from_secs(5);
 
-/// Longest tally: a thousand organisations with names of 100 bytes.
-const TALLY_MAX: usize = 256 << 10;
-
 /// Sends tallies for ever.
 pub(crate) async fn send(gateway: Rc<Gateway>) {
     let mut removed = clock::now();
@@ -60,12 +56,9 @@
 
 /// Takes another entry's tally.
 pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
-    let read = http::body::read(request.take_payload(), TALLY_MAX, ANSWER).await;
-    let Ok(body) = read else {
-        return http::reply::text(StatusCode::BAD_REQUEST, "the body did not come\n");
-    };
-    let Ok(tally) = rmp_serde::from_slice::<Tally>(&body) else {
-        return http::reply::text(StatusCode::BAD_REQUEST, "not a tally\n");
+    let tally = match message::read::<Tally>(&gateway.node.log, &mut request).await {
+        Ok(tally) => tally,
+        Err(answer) => return answer,
     };
     let now = clock::now();
     let from = gateway.node.address_of(&tally.host);
--- a/kingcupbayd/src/sidecar/desk.rs
+++ b/kingcupbayd/src/sidecar/desk.rs
@@ -12,13 +12,7 @@
 use slog::{debug, info};
 use tokio::sync::oneshot;
 
-use crate::{clock, http, server::drain::Phase, sidecar::Sidecar};
-
-/// Longest message of an entry: a few thousand attempt ids.
-const MESSAGE_MAX: usize = 256 << 10;
-
-/// Time for a message to arrive.
-const MESSAGE_TIME: Span = Span::from_millis(500);
+use crate::{clock, http, registered::message, server::drain::Phase, sidecar::Sidecar};
 
 /// When to come back to a daemon that stops; its successor is there soon.
 const STOPPING: Span = Span::from_secs(1);
@@ -42,8 +36,9 @@
 
 /// Answers when there is a place, or none in time.
 pub(crate) async fn want(sidecar: Rc<Sidecar>, mut request: Request) -> Response<BoxBody> {
-    let Some(want) = read::<Want>(request.take_payload()).await else {
-        return http::reply::text(StatusCode::BAD_REQUEST, "not a want\n");
+    let want = match message::read::<Want>(&sidecar.node.log, &mut request).await {
+        Ok(want) => want,
+        Err(answer) => return answer,
     };
     let now = clock::now();
     sidecar.entries.borrow_mut().entry(want.entry).or_default().asked = now;
@@ -79,8 +74,9 @@
 
 /// Takes places back.
 pub(crate) async fn done(sidecar: Rc<Sidecar>, mut request: Request) -> Response<BoxBody> {
-    let Some(dones) = read::<Vec<Done>>(request.take_payload()).await else {
-        return http::reply::text(StatusCode::BAD_REQUEST, "not a list\n");
+    let dones = match message::read::<Vec<Done>>(&sidecar.node.log, &mut request).await {
+        Ok(dones) => dones,
+        Err(answer) => return answer,
     };
     let now = clock::now();
     for Done { attempt, pause } in dones {
@@ -95,19 +91,15 @@
 
 /// Has an adapter loaded whose other engines are busy.
 pub(crate) async fn copy(sidecar: Rc<Sidecar>, mut request: Request) -> Response<BoxBody> {
-    let Some(name) = read::<AdapterName>(request.take_payload()).await else {
-        return http::reply::text(StatusCode::BAD_REQUEST, "not a name\n");
+    let name = match message::read::<AdapterName>(&sidecar.node.log, &mut request).await {
+        Ok(name) => name,
+        Err(answer) => return answer,
     };
     let actions = sidecar.admission.borrow_mut().on_copy(clock::now(), name);
     sidecar.perform(actions);
     Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
 }
 
-async fn read<T: serde::de::DeserializeOwned>(payload: actix_http::Payload) -> Option<T> {
-    let body = http::body::read(payload, MESSAGE_MAX, MESSAGE_TIME).await.ok()?;
-    rmp_serde::from_slice(&body).ok()
-}
-
 fn answer(verdict: &Verdict) -> Response<BoxBody> {
     let body = rmp_serde::to_vec_named(verdict).expect("a verdict has only plain fields");
     http::reply::bytes("application/msgpack", body.into())
