Let a failure of the red test of broken streams tell its story

Cause: the one failure of this test left no values, so nothing could be traced. Change: its checks are the same; each prints the answer, the runs and the entry's lines. Conclusion: open as before.

--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -124,11 +124,17 @@
     })
     .await;
     let got = tour(&fleet, "a1", None).await;
-    assert_eq!((got.status, ids(&got.body.unwrap())), (200, vec![1, 2, 3, 4, 5, 6]));
     let runs: Vec<_> = first.runs().into_iter().chain(second.runs()).collect();
-    assert_eq!(runs.len(), 2);
-    let resumed = runs.iter().filter(|run| run.headers.contains_key("last-event-id"));
-    assert_eq!(resumed.map(|run| run.headers["last-event-id"].as_str()).collect::<Vec<_>>(), ["3"]);
+    let begun: Vec<_> =
+        runs.iter().map(|run| (&run.attempt, run.headers.get("last-event-id"))).collect();
+    fleet.entry.has_line("event=streamed");
+    let story = format!("{got:?}, runs {begun:?}, lines\n{}", fleet.entry.seen.join("\n"));
+    assert_eq!(got.status, 200, "{story}");
+    let ids = got.body.as_deref().map(ids);
+    assert_eq!(ids, Ok(vec![1, 2, 3, 4, 5, 6]), "{story}");
+    assert_eq!(runs.len(), 2, "{story}");
+    let resumed = runs.iter().filter_map(|run| run.headers.get("last-event-id"));
+    assert_eq!(resumed.collect::<Vec<_>>(), ["3"], "{story}");
 }
 
 /// A caller closes its connection in the middle of a stream. The engine must
