Let a row that was written late undo nothing either

Callers: none were seen to suffer; looked for as the same cause elsewhere. Cause: the order of an upstream's rows was the store's alone. A write whose answer was lost may be carried out seconds later, after what was written next: a desk that said that it leaves would count as ready again. Change: of one start of an upstream only a row that it counts as newer is taken; the count is logged. The line of a list read is broken as others are. Measured: the new test serves nobody; without the check it served the desk that leaves. Conclusion: holds within one start; across starts the store's order decides, as clocks of upstreams may step.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -46,6 +46,7 @@
     /// Upstreams that vanished while the store was away, by when that showed.
     /// Invariant: all are among `instances`.
     missing: BTreeMap<String, Instant>,
+    /// Upstreams that left.
     departures: Departures,
     /// Daemons by host.
     members: BTreeMap<String, Member>,
@@ -119,12 +120,9 @@
         if listed.is_empty() { missing } else { listed }
     }
 
-    /// Takes a registration unless newer is known of the upstream: reads may lag once
-    /// the store has dropped its history, and another entry may have told that it left.
+    /// Takes a registration unless newer is known of the upstream.
     pub fn on_instance(&mut self, now: Instant, row: Instance) {
-        let known = self.instances.get(&row.id).map_or(0, |known| known.version);
-        let left = self.departures.version(&row.id).unwrap_or_default();
-        if row.version < known.max(left) {
+        if self.is_outdated(&row) {
             return;
         }
         match row.leaving {
@@ -135,6 +133,17 @@
         self.instances.insert(row.id.clone(), Rc::new(row));
     }
 
+    /// Whether newer is known than `row`: reads may lag once the store has dropped its
+    /// history, another entry may have told that the upstream left, and what it wrote
+    /// before that may reach the store after it.
+    fn is_outdated(&self, row: &Instance) -> bool {
+        let left = self.departures.version(&row.id).unwrap_or_default();
+        let known = self.instances.get(&row.id).is_some_and(|known| {
+            row.version < known.version || (row.born == known.born && row.count < known.count)
+        });
+        known || row.version < left
+    }
+
     /// An upstream's registration is gone as of `version`; it gets nothing new.
     pub fn on_instance_gone(&mut self, now: Instant, id: &str, version: u64) {
         if self.instances.get(id).is_none_or(|known| known.version > version) {
--- a/kingcupbay_core/src/deployment/departures.rs
+++ b/kingcupbay_core/src/deployment/departures.rs
@@ -9,8 +9,8 @@
 
 use crate::time::{Instant, Span};
 
-/// How long a departure is told. An entry that is cut off from everybody for longer
-/// is taken off the list of entries, and begins anew.
+/// How long a departure is told: who was cut off from everybody meanwhile hears of it
+/// when the cut is over.
 const KEPT: Span = Span::from_secs(60);
 
 /// Tallies that name a new departure, whatever else they name: one or two may be
@@ -26,6 +26,7 @@
 struct Departure {
     /// Version of the store that shows it.
     version: u64,
+    /// When this daemon learned of it last.
     learned: Instant,
     /// Tallies that have still to name it.
     news: u32,
--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -180,6 +180,8 @@
     /// When it started by its own clock, in milliseconds; tells a restart
     /// under the same id.
     pub born: u64,
+    /// Counts what it wrote since it started.
+    pub count: u64,
     /// Base models that it held when it wrote this.
     pub models: Vec<String>,
     /// Version of the store at which it wrote this.
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -107,6 +107,7 @@
         slots: 6,
         leaving: false,
         born: 1,
+        count: 1,
         models: Vec::new(),
         version: 1,
     }
@@ -164,6 +165,22 @@
     assert_eq!(catalogue.serving("desk").count(), 2);
 }
 
+/// A desk writes that it is ready, and the answer is lost; it then writes that it leaves.
+/// The store carries the first out after the second, under a newer version: the desk
+/// would count as ready again. One that is started anew under its name counts from one.
+#[test]
+fn a_row_that_was_written_late_undoes_nothing() {
+    let mut catalogue = Catalogue::default();
+    let now = Instant::from_micros(1);
+    let ready = |version, count| Instance { version, count, ..instance("a") };
+    catalogue.on_instance(now, ready(1, 4));
+    catalogue.on_instance(now, Instance { leaving: true, ..ready(2, 6) });
+    catalogue.on_instance(now, ready(3, 5));
+    assert_eq!(catalogue.serving("desk").count(), 0);
+    catalogue.on_instance(now, Instance { born: 2, ..ready(4, 1) });
+    assert_eq!(catalogue.serving("desk").count(), 1);
+}
+
 /// An entry is cut off from the store while a desk leaves. Another one saw that and
 /// tells of it: at once in three tallies, as one may be lost, and in each whole one,
 /// for who comes back from being cut off from everybody.
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -177,7 +177,8 @@
             let mut catalogue = node.catalogue.borrow_mut();
             let kept = catalogue.on_instances(now, instances, version, after_outage);
             info!(node.log, ""; "event" => "upstreams_read", "count" => count,
-                "version" => version, "after_outage" => after_outage, "kept_missing" => kept.join(","));
+                "version" => version, "after_outage" => after_outage,
+                "kept_missing" => kept.join(","));
         }
         Table::Entries => {
             let members = rows.iter().filter_map(|row| member(node, row)).collect();
@@ -195,8 +196,9 @@
         (Table::Upstreams, Change::Put(row)) => match registration::instance(&row) {
             Ok(instance) => {
                 info!(node.log, ""; "event" => "upstream", "id" => &instance.id,
-                        "address" => %instance.address, "leaving" => instance.leaving,
-                        "born" => instance.born, "version" => row.version);
+                    "address" => %instance.address, "leaving" => instance.leaving,
+                    "born" => instance.born, "count" => instance.count,
+                    "version" => row.version);
                 node.catalogue.borrow_mut().on_instance(now, instance);
             }
             Err(error) => {
