--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -111,9 +111,9 @@
 
     /// Those of them that are listed, or the missing ones where no other is left. After
     /// a cut of all entries nobody can tell whether an upstream that is missing lapsed
-    /// or left, and a booking at one that left is lost; one at an upstream that is
-    /// listed is not. Engines are not picked so: the daemon beside one that left gives
-    /// no places.
+    /// or left; a booking at one that is listed is safe. Engines are not picked so: the
+    /// first to be back after an outage would have to load the adapters of all, and the
+    /// daemon beside one that left gives no places.
     pub fn listed<'a>(&'a self, service: &'a str) -> Vec<&'a Rc<Instance>> {
         let is_missing = |row: &&Rc<Instance>| self.missing.contains_key(&row.id);
         let (missing, listed): (Vec<_>, Vec<_>) = self.serving(service).partition(is_missing);
