--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -40,10 +40,8 @@
 pub const OPERATOR_PAUSE: Span = Span::from_millis(150);
 
 /// Pause between two calls of the other feeds. Each upstream writes when its load of
-/// adapters changes, and each entry would be answered each time: with 44 upstreams, 22
-/// entries and 41 daemons beside engines all calls together were 346 a second over a
-/// quiet minute, and are 47 with the pause. An engine that leaves is known sooner, from
-/// the daemon beside it.
+/// adapters changes, and each entry would be answered each time, with as many calls to
+/// the store. An engine that leaves is known sooner, from the daemon beside it.
 pub const OTHER_PAUSE: Span = Span::from_millis(600);
 
 /// First pause after a failed call.
