Read the store with a few entries, which tell the others

All three feeds of each daemon kept calling a store that is away.

Ruled out: longer pauses for all (follows entries still, and word of a departure comes as late as the pause allows); a narrower feed (the protocol has none); a reader in each zone with a named successor (a rule would rest on one daemon's health); raw rows in the tallies (ten times the bytes of what is used of a row).

Change: one entry in each availability zone, four at least, reads the tables of upstreams and entries, and says in its tallies up to which version of the store it has read and what changed. A listener takes that over only if nothing is missing in between, and reads by itself once what it knows is older than a bound that its own clock keeps. Listeners keep a long feed of the operator's rows, given up when a reading shows a change. Daemons beside engines pause 5 s after changes. While the store is away one feed asks for all. Calls are counted on the metrics address.

Conclusion: calls no longer grow with entries times changes; a configuration still costs one call of each daemon.

--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -248,8 +248,8 @@
         }
         self.told.extend(uses.iter().map(|(name, used)| (name.clone(), *used)));
         let host = self.host.clone();
-        let left = BTreeMap::new();
-        Tally { host, incarnation: self.incarnation, number, whole, uses, left }
+        let incarnation = self.incarnation;
+        Tally { host, incarnation, number, whole, uses, ..Tally::default() }
     }
 
     /// Another entry lacks what the last whole tally told; the next one is whole.
--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -11,6 +11,7 @@
 use crate::{
     config::model::Role,
     time::{Instant, Span},
+    wire::reading::{Changed, What},
 };
 
 use super::{
@@ -125,14 +126,49 @@
         if self.is_outdated(&row) {
             return;
         }
-        match row.leaving {
-            true => self.departures.on_store(now, &row.id, row.version),
-            false => self.departures.on_back(&row.id),
+        if row.leaving {
+            self.departures.on_store(now, &row.id, row.version);
+        }
+        self.insert(row);
+    }
+
+    fn insert(&mut self, row: Instance) {
+        if !row.leaving {
+            self.departures.on_back(&row.id);
         }
         self.missing.remove(&row.id);
         self.instances.insert(row.id.clone(), Rc::new(row));
     }
 
+    /// Whether other entries have to hear of `row`. One that was missing is news to
+    /// those that miss it too.
+    pub fn is_news(&self, row: &Instance) -> bool {
+        let before = self.instances.get(&row.id);
+        self.missing.contains_key(&row.id) || before.is_none_or(|before| row.is_news(before))
+    }
+
+    /// Takes a change that another entry has read.
+    pub fn on_changed(&mut self, now: Instant, change: Changed) {
+        let version = change.version;
+        match change.what {
+            What::Upstream(row) if row.leaving => {
+                self.departures.on_told(now, &row.id, version);
+                if !self.is_outdated(&row) {
+                    self.insert(row);
+                }
+            }
+            What::Upstream(row) => self.on_instance(now, row),
+            What::UpstreamGone(id) => {
+                if self.instances.get(&id).is_some_and(|known| known.version <= version) {
+                    self.departures.on_told(now, &id, version);
+                    self.drop_instance(&id);
+                }
+            }
+            What::Entry(member) => self.on_member(member),
+            What::EntryGone(host) => self.on_member_gone(&host),
+        }
+    }
+
     /// Whether newer is known than `row`: reads may lag once the store has dropped its
     /// history, another entry may have told that the upstream left, and what it wrote
     /// before that may reach the store after it.
--- a/kingcupbay_core/src/deployment/mod.rs
+++ b/kingcupbay_core/src/deployment/mod.rs
@@ -5,12 +5,15 @@
 //! [`model`] holds the declared rows, [`lookup`] answers which route a request
 //! takes and whose key it carries, [`catalogue`] keeps the newest of everything
 //! that a daemon has learned, `departures` which upstreams have left, and [`catchup`]
-//! says when to ask another daemon for what the store has not told. [`waits`] holds
-//! how long each step on a change's way may take.
+//! says when to ask another daemon for what the store has not told. [`readers`] says
+//! which entries read the store for the others, [`readings`] how far each table is known.
+//! [`waits`] holds how long each step on a change's way may take.
 
 pub mod catalogue;
 pub mod catchup;
 mod departures;
 pub mod lookup;
 pub mod model;
+pub mod readers;
+pub mod readings;
 pub mod waits;
--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -164,6 +164,7 @@
 
 /// An upstream as it has registered itself.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Instance {
     /// Its id; a restart brings mostly a new one.
     pub id: String,
@@ -188,6 +189,19 @@
     pub version: u64,
 }
 
+impl Instance {
+    /// Whether another entry has to hear of this one after `before`. What an engine holds
+    /// it learns from the daemon beside that engine.
+    pub fn is_news(&self, before: &Instance) -> bool {
+        let place = |row: &Instance| (row.service.clone(), row.address, row.zone.clone());
+        self.leaving
+            || before.leaving
+            || self.born != before.born
+            || self.slots != before.slots
+            || place(self) != place(before)
+    }
+}
+
 /// An adapter of a base model.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -21,27 +21,49 @@
 /// to sixty times as slowly when it is slow.
 pub const ANSWER: Span = Span::from_millis(700);
 
-/// How long an entry's feeds of the operator's rows and of upstreams wait. A feed that
+/// How long a reader's feed of the operator's rows waits. A feed that
 /// begins while the store drops its history may stay deaf: it is answered at its end
 /// only, with all that it missed. The first feed doubles as the sign that the store is
 /// there.
 pub const ENTRY_FEED: Span = Span::from_millis(2_000);
 
-/// How long an entry's feed of entries waits. While it is deaf, an entry that others do
-/// not know yet admits its small part of the limits only.
-pub const MEMBERS_FEED: Span = Span::from_secs(5);
+/// How long a reader's feed of upstreams waits, so that others hear in time that nothing
+/// has changed.
+pub const UPSTREAMS_FEED: Span = Span::from_millis(400);
+
+/// How long an entry's feed of entries waits.
+pub const MEMBERS_FEED: Span = Span::from_secs(2);
+
+/// How long the feed of the operator's rows waits at an entry that hears of them from
+/// others too.
+pub const LISTENER_FEED: Span = Span::from_secs(10);
+
+/// How long another entry's reading of the operator's rows counts. A feed whose
+/// connection died is given up then.
+pub const OPERATOR_LISTEN: Span = Span::from_millis(2_500);
+
+/// How long another entry's reading of the upstreams counts.
+pub const UPSTREAMS_LISTEN: Span = Span::from_millis(1_700);
+
+/// How long another entry's reading of the entries counts. Until then an entry that
+/// others do not know yet admits its small part of the limits only.
+pub const ENTRIES_LISTEN: Span = Span::from_secs(5);
 
 /// How long a feed of a daemon beside an engine waits. It learns of new versions from
 /// the entries too.
 pub const SIDECAR_FEED: Span = Span::from_secs(20);
 
+/// Pause between two calls of that feed. There are as many such daemons as engines, so
+/// that changes in quick succession should be one call of each.
+pub const SIDECAR_PAUSE: Span = Span::from_secs(5);
+
 /// Pause between two calls of the operator's feed. Changes that come in quick
 /// succession arrive together.
 pub const OPERATOR_PAUSE: Span = Span::from_millis(150);
 
 /// Pause between two calls of the other feeds. Each upstream writes when its load of
-/// adapters changes, and each entry would be answered each time, with as many calls to
-/// the store. An engine that leaves is known sooner, from the daemon beside it.
+/// adapters changes, and each reader would be answered each time. An engine that leaves
+/// is known sooner, from the daemon beside it.
 pub const OTHER_PAUSE: Span = Span::from_millis(600);
 
 /// First pause after a failed call.
--- a/kingcupbay_core/src/wire/rows.rs
+++ b/kingcupbay_core/src/wire/rows.rs
@@ -30,6 +30,16 @@
     Removed(RowKey, u64),
 }
 
+impl Change {
+    /// Version of the store that shows it.
+    pub fn version(&self) -> u64 {
+        match self {
+            Change::Put(row) => row.version,
+            Change::Removed(_, version) => *version,
+        }
+    }
+}
+
 /// Rows or changes in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
--- a/kingcupbay_core/src/wire/tally.rs
+++ b/kingcupbay_core/src/wire/tally.rs
@@ -6,6 +6,8 @@
 
 use crate::id::Number;
 
+use super::reading::{Reading, Table};
+
 /// Takes a [`Tally`] of another entry. The answer is 204, or 202 if a whole one is
 /// needed.
 pub const TALLY_PATH: &str = "/tally";
@@ -28,6 +30,8 @@
     pub uses: BTreeMap<String, Use>,
     /// Upstreams that have left, with the version of the store that shows it.
     pub left: BTreeMap<String, u64>,
+    /// How far the entry has read the store's tables; only those that it reads itself.
+    pub readings: BTreeMap<Table, Reading>,
 }
 
 /// One organisation's use of one entry.
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -90,7 +90,7 @@
             deaf: RefCell::default(),
             catch_up: RefCell::default(),
             dones: place::Dones::default(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(node.store.calls()),
             node,
         }
     }
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -6,7 +6,10 @@
     config::model::Role,
     deployment::{catalogue::Member, waits},
     time::{Instant, Span},
-    wire::rows::{Change, Page, Row, RowKey},
+    wire::{
+        reading::{Changed, Table, What},
+        rows::{Change, Page, Row, RowKey},
+    },
 };
 use kingcupbay_platform::{
     operator, registration,
@@ -19,41 +22,31 @@
     registered::{Node, copies, members::ENTRIES, store::StoreError},
 };
 
-/// A table that is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Table {
-    /// The configuration and announced versions.
-    Operator,
-    /// Registered upstreams.
-    Upstreams,
-    /// Registered entries.
-    Entries,
-}
-
-impl Table {
-    fn name(self) -> &'static str {
-        match self {
-            Table::Operator => OPERATOR,
-            Table::Upstreams => UPSTREAMS,
-            Table::Entries => ENTRIES,
-        }
+fn name(table: Table) -> &'static str {
+    match table {
+        Table::Operator => OPERATOR,
+        Table::Upstreams => UPSTREAMS,
+        Table::Entries => ENTRIES,
     }
+}
 
-    /// How long a call waits for a first change.
-    fn wait(self, role: Role) -> Span {
-        match (self, role) {
-            (_, Role::Upstream) => waits::SIDECAR_FEED,
-            (Table::Operator | Table::Upstreams, Role::Entry) => waits::ENTRY_FEED,
-            (Table::Entries, Role::Entry) => waits::MEMBERS_FEED,
-        }
+/// How long a call waits for a first change; `listens` where others tell of some too.
+fn wait(table: Table, role: Role, listens: bool) -> Span {
+    match (table, role) {
+        (_, Role::Upstream) => waits::SIDECAR_FEED,
+        (Table::Operator, Role::Entry) if listens => waits::LISTENER_FEED,
+        (Table::Operator, Role::Entry) => waits::ENTRY_FEED,
+        (Table::Upstreams, Role::Entry) => waits::UPSTREAMS_FEED,
+        (Table::Entries, Role::Entry) => waits::MEMBERS_FEED,
     }
+}
 
-    /// Pause between two calls.
-    fn pause(self) -> Span {
-        match self {
-            Table::Operator => waits::OPERATOR_PAUSE,
-            Table::Upstreams | Table::Entries => waits::OTHER_PAUSE,
-        }
+/// Pause after a call that brought changes.
+fn pause(table: Table, role: Role) -> Span {
+    match (table, role) {
+        (_, Role::Upstream) => waits::SIDECAR_PAUSE,
+        (Table::Operator, Role::Entry) => waits::OPERATOR_PAUSE,
+        (Table::Upstreams | Table::Entries, Role::Entry) => waits::OTHER_PAUSE,
     }
 }
 
@@ -70,13 +63,13 @@
                 take_all(&node, table, rows, version, failed.is_some());
                 pause = waits::RETRY_MIN;
                 failed = None;
-                on_feed(&node, table, version).await
+                on_feed(&node, table).await
             }
             Err(error) => error,
         };
         if !matches!(error, StoreError::Forgotten) {
             let since = *failed.get_or_insert_with(clock::now);
-            warn!(node.log, ""; "event" => "feed_lost", "table" => table.name(),
+            warn!(node.log, ""; "event" => "feed_lost", "table" => name(table),
                 "error" => %error, "for_ms" => clock::now().since(since).as_millis());
             if table == Table::Operator {
                 node.store_lost();
@@ -84,10 +77,20 @@
             }
             tokio::time::sleep(pause.into()).await;
             pause = Span::from_micros(pause.as_micros() * 2).min(waits::RETRY_MAX);
+            if table != Table::Operator {
+                await_store(&node).await;
+            }
         }
     }
 }
 
+/// Leaves it to the first feed to find out when the store answers again.
+async fn await_store(node: &Node) {
+    while node.store.away().is_some() {
+        tokio::time::sleep(waits::RETRY_MIN.into()).await;
+    }
+}
+
 /// Every row of a table, with the version of the store from which its feed goes
 /// on: that of the first page. Rows of it may have changed while the others were
 /// read, and the feed tells of those again.
@@ -96,7 +99,7 @@
     let mut oldest = None;
     loop {
         let from = rows.last().map_or(String::new(), |row| row.key.key.clone());
-        let page = node.store.read(table.name(), &from).await?;
+        let page = node.store.read(name(table), &from).await?;
         let version = *oldest.get_or_insert(page.version);
         let before = rows.len();
         // A page begins with the last row of the one before.
@@ -111,34 +114,50 @@
 }
 
 /// Takes changes until a call fails.
-async fn on_feed(node: &Rc<Node>, table: Table, mut after: u64) -> StoreError {
+async fn on_feed(node: &Rc<Node>, table: Table) -> StoreError {
+    let role = node.settings.daemon.role;
+    let mut before = false;
     loop {
+        let listens = node.rest(table).is_some();
+        if listens != std::mem::replace(&mut before, listens) {
+            let known = node.readings.borrow().known(table);
+            info!(node.log, ""; "event" => if listens { "listens" } else { "reads" },
+                "table" => name(table), "version" => known);
+        }
+        if table != Table::Operator && listens {
+            node.due(table).await;
+            continue;
+        }
         let lost = node.lost.notified();
-        let wait = table.wait(node.settings.daemon.role);
+        let wait = wait(table, role, listens);
+        let after = node.readings.borrow().known(table);
         let began = clock::now();
-        let feed = node.store.feed(table.name(), after, wait);
+        let feed = node.store.feed(name(table), after, wait);
         let page = tokio::select! {
             page = feed => page,
             // The store failed another call: this one may hang as well.
             () = lost, if table != Table::Operator => {
                 return StoreError::Link(crate::http::link::LinkError::Silent);
             }
+            // Others know more, or tell no more: the connection may be dead.
+            () = node.due(table), if listens => {
+                node.pool.forget(node.registry.store);
+                continue;
+            }
         };
         match page {
-            Ok(Page { rows, version, .. }) => {
-                after = after.max(version);
-                let changed = !rows.is_empty();
+            Ok(page) => {
+                let changed = !page.rows.is_empty();
                 let took = clock::now().since(began);
                 if changed && took >= wait {
                     // Changes end the wait early, unless the feed heard nothing of them.
-                    warn!(node.log, ""; "event" => "feed_deaf", "table" => table.name(),
-                        "ms" => took.as_millis(), "rows" => rows.len(), "version" => version);
-                }
-                for change in rows {
-                    take(node, table, change);
+                    warn!(node.log, ""; "event" => "feed_deaf", "table" => name(table),
+                        "ms" => took.as_millis(), "rows" => page.rows.len(),
+                        "version" => page.version);
                 }
+                take_page(node, table, page);
                 if changed {
-                    tokio::time::sleep(table.pause().into()).await;
+                    tokio::time::sleep(pause(table, role).into()).await;
                 }
             }
             Err(error) => return error,
@@ -146,6 +165,28 @@
     }
 }
 
+/// Takes an answer of a feed.
+fn take_page(node: &Rc<Node>, table: Table, page: Page) {
+    let known = node.readings.borrow().known(table);
+    let last = page.rows.last().map(Change::version);
+    // What does not fit is told by the next call.
+    let version = if page.more { last.unwrap_or(known) } else { page.version };
+    let now = clock::now();
+    let mut news = Vec::new();
+    for change in page.rows {
+        // Another entry may have told of it since the call began.
+        if change.version() > known {
+            news.extend(take(node, table, change));
+        }
+    }
+    node.readings.borrow_mut().on_page(now, table, version, news);
+    if table == Table::Operator
+        && let Some(last) = last
+    {
+        node.readings.borrow_mut().on_untold(table, last);
+    }
+}
+
 /// While the store is away, others may know more.
 async fn ask_others(node: &Rc<Node>) {
     if node.deployment().is_some() {
@@ -161,6 +202,8 @@
 
 /// Takes a whole table as read.
 fn take_all(node: &Rc<Node>, table: Table, rows: Vec<Row>, version: u64, after_outage: bool) {
+    let now = clock::now();
+    let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
     match table {
         Table::Operator => {
             for row in rows {
@@ -173,56 +216,85 @@
                 read.inspect_err(|error| unreadable(node, &row.key, error)).ok()
             });
             let instances: Vec<_> = instances.collect();
-            let (count, now) = (instances.len(), clock::now());
+            let count = instances.len();
             let mut catalogue = node.catalogue.borrow_mut();
             let kept = catalogue.on_instances(now, instances, version, after_outage);
             info!(node.log, ""; "event" => "upstreams_read", "count" => count,
                 "version" => version, "after_outage" => after_outage,
                 "kept_missing" => kept.join(","));
         }
-        Table::Entries => {
-            let members = rows.iter().filter_map(|row| member(node, row)).collect();
-            node.catalogue.borrow_mut().on_members(members);
-        }
+        Table::Entries => take_entries(node, &rows, version),
     }
+    let mut readings = node.readings.borrow_mut();
+    match table {
+        // Removed rows of the operator change nothing here.
+        Table::Operator => readings.on_list(now, table, version, newest),
+        Table::Upstreams | Table::Entries => readings.on_list(now, table, version, version),
+    }
+    drop(readings);
     node.changed.notify_waiters();
 }
 
-/// Takes one change.
-fn take(node: &Rc<Node>, table: Table, change: Change) {
+/// Takes the list of entries, unless others have told of newer changes already.
+fn take_entries(node: &Node, rows: &[Row], version: u64) {
+    let known = node.readings.borrow().known(Table::Entries);
+    if version < known {
+        info!(node.log, ""; "event" => "entries_outdated", "version" => version,
+            "known" => known);
+        return;
+    }
+    let members = rows.iter().filter_map(|row| member(node, row)).collect();
+    node.catalogue.borrow_mut().on_members(members);
+}
+
+/// Takes one change. What other entries have to hear of it.
+fn take(node: &Rc<Node>, table: Table, change: Change) -> Option<Changed> {
     let now = clock::now();
-    match (table, change) {
-        (Table::Operator, change) => take_operator(node, change),
+    let version = change.version();
+    let what = match (table, change) {
+        (Table::Operator, change) => {
+            take_operator(node, change);
+            None
+        }
         (Table::Upstreams, Change::Put(row)) => match registration::instance(&row) {
             Ok(instance) => {
                 info!(node.log, ""; "event" => "upstream", "id" => &instance.id,
                     "address" => %instance.address, "leaving" => instance.leaving,
                     "born" => instance.born, "count" => instance.count,
                     "version" => row.version);
+                let news = node.catalogue.borrow().is_news(&instance);
+                let told = news.then(|| What::Upstream(instance.clone()));
                 node.catalogue.borrow_mut().on_instance(now, instance);
+                told
             }
             Err(error) => {
                 unreadable(node, &row.key, &error);
-                let mut catalogue = node.catalogue.borrow_mut();
-                catalogue.on_instance_gone(now, &row.key.key, row.version);
+                let id = row.key.key;
+                node.catalogue.borrow_mut().on_instance_gone(now, &id, version);
+                Some(What::UpstreamGone(id))
             }
         },
         (Table::Upstreams, Change::Removed(key, version)) => {
             info!(node.log, ""; "event" => "upstream_gone", "id" => &key.key,
                 "why" => "removed", "version" => version);
             node.catalogue.borrow_mut().on_instance_gone(now, &key.key, version);
+            Some(What::UpstreamGone(key.key))
         }
         (Table::Entries, Change::Put(row)) => {
-            if let Some(member) = member(node, &row) {
-                node.catalogue.borrow_mut().on_member(member);
+            let member = member(node, &row);
+            if let Some(member) = &member {
+                node.catalogue.borrow_mut().on_member(member.clone());
             }
+            member.map(What::Entry)
         }
         (Table::Entries, Change::Removed(key, _)) => {
             info!(node.log, ""; "event" => "entry_gone", "host" => &key.key);
             node.catalogue.borrow_mut().on_member_gone(&key.key);
+            Some(What::EntryGone(key.key))
         }
-    }
+    };
     node.changed.notify_waiters();
+    what.map(|what| Changed { version, what })
 }
 
 fn take_operator(node: &Rc<Node>, change: Change) {
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -3,12 +3,13 @@
 //! The operator writes the whole configuration to the store and upstreams
 //! register themselves there. [`store`] calls it, [`follow`] keeps the
 //! [`Catalogue`] up to date from its feeds, or from other daemons while it is
-//! away ([`copies`]); [`members`] lists the entries there and [`tallies`] tells
+//! away ([`copies`]); [`listen`] says when an entry leaves reading to others; [`members`] lists the entries there and [`tallies`] tells
 //! them what organisations have used; [`message`] reads what daemons tell each other. [`start`] sets up either role:
 //! `gateway` in front of callers, `sidecar` beside an engine.
 
 pub(crate) mod copies;
 pub(crate) mod follow;
+pub(crate) mod listen;
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod start;
@@ -22,7 +23,7 @@
 };
 
 use kingcupbay_core::{
-    deployment::{catalogue::Catalogue, model::Deployment},
+    deployment::{catalogue::Catalogue, model::Deployment, readings::Readings},
     id::Number,
     time::Instant,
 };
@@ -53,12 +54,16 @@
     /// The store has taken this entry's registration.
     pub(crate) registered: Cell<bool>,
     pub(crate) catalogue: RefCell<Catalogue>,
+    /// How far each table is known.
+    pub(crate) readings: RefCell<Readings>,
     /// The operator's rows as read, for daemons that cannot read them.
     pub(crate) rows: RefCell<Rows>,
     /// Told whenever the catalogue has changed.
     pub(crate) changed: Notify,
     /// Told whenever the store has failed a call of the first feed.
     pub(crate) lost: Notify,
+    /// Told whenever another entry's reading shows that something is missing here.
+    pub(crate) behind: Notify,
     pub(crate) drain: Drain,
     pub(crate) log: Logger,
 }
@@ -80,9 +85,11 @@
             fencing: Cell::default(),
             registered: Cell::default(),
             catalogue: RefCell::default(),
+            readings: RefCell::default(),
             rows: RefCell::default(),
             changed: Notify::new(),
             lost: Notify::new(),
+            behind: Notify::new(),
             drain: Drain::new(),
             settings,
             registry,
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -8,6 +8,7 @@
     config::model::Role,
     time::Span,
     wire::{
+        reading::Table,
         sidecar::{COPY_PATH, DONE_PATH, PRESSURE_PATH, Pressure, WANT_PATH},
         tally::{ROWS_PATH, TALLY_PATH},
     },
@@ -18,11 +19,7 @@
     config::{Registry, Settings},
     gateway::{self, Gateway, place},
     http,
-    registered::{
-        Node,
-        follow::{Table, follow},
-        members, message, tallies,
-    },
+    registered::{Node, follow::follow, members, message, tallies},
     server::{
         self,
         drain::{Drain, Phase},
--- a/kingcupbayd/src/registered/store.rs
+++ b/kingcupbayd/src/registered/store.rs
@@ -9,6 +9,7 @@
     wire::rows::{Page, Txn, TxnAnswer},
 };
 use kingcupbay_platform::{Call, DecodeError, store as encode};
+use prometheus::{IntCounterVec, Opts};
 use slog::{Logger, info, warn};
 use thiserror::Error;
 
@@ -44,13 +45,23 @@
     address: SocketAddr,
     /// Since when no call has been answered.
     away: Cell<Option<Instant>>,
+    /// Calls by kind and table.
+    calls: IntCounterVec,
     log: Logger,
 }
 
 impl Store {
     /// A client of the store at `address`.
     pub(crate) fn new(pool: Pool, address: SocketAddr, log: Logger) -> Store {
-        Store { pool, address, away: Cell::new(None), log }
+        let options = Opts::new("kingcupbay_store_calls_total", "Calls of the platform's store");
+        let calls = IntCounterVec::new(options, &["call", "table"]);
+        let calls = calls.expect("the name and the labels are valid");
+        Store { pool, address, away: Cell::new(None), calls, log }
+    }
+
+    /// Calls by kind and table, for the metrics of this daemon.
+    pub(crate) fn calls(&self) -> &IntCounterVec {
+        &self.calls
     }
 
     /// Since when the store has not answered.
@@ -60,6 +71,7 @@
 
     /// Rows of `table` from the key `from` on.
     pub(crate) async fn read(&self, table: &str, from: &str) -> Result<Page, StoreError> {
+        self.calls.with_label_values(&["read", table]).inc();
         let answer = self.call(&encode::read(table, from), ANSWER).await?;
         Ok(encode::page(&answer.body)?)
     }
@@ -72,12 +84,15 @@
         after: u64,
         wait: Span,
     ) -> Result<Page, StoreError> {
+        self.calls.with_label_values(&["feed", table]).inc();
         let answer = self.call(&encode::feed(table, after, wait), wait + ANSWER).await?;
         Ok(encode::page(&answer.body)?)
     }
 
     /// Runs a transaction.
     pub(crate) async fn transact(&self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
+        let table = txn.writes.first().map_or("", |(row, _)| &row.table);
+        self.calls.with_label_values(&["transact", table]).inc();
         let answer = self.call(&encode::transact(txn), ANSWER).await?;
         Ok(encode::transacted(answer.status == 412, &answer.body)?)
     }
--- a/kingcupbayd/src/registered/tallies.rs
+++ b/kingcupbayd/src/registered/tallies.rs
@@ -42,6 +42,7 @@
         }
         let mut tally = gateway.allowance.borrow_mut().tally(now, number);
         tally.left = gateway.node.catalogue.borrow_mut().departures(now, tally.whole);
+        tally.readings = gateway.node.own_readings(now);
         let body = rmp_serde::to_vec(&tally).expect("a tally has only plain fields");
         let body = Bytes::from(body);
         for peer in peers {
@@ -56,7 +57,7 @@
 
 /// Takes another entry's tally.
 pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
-    let tally = match message::read::<Tally>(&gateway.node.log, &mut request).await {
+    let mut tally = match message::read::<Tally>(&gateway.node.log, &mut request).await {
         Ok(tally) => tally,
         Err(answer) => return answer,
     };
@@ -72,6 +73,7 @@
             "number" => number.0, "theirs" => tally.number.0);
         drop(actix_rt::spawn(catch_up(gateway.clone(), address)));
     }
+    gateway.node.on_readings(now, &mut tally);
     take_departures(&gateway.node, now, &tally);
     let known = gateway.allowance.borrow_mut().on_tally(now, tally);
     let status = if known { StatusCode::NO_CONTENT } else { StatusCode::ACCEPTED };
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -19,9 +19,11 @@
 }
 
 impl Metrics {
-    /// Metrics at zero.
-    pub(crate) fn new() -> Metrics {
+    /// Metrics at zero, and those that count `calls` of the store.
+    pub(crate) fn new(calls: &IntCounterVec) -> Metrics {
         let registry = Registry::new();
+        let calls = Box::new(calls.clone());
+        registry.register(calls).expect("no other metric has its name");
         Metrics {
             verdicts: counters(
                 &registry,
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -67,7 +67,7 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(node.store.calls()),
             node,
         }
     }
