--- a/kingcupbay_core/src/admission/loads.rs
+++ b/kingcupbay_core/src/admission/loads.rs
@@ -13,9 +13,7 @@
 
 /// Adapters on their way at once before any load was seen. After a restart of
 /// everything all engines begin together, and the store has room for fewer than
-/// there are engines. With two each, three days with such a restart served 0.829,
-/// 0.719 and 0.780 of what was asked for, with one 0.843, 0.739 and 0.784, one
-/// run each.
+/// there are engines.
 const FIRST_MOST: u32 = 1;
 
 /// Time of a load from the weight store at full speed, in milliseconds.
@@ -38,8 +36,7 @@
 /// Part of the pause that stays after a quick load.
 const LESS: f64 = 0.7;
 
-/// Longest pause between two loads, in milliseconds. With it 64 engines have
-/// eight loads on their way.
+/// Longest pause between two loads, in milliseconds.
 const PAUSE_MAX: f64 = 1_750.0;
 
 /// A pause shorter than this, in milliseconds, is none.
@@ -53,7 +50,7 @@
 
 /// How fast adapters come, and how many this engine has on their way at once.
 ///
-/// The weight store serves eight loads over all engines at full speed and slows
+/// The weight store serves a few loads over all engines at full speed and slows
 /// down in proportion beyond, so more at once bring no more a second; they only
 /// make each take longer. Engines do not know of each other's loads, but each
 /// sees how long its own take: when they are slow it has one on its way, and
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -44,7 +44,7 @@
 };
 
 /// When to come back to an engine without its base model: it is loaded from the
-/// engine's own disk in 1.2 s, and then an adapter from the store.
+/// engine's own disk, and then an adapter from the store.
 const BASE: Span = Span::from_millis(1_800);
 
 /// Shortest time to come back: one report later.
--- a/kingcupbay_core/src/admission/pauses.rs
+++ b/kingcupbay_core/src/admission/pauses.rs
@@ -10,10 +10,7 @@
 //!
 //! How large the pieces are is not known, so what is worked out for large ones
 //! is only where it begins ([`Learned`]): streams tell how long they really stood
-//! still. An engine with pieces of 1,024 tokens, read in 35 ms, stands still for
-//! 244 ms at six tokens to an event; it may read without a break. On a day with
-//! such engines 1,460 of 5,258 streams waited over 100 ms for their place although
-//! the adapter was loaded.
+//! still. An engine with small pieces may read without a break.
 //!
 //! Load that this answers: 8 requests a second with 1,175 tokens of prompt on
 //! average at one engine, half of what it could read. Played by
@@ -31,8 +28,7 @@
 
 /// Part of the time beside the tokens of an event, in percent, that may go to
 /// prompts. Long ones take a few milliseconds more for each thousand tokens
-/// before, and events are a few on their way; at 105 a pause is passed by one
-/// stream in eight of the load above, at 95 by none.
+/// before, and events are a few on their way.
 const PART: u64 = 95;
 
 /// Prompts at the engine that are not read yet, as time to read them, where
@@ -50,9 +46,8 @@
 const STREAMS: u32 = 24;
 
 /// Longest pause of all of them, as part of the one that is to be kept, up to
-/// which more prompts go. Pieces make pauses in steps: at 0.9 engines with three
-/// large ones to a pause got a fourth, and one stream in forty stood still; at
-/// 0.77 one in a hundred at most.
+/// which more prompts go. Pieces make pauses in steps, and there has to be room for
+/// one more.
 const CALM: f64 = 0.77;
 
 /// How many of them may stand still before fewer prompts go: a lost packet is no
@@ -60,23 +55,21 @@
 const STILL: u32 = 1;
 
 /// Most that prompts grow by at a time, as a multiple: one look is enough to reach an
-/// engine's full pace from what is worked out. With 1.12 as many streams stood still.
+/// engine's full pace from what is worked out.
 const MORE: f64 = 1.25;
 
-/// What still goes when streams stood still, as a multiple; chosen, not measured.
+/// What still goes when streams stood still, as a multiple.
 const LESS: f64 = 0.85;
 
-/// Part of what made streams stand still beyond which prompts do not grow again;
-/// chosen, not measured.
+/// Part of what made streams stand still beyond which prompts do not grow again.
 const AGAIN: f64 = 0.9;
 
-/// What that bound grows by with each look at streams that did not stand still. With
-/// 1.01 engines a third slower than others tried too much again and again.
+/// What that bound grows by with each look at streams that did not stand still. It is
+/// slow, or an engine slower than others tries too much again and again.
 const AGAIN_MORE: f64 = 1.002;
 
-/// Bounds of what is learned, as a multiple of what was worked out. At some 1.2
-/// an engine reads without a break. Below 1 as many callers were refused as
-/// streams were spared.
+/// Bounds of what is learned, as a multiple of what was worked out. Below 1 callers
+/// are refused to spare streams that are on time.
 const BOUNDS: (f64, f64) = (1.0, 1.5);
 
 /// How much of what was worked out goes, learned from the pauses of streams.
--- a/kingcupbay_core/src/admission/told.rs
+++ b/kingcupbay_core/src/admission/told.rs
@@ -1,10 +1,8 @@
 //! What one entry was last told of an engine, and what is worth telling next.
 //!
-//! Every daemon beside an engine tells every entry. With 41 engines, 22 entries
-//! and four messages a second, each with all adapters held, an entry took in 164
-//! messages and some 200 KB a second, a sixth of the smallest hosts' links. Most
-//! said nothing new: adapters are held for seconds, and a load that moves by a
-//! few places changes no choice.
+//! Every daemon beside an engine tells every entry, and the smallest hosts' links are
+//! narrow. Most messages would say nothing new: adapters are held for seconds, and a
+//! load that moves by a few places changes no choice.
 
 use crate::{
     time::{Instant, Span},
--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -23,19 +23,16 @@
 const PERIOD_MIN: Span = Span::from_millis(100);
 
 /// Time between two tallies for each entry that there is: every entry tells
-/// every other, so each takes in 200 a second however many there are. With 10 ms
-/// two halves of 22 entries that are cut when a flood begins pass the limit
-/// before they notice.
+/// every other, so each takes in as many a second however many there are. Halves
+/// of a fleet that are cut when a flood begins spend unseen for a few periods.
 const PERIOD_EACH: Span = Span::from_millis(5);
 
 /// Longest time between two tallies: beyond it, parts follow demand too late.
 const PERIOD_MAX: Span = Span::from_secs(1);
 
 /// One tally in so many names every organisation; the others name those whose use
-/// has changed since the last. Most organisations ask nothing of an entry within a
-/// tenth of a second: with 23 entries and 16 organisations a day of high load moved
-/// 0.154 GB between availability zones where it had moved 0.206. What a lost tally
-/// told is told again within a second.
+/// has changed since the last, as most ask nothing of an entry in between. What a
+/// lost tally told is told again with the next whole one.
 const WHOLE_EACH: u32 = 8;
 
 /// Growth of demand that is told although nothing was spent, as a multiple: parts
--- a/kingcupbay_core/src/backlog.rs
+++ b/kingcupbay_core/src/backlog.rs
@@ -27,8 +27,7 @@
 const TOLD: Span = Span::from_millis(600);
 
 /// Expected time, as part of what is left of the aim, up to which nothing is
-/// refused. Work varies by half, so most of such answers are on time. At 0.4 one
-/// request in thirty is refused of a load that would all be served in time.
+/// refused. Work varies by half, so most of such answers are on time.
 const CALM: f64 = 0.6;
 
 /// Expected time, as part of what is left of the aim, from which on most are
--- a/kingcupbay_core/src/placement.rs
+++ b/kingcupbay_core/src/placement.rs
@@ -20,9 +20,7 @@
 };
 
 /// An engine is too busy for more of its adapters when its pressure is above
-/// the mean by this factor. With 1.3 in its place (and 0.2 in that of
-/// [`EASY`]) more copies were made: 1,318 adapters from the store on a day of
-/// high load, 1,210 with these.
+/// the mean by this factor. A smaller one makes more copies.
 const OVER_MEAN: f64 = 1.6;
 
 /// Pressure, as part of the places taken, that is never too busy: sharing out
@@ -30,15 +28,14 @@
 const EASY: f64 = 0.4;
 
 /// Time to read waiting prompts, in milliseconds, that counts as much as all
-/// places taken. Chosen at about twice the aim for a first event, not measured.
+/// places taken.
 const DELAY_SCALE: f64 = 1_500.0;
 
 /// Pressure up to which an engine that holds an adapter takes a request although
 /// it is busy, as another one would have to load the adapter first. At 1 all its
 /// places are taken or prompts wait for [`DELAY_SCALE`], and a load is sooner.
-/// Requests that went to the next engine at once waited for the copy there; with it
-/// asked for beside them 121,700 of 155,000 were on time where 120,833 had been, over
-/// fifteen plays of days with faults.
+/// The copy is asked for beside it, as requests that go to the next engine at once
+/// wait for the copy there.
 const HOLDER: f64 = 1.0;
 
 /// Pause between two copies of one adapter that this entry asks for: a load at full
@@ -118,8 +115,7 @@
         let holders = order.iter().copied().filter(|&engine| self.held(engine, name).is_some());
         // The first holder in the order would take all until it is busy, and
         // prompts for it, or for the base model that all hold, wait for each
-        // other meanwhile: of 155,000 requests 13,830 were answered late, 12,635
-        // are now, over fifteen plays of days with faults.
+        // other meanwhile.
         let holder = holders.filter(|engine| busy(engine) < bound.max(HOLDER)).min_by(less);
         let calm = order.iter().copied().find(|engine| busy(engine) <= bound);
         holder.or(calm).or_else(|| candidates.iter().copied().min_by(less))
