Pass on no read of the store that lags behind what is known

Cause: found by reading the code. A reader whose answer is older than what another reader told would have passed it on as what the store holds now, and listeners would have left reading to it.

Change: such an answer does not count as an own read. Test: readings.rs::a_read_that_lags_is_not_told. Measured: tests/readings.rs passes.

--- a/kingcupbay_core/src/deployment/readings.rs
+++ b/kingcupbay_core/src/deployment/readings.rs
@@ -149,9 +149,12 @@
 }
 
 impl Progress {
+    /// An answer older than what is known here shows nothing of the store as it is now.
     fn on_own(&mut self, now: Instant, version: u64) {
-        self.known = self.known.max(version);
-        self.own = Some((version, now));
+        if version >= self.known {
+            self.known = version;
+            self.own = Some((version, now));
+        }
     }
 
     fn tell(&mut self, now: Instant, limit: Span) -> Option<Reading> {
--- a/kingcupbay_core/tests/readings.rs
+++ b/kingcupbay_core/tests/readings.rs
@@ -140,6 +140,19 @@
     assert!(reader.tell(at(limit + 1)).is_empty());
 }
 
+/// A read of the store lags behind what another reader told: passed on as new, it kept
+/// listeners from reading.
+#[test]
+fn a_read_that_lags_is_not_told() {
+    let mut reader = reader(10);
+    let newer = Reading { version: 30, age: Span::ZERO, since: 10, changes: Vec::new() };
+    assert!(reader.on_reading(at(100), UPSTREAMS, newer).is_some());
+    reader.on_page(at(200), UPSTREAMS, 20, []);
+    let told = tell(&mut reader, at(300));
+    assert_eq!((told.version, told.age), (10, Span::from_millis(300)));
+    assert_eq!(reader.known(UPSTREAMS), 30);
+}
+
 /// What a reader was told by another one is not in its own tally, which must not claim
 /// that nothing happened before it.
 #[test]
