Use only the upstream that started last at an address

Cause: the row of an engine's earlier start outlasts it by up to three heartbeats. An entry picks an engine by its address and then named the first id registered there, in the order of ids. Where that was the earlier one the engine answered 421, and the request went on to an engine that is not its adapter's home and had to load it, while the weight store was what bound.

Ruled out: a silent daemon beside the engine, and a place given for another version (the places were given; the id alone was wrong). Dropping the older row: one written late could take a living one with it, and the older is of use if the newer goes.

Change: the catalogue marks upstreams at whose address another has started since, and gives them no work.

The test was seen to fail without the guard.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -47,6 +47,9 @@
     /// Upstreams that vanished while the store was away, by when that showed.
     /// Invariant: all are among `instances`.
     missing: BTreeMap<String, Instant>,
+    /// Upstreams at whose address another one has started since. Their rows outlast them
+    /// for some heartbeats. Invariant: all are among `instances`.
+    replaced: BTreeSet<String>,
     /// Upstreams that left.
     departures: Departures,
     /// Daemons by host.
@@ -107,7 +110,8 @@
 
     /// Upstreams of `service` that take new work.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Instance>> {
-        self.instances().filter(move |row| row.service == service && !row.leaving)
+        let takes = |row: &&Rc<Instance>| !row.leaving && !self.replaced.contains(&row.id);
+        self.instances().filter(move |row| row.service == service).filter(takes)
     }
 
     /// Those of them that are listed, or the missing ones where no other is left. After
@@ -137,7 +141,24 @@
             self.departures.on_back(&row.id);
         }
         self.missing.remove(&row.id);
-        self.instances.insert(row.id.clone(), Rc::new(row));
+        let address = row.address;
+        let before = self.instances.insert(row.id.clone(), Rc::new(row));
+        self.find_replaced(address);
+        if let Some(before) = before.filter(|before| before.address != address) {
+            self.find_replaced(before.address);
+        }
+    }
+
+    /// Only the upstream that started last can be at `address`.
+    fn find_replaced(&mut self, address: SocketAddr) {
+        let there = || self.instances.values().filter(|row| row.address == address);
+        let last = there().map(|row| row.born).max().unwrap_or_default();
+        for row in there() {
+            match row.born < last {
+                true => self.replaced.insert(row.id.clone()),
+                false => self.replaced.remove(&row.id),
+            };
+        }
     }
 
     /// Whether other entries have to hear of `row`. One that was missing is news to
@@ -233,7 +254,10 @@
 
     fn drop_instance(&mut self, id: &str) {
         self.missing.remove(id);
-        self.instances.remove(id);
+        self.replaced.remove(id);
+        if let Some(row) = self.instances.remove(id) {
+            self.find_replaced(row.address);
+        }
     }
 
     /// Drops upstreams that did not come back after an outage, and says which.
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -113,6 +113,26 @@
     }
 }
 
+/// An engine crashed and came back at its address under a new id. The row of before
+/// outlasted it for some heartbeats, and callers were sent to the id that was no more.
+#[test]
+fn an_upstream_that_was_replaced_at_its_address_gets_nothing() {
+    let mut catalogue = Catalogue::default();
+    let now = Instant::default();
+    let serving = |catalogue: &Catalogue| {
+        catalogue.serving("desk").map(|row| row.id.clone()).collect::<Vec<_>>()
+    };
+    catalogue.on_instance(now, instance("a"));
+    let elsewhere = Instance { address: "10.0.0.2:80".parse().unwrap(), ..instance("c") };
+    catalogue.on_instance(now, elsewhere);
+    catalogue.on_instance(now, Instance { born: 9, version: 9, ..instance("b") });
+    assert_eq!(serving(&catalogue), ["b", "c"]);
+    catalogue.on_instance(now, Instance { count: 2, version: 10, ..instance("a") });
+    assert_eq!(serving(&catalogue), ["b", "c"]);
+    catalogue.on_instance_gone(now, "b", 11);
+    assert_eq!(serving(&catalogue), ["a", "c"]);
+}
+
 /// The store is away so long that registrations lapse. Those that live write
 /// themselves anew within two seconds of its return; dropping all at once would
 /// leave callers without any upstream for that time.
