Test that a limit follows callers that move to another zone

Cause: nothing showed what becomes of a limit in the seconds after callers move.

Measured: 5, 23 and 68 entries in five zones, all callers of an organisation move at second 8. At 0.9 of its rate none is refused; at four times its rate it keeps to the bound and gets 1.34, 1.28 and 1.26 of its rate in the two seconds after.

Conclusion: no change needed.

--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -148,6 +148,31 @@
     }
 }
 
+/// All callers move to the entries of another availability zone. Inside the rate none is
+/// refused there, and an organisation beyond it keeps its limit and gets most of it.
+#[test]
+fn a_limit_follows_callers_that_move() {
+    for count in [5, 23, 68] {
+        let at_zone = move |zone: usize, times: f64| {
+            let there = (0..count).filter(|at| at % 5 == zone).count() as f64;
+            move |at: usize| if at % 5 == zone { times * RATE as f64 / there } else { 0.0 }
+        };
+        let mut calm = Fleet::new(count);
+        calm.play(0, 8_000, 500, at_zone(0, 0.9));
+        calm.play(8_000, 16_000, 500, at_zone(1, 0.9));
+        let refused = calm.part_refused();
+        assert!(refused < 0.002, "{count} entries: {refused}");
+        let mut flood = Fleet::new(count);
+        flood.play(0, 8_000, 1_500, at_zone(0, 4.0));
+        flood.play(8_000, 16_000, 1_500, at_zone(1, 4.0));
+        let worst = flood.worst_window();
+        assert!(worst <= BOUND, "{count} entries: {worst}");
+        let after = (8_000 / STEP) as usize;
+        let two: u64 = flood.through[after..after + (2_000 / STEP) as usize].iter().sum();
+        assert!(two >= 2 * RATE * 9 / 10, "{count} entries: {two}");
+    }
+}
+
 /// The network between two halves of the fleet is cut in the middle of a flood.
 /// Neither half hears what the other spends; both keep to the parts they had.
 #[test]
