Take the store's own version where a test plays a reader

It told of version 8 of the store, which is there already only if the entry has registered twice; otherwise the next configuration got that very number, and the entry took it for known. Another assertion asked an entry that had not found itself on the list yet, which admits nothing.

Ruled out: the listener (a reading that claims what has not happened is no reader's).

Change: tests use the version that the store gives them, and wait for the list.

Conclusion: the checks are as strict as before.

--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -9,7 +9,7 @@
 
 use common::{
     client, get,
-    registered::{ANY, Fleet, config},
+    registered::{ANY, Fleet, KEY, config},
     until,
 };
 use kingcupbay_core::{
@@ -37,6 +37,12 @@
     fleet
 }
 
+/// Version of the store as it is now. A reading of a newer one would claim to know what
+/// has not happened yet.
+fn version(fleet: &Fleet) -> u64 {
+    fleet.store.put("op", "round", &json!({}))
+}
+
 fn reading(version: u64, since: u64, changes: Vec<Changed>) -> Reading {
     Reading { version, age: Span::ZERO, since, changes }
 }
@@ -99,6 +105,11 @@
     let upstream = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
     tell_until(&mut fleet, &[Table::Upstreams], 100, "table=servers event=listens").await;
     let before = feeds(&fleet, "servers").await;
+    until("the list", async || {
+        let upstream = fleet.ask("GET", "/seats/today", "a0").await;
+        (upstream.status == 503).then_some(())
+    })
+    .await;
     let joined = Changed { version: 105, what: What::Upstream(desk("desk-1", &upstream, 105)) };
     tell(&fleet, [(Table::Upstreams, reading(110, 100, vec![joined]))].into()).await;
     assert_eq!(status(&fleet, "a1").await, 200);
@@ -114,7 +125,8 @@
 async fn a_listener_reads_once_the_readers_are_silent() {
     let mut fleet = listener().await;
     let upstream = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
-    tell_until(&mut fleet, &[Table::Upstreams], 6, "table=servers event=listens").await;
+    let now = version(&fleet);
+    tell_until(&mut fleet, &[Table::Upstreams], now, "table=servers event=listens").await;
     fleet.register("desk-1", "desk", &upstream);
     until("the desk", async || (status(&fleet, "a1").await == 200).then_some(())).await;
     assert!(fleet.entry.has_line("table=servers event=reads"));
@@ -126,10 +138,12 @@
 async fn a_listener_that_missed_a_change_reads_it() {
     let mut fleet = listener().await;
     let upstream = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
-    tell_until(&mut fleet, &[Table::Upstreams], 6, "table=servers event=listens").await;
+    let now = version(&fleet);
+    tell_until(&mut fleet, &[Table::Upstreams], now, "table=servers event=listens").await;
     fleet.register("desk-1", "desk", &upstream);
+    let missed = version(&fleet);
     until("the desk", async || {
-        tell(&fleet, [(Table::Upstreams, reading(60, 50, Vec::new()))].into()).await;
+        tell(&fleet, [(Table::Upstreams, reading(missed, missed, Vec::new()))].into()).await;
         (status(&fleet, "a1").await == 200).then_some(())
     })
     .await;
@@ -142,18 +156,23 @@
     let mut fleet = listener().await;
     let upstream = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
     fleet.register("desk-1", "desk", &upstream);
-    fleet.ready().await;
-    assert_eq!(status(&fleet, "a1").await, 200);
+    // An entry admits nothing until it finds itself on the list.
+    until("an answer", async || (status(&fleet, "a1").await == 200).then_some(())).await;
+    let now = fleet.store.put("op", "config", &config(2, &[KEY]));
+    until("the configuration", async || {
+        fleet.entry.has_line("number=2 event=configuration").then_some(())
+    })
+    .await;
     fleet.store.set_deaf(true);
     let deaf = fleet.store.deaf_feeds("op");
-    tell_until(&mut fleet, &[Table::Operator], 8, "table=op event=listens").await;
+    tell_until(&mut fleet, &[Table::Operator], now, "table=op event=listens").await;
     until("the long feed", async || {
-        tell(&fleet, [(Table::Operator, reading(8, 0, Vec::new()))].into()).await;
+        tell(&fleet, [(Table::Operator, reading(now, 0, Vec::new()))].into()).await;
         let long = fleet.store.longest_wait("op") >= 10_000;
         (long && fleet.store.deaf_feeds("op") > deaf).then_some(())
     })
     .await;
-    let version = fleet.store.put("op", "config", &config(2, &["another-key"]));
+    let version = fleet.store.put("op", "config", &config(3, &["another-key"]));
     fleet.store.set_deaf(false);
     tell(&fleet, [(Table::Operator, reading(version, version, Vec::new()))].into()).await;
     until("the refusal", async || (status(&fleet, "a2").await == 401).then_some(())).await;
