--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -129,7 +129,9 @@
     tell_until(&mut fleet, &[Table::Upstreams], now, "table=servers event=listens").await;
     fleet.register("desk-1", "desk", &upstream);
     until("the desk", async || (status(&fleet, "a1").await == 200).then_some(())).await;
-    assert!(fleet.entry.has_line("table=servers event=reads"));
+    // Lines come by way of a thread of their own.
+    until("the line", async || fleet.entry.has_line("table=servers event=reads").then_some(()))
+        .await;
 }
 
 /// The tallies that told of an upstream got lost. Later ones, in which nothing happens,
