--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -47,10 +47,17 @@
     Reading { version, age: Span::ZERO, since, changes }
 }
 
-/// The first reader tells `readings`.
+/// The first reader tells `readings`, the others that they are there.
 async fn tell(fleet: &Fleet, readings: BTreeMap<Table, Reading>) {
+    for host in READERS {
+        let told = if host == READERS[0] { readings.clone() } else { BTreeMap::new() };
+        send(fleet, host, told).await;
+    }
+}
+
+async fn send(fleet: &Fleet, host: &str, readings: BTreeMap<Table, Reading>) {
     let tally = Tally {
-        host: READERS[0].to_owned(),
+        host: host.to_owned(),
         incarnation: 0,
         number: Number(1),
         whole: true,
@@ -128,7 +135,12 @@
     let now = version(&fleet);
     tell_until(&mut fleet, &[Table::Upstreams], now, "table=servers event=listens").await;
     fleet.register("desk-1", "desk", &upstream);
-    until("the desk", async || (status(&fleet, "a1").await == 200).then_some(())).await;
+    until("the desk", async || {
+        // Entries that say nothing at all are taken off the list.
+        tell(&fleet, BTreeMap::new()).await;
+        (status(&fleet, "a1").await == 200).then_some(())
+    })
+    .await;
     // Lines come by way of a thread of their own.
     until("the line", async || fleet.entry.has_line("table=servers event=reads").then_some(()))
         .await;
