Wait for the list before the readings of a listeners' test

Cause: found at the last reading: the test of what a listener does waited for the list of entries between two readings, and a slow host could have let the first grow old.

Change: it waits before.

--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -110,13 +110,10 @@
 async fn a_listener_acts_on_what_readers_tell() {
     let mut fleet = listener().await;
     let upstream = Runner::start(ANY, RunnerSettings::plain("desk-1")).unwrap();
+    // An entry admits nothing until it finds itself on the list.
+    until("the list", async || (status(&fleet, "a0").await == 503).then_some(())).await;
     tell_until(&mut fleet, &[Table::Upstreams], 100, "table=servers event=listens").await;
     let before = feeds(&fleet, "servers").await;
-    until("the list", async || {
-        let upstream = fleet.ask("GET", "/seats/today", "a0").await;
-        (upstream.status == 503).then_some(())
-    })
-    .await;
     let joined = Changed { version: 105, what: What::Upstream(desk("desk-1", &upstream, 105)) };
     tell(&fleet, [(Table::Upstreams, reading(110, 100, vec![joined]))].into()).await;
     assert_eq!(status(&fleet, "a1").await, 200);
