Answer orders on the stand-in's port once they are in force

Cause: a_call_that_was_not_sent_releases_its_key failed with 409 for 502. The stand-in answered the order to refuse connections before its accept loop had dropped the listener; a connection made in between was accepted by the kernel and then reset, and the daemon cannot know that such a call was not sent. Ruled out: waiting in the test, which would only make the gap rarer. Change: an order over HTTP is answered once the port is closed or open as ordered. Conclusion: a fault of the stand-in; the daemon's answer was true.

--- a/kingcupbay_standin/src/server/admin.rs
+++ b/kingcupbay_standin/src/server/admin.rs
@@ -33,7 +33,9 @@
 /// Answers requests to the server itself and passes the others to the stand-in.
 pub(super) async fn answer(shared: &Shared, call: Call) -> Answer {
     match (&call.method, call.path.as_str()) {
-        (&Method::POST, FAULT) => apply_order(shared, &call).unwrap_or_else(|refusal| refusal),
+        (&Method::POST, FAULT) => {
+            apply_order(shared, &call).await.unwrap_or_else(|refusal| refusal)
+        }
         (&Method::GET, FAULT) => call::json(shared.behaviour.faults.borrow().faults()),
         (&Method::GET, HIT) => wait_for_hits(shared, &call).await,
         (&Method::PUT, RECEIVED) => set_recording(shared, &call).unwrap_or_else(|refusal| refusal),
@@ -50,9 +52,12 @@
     call.conn.is_control() || record || hosts
 }
 
-fn apply_order(shared: &Shared, call: &Call) -> Result<Answer, Answer> {
+/// Carries out an order. The answer arrives once the port is open or closed as ordered.
+async fn apply_order(shared: &Shared, call: &Call) -> Result<Answer, Answer> {
     let order: FaultOrder = call.json()?;
-    match shared.apply(order, Some(call.conn.id())) {
+    let rule = shared.apply(order, Some(call.conn.id()));
+    shared.wait_for_port().await;
+    match rule {
         Some(id) => Ok(call::json(&id)),
         None => Ok(call::json(&())),
     }
--- a/kingcupbay_standin/src/server/mod.rs
+++ b/kingcupbay_standin/src/server/mod.rs
@@ -72,16 +72,23 @@
 pub(crate) struct Shared {
     connections: Rc<Connections>,
     behaviour: Behaviour,
-    /// Whether the port refuses connections.
+    /// Whether the port is to refuse connections.
     refuses: watch::Sender<bool>,
+    /// Whether the port refuses connections now. It follows `refuses` as soon as the
+    /// accept loop runs.
+    closed: watch::Sender<bool>,
 }
 
 impl Server {
     /// Binds `address` (with port 0 the kernel chooses the port) and serves it
     /// on the current thread. Fails when the address cannot be bound.
     pub(crate) fn start(address: SocketAddr, behaviour: Behaviour) -> io::Result<Server> {
-        let refuses = watch::Sender::new(false);
-        let shared = Rc::new(Shared { connections: Rc::default(), behaviour, refuses });
+        let shared = Rc::new(Shared {
+            connections: Rc::default(),
+            behaviour,
+            refuses: watch::Sender::new(false),
+            closed: watch::Sender::new(false),
+        });
         let port = reserve_port(address)?;
         let address = port.local_addr()?;
         let listener = listen(address)?;
@@ -167,6 +174,13 @@
         None
     }
 
+    /// Waits until the port is open or closed as last ordered.
+    async fn wait_for_port(&self) {
+        let mut closed = self.closed.subscribe();
+        // Never an error: `self` owns the sender.
+        let _ = closed.wait_for(|closed| *closed == *self.refuses.borrow()).await;
+    }
+
     async fn wait_for_hits(&self, id: RuleId, hits: u32) {
         let faults = &self.behaviour.faults;
         let changes = faults.borrow().changes();
@@ -228,6 +242,7 @@
         } else if listener.is_none() {
             listener = listen(address).ok();
         }
+        shared.closed.send_replace(listener.is_none());
         tokio::select! {
             biased;
             // Never an error: `shared` owns the sender.
