--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -122,6 +122,10 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.seen.extend(self.lines.try_iter());
+            eprintln!("lines of a process of the failed test:\n{}", self.seen.join("\n"));
+        }
     }
 }
 
