Keep requests out of evacuated zones and to the rate of cold upstreams

Cause: no part of the product knew that the operator evacuates an availability zone, nor that an upstream is cold. Ruled out: naming evacuations in the usage reports, which daemons of before could not decode; a wait for the configuration number, which an evacuation does not change. Change: the operator's evacuations are kept with the version of the store, restored zones too, and the greater version wins, so that stale reads and lagging peers change nothing. Entries read them from the store; the readers report them to the other entries and to the sidecars of the zone, in a message of its own. Requests that wait for a permit there are moved, sidecars there grant and order nothing, and a service whose zones are all evacuated is refused at once. A list of the operator's rows counts as known up to its version only, as it does not show removed rows.

--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -15,6 +15,9 @@
 impl Admission {
     /// Returns why `request` cannot be accepted now; `None` if it can.
     pub(super) fn refusal_reason(&self, request: &PermitRequest) -> Option<Refusal> {
+        if self.evacuated {
+            return Some(Refusal::Evacuated);
+        }
         let Some(report) = &self.report else { return Some(Refusal::Unready) };
         if report.leaving {
             return Some(Refusal::Leaving);
@@ -47,7 +50,8 @@
             }
             false => Span::ZERO,
         };
-        prefill.max(self.load_wait(now, &request.name)).max(slot)
+        let cold = self.cold.wait(now, self.queue.len_before(request.priority));
+        prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold)
     }
 
     /// Returns the event gap to keep: the shortest of all running requests.
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -31,6 +31,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    cold::{ColdGate, ColdLimits},
     deployment::model::{AdapterName, Engine},
     time::{Instant, Span},
     wire::sidecar::{EngineLoadReport, PermitRequest, Refusal, Verdict},
@@ -92,6 +93,9 @@
     speed: Speed,
     loads: LoadLimiter,
     orders: orders::OrderPlanner,
+    /// Whether the engine's availability zone is evacuated.
+    evacuated: bool,
+    cold: ColdGate,
 }
 
 impl Admission {
@@ -112,6 +116,8 @@
             speed: Speed::default(),
             loads: LoadLimiter::default(),
             orders: orders::OrderPlanner::default(),
+            evacuated: false,
+            cold: ColdGate::default(),
         }
     }
 
@@ -120,6 +126,21 @@
         self.spec = spec;
     }
 
+    /// Applies what the engine tolerates while it is cold.
+    pub fn on_cold_limits(&mut self, now: Instant, limits: Option<ColdLimits>) {
+        self.cold.on_limits(now, limits);
+    }
+
+    /// Applies whether the engine's availability zone is evacuated. Waiting requests are
+    /// refused by the next call that schedules.
+    pub fn on_evacuation(&mut self, now: Instant, evacuated: bool) {
+        if self.evacuated && !evacuated {
+            // The engine may have turned cold while it got no requests.
+            self.cold.on_cold(now);
+        }
+        self.evacuated = evacuated;
+    }
+
     /// Raises the fencing number to `number`; a lower one is ignored.
     pub fn on_fencing(&mut self, number: u64) {
         self.fencing = Some(self.fencing.unwrap_or_default().max(number));
@@ -198,6 +219,7 @@
             self.running.clear();
             self.orders.on_restart(now);
             self.loads.on_restart();
+            self.cold.on_cold(now);
         }
         self.order_count = report.orders;
         let elapsed = now.since(self.reported_at);
@@ -255,14 +277,16 @@
     }
 
     /// Returns the load report for entries, with the resident adapters.
-    pub fn load_report(&self) -> EngineLoadReport {
+    pub fn load_report(&self, now: Instant) -> EngineLoadReport {
         EngineLoadReport {
             engine: None,
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32,
             slots: self.spec.slots,
-            delay: self.prefill_wait(self.running.unread_tokens() + self.queue.prompt_tokens()),
-            open: self.report.as_ref().is_some_and(|report| !report.leaving),
+            delay: self
+                .prefill_wait(self.running.unread_tokens() + self.queue.prompt_tokens())
+                .max(self.cold.wait(now, self.queue.len())),
+            open: !self.evacuated && self.report.as_ref().is_some_and(|report| !report.leaving),
             resident: Some(
                 self.report.as_ref().map_or_else(Vec::new, |report| report.resident.clone()),
             ),
@@ -270,10 +294,10 @@
     }
 
     /// Formats the state as one line of a dump.
-    pub fn dump(&self) -> String {
+    pub fn dump(&self, now: Instant) -> String {
         format!(
             "running={} waiting={} unread={} pace={:.1} event_ms={} learned={:.2} report={} \
-             fencing={:?}\n",
+             fencing={:?} evacuated={} cold={}\n",
             self.running.len(),
             self.queue.len(),
             self.running.unread_tokens(),
@@ -282,6 +306,8 @@
             self.prefill_scale.factor(),
             self.report.is_some(),
             self.fencing,
+            self.evacuated,
+            self.cold.is_cold(now),
         )
     }
 
@@ -296,7 +322,9 @@
         self.refuse_unservable(&mut actions);
         let order = self.grant_order(now);
         self.grant_permits(now, &order, &mut actions);
-        let Some(report) = &self.report else { return actions };
+        let Some(report) = self.report.as_ref().filter(|_| !self.evacuated) else {
+            return actions;
+        };
         let Some(fencing) = self.fencing else { return actions };
         let used: Vec<&AdapterName> = self.running.adapters().collect();
         let input = orders::PlanInput {
@@ -314,10 +342,11 @@
         actions
     }
 
-    /// Refuses all waiting requests if the engine is gone or leaving, as another
-    /// engine may still serve them in time.
+    /// Refuses all waiting requests if the engine is gone, leaving or evacuated, as
+    /// another engine may still serve them in time.
     fn refuse_unservable(&mut self, actions: &mut Vec<Action>) {
         let why = match &self.report {
+            _ if self.evacuated => Refusal::Evacuated,
             None => Refusal::Unready,
             Some(report) if report.leaving => Refusal::Leaving,
             Some(_) => return,
@@ -354,6 +383,9 @@
             if self.newest_versions.get(&request.name).is_some_and(|&newest| version < newest) {
                 continue;
             }
+            if !self.cold.may_grant(now) {
+                return;
+            }
             // Smaller requests do not overtake a large one, which would starve it.
             let unread = self.running.unread_tokens();
             if reserved + request.size.total() > memory {
@@ -367,6 +399,7 @@
             free_slots -= 1;
             reserved += request.size.total();
             self.recent_grants.on_grant(now, request.size.prompt);
+            self.cold.on_grant(now);
             self.running.on_grant(now, request);
             self.queue.remove(ticket);
             actions.push(Action::Answer(ticket, Verdict::Granted { version }));
--- a/kingcupbay_core/src/admission/queue.rs
+++ b/kingcupbay_core/src/admission/queue.rs
@@ -131,6 +131,11 @@
         before.map(|waiter| waiter.request.size.prompt).sum()
     }
 
+    /// Returns the number of requests of this `priority` or a more urgent one.
+    pub fn len_before(&self, priority: u8) -> usize {
+        self.waiters.values().filter(|waiter| waiter.request.priority <= priority).count()
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiters.len()
--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    cold::ColdLimits,
     config::model::Role,
     time::{Instant, Span},
     wire::read_position::{ChangeKind, TableChange},
@@ -17,6 +18,7 @@
 
 use super::{
     departures::Departures,
+    evacuations::Evacuations,
     model::{AdapterName, Deployment, Instance},
 };
 
@@ -53,6 +55,10 @@
     replaced: BTreeSet<String>,
     /// Upstreams that have left.
     departures: Departures,
+    /// Availability zones whose upstreams get no new requests.
+    evacuations: Evacuations,
+    /// When each upstream is no longer cold. Invariant: all are in `instances`.
+    cold_until: BTreeMap<String, Instant>,
     /// Daemons by host.
     members: BTreeMap<String, Member>,
 }
@@ -111,10 +117,38 @@
     }
 
     /// Returns the upstreams of `service` that get new requests: those that are neither
-    /// leaving nor replaced at their address.
+    /// leaving, nor replaced at their address, nor in an evacuated zone.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Instance>> {
-        let accepts = |row: &&Rc<Instance>| !row.leaving && !self.replaced.contains(&row.id);
-        self.instances().filter(move |row| row.service == service).filter(accepts)
+        let stays = |row: &&Rc<Instance>| !self.evacuations.is_evacuated(&row.zone);
+        self.staying(service).filter(stays)
+    }
+
+    /// Returns the upstreams of `service` that are neither leaving nor replaced at their
+    /// address.
+    fn staying<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Instance>> {
+        let stays = |row: &&Rc<Instance>| !row.leaving && !self.replaced.contains(&row.id);
+        self.instances().filter(move |row| row.service == service).filter(stays)
+    }
+
+    /// Returns whether `service` has upstreams, and all of them are in evacuated zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        self.serving(service).next().is_none() && self.staying(service).next().is_some()
+    }
+
+    /// Returns the evacuated availability zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuated availability zones, to apply a change.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Returns what the upstream `row` tolerates now, if it is cold.
+    pub fn cold_limits(&self, now: Instant, row: &Instance) -> Option<ColdLimits> {
+        let until = self.cold_until.get(&row.id).filter(|&&until| now < until);
+        until.and(self.deployment.as_ref()?.services.get(&row.service)?.cold)
     }
 
     /// Returns the upstreams of `service` that get new requests and are listed in the
@@ -139,13 +173,15 @@
         if row.leaving {
             self.departures.on_store(now, &row.id, row.version);
         }
-        self.insert(row);
+        self.insert(now, row, false);
     }
 
-    fn insert(&mut self, row: Instance) {
+    /// Stores a registration. `reported` says whether another entry has reported it.
+    fn insert(&mut self, now: Instant, row: Instance, reported: bool) {
         if !row.leaving {
             self.departures.on_back(&row.id);
         }
+        self.update_cold(now, &row, reported);
         self.missing.remove(&row.id);
         let address = row.address;
         let before = self.instances.insert(row.id.clone(), Rc::new(row));
@@ -155,6 +191,19 @@
         }
     }
 
+    /// Updates until when an upstream is cold. Its row says so, but a report of another
+    /// entry does not: there, an upstream that has started is assumed to be cold.
+    fn update_cold(&mut self, now: Instant, row: &Instance, reported: bool) {
+        let services = self.deployment.as_ref().map(|deployment| &deployment.services);
+        let limits = services.and_then(|services| services.get(&row.service)?.cold);
+        let Some(limits) = limits else { return };
+        let known = self.instances.get(&row.id);
+        let started = known.map_or(reported, |known| known.born < row.born);
+        let time = if started { limits.time } else { Span::ZERO }.max(row.cold_remaining);
+        let until = self.cold_until.entry(row.id.clone()).or_default();
+        *until = (*until).max(now + time);
+    }
+
     /// Updates which upstreams at `address` count as replaced: all but the one that
     /// started last.
     fn update_replaced(&mut self, address: SocketAddr) {
@@ -179,13 +228,14 @@
     pub fn on_reported_change(&mut self, now: Instant, change: TableChange) {
         let version = change.version;
         match change.kind {
-            ChangeKind::Upstream(row) if row.leaving => {
-                self.departures.on_report(now, &row.id, version);
+            ChangeKind::Upstream(row) => {
+                if row.leaving {
+                    self.departures.on_report(now, &row.id, version);
+                }
                 if !self.is_outdated(&row) {
-                    self.insert(row);
+                    self.insert(now, row, true);
                 }
             }
-            ChangeKind::Upstream(row) => self.on_instance(now, row),
             ChangeKind::UpstreamGone(id) => {
                 if self.instances.get(&id).is_some_and(|known| known.version <= version) {
                     self.departures.on_report(now, &id, version);
@@ -268,6 +318,7 @@
     fn drop_instance(&mut self, id: &str) {
         self.missing.remove(id);
         self.replaced.remove(id);
+        self.cold_until.remove(id);
         if let Some(row) = self.instances.remove(id) {
             self.update_replaced(row.address);
         }
--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{config::model::KeyHash, id::Number, time::Span};
+use crate::{cold::ColdLimits, config::model::KeyHash, id::Number, time::Span};
 
 /// A complete configuration. A new one replaces it as a whole.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -92,6 +92,8 @@
     pub connections: Option<u32>,
     /// Capacity of its model engines. `None` for plain services.
     pub engine: Option<Engine>,
+    /// What an upstream tolerates while it is cold. `None` if it tolerates any rate.
+    pub cold: Option<ColdLimits>,
 }
 
 /// Capacity of one model engine.
@@ -187,6 +189,9 @@
     pub models: Vec<String>,
     /// Version of the store at the time of the write.
     pub version: u64,
+    /// How much longer it is cold. Reports of other entries do not say it.
+    #[serde(skip)]
+    pub cold_remaining: Span,
 }
 
 impl Instance {
--- a/kingcupbay_core/src/deployment/read_positions.rs
+++ b/kingcupbay_core/src/deployment/read_positions.rs
@@ -73,13 +73,12 @@
         self.tables.get(&table).map_or(0, |progress| progress.known)
     }
 
-    /// Records that the store answered with the complete table as of `version`. The
-    /// table last changed at `changed`; pass `version` if the answer does not show
-    /// deletions.
-    pub fn on_list(&mut self, now: Instant, table: Table, version: u64, changed: u64) {
+    /// Records that the store answered with the complete table as of `version`, which
+    /// does not show the deletions before.
+    pub fn on_list(&mut self, now: Instant, table: Table, version: u64) {
         let progress = self.tables.entry(table).or_default();
         progress.on_own(now, version);
-        progress.since = progress.since.max(changed);
+        progress.since = progress.since.max(version);
         progress.changes.clear();
     }
 
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod arena;
 pub mod backlog;
 pub mod claim;
+pub mod cold;
 pub mod config;
 pub mod declare;
 pub mod deployment;
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -5,14 +5,15 @@
 //! between an entry and an upstream daemon, as MessagePack over HTTP.
 //!
 //! [`metadata`] and [`rows`] hold messages of a platform in decoded form. On such
-//! a platform daemons exchange [`sidecar`], [`usage`] and [`read_position`]
-//! messages, as MessagePack over HTTP.
+//! a platform daemons exchange [`sidecar`], [`usage`], [`read_position`] and
+//! [`evacuation`] messages, as MessagePack over HTTP.
 //!
 //! [`admin`] is the interface of every daemon for the operators' tool, as JSON.
 
 pub mod admin;
 pub mod engine;
 pub mod error;
+pub mod evacuation;
 pub mod fleet;
 pub mod metadata;
 pub mod object;
--- a/kingcupbay_core/src/wire/rows.rs
+++ b/kingcupbay_core/src/wire/rows.rs
@@ -22,6 +22,19 @@
     pub version: u64,
 }
 
+impl Row {
+    /// Returns a row without content. Daemons pass it on to say that the row was removed,
+    /// as of `version`.
+    pub fn removal(key: RowKey, version: u64) -> Row {
+        Row { key, value: Vec::new(), version }
+    }
+
+    /// Returns whether the row says that it was removed.
+    pub fn is_removal(&self) -> bool {
+        self.value.is_empty()
+    }
+}
+
 /// A change of a row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RowChange {
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -79,6 +79,8 @@
     Replacing,
     /// The generation does not fit into the engine's memory.
     TooLarge,
+    /// The engine's availability zone is evacuated.
+    Evacuated,
 }
 
 impl Refusal {
@@ -90,6 +92,7 @@
             Refusal::Busy => "busy",
             Refusal::Replacing => "replacing",
             Refusal::TooLarge => "too_large",
+            Refusal::Evacuated => "evacuated",
         }
     }
 }
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -207,11 +207,11 @@
     let mut engine = engine();
     engine.on_report(at(0), report(0, &[("roses", 1)]));
     engine.on_permit_request(at(1), Ticket(1), permit_request("a", "roses"));
-    assert_eq!(engine.load_report().running, 1);
+    assert_eq!(engine.load_report(at(1)).running, 1);
     engine.on_report(at(2_000), report(0, &[("roses", 1)]));
-    assert_eq!(engine.load_report().running, 1);
+    assert_eq!(engine.load_report(at(2_000)).running, 1);
     engine.on_report(at(3_100), report(0, &[("roses", 1)]));
-    assert_eq!(engine.load_report().running, 0);
+    assert_eq!(engine.load_report(at(3_100)).running, 0);
 }
 
 /// An engine restarts with the same id and its order count starts again. Its running
@@ -222,7 +222,7 @@
     engine.on_report(at(0), report(5, &[("roses", 1)]));
     engine.on_permit_request(at(1), Ticket(1), permit_request("a", "roses"));
     engine.on_report(at(100), report(0, &[]));
-    assert_eq!(engine.load_report().running, 0);
+    assert_eq!(engine.load_report(at(100)).running, 0);
 }
 
 /// An engine leaves within two seconds. Requests that wait there must be refused at
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -110,6 +110,7 @@
         count: 1,
         models: Vec::new(),
         version: 1,
+        cold_remaining: Span::ZERO,
     }
 }
 
--- a/kingcupbay_core/tests/lost_messages.rs
+++ b/kingcupbay_core/tests/lost_messages.rs
@@ -138,7 +138,7 @@
             let runs = shown.map(run).collect();
             engine.on_report(at(now), Report { runs, ..empty.clone() });
         }
-        assert!(engine.load_report().running <= SLOTS, "{scenarios:?} at {now} ms");
+        assert!(engine.load_report(at(now)).running <= SLOTS, "{scenarios:?} at {now} ms");
     }
     engine
 }
@@ -152,8 +152,8 @@
             for third in SCENARIOS {
                 let scenarios = [first, second, third];
                 let mut engine = simulate(&scenarios);
-                assert_eq!(engine.load_report().running, 0, "{scenarios:?}");
-                assert_eq!(engine.load_report().waiting, 0, "{scenarios:?}");
+                assert_eq!(engine.load_report(at(6_000)).running, 0, "{scenarios:?}");
+                assert_eq!(engine.load_report(at(6_000)).waiting, 0, "{scenarios:?}");
                 let mut permits = 0;
                 for ticket in 0..u64::from(SLOTS) + 1 {
                     let actions = engine.on_permit_request(
--- a/kingcupbay_core/tests/read_positions.rs
+++ b/kingcupbay_core/tests/read_positions.rs
@@ -24,7 +24,7 @@
 /// A reader that knows the upstreams as of `version`.
 fn reader(version: u64) -> ReadPositions {
     let mut positions = ReadPositions::default();
-    positions.on_list(at(0), UPSTREAMS, version, version);
+    positions.on_list(at(0), UPSTREAMS, version);
     positions
 }
 
@@ -66,7 +66,7 @@
 fn a_listener_applies_what_a_reader_reports() {
     let mut reader = reader(10);
     let mut listener = ReadPositions::default();
-    listener.on_list(at(0), UPSTREAMS, 12, 12);
+    listener.on_list(at(0), UPSTREAMS, 12);
     reader.on_page(at(100), UPSTREAMS, 20, [gone(11), gone(15), gone(19)]);
     let changes = listener.on_position(at(110), UPSTREAMS, report(&mut reader, at(105)));
     assert_eq!(versions(&changes.unwrap()), [15, 19]);
@@ -80,7 +80,7 @@
 fn one_lost_report_hides_no_change() {
     let mut reader = reader(10);
     let mut listener = ReadPositions::default();
-    listener.on_list(at(0), UPSTREAMS, 10, 10);
+    listener.on_list(at(0), UPSTREAMS, 10);
     reader.on_page(at(100), UPSTREAMS, 20, [gone(15)]);
     drop(report(&mut reader, at(110)));
     let changes = listener.on_position(at(450), UPSTREAMS, report(&mut reader, at(450)));
@@ -93,7 +93,7 @@
 fn a_listener_that_missed_changes_reads_the_store() {
     let mut reader = reader(10);
     let mut listener = ReadPositions::default();
-    listener.on_list(at(0), UPSTREAMS, 10, 10);
+    listener.on_list(at(0), UPSTREAMS, 10);
     assert!(listener.on_position(at(0), UPSTREAMS, report(&mut reader, at(0))).is_some());
     reader.on_page(at(100), UPSTREAMS, 20, [gone(15)]);
     for now in [110, 450] {
@@ -115,7 +115,7 @@
 fn changes_that_do_not_fit_are_read_at_once() {
     let mut reader = reader(10);
     let mut listener = ReadPositions::default();
-    listener.on_list(at(0), UPSTREAMS, 10, 10);
+    listener.on_list(at(0), UPSTREAMS, 10);
     assert!(listener.on_position(at(10), UPSTREAMS, report(&mut reader, at(10))).is_some());
     assert!(listener.remaining(at(10), UPSTREAMS).is_some());
     reader.on_page(at(100), UPSTREAMS, 99, (11..90).map(gone));
@@ -132,7 +132,7 @@
 fn an_expired_read_position_is_ignored() {
     let mut reader = reader(10);
     let mut listener = ReadPositions::default();
-    listener.on_list(at(0), UPSTREAMS, 10, 10);
+    listener.on_list(at(0), UPSTREAMS, 10);
     let limit = UPSTREAMS.max_age().as_millis();
     let position = report(&mut reader, at(limit - 200));
     assert!(listener.on_position(at(limit - 200), UPSTREAMS, position).is_some());
@@ -177,7 +177,7 @@
     let mut reader = ReadPositions::default();
     let mut listener = ReadPositions::default();
     for positions in [&mut reader, &mut listener] {
-        positions.on_list(at(0), Table::Operator, 10, 5);
+        positions.on_list(at(0), Table::Operator, 10);
     }
     let mut reported = reader.report(at(10));
     assert!(
@@ -232,7 +232,7 @@
                 }
                 6 => {
                     entries[who] = (ReadPositions::default(), store.clone());
-                    entries[who].0.on_list(now, UPSTREAMS, newest, newest);
+                    entries[who].0.on_list(now, UPSTREAMS, newest);
                 }
                 _ => {}
             }
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -101,7 +101,18 @@
         }
         let Some(instance) = choose(job, service, &name, &tried.engines) else { break };
         tried.engines.push(instance.address);
-        let (version, permit) = match acquire_permit(job, &instance, &name).await {
+        let acquired = tokio::select! {
+            biased;
+            () = job.gateway.node.wait_for_evacuation(&instance.zone) => {
+                job.gateway.metrics.on_zone_left();
+                info!(job.gateway.node.log, ""; "event" => "zone_left",
+                    "request" => &job.metadata.attempt, "upstream" => &instance.id,
+                    "zone" => &instance.zone);
+                Err(None)
+            }
+            acquired = acquire_permit(job, &instance, &name) => acquired,
+        };
+        let (version, permit) = match acquired {
             Ok(acquired) => acquired,
             Err(wait) => {
                 after = after.min(wait).or(wait).or(after);
@@ -131,7 +142,7 @@
             }
         }
     }
-    Err(final_refusal(job, tried, after))
+    Err(final_refusal(job, service, tried, after))
 }
 
 /// Returns whether the request may be sent to one more engine.
@@ -142,12 +153,15 @@
 
 /// Returns the refusal of a request that no engine runs. `after` is the time until an
 /// engine may have a permit.
-fn final_refusal(job: &Job, tried: &Tried, after: Option<Span>) -> Refusal {
+fn final_refusal(job: &Job, service: &str, tried: &Tried, after: Option<Span>) -> Refusal {
     match (tried.may_have_run, job.remaining() == Span::ZERO, after) {
         (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
         (false, _, Some(after)) => Refusal::retry(Code::Overloaded, "engines are full", after),
-        (false, _, None) => Refusal::retry(Code::NoUpstream, "no engine", NO_ENGINE_RETRY),
+        (false, _, None) => {
+            let refusal = Refusal::retry(Code::NoUpstream, "no engine", NO_ENGINE_RETRY);
+            job.gateway.evacuated_refusal(service).unwrap_or(refusal)
+        }
     }
 }
 
@@ -215,6 +229,7 @@
                 "after_ms" => after.as_millis());
             Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
         }
+        None if !may_send_unpermitted(job, instance) => Err(None),
         None => {
             let resident = gateway.placement.borrow().resident_version(engine, name);
             let newest = gateway.node.catalogue.borrow().version(name);
@@ -226,6 +241,15 @@
     }
 }
 
+/// Returns whether a request may be sent to an engine whose sidecar does not answer, and
+/// counts it if so. Only the sidecar knows whether the engine is cold.
+fn may_send_unpermitted(job: &Job, instance: &Instance) -> bool {
+    let gateway = &job.gateway;
+    let service = job.deployment.services.get(&instance.service);
+    let Some(limits) = service.and_then(|service| service.cold) else { return true };
+    gateway.try_send_cold(instance, limits).is_ok()
+}
+
 /// Sends the request and waits for the head of the answer, which arrives with the first
 /// event.
 async fn run(
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -1,9 +1,11 @@
 //! Counters and latencies of an entry of a registered fleet.
 
 use kingcupbay_core::{time::Span, wire::error::Code};
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, Registry};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
-use crate::metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, histograms, text};
+use crate::metrics::{
+    EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text,
+};
 
 /// Metrics of an entry.
 pub(crate) struct Metrics {
@@ -16,6 +18,8 @@
     gap: HistogramVec,
     resumed: IntCounter,
     broken: IntCounterVec,
+    evacuated: IntGauge,
+    moved: IntCounter,
 }
 
 impl Metrics {
@@ -74,6 +78,16 @@
                 "Streams that ended early",
                 &["route"],
             ),
+            evacuated: gauge(
+                &registry,
+                "kingcupbay_evacuated_zones",
+                "Availability zones that are evacuated",
+            ),
+            moved: counter(
+                &registry,
+                "kingcupbay_zone_left_total",
+                "Waits for a permit that ended as their zone was evacuated",
+            ),
             registry,
         }
     }
@@ -100,6 +114,16 @@
         self.resumed.inc();
     }
 
+    /// Records the number of evacuated zones.
+    pub(crate) fn set_evacuated(&self, zones: usize) {
+        self.evacuated.set(zones as i64);
+    }
+
+    /// Counts a wait for a permit that ended as its zone was evacuated.
+    pub(crate) fn on_zone_left(&self) {
+        self.moved.inc();
+    }
+
     /// Counts a stream that ended early.
     pub(crate) fn on_broken(&self, route: &str) {
         self.broken.with_label_values(&[route]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -27,10 +27,11 @@
 use kingcupbay_core::{
     allowance::Allowance,
     backlog::Backlog,
+    cold::{ColdLimits, ColdShares},
     deployment::{
         catchup::CatchUp,
         lookup::Caller,
-        model::{Deployment, Organisation, Route},
+        model::{Deployment, Instance, Organisation, Route},
     },
     health::Health,
     placement::Placement,
@@ -60,6 +61,10 @@
 /// own. By then the store's feed has delivered it, or the caller reaches another entry.
 const BEHIND_RETRY: Span = Span::from_millis(400);
 
+/// Time after which to retry if all zones of a service are evacuated. The operator decides
+/// when one is restored, so this only keeps callers from retrying in vain.
+const EVACUATED_RETRY: Span = Span::from_secs(2);
+
 /// State of an entry.
 pub(crate) struct Gateway {
     pub(crate) node: Rc<Node>,
@@ -72,6 +77,8 @@
     /// Entries that did not accept the last usage report.
     pub(crate) unreachable: RefCell<BTreeSet<SocketAddr>>,
     pub(crate) catch_up: RefCell<CatchUp>,
+    /// Shares of the rates of cold upstreams that no sidecar limits.
+    pub(crate) cold: RefCell<ColdShares>,
     pub(crate) releases: permits::Releases,
     pub(crate) metrics: Metrics,
 }
@@ -88,6 +95,7 @@
             repeats: RefCell::default(),
             unreachable: RefCell::default(),
             catch_up: RefCell::default(),
+            cold: RefCell::new(ColdShares::new(node.incarnation)),
             releases: permits::Releases::default(),
             metrics: Metrics::new(node.store.calls()),
             node,
@@ -110,6 +118,25 @@
         repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
     }
 
+    /// Returns whether this entry may send a request to a cold upstream, and counts it if
+    /// so.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until the next request if its share is used up.
+    pub(crate) fn try_send_cold(&self, row: &Instance, limits: ColdLimits) -> Result<(), Span> {
+        let entries = self.allowance.borrow().entries();
+        self.cold.borrow_mut().try_send(clock::now(), &row.id, limits, entries)
+    }
+
+    /// Returns the refusal of a request if all upstreams of `service` are in evacuated
+    /// zones.
+    pub(crate) fn evacuated_refusal(&self, service: &str) -> Option<Refusal> {
+        let evacuated = self.node.catalogue.borrow().is_evacuated(service);
+        let refusal = Refusal::retry(Code::NoUpstream, "all zones are evacuated", EVACUATED_RETRY);
+        evacuated.then_some(refusal)
+    }
+
     /// Applies a load report from an engine's sidecar. Returns whether the engine's
     /// resident adapters are known by now.
     pub(crate) fn on_load_report(&self, report: EngineLoadReport) -> bool {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -81,6 +81,9 @@
             return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
         }
         tried.push(instance.id.clone());
+        if is_cold_and_used(&job, &instance) {
+            continue;
+        }
         let last = sends + 1 >= job.route.attempts;
         let outcome = attempt(&job, &instance, last).await;
         record(&job, &instance, &outcome);
@@ -105,18 +108,21 @@
     if let Some((instance, head, body)) = failure {
         return Ok(deliver(&job, &instance, &head, body));
     }
-    Err(final_refusal(&job, sends, may_have_run))
+    Err(final_refusal(&job, service, sends, may_have_run))
 }
 
 /// Returns the refusal of a request that no upstream answers.
-fn final_refusal(job: &Job, sends: u32, may_have_run: bool) -> Refusal {
+fn final_refusal(job: &Job, service: &str, sends: u32, may_have_run: bool) -> Refusal {
     match (may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
         (false, _) if sends > 0 => {
             Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
         }
-        (false, _) => Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY),
+        (false, _) => {
+            let refusal = Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY);
+            job.gateway.evacuated_refusal(service).unwrap_or(refusal)
+        }
     }
 }
 
@@ -131,6 +137,13 @@
     untried.iter().find(|row| row.id == id).map(|row| Rc::clone(row))
 }
 
+/// Returns whether `instance` is cold and this entry has used up its share of the requests
+/// that it tolerates. Counts the request otherwise.
+fn is_cold_and_used(job: &Job, instance: &Instance) -> bool {
+    let limits = job.gateway.node.catalogue.borrow().cold_limits(clock::now(), instance);
+    limits.is_some_and(|limits| job.gateway.try_send_cold(instance, limits).is_err())
+}
+
 /// Returns the time after which to retry if `instance`, the least busy upstream, would
 /// answer too late.
 fn check_backlog(job: &Job, instance: &Instance) -> Option<Span> {
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -147,6 +147,11 @@
     registered(registry, IntGaugeVec::new(Opts::new(name, help), labels))
 }
 
+/// Registers a gauge.
+pub(crate) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    registered(registry, IntGauge::new(name, help))
+}
+
 /// Registers a counter.
 pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     registered(registry, IntCounter::new(name, help))
--- /dev/null
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -0,0 +1,126 @@
+//! Exchange of evacuated availability zones between daemons.
+//!
+//! Every entry reads evacuations from the store. The readers report them to the other
+//! entries, so that an entry that cannot reach the store, or whose feed missed a change,
+//! knows them too, and to the sidecars of the zone, whose feeds pause for longer.
+
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use kingcupbay_core::{
+    time::Span,
+    wire::{
+        evacuation::{EVACUATIONS_PATH, EvacuationReport, ZoneState},
+        rows::{Row, RowKey},
+    },
+};
+use kingcupbay_platform::{operator, store::OPERATOR_TABLE};
+use slog::{info, warn};
+
+use crate::registered::{Node, message};
+
+/// Timeout of an answer to a report. If it is late, the next report repeats this one.
+const ANSWER_TIMEOUT: Span = Span::from_millis(300);
+
+/// Applies the state of `zone`, unless a newer one is known. `why` says how this daemon
+/// has learned of it.
+pub(crate) fn apply(node: &Node, zone: &str, state: ZoneState, why: &'static str) {
+    let taken = node.catalogue.borrow_mut().evacuations_mut().on_state(zone, state);
+    if taken {
+        on_changed(node, zone, why);
+    }
+}
+
+/// Applies the complete list of the operator's rows as of `version`.
+pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64) {
+    let zone = |row: &Row| Some((operator::evacuated_zone(&row.key.key)?.to_owned(), row.version));
+    let evacuated: BTreeMap<String, u64> = rows.iter().filter_map(zone).collect();
+    let changed = node.catalogue.borrow_mut().evacuations_mut().on_list(version, &evacuated);
+    for zone in changed {
+        let known = node.catalogue.borrow().evacuations().state(&zone);
+        if known == Some(ZoneState::restored(version)) {
+            let key =
+                RowKey { table: OPERATOR_TABLE.to_owned(), key: operator::evacuation_key(&zone) };
+            node.rows.borrow_mut().on_row(&Row::removal(key, version));
+        }
+        on_changed(node, &zone, "list");
+    }
+}
+
+/// Logs that the state of `zone` has changed, and notifies the requests that wait for an
+/// engine there.
+fn on_changed(node: &Node, zone: &str, why: &'static str) {
+    let Some(state) = node.catalogue.borrow().evacuations().state(zone) else { return };
+    info!(node.log, ""; "event" => "zone", "zone" => zone, "evacuated" => state.evacuated,
+        "version" => state.version, "why" => why);
+    node.evacuated.notify_waiters();
+    node.changed.notify_waiters();
+}
+
+/// Reports the evacuated zones to `entries`, all of them if the report is `whole`.
+pub(crate) fn send_reports(node: &Rc<Node>, entries: &[SocketAddr], whole: bool) {
+    let report = node.catalogue.borrow_mut().evacuations_mut().report(whole);
+    if report.zones.is_empty() {
+        return;
+    }
+    let body = rmp_serde::to_vec_named(&report).expect("a report has only plain fields");
+    let body = Bytes::from(body);
+    let sidecars = if whole { Vec::new() } else { sidecars_in(node, &report) };
+    for peer in entries.iter().copied().chain(sidecars) {
+        drop(actix_rt::spawn(send_report(node.clone(), peer, body.clone())));
+    }
+}
+
+/// Returns the addresses of the sidecars of the engines in the zones of `report`.
+fn sidecars_in(node: &Node, report: &EvacuationReport) -> Vec<SocketAddr> {
+    let catalogue = node.catalogue.borrow();
+    let Some(deployment) = catalogue.deployment() else { return Vec::new() };
+    let concerned = catalogue.instances().filter(|row| {
+        let service = deployment.services.get(&row.service);
+        report.zones.contains_key(&row.zone) && service.is_some_and(|row| row.engine.is_some())
+    });
+    concerned.map(|row| SocketAddr::new(row.address.ip(), node.registry.sidecars)).collect()
+}
+
+/// Sends a report to one daemon.
+async fn send_report(node: Rc<Node>, peer: SocketAddr, body: Bytes) {
+    let called = node.pool.call(peer, Method::POST, EVACUATIONS_PATH, &body, ANSWER_TIMEOUT).await;
+    let error = match called {
+        Ok(answer) if answer.status == 204 => return,
+        Ok(answer) => format!("status {}", answer.status),
+        Err(error) => error.to_string(),
+    };
+    warn!(node.log, ""; "event" => "evacuations_lost", "peer" => %peer, "error" => error);
+}
+
+/// Applies a reader's report.
+pub(crate) async fn handle(node: Rc<Node>, mut request: Request) -> Response<BoxBody> {
+    let report = match message::read::<EvacuationReport>(&node.log, &mut request).await {
+        Ok(report) => report,
+        Err(answer) => return answer,
+    };
+    for (zone, state) in report.zones {
+        apply(&node, &zone, state, "told");
+    }
+    Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+}
+
+impl Node {
+    /// Waits until `zone` is evacuated.
+    pub(crate) async fn wait_for_evacuation(&self, zone: &str) {
+        loop {
+            let changed = self.evacuated.notified();
+            if self.catalogue.borrow().evacuations().is_evacuated(zone) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Returns whether this daemon is in an evacuated zone.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        let zone = self.settings.daemon.zone.to_string();
+        self.catalogue.borrow().evacuations().is_evacuated(&zone)
+    }
+}
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -7,6 +7,7 @@
     deployment::{catalogue::Member, waits},
     time::{Instant, Span},
     wire::{
+        evacuation::ZoneState,
         read_position::{ChangeKind, Table, TableChange},
         rows::{Row, RowChange, RowKey, RowPage},
     },
@@ -19,7 +20,7 @@
 
 use crate::{
     clock,
-    registered::{Node, members::ENTRY_TABLE, rows, store::StoreError},
+    registered::{Node, evacuations, members::ENTRY_TABLE, rows, store::StoreError},
 };
 
 /// Returns the name of a table in the store.
@@ -208,9 +209,9 @@
 /// Applies a complete table.
 fn apply_table(node: &Rc<Node>, table: Table, rows: Vec<Row>, version: u64, after_outage: bool) {
     let now = clock::now();
-    let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
     match table {
         Table::Operator => {
+            evacuations::on_list(node, &rows, version);
             for row in rows {
                 apply_change(node, table, RowChange::Put(row));
             }
@@ -230,13 +231,7 @@
         }
         Table::Entries => apply_entries(node, &rows, version),
     }
-    let mut read_positions = node.read_positions.borrow_mut();
-    match table {
-        // Deleted rows of the operator have no effect here.
-        Table::Operator => read_positions.on_list(now, table, version, newest),
-        Table::Upstreams | Table::Entries => read_positions.on_list(now, table, version, version),
-    }
-    drop(read_positions);
+    node.read_positions.borrow_mut().on_list(now, table, version);
     node.changed.notify_waiters();
 }
 
@@ -306,19 +301,30 @@
 /// Stores and applies a change of the operator's rows.
 fn apply_operator_change(node: &Rc<Node>, change: RowChange) {
     node.rows.borrow_mut().on_change(&change);
-    let RowChange::Put(row) = change else { return };
-    on_operator_row(node, &row);
+    match change {
+        RowChange::Put(row) => on_operator_row(node, &row, "feed"),
+        RowChange::Removed(key, version) => {
+            if let Some(zone) = operator::evacuated_zone(&key.key) {
+                evacuations::apply(node, zone, ZoneState::restored(version), "feed");
+            }
+        }
+    }
 }
 
 /// Stores and applies a row that another daemon has read.
 pub(crate) fn on_fetched_row(node: &Rc<Node>, row: &Row) {
     node.rows.borrow_mut().on_row(row);
-    on_operator_row(node, row);
+    on_operator_row(node, row, "fetched");
     node.changed.notify_waiters();
 }
 
-/// Applies a row of the operator: the configuration or an announced version.
-fn on_operator_row(node: &Rc<Node>, row: &Row) {
+/// Applies a row of the operator: the configuration, an announced version or an
+/// evacuated availability zone. `why` says where the row comes from.
+fn on_operator_row(node: &Rc<Node>, row: &Row, why: &'static str) {
+    if let Some(zone) = operator::evacuated_zone(&row.key.key) {
+        let state = ZoneState { version: row.version, evacuated: !row.is_removal() };
+        return evacuations::apply(node, zone, state, why);
+    }
     if row.key.key == operator::CONFIG_KEY {
         match operator::decode_config(&row.value) {
             Ok(next) => {
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -6,9 +6,11 @@
 //! [`Catalogue`] up to date from the store's feeds, or from other daemons while the
 //! store is not available ([`rows`]). [`read_positions`] decides when an entry relies on
 //! what other entries have read. [`members`] maintains the list of entries in the store,
-//! [`usage`] sends them usage reports, and [`message`] reads messages of other daemons.
+//! [`usage`] sends them usage reports, [`evacuations`] reports evacuated zones, and
+//! [`message`] reads messages of other daemons.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
 
+pub(crate) mod evacuations;
 pub(crate) mod follow;
 pub(crate) mod members;
 pub(crate) mod message;
@@ -62,6 +64,8 @@
     pub(crate) rows: RefCell<Rows>,
     /// Notified when the catalogue has changed.
     pub(crate) changed: Notify,
+    /// Notified when an availability zone was evacuated or restored.
+    pub(crate) evacuated: Notify,
     /// Notified when a call of the operator table's feed has failed.
     pub(crate) store_failure: Notify,
     /// Notified when another entry's read position shows that changes are missing here.
@@ -90,6 +94,7 @@
             read_positions: RefCell::default(),
             rows: RefCell::default(),
             changed: Notify::new(),
+            evacuated: Notify::new(),
             store_failure: Notify::new(),
             behind: Notify::new(),
             drain: Drain::new(),
--- a/kingcupbayd/src/registered/read_positions.rs
+++ b/kingcupbayd/src/registered/read_positions.rs
@@ -18,7 +18,7 @@
 
 impl Node {
     /// Returns whether this daemon reads the store itself at all times.
-    fn is_reader(&self) -> bool {
+    pub(crate) fn is_reader(&self) -> bool {
         let catalogue = self.catalogue.borrow();
         self.settings.daemon.role == Role::Upstream
             || readers::is_reader(catalogue.of_role(Role::Entry), self.host())
--- a/kingcupbayd/src/registered/rows.rs
+++ b/kingcupbayd/src/registered/rows.rs
@@ -14,6 +14,7 @@
         usage::{ROWS_PATH, StoredRow, StoredRows, serde_bytes_vec::Bytes},
     },
 };
+use kingcupbay_platform::operator;
 use slog::{info, warn};
 
 use crate::registered::{Node, follow};
@@ -33,6 +34,10 @@
     pub(crate) fn on_change(&mut self, change: &RowChange) {
         match change {
             RowChange::Put(row) => self.on_row(row),
+            // A daemon that fetches the rows must learn that the zone is restored.
+            RowChange::Removed(key, version) if operator::evacuated_zone(&key.key).is_some() => {
+                self.on_row(&Row::removal(key.clone(), *version));
+            }
             RowChange::Removed(key, _) => drop(self.rows.remove(key)),
         }
     }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -8,6 +8,7 @@
     config::model::Role,
     time::Span,
     wire::{
+        evacuation::EVACUATIONS_PATH,
         read_position::Table,
         sidecar::{EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH},
         usage::{ROWS_PATH, USAGE_PATH},
@@ -16,10 +17,11 @@
 use slog::{Logger, info};
 
 use crate::{
+    clock,
     config::{Registry, Settings},
     gateway::{self, Gateway, permits},
     http,
-    registered::{Node, follow::follow, members, message, usage},
+    registered::{Node, evacuations, follow::follow, members, message, usage},
     server::{
         self,
         drain::{Drain, Phase},
@@ -161,9 +163,11 @@
     let catalogue = gateway.node.catalogue.borrow();
     let entries = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
     gateway.allowance.borrow_mut().on_entries(entries);
+    gateway.metrics.set_evacuated(catalogue.evacuations().evacuated().count());
     let known = |id: &str| catalogue.instance(id).is_some() || permits::is_sidecar(id);
     gateway.health.borrow_mut().retain(known);
     gateway.backlog.borrow_mut().retain(known);
+    gateway.cold.borrow_mut().retain(known);
 }
 
 /// Answers readiness probes.
@@ -180,6 +184,7 @@
     match request.path() {
         USAGE_PATH => usage::handle(gateway, request).await,
         LOAD_REPORT_PATH => handle_load_report(gateway, request).await,
+        EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
         ROWS_PATH => {
             let rows = gateway.node.rows.borrow().stored_rows();
             let body = rmp_serde::to_vec_named(&rows).expect("stored rows have only plain fields");
@@ -206,6 +211,7 @@
         PERMIT_PATH => sidecar::permits::handle_permit_request(sidecar, request).await,
         RELEASE_PATH => sidecar::permits::handle_releases(sidecar, request).await,
         REPLICA_PATH => sidecar::permits::handle_replica_request(sidecar, request).await,
+        EVACUATIONS_PATH => evacuations::handle(sidecar.node.clone(), request).await,
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -222,10 +228,10 @@
 async fn answer_sidecar_operator(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
     match request.path() {
         "/metrics" => {
-            let report = sidecar.admission.borrow().load_report();
+            let report = sidecar.admission.borrow().load_report(clock::now());
             http::reply::text(StatusCode::OK, sidecar.metrics.text(&report))
         }
-        "/dump" => http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump()),
+        "/dump" => http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump(clock::now())),
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     gateway::Gateway,
-    registered::{Node, members, message, rows},
+    registered::{Node, evacuations, members, message, rows},
 };
 
 /// Timeout of a peer's answer. If it is late, the next report replaces this one.
@@ -43,6 +43,9 @@
         let mut report = gateway.allowance.borrow_mut().usage_report(now, number);
         report.left = gateway.node.catalogue.borrow_mut().departures_to_report(now, report.whole);
         report.positions = gateway.node.own_read_positions(now);
+        if gateway.node.is_reader() {
+            evacuations::send_reports(&gateway.node, &peers, report.whole);
+        }
         let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
         let body = Bytes::from(body);
         for peer in peers {
--- a/kingcupbayd/src/sidecar/load_reports.rs
+++ b/kingcupbayd/src/sidecar/load_reports.rs
@@ -32,7 +32,7 @@
             .entries
             .borrow_mut()
             .retain(|_, entry| now.since(entry.last_request) < ENTRY_IDLE_MAX);
-        let mut load_report = sidecar.admission.borrow().load_report();
+        let mut load_report = sidecar.admission.borrow().load_report(now);
         load_report.engine = Some(sidecar.engine);
         for (&address, entry) in sidecar.entries.borrow_mut().iter_mut() {
             if let Some(report) = entry.reporter.next(now, &load_report) {
@@ -78,18 +78,22 @@
     }
 }
 
-/// Applies the engine's specification, announced versions and the fencing number.
+/// Applies the engine's specification, announced versions, the fencing number and whether
+/// the zone is evacuated.
 fn apply_catalogue(sidecar: &Rc<Sidecar>) {
     let node = &sidecar.node;
     let mut admission = sidecar.admission.borrow_mut();
     let catalogue = node.catalogue.borrow();
-    let service = node.registry.service.as_deref().unwrap_or_default();
-    let spec = catalogue
-        .deployment()
-        .and_then(|deployment| deployment.services.get(service)?.engine.clone());
-    if let Some(spec) = spec {
-        admission.on_spec(spec);
+    let name = node.registry.service.as_deref().unwrap_or_default();
+    let now = clock::now();
+    let service = catalogue.deployment().and_then(|deployment| deployment.services.get(name));
+    if let Some(service) = service {
+        admission.on_cold_limits(now, service.cold);
+        if let Some(spec) = &service.engine {
+            admission.on_spec(spec.clone());
+        }
     }
+    admission.on_evacuation(now, node.is_evacuated());
     for (name, &version) in catalogue.versions() {
         admission.on_version(name.clone(), version);
     }
--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -93,6 +93,7 @@
         count: 0,
         models: Vec::new(),
         version,
+        cold_remaining: Span::ZERO,
     }
 }
 
