Explore how evacuations are passed on, and refuse states from before a list

Cause: the specification found, 7 steps in, that an entry which had listed no evacuated zone took over an evacuation that a lagging peer reported afterwards, though it had been restored before the list: nothing was kept of a zone that the list does not name. Change: the version of the last list is kept, and states up to it change nothing.

--- a/kingcupbay_core/src/deployment/evacuations.rs
+++ b/kingcupbay_core/src/deployment/evacuations.rs
@@ -26,6 +26,9 @@
     /// Newest known state of each zone. Restored zones are kept, or a stale read would
     /// evacuate them again.
     zones: BTreeMap<String, Zone>,
+    /// Invariant: all states up to this version are in `zones` or were replaced by those. A
+    /// zone that a list did not name is not kept, and a lagging peer may still name it.
+    complete: u64,
 }
 
 impl Evacuations {
@@ -41,7 +44,8 @@
 
     /// Applies the state of `zone`, and returns whether it is newer than the known one.
     pub fn on_state(&mut self, zone: &str, state: ZoneState) -> bool {
-        if self.zones.get(zone).is_some_and(|known| known.state.version >= state.version) {
+        let known = self.state(zone).map_or(0, |known| known.version);
+        if state.version <= known.max(self.complete) {
             return false;
         }
         self.zones.insert(zone.to_owned(), Zone { state, pending: REPORTS_PER_CHANGE });
@@ -56,10 +60,10 @@
         let rows = evacuated.iter().map(|(zone, &row)| (zone, ZoneState::evacuated(row)));
         let gone = restored.iter().map(|zone| (zone, ZoneState::restored(version)));
         let states: Vec<_> = rows.chain(gone).map(|(zone, state)| (zone.clone(), state)).collect();
-        states
-            .into_iter()
-            .filter_map(|(zone, state)| self.on_state(&zone, state).then_some(zone))
-            .collect()
+        let changed = states.into_iter().filter(|(zone, state)| self.on_state(zone, *state));
+        let changed = changed.map(|(zone, _)| zone).collect();
+        self.complete = self.complete.max(version);
+        changed
     }
 
     /// Returns the newest known state of `zone`.
--- a/kingcupbay_core/tests/evacuations.rs
+++ b/kingcupbay_core/tests/evacuations.rs
@@ -100,3 +100,14 @@
     catalogue.evacuations_mut().on_state("a", ZoneState::restored(5));
     assert_eq!(serving(&catalogue), ["x"]);
 }
+
+/// An entry that has just started lists no evacuated zone. A peer that lags still reports
+/// one that was restored before.
+#[test]
+fn a_report_from_before_the_first_list_changes_nothing() {
+    let mut zones = Evacuations::default();
+    zones.on_list(20, &rows(&[]));
+    assert!(!zones.on_state("a", ZoneState::evacuated(4)));
+    assert!(!zones.is_evacuated("a"));
+    assert!(zones.on_state("a", ZoneState::evacuated(21)));
+}
