Evacuate zones and let engines crash when cold in the soak

Cause: the soak knew neither evacuations nor cold engines. Engines turn cold after a restart and an evacuation and crash above 20 requests in a second, at a cold rate of 10.

--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -8,12 +8,17 @@
     time::Duration,
 };
 
+use actix_http::{
+    Method,
+    header::{self, HeaderMap, HeaderValue},
+};
 use actix_rt::task::JoinHandle;
 use kingcupbay_standin::{Registry, UpstreamServer, UpstreamSettings};
+use kingcupbayd::Link;
 
 use crate::{
     daemon::{Daemon, DaemonFiles},
-    operator::Operator,
+    operator::{COLD_RATE, COLD_SECS, Operator},
     proxy::{Flows, Proxy},
 };
 
@@ -58,12 +63,20 @@
     finished: Cell<bool>,
 }
 
+/// Availability zones, which hosts are assigned to in turn.
+pub const ZONES: [&str; 2] = ["zone-a", "zone-b"];
+
+/// Requests in a second above which a cold engine crashes.
+const COLD_REQUESTS_MAX: usize = (COLD_RATE + COLD_RATE / 2 + 5) as usize;
+
 /// An upstream and the proxy on the path to it.
 pub struct Upstream {
     /// Id under which it is registered.
     pub id: String,
     /// Service that it belongs to.
     pub service: &'static str,
+    /// Its availability zone.
+    pub zone: &'static str,
     /// The stand-in that serves it.
     pub runner: UpstreamServer,
     /// Proxy whose address is registered.
@@ -115,13 +128,15 @@
             let settings = UpstreamSettings {
                 adapter_slots: ENGINE_SLOTS,
                 event_interval: EVENT_INTERVAL,
+                cold_requests_max: Some(COLD_REQUESTS_MAX),
+                cold_time: Duration::from_secs(COLD_SECS),
                 ..UpstreamSettings::engine(&format!("gpu-{at}"), STREAM_EVENTS)
             };
-            Upstream::start("writer", settings, engine_ip(at))
+            Upstream::start("writer", settings, engine_ip(at), zone_name(at))
         };
         let service = |at: usize| {
             let settings = UpstreamSettings::plain(&format!("desk-{at}"));
-            Upstream::start("desk", settings, Ipv4Addr::LOCALHOST.into())
+            Upstream::start("desk", settings, Ipv4Addr::LOCALHOST.into(), zone_name(at))
         };
         let engines = (0..size.engines).map(engine).collect::<io::Result<Vec<_>>>()?;
         let services = (0..size.services).map(service).collect::<io::Result<Vec<_>>>()?;
@@ -162,7 +177,8 @@
     pub fn register(&self, upstream: &Upstream, leaving: bool) {
         upstream.leaving.set(leaving);
         let at = upstream.proxy.address();
-        let row = upstream.runner.registration_at(at, upstream.service, leaving);
+        let mut row = upstream.runner.registration_at(at, upstream.service, leaving);
+        row["zone"] = upstream.zone.into();
         self.store.put("servers", &upstream.id, &row);
     }
 
@@ -200,12 +216,13 @@
         service: &'static str,
         settings: UpstreamSettings,
         ip: IpAddr,
+        zone: &'static str,
     ) -> io::Result<Upstream> {
         let id = settings.id.clone();
         let runner = UpstreamServer::start(any_port(), settings)?;
         let proxy = Proxy::start(SocketAddr::new(ip, 0))?;
         proxy.set_target(runner.server().address());
-        Ok(Upstream { id, service, runner, proxy, leaving: Cell::new(false) })
+        Ok(Upstream { id, service, zone, runner, proxy, leaving: Cell::new(false) })
     }
 }
 
@@ -221,12 +238,13 @@
         let to_store = Proxy::start(any_port())?;
         to_store.set_target(store.server().address());
         let host = format!("{role}-{at}");
+        let zone = zone_name(at);
         let callers = match role {
             "entry" => "[callers]\nlisten = 127.0.0.1:0\n",
             _ => "",
         };
         let settings = format!(
-            "[daemon]\nhost = {host}\nzone = zone-a\nrole = {role}\n{callers}\
+            "[daemon]\nhost = {host}\nzone = {zone}\nrole = {role}\n{callers}\
              [peers]\nlisten = 127.0.0.1:0\n[operators]\nlisten = 127.0.0.1:0\n\
              [registry]\nstore = {}\n{rest}",
             to_store.address()
@@ -249,6 +267,22 @@
         true
     }
 
+    /// Number of zones that the entry takes for evacuated; `None` if it does not say.
+    pub async fn evacuated_zones(&self) -> Option<u32> {
+        let address = self.daemon.borrow().address("operators")?;
+        let mut link = Link::open(address).await.ok()?;
+        let mut headers = HeaderMap::new();
+        headers.insert(header::HOST, HeaderValue::from_static("entry"));
+        let head = link.exchange(Method::GET, "/metrics", headers, &[]).await.ok()?;
+        let mut text = Vec::new();
+        while let Some(chunk) = link.chunk().await.ok()? {
+            text.extend_from_slice(&chunk);
+        }
+        let text = String::from_utf8(text).ok().filter(|_| head.status.is_success())?;
+        let name = "kingcupbay_evacuated_zones ";
+        text.lines().find_map(|line| line.strip_prefix(name)?.parse().ok())
+    }
+
     /// Address for callers, once the daemon listens.
     pub fn caller_address(&self) -> Option<SocketAddr> {
         self.daemon.borrow().address("callers")
@@ -267,6 +301,12 @@
     }
 }
 
+/// Returns the availability zone of a sidecar with its engine, of an entry or of a plain
+/// service.
+fn zone_name(at: usize) -> &'static str {
+    ZONES[at % ZONES.len()]
+}
+
 /// Returns the address of an engine; each has its own, as on separate hosts.
 fn engine_ip(at: usize) -> IpAddr {
     let last = u8::try_from(at + 1).expect("engine indices fit the last byte of an address");
--- a/kingcupbay_soak/src/operator.rs
+++ b/kingcupbay_soak/src/operator.rs
@@ -6,7 +6,7 @@
 };
 
 use kingcupbay_standin::{
-    DeclaredConfig, DeclaredOrganisation, DeclaredRoute, Registry, announcement_row,
+    DeclaredConfig, DeclaredOrganisation, DeclaredRoute, Registry, announcement_row, evacuation_key,
 };
 
 use crate::fleet::ENGINE_SLOTS;
@@ -26,6 +26,12 @@
 /// Time after which an upstream's answer is late.
 const LATENCY_TARGET_MS: u64 = 500;
 
+/// Requests per second to a cold engine.
+pub const COLD_RATE: u64 = 10;
+
+/// How long an engine is cold after it has started.
+pub const COLD_SECS: u64 = 2;
+
 /// Deadline of a request.
 pub const TIMEOUT_MS: u64 = 8_000;
 
@@ -66,6 +72,14 @@
         *version
     }
 
+    /// Evacuates the availability zone `zone`, or restores it.
+    pub fn evacuate(&self, store: &Registry, zone: &str, evacuated: bool) {
+        match evacuated {
+            true => drop(store.put_bytes("op", &evacuation_key(zone), b"{}")),
+            false => store.remove("op", &evacuation_key(zone)),
+        }
+    }
+
     /// Returns the newest announced version of `adapter`.
     pub fn version(&self, adapter: &str) -> u32 {
         self.versions.borrow().get(adapter).copied().unwrap_or(1)
@@ -117,5 +131,7 @@
         timeout: TIMEOUT_MS,
         latency_target: LATENCY_TARGET_MS,
         adapter_slots: ENGINE_SLOTS,
+        cold_rate: COLD_RATE,
+        cold_secs: COLD_SECS,
     }
 }
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -35,6 +35,8 @@
     pub orders: Vec<OrderIssuer>,
     /// Number of orders to load more adapters than it has slots.
     pub overloads: u32,
+    /// Number of times that it got more requests than it tolerates while cold.
+    pub overheated: u32,
 }
 
 /// Everything recorded in a run.
@@ -248,6 +250,10 @@
     if upstream.overloads > 0 {
         found.push(breach("no order beyond the places", format!("{} at {id}", upstream.overloads)));
     }
+    if upstream.overheated > 0 {
+        let details = format!("{} times at {id}", upstream.overheated);
+        found.push(breach("a cold engine gets its rate", details));
+    }
     let holders: BTreeSet<&str> =
         upstream.orders.iter().map(|order| order.holder.as_str()).collect();
     if holders.len() > 1 {
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -15,7 +15,7 @@
 use crate::{
     callers::{ADAPTERS, Caller, Context, Spec},
     daemon::DaemonFiles,
-    fleet::{Fleet, Size},
+    fleet::{Fleet, Size, ZONES},
     promises::{self, Breach, Record, UpstreamRecord},
     sent::{Kind, Sent},
     trouble::{self, Timed},
@@ -98,6 +98,8 @@
         let cleared = Instant::now();
         outcome.breaches.extend(wait_for_recovery(&context, &mut random).await);
         outcome.recovery = outcome.recovery.max(cleared.elapsed());
+        let zone = ZONES[random.below(ZONES.len() as u64) as usize];
+        outcome.breaches.extend(check_evacuation(&context, &mut random, zone).await);
     }
     context.finished.set(true);
     for caller in callers {
@@ -159,6 +161,47 @@
     }
 }
 
+/// Evacuates `zone` while all is well. Once an entry knows that, its requests must run
+/// elsewhere.
+async fn check_evacuation(
+    context: &Rc<Context>,
+    random: &mut Random,
+    zone: &str,
+) -> Option<Breach> {
+    let fleet = &context.fleet;
+    fleet.operator.evacuate(&fleet.store, zone, true);
+    let checked = async {
+        await_evacuated_zones(fleet, 1).await;
+        let mut attempts = Vec::new();
+        for entry in 0..fleet.entries.len() {
+            let name = format!("evacuee-{}", random.draw());
+            let mut caller = Caller::new(context, &name, entry, random.draw());
+            for kind in Kind::ORDINARY {
+                attempts.push(caller.send(Spec::new(kind)).await.attempt);
+            }
+        }
+        let left = fleet.upstreams().filter(|upstream| upstream.zone == zone);
+        let runs = left.flat_map(|upstream| upstream.runner.runs());
+        let ran: Vec<_> = runs.filter(|run| attempts.contains(&run.attempt)).collect();
+        fleet.operator.evacuate(&fleet.store, zone, false);
+        await_evacuated_zones(fleet, 0).await;
+        ran
+    };
+    let details = match tokio::time::timeout(RECOVERY_LIMIT, checked).await {
+        Ok(ran) if ran.is_empty() => return None,
+        Ok(ran) => format!("in {zone}: {:?}", ran[0].attempt),
+        Err(_) => format!("not all entries know whether {zone} is evacuated"),
+    };
+    Some(Breach { promise: "an evacuated zone gets no requests", details })
+}
+
+/// Returns when all entries know of `count` evacuated zones.
+async fn await_evacuated_zones(fleet: &Fleet, count: u32) {
+    for entry in &fleet.entries {
+        wait_until(async || entry.evacuated_zones().await == Some(count)).await;
+    }
+}
+
 /// Returns when the probe's entry serves every kind of request, applies the
 /// newest configuration and runs the newest versions of all adapters.
 async fn await_service(context: &Rc<Context>, probe: &mut Caller, lack: impl Fn(&'static str)) {
@@ -215,6 +258,7 @@
             runs: upstream.runner.runs(),
             orders: upstream.runner.order_issuers(),
             overloads: upstream.runner.refused_loads(),
+            overheated: upstream.runner.overheated(),
         })
         .collect();
     let numbers = context.fleet.operator.numbers();
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     callers::ADAPTERS,
-    fleet::{Fleet, Host, Upstream},
+    fleet::{Fleet, Host, Upstream, ZONES},
     proxy::{Flow, Flows, Proxy},
 };
 
@@ -68,6 +68,9 @@
     Announce(usize),
     /// An upstream is registered as leaving and, at the end, as staying.
     Leave(usize),
+    /// An availability zone is evacuated and, at the end, restored. Its engines are cold
+    /// then.
+    Evacuate(usize),
 }
 
 impl Trouble {
@@ -80,6 +83,7 @@
                 | Trouble::Configure(_)
                 | Trouble::Announce(_)
                 | Trouble::Leave(_)
+                | Trouble::Evacuate(_)
                 | Trouble::Forget
         )
     }
@@ -132,7 +136,7 @@
     let answers = [Fault::LoseAnswer, Fault::ErrorAnswer, late, Fault::Reset, Fault::Silent];
     let calls =
         [Fault::Outage, Fault::Silent, Fault::LoseAnswer, Fault::Slow { millis: 250 }, late];
-    match one_of(14) {
+    match one_of(16) {
         0 | 1 => Trouble::Entry(entry, signal),
         2 => Trouble::Sidecar(engine, signal),
         3 => Trouble::Store(host, fault),
@@ -144,6 +148,7 @@
         10 => Trouble::Forget,
         11 => Trouble::Configure(1 + one_of(3) as u64),
         12 => Trouble::Announce(one_of(ADAPTERS.len())),
+        13 | 14 => Trouble::Evacuate(one_of(ZONES.len())),
         _ => Trouble::Leave(upstream),
     }
 }
@@ -167,6 +172,7 @@
         Trouble::Configure(step) => fleet.operator.configure(&fleet.store, step),
         Trouble::Announce(adapter) => fleet.announce(ADAPTERS[adapter]),
         Trouble::Leave(at) => leave_and_return(fleet, upstream(at), lasts).await,
+        Trouble::Evacuate(at) => evacuate_and_restore(fleet, ZONES[at], lasts).await,
     }
     Ok(())
 }
@@ -211,6 +217,14 @@
     server.apply(FaultOrder::Clear(id));
 }
 
+async fn evacuate_and_restore(fleet: &Fleet, zone: &str, lasts: Duration) {
+    fleet.operator.evacuate(&fleet.store, zone, true);
+    tokio::time::sleep(lasts).await;
+    let engines = fleet.engines.iter().filter(|engine| engine.zone == zone);
+    engines.for_each(|engine| engine.runner.turn_cold());
+    fleet.operator.evacuate(&fleet.store, zone, false);
+}
+
 async fn leave_and_return(fleet: &Fleet, upstream: &Upstream, lasts: Duration) {
     fleet.register(upstream, true);
     tokio::time::sleep(lasts).await;
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -26,8 +26,13 @@
 
 impl Case {
     fn new() -> Case {
-        let upstream =
-            UpstreamRecord { id: "desk-0".to_owned(), runs: vec![], orders: vec![], overloads: 0 };
+        let upstream = UpstreamRecord {
+            id: "desk-0".to_owned(),
+            runs: vec![],
+            orders: vec![],
+            overloads: 0,
+            overheated: 0,
+        };
         Case {
             sent: vec![],
             upstream,
@@ -235,10 +240,12 @@
     assert_eq!(case.broken_promises(), Vec::<&str>::new());
     case.upstream.orders.push(order("g", 4));
     case.upstream.overloads = 1;
+    case.upstream.overheated = 1;
     assert_eq!(
         case.broken_promises(),
         [
             "no order beyond the places",
+            "a cold engine gets its rate",
             "one host orders an engine",
             "fencing numbers never go back"
         ]
--- a/kingcupbay_standin/src/operator.rs
+++ b/kingcupbay_standin/src/operator.rs
@@ -52,6 +52,10 @@
     pub latency_target: u64,
     /// Adapter slots of each engine.
     pub adapter_slots: usize,
+    /// Requests per second to a cold engine; zero means any number.
+    pub cold_rate: u64,
+    /// How long an engine is cold after it has started, in seconds.
+    pub cold_secs: u64,
 }
 
 impl DeclaredConfig {
@@ -71,7 +75,8 @@
         json!({"version": self.number,
             "routes": self.routes.iter().map(route).collect::<Vec<_>>(),
             "services": [{"name": "desk", "maxConns": 200},
-                {"name": "writer", "maxConns": 200, "engine": {"slots": 8,
+                {"name": "writer", "maxConns": 200, "coldS": self.cold_secs,
+                    "coldPerS": self.cold_rate, "engine": {"slots": 8,
                     "kvCacheTokens": 100_000, "adapterSlots": self.adapter_slots,
                     "weightsMb": 100.0, "models": [{"name": BASE_MODEL, "weightsMb": 50.0,
                         "loadS": 1.0, "adapters": 10}]}}],
@@ -87,6 +92,11 @@
     (format!("version/{BASE_MODEL}.{adapter}"), row)
 }
 
+/// Returns the key of the row that evacuates the availability zone `zone`.
+pub fn evacuation_key(zone: &str) -> String {
+    format!("evacuate/{zone}")
+}
+
 /// Properties of a caller's request.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerRequest<'a> {
--- a/kingcupbay_standin/src/upstream.rs
+++ b/kingcupbay_standin/src/upstream.rs
@@ -42,6 +42,10 @@
     pub cut_after: Option<u64>,
     /// Number of adapter slots.
     pub adapter_slots: usize,
+    /// Requests in a second that it tolerates while it is cold; `None` for any number.
+    pub cold_requests_max: Option<usize>,
+    /// How long it is cold after a restart.
+    pub cold_time: Duration,
 }
 
 impl UpstreamSettings {
@@ -54,6 +58,8 @@
             event_interval: Duration::ZERO,
             cut_after: None,
             adapter_slots: 0,
+            cold_requests_max: None,
+            cold_time: Duration::ZERO,
         }
     }
 
@@ -136,6 +142,10 @@
     order_count: Cell<u64>,
     order_log: RefCell<Vec<Value>>,
     refused_loads: Cell<u32>,
+    /// When it last turned cold.
+    cold_since: Cell<Option<Instant>>,
+    /// Seconds in which it got more requests than it tolerates while cold.
+    overheated: Cell<u32>,
     changes: Changes,
 }
 
@@ -154,6 +164,8 @@
             order_count: Cell::new(0),
             order_log: RefCell::default(),
             refused_loads: Cell::new(0),
+            cold_since: Cell::new(None),
+            overheated: Cell::new(0),
             changes: Changes::default(),
         });
         let restarted = Rc::clone(&state);
@@ -203,6 +215,17 @@
         self.state.refused_loads.get()
     }
 
+    /// Returns how often it got more requests in a second than it tolerates while cold. It
+    /// crashes each time.
+    pub fn overheated(&self) -> u32 {
+        self.state.overheated.get()
+    }
+
+    /// Turns cold now, without a restart.
+    pub fn turn_cold(&self) {
+        self.state.cold_since.set(Some(Instant::now()));
+    }
+
     /// Returns the orders that were not refused as stale, in order of arrival.
     pub fn orders(&self) -> Vec<Value> {
         self.state.order_log.borrow().clone()
@@ -237,9 +260,27 @@
     fn restart(&self) {
         self.adapters.borrow_mut().clear();
         self.order_count.set(0);
+        self.cold_since.set(Some(Instant::now()));
         self.changes.notify();
     }
 
+    /// Crashes if it is cold and got too many requests in the last second.
+    fn overheat(&self) {
+        let Some(max) = self.settings.cold_requests_max else { return };
+        let now = Instant::now();
+        let Some(since) = self.cold_since.get() else { return };
+        if now.duration_since(since) >= self.settings.cold_time {
+            return;
+        }
+        let second = Duration::from_secs(1);
+        let counts =
+            |run: &&UpstreamRun| run.started >= since && now.duration_since(run.started) < second;
+        if self.runs.borrow().iter().rev().filter(counts).count() > max {
+            self.overheated.set(self.overheated.get() + 1);
+            self.restart();
+        }
+    }
+
     fn order(&self, call: &Call) -> Answer {
         let order: Value = match call.json() {
             Ok(order) => order,
@@ -310,6 +351,7 @@
             path: format!("{}{query}", call.path),
             body: call.body.to_vec(),
         });
+        self.overheat();
         self.changes.notify();
         if !self.settings.engine {
             return answer(&attempt)
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -50,6 +50,8 @@
         timeout: 10_000,
         latency_target: 800,
         adapter_slots: 2,
+        cold_rate: 0,
+        cold_secs: 0,
     };
     declared.row()
 }
