Let entries that read a registration say that the engine is cold

Cause: a sidecar knows that its engine is cold after a start and after an evacuation only. The registration says it too, and the entries that read the store know that. Change: a permit request carries how much longer the engine is cold. It is encoded with names, so that daemons of before read past it. Ruled out: a feed of registrations at each sidecar, which would cost the store a call for each change at each engine.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -159,6 +159,7 @@
         ticket: Ticket,
         request: PermitRequest,
     ) -> Vec<Action> {
+        self.cold.on_cold_for(now, request.cold);
         if let Some(newest) = request.newest {
             self.on_version(request.name.clone(), newest);
         }
--- a/kingcupbay_core/src/cold.rs
+++ b/kingcupbay_core/src/cold.rs
@@ -65,6 +65,11 @@
     /// Records that the upstream has started, or may have turned cold.
     pub fn on_cold(&mut self, now: Instant) {
         let time = self.limits.map_or(Span::ZERO, |limits| limits.time);
+        self.on_cold_for(now, time);
+    }
+
+    /// Records that the upstream is cold for another `time`.
+    pub fn on_cold_for(&mut self, now: Instant, time: Span) {
         self.cold_until = self.cold_until.max(now + time);
     }
 
--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -145,10 +145,15 @@
         &mut self.evacuations
     }
 
+    /// Returns how much longer the upstream `id` is cold.
+    pub fn cold_remaining(&self, now: Instant, id: &str) -> Span {
+        self.cold_until.get(id).map_or(Span::ZERO, |until| until.since(now))
+    }
+
     /// Returns what the upstream `row` tolerates now, if it is cold.
     pub fn cold_limits(&self, now: Instant, row: &Instance) -> Option<ColdLimits> {
-        let until = self.cold_until.get(&row.id).filter(|&&until| now < until);
-        until.and(self.deployment.as_ref()?.services.get(&row.service)?.cold)
+        let limits = self.deployment.as_ref()?.services.get(&row.service)?.cold;
+        limits.filter(|_| self.cold_remaining(now, &row.id) > Span::ZERO)
     }
 
     /// Returns the upstreams of `service` that get new requests and are listed in the
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -45,6 +45,9 @@
     pub event_gap: Option<Span>,
     /// Address at which the entry takes an [`EngineLoadReport`].
     pub entry: std::net::SocketAddr,
+    /// How much longer the engine is cold, as its registration says.
+    #[serde(default)]
+    pub cold: Span,
 }
 
 /// The answer to a [`PermitRequest`].
--- a/kingcupbay_core/tests/evacuated_engine.rs
+++ b/kingcupbay_core/tests/evacuated_engine.rs
@@ -28,6 +28,7 @@
         max_wait: Span::from_millis(1_600),
         event_gap: None,
         entry: "127.0.0.1:1".parse().unwrap(),
+        cold: Span::ZERO,
     }
 }
 
@@ -152,3 +153,15 @@
     engine.on_evacuation(at(8_000), false);
     assert_eq!(busiest_second(&play(&mut engine, 8_000..11_000, 5)), 12);
 }
+
+/// An engine turns cold without a restart, and an entry reads that in its registration.
+#[test]
+fn a_registration_that_says_cold_lowers_the_rate() {
+    let mut engine = engine();
+    engine.on_cold_limits(at(0), Some(ColdLimits { rate: 12.0, time: Span::from_secs(3) }));
+    engine.on_report(at(0), report(5));
+    play(&mut engine, 4_000..8_000, 5);
+    let cold = PermitRequest { cold: Span::from_secs(3), ..permit_request(8_000, "roses") };
+    engine.on_permit_request(at(8_000), Ticket(8_000), cold);
+    assert_eq!(busiest_second(&play(&mut engine, 8_001..11_000, 5)), 12);
+}
--- a/kingcupbay_core/tests/lost_messages.rs
+++ b/kingcupbay_core/tests/lost_messages.rs
@@ -91,6 +91,7 @@
         max_wait: Span::from_millis(1_600),
         event_gap: None,
         entry: "127.0.0.1:1".parse().unwrap(),
+        cold: Span::ZERO,
     }
 }
 
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -214,7 +214,7 @@
     let max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
     let verdict = match suspect {
         true => None,
-        false => permits::request_permit(job, engine, name, max_wait).await,
+        false => permits::request_permit(job, instance, name, max_wait).await,
     };
     match verdict {
         Some((Verdict::Granted { version }, permit)) => {
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -9,7 +9,7 @@
 
 use actix_http::Method;
 use kingcupbay_core::{
-    deployment::model::AdapterName,
+    deployment::model::{AdapterName, Instance},
     health::Exchange,
     time::Span,
     wire::{
@@ -91,21 +91,28 @@
     id.starts_with(SIDECAR_PREFIX)
 }
 
-/// Requests a permit for `engine`. Returns `None` if the sidecar does not answer.
+/// Requests a permit for the engine `instance`. Returns `None` if the sidecar does not answer.
 pub(crate) async fn request_permit(
     job: &Job,
-    engine: SocketAddr,
+    instance: &Instance,
     name: &AdapterName,
     max_wait: Span,
 ) -> Option<(Verdict, Permit)> {
     let gateway = &job.gateway;
+    let engine = instance.address;
     let sidecar = sidecar_address(gateway, engine);
     let release = PermitRelease { attempt: job.attempt().to_owned(), pause: None };
     let permit = Permit { gateway: gateway.clone(), sidecar, release };
-    let waited = clock::now().since(job.arrived);
+    let now = clock::now();
+    let waited = now.since(job.arrived);
+    let (newest, cold) = {
+        let catalogue = gateway.node.catalogue.borrow();
+        (catalogue.version(name), catalogue.cold_remaining(now, &instance.id))
+    };
     let request = PermitRequest {
         attempt: job.attempt().to_owned(),
-        newest: gateway.node.catalogue.borrow().version(name),
+        newest,
+        cold,
         name: name.clone(),
         priority: job.priority(),
         size: job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 }),
