--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -13,6 +13,10 @@
 /// an upstream that leaves gets no new requests.
 pub const PROPAGATION_MAX: Span = Span::from_millis(2_000);
 
+/// Bound on the time from the acknowledgement of an evacuation until no daemon sends
+/// requests to the zone.
+pub const EVACUATION_MAX: Span = Span::from_millis(5_000);
+
 /// Time after the store, or an entry's connection to it, has recovered until the
 /// bounds hold again.
 pub const RECOVERY_MAX: Span = Span::from_millis(3_000);
--- a/kingcupbay_core/tests/waits.rs
+++ b/kingcupbay_core/tests/waits.rs
@@ -3,10 +3,10 @@
 use kingcupbay_core::{
     allowance::Allowance,
     deployment::waits::{
-        ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT, FETCH_PAUSE_MIN, FETCH_TIMEOUT, OPERATOR_AGE_MAX,
-        OPERATOR_FEED_PAUSE, OPERATOR_FEED_WAIT, OTHER_FEED_PAUSE, OWN_FEED_DELAY, PROPAGATION_MAX,
-        RECOVERY_MAX, RETRY_PAUSE_MIN, STORE_ANSWER_MAX, STORE_CALL_TIMEOUT, UPSTREAMS_AGE_MAX,
-        UPSTREAMS_FEED_WAIT,
+        ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT, EVACUATION_MAX, FETCH_PAUSE_MIN, FETCH_TIMEOUT,
+        OPERATOR_AGE_MAX, OPERATOR_FEED_PAUSE, OPERATOR_FEED_WAIT, OTHER_FEED_PAUSE,
+        OWN_FEED_DELAY, PROPAGATION_MAX, RECOVERY_MAX, RETRY_PAUSE_MIN, STORE_ANSWER_MAX,
+        STORE_CALL_TIMEOUT, UPSTREAMS_AGE_MAX, UPSTREAMS_FEED_WAIT,
     },
     time::{Instant, Span},
 };
@@ -64,6 +64,29 @@
     }
 }
 
+/// Requests would reach an evacuated zone for longer than the bound. An entry or a sidecar
+/// learns of the evacuation by its own feed or by a reader's report, whichever is first;
+/// each must be in time alone, with any number of entries.
+#[test]
+fn an_evacuation_is_known_in_time() {
+    let feed = [OPERATOR_FEED_PAUSE, STORE_ANSWER_MAX];
+    let slow = [OPERATOR_FEED_PAUSE, STORE_CALL_TIMEOUT];
+    let dead = [OPERATOR_FEED_WAIT, STORE_CALL_TIMEOUT, RETRY_PAUSE_MIN, STORE_ANSWER_MAX];
+    for (path, waits) in [
+        ("by the feed", &feed[..]),
+        ("by the feed of a slow store", &slow[..]),
+        ("by the feed, once one whose connection died is abandoned", &dead[..]),
+    ] {
+        assert!(sum(waits) <= EVACUATION_MAX, "{path}: {:?}", sum(waits));
+    }
+    for entries in [4, 68, 340] {
+        let period = report_period(entries);
+        // The reader has waited for its own feed, and its first report is lost.
+        let reported = sum(&[sum(&slow), period, period, STORE_ANSWER_MAX]);
+        assert!(reported <= EVACUATION_MAX, "{entries} entries, by a report: {reported:?}");
+    }
+}
+
 /// The store, or the connection to it, has recovered, but a feed's connection died in the
 /// outage. The feed must be abandoned, and the table read again, before the bounds hold
 /// again.
