Keep what was known when the store comes back from an older copy

Cause: the store may come back from a copy some seconds old and give out its versions again. Changes were ignored until the counter had passed the old value, a list with a lower version was ignored, a sidecar that started afterwards took a lower fencing number than the one before (2 then 1), and copies brought back what had left. Change: the header Store-Era of every answer is read. Versions carry the era in their upper bits, so that they are ordered by era first wherever they are kept, compared and sent, and daemons of before decode them. An answer of an earlier era is discarded; after a later one each table is read again, readers first and the others spread over 0.4 s. Kept until written again: the configuration with the greater number, announced versions, missing upstreams for 2.5 s, missing entries and evacuations for 5 s. An upstream that has left comes back only with a newer write than the copy shows. Entries that the copy lacks register again. Ruled out: taking the store's word at once, which restores withdrawn keys, evacuated zones and departed upstreams and shares the limits among too few entries; keeping what was known for good, which would never restore a zone whose removal was lost. The type of a version is still a u64.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -13,13 +13,17 @@
     cold::ColdLimits,
     config::model::Role,
     time::{Instant, Span},
-    wire::read_position::{ChangeKind, TableChange},
+    wire::{
+        read_position::{ChangeKind, TableChange},
+        rows::era,
+    },
 };
 
 use super::{
     departures::Departures,
     evacuations::Evacuations,
     model::{AdapterName, Deployment, Instance},
+    waits::REWRITE_MAX,
 };
 
 /// Registration of another daemon of the fleet.
@@ -61,6 +65,9 @@
     cold_until: BTreeMap<String, Instant>,
     /// Daemons by host.
     members: BTreeMap<String, Member>,
+    /// Daemons that were missing after the store came back from an older copy, with the time
+    /// at which that was noticed. Invariant: all are in `members`.
+    members_missing: BTreeMap<String, Instant>,
 }
 
 /// How long an upstream is still used whose registration is missing after an outage of
@@ -176,7 +183,7 @@
             return;
         }
         if row.leaving {
-            self.departures.on_store(now, &row.id, row.version);
+            self.departures.on_store(now, &row.id, row.version, Some((row.born, row.count)));
         }
         self.insert(now, row, false);
     }
@@ -235,7 +242,7 @@
         match change.kind {
             ChangeKind::Upstream(row) => {
                 if row.leaving {
-                    self.departures.on_report(now, &row.id, version);
+                    self.departures.on_report(now, &row.id, version, Some((row.born, row.count)));
                 }
                 if !self.is_outdated(&row) {
                     self.insert(now, row, true);
@@ -243,7 +250,7 @@
             }
             ChangeKind::UpstreamGone(id) => {
                 if self.instances.get(&id).is_some_and(|known| known.version <= version) {
-                    self.departures.on_report(now, &id, version);
+                    self.departures.on_report(now, &id, version, self.last_write(&id));
                     self.drop_instance(&id);
                 }
             }
@@ -258,11 +265,16 @@
     /// reported that the upstream left, and an earlier write of the upstream may reach
     /// the store after a later one.
     fn is_outdated(&self, row: &Instance) -> bool {
-        let left = self.departures.version(&row.id).unwrap_or_default();
+        let departure = self.departures.last(&row.id);
+        let left = departure.map_or(0, |(version, _)| version);
+        // The copy that the store came back from may show the upstream before it left.
+        let copied = departure.is_some_and(|(version, last)| {
+            era(version) < era(row.version) && last >= Some((row.born, row.count))
+        });
         let known = self.instances.get(&row.id).is_some_and(|known| {
             row.version < known.version || (row.born == known.born && row.count < known.count)
         });
-        known || row.version < left
+        known || copied || row.version < left
     }
 
     /// Removes an upstream whose registration was deleted as of `version`, unless a
@@ -271,14 +283,19 @@
         if self.instances.get(id).is_none_or(|known| known.version > version) {
             return;
         }
-        self.departures.on_store(now, id, version);
+        self.departures.on_store(now, id, version, self.last_write(id));
         self.drop_instance(id);
     }
 
+    /// Returns start and count of the newest known write of an upstream.
+    fn last_write(&self, id: &str) -> Option<(u64, u64)> {
+        self.instances.get(id).map(|row| (row.born, row.count))
+    }
+
     /// Applies another entry's report that an upstream has left as of `version`, and
     /// returns whether that was not known yet.
     pub fn on_departure_report(&mut self, now: Instant, id: &str, version: u64) -> bool {
-        self.departures.on_report(now, id, version);
+        self.departures.on_report(now, id, version, self.last_write(id));
         let newer = |known: &&Rc<Instance>| known.version < version && !known.leaving;
         let Some(known) = self.instances.get(id).filter(newer) else { return false };
         let left = Instance { leaving: true, version, ..Instance::clone(known) };
@@ -330,8 +347,14 @@
     }
 
     /// Drops upstreams that did not register again after an outage, and returns their
-    /// ids.
+    /// ids. Drops daemons that did not either.
     pub fn on_tick(&mut self, now: Instant) -> Vec<String> {
+        let expired = |since: &Instant| now.since(*since) >= REWRITE_MAX;
+        let missing = std::mem::take(&mut self.members_missing);
+        let (gone, missing): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            missing.into_iter().partition(|(_, since)| expired(since));
+        self.members_missing = missing;
+        self.members.retain(|host, _| !gone.contains_key(host));
         let expired = |since: &Instant| now.since(*since) >= MISSING_MAX;
         let gone: Vec<String> = self
             .missing
@@ -359,19 +382,41 @@
     pub fn on_member(&mut self, member: Member) {
         // A host that reuses the address of a dead one replaces it.
         self.members.retain(|_, other| other.address != member.address);
+        self.members_missing.remove(&member.host);
         self.members.insert(member.host.clone(), member);
     }
 
     /// Removes a daemon whose registration was deleted.
     pub fn on_member_gone(&mut self, host: &str) {
+        self.members_missing.remove(host);
         self.members.remove(host);
     }
 
-    /// Applies the complete list of daemons.
+    /// Applies the complete list of daemons. Those that were missing after the store came back
+    /// from an older copy are kept until [`Catalogue::on_tick`].
     pub fn on_members(&mut self, rows: Vec<Member>) {
-        self.members.clear();
+        let missing = &self.members_missing;
+        self.members.retain(|host, _| missing.contains_key(host));
         for row in rows {
             self.on_member(row);
         }
     }
+
+    /// Applies the complete list of daemons after the store has come back from an older
+    /// copy. Daemons that it lacks are kept for a while, as they register again: without
+    /// them, the others would share the organisations' limits among too few. The daemon on
+    /// the host `own` is not kept, so that it registers again.
+    pub fn on_members_rewound(&mut self, now: Instant, rows: Vec<Member>, own: &str) {
+        let listed: BTreeSet<String> = rows.iter().map(|row| row.host.clone()).collect();
+        self.members.remove(own);
+        let missing = self.members.keys().filter(|host| !listed.contains(*host));
+        let missing: Vec<String> = missing.cloned().collect();
+        for row in rows {
+            self.on_member(row);
+        }
+        for host in missing {
+            self.members_missing.entry(host).or_insert(now);
+        }
+        self.members_missing.retain(|host, _| self.members.contains_key(host));
+    }
 }
--- a/kingcupbay_core/src/deployment/departures.rs
+++ b/kingcupbay_core/src/deployment/departures.rs
@@ -26,6 +26,8 @@
 struct Departure {
     /// Version of the store that shows it.
     version: u64,
+    /// Start and count of the upstream's last known write.
+    last: Option<(u64, u64)>,
     /// When this daemon last learned of it.
     learned: Instant,
     /// Number of usage reports that still have to name it.
@@ -42,18 +44,27 @@
 }
 
 impl Departures {
-    /// Returns the version of the store at which the upstream `id` left.
-    pub(super) fn version(&self, id: &str) -> Option<u64> {
-        self.left.get(id).map(|departure| departure.version)
+    /// Returns the version of the store at which the upstream `id` left, and start and count
+    /// of its last known write.
+    pub(super) fn last(&self, id: &str) -> Option<(u64, Option<(u64, u64)>)> {
+        self.left.get(id).map(|departure| (departure.version, departure.last))
     }
 
-    /// Records that the store shows that `id` has left.
-    pub(super) fn on_store(&mut self, now: Instant, id: &str, version: u64) {
+    /// Records that the store shows that `id` has left; `last` is the start and count of its
+    /// last known write.
+    pub(super) fn on_store(
+        &mut self,
+        now: Instant,
+        id: &str,
+        version: u64,
+        last: Option<(u64, u64)>,
+    ) {
         let known = self.left.get(id).filter(|known| known.from_store);
         // Further rows of a leaving upstream do not restart its reports.
         let pending = known.map_or(REPORTS_PER_DEPARTURE, |known| known.pending);
         let version = known.map_or(version, |known| known.version.max(version));
-        let departure = Departure { version, learned: now, pending, from_store: true };
+        let last = last.max(self.left.get(id).and_then(|known| known.last));
+        let departure = Departure { version, last, learned: now, pending, from_store: true };
         self.left.insert(id.to_owned(), departure);
     }
 
@@ -63,9 +74,17 @@
     }
 
     /// Records another entry's report that `id` has left.
-    pub(super) fn on_report(&mut self, now: Instant, id: &str, version: u64) {
-        if self.version(id).is_none_or(|known| known < version) {
-            let departure = Departure { version, learned: now, pending: 0, from_store: false };
+    pub(super) fn on_report(
+        &mut self,
+        now: Instant,
+        id: &str,
+        version: u64,
+        last: Option<(u64, u64)>,
+    ) {
+        if self.last(id).is_none_or(|(known, _)| known < version) {
+            let last = last.max(self.left.get(id).and_then(|known| known.last));
+            let departure =
+                Departure { version, last, learned: now, pending: 0, from_store: false };
             self.left.insert(id.to_owned(), departure);
         }
     }
--- a/kingcupbay_core/src/deployment/evacuations.rs
+++ b/kingcupbay_core/src/deployment/evacuations.rs
@@ -7,7 +7,12 @@
 
 use std::collections::BTreeMap;
 
-use crate::wire::evacuation::{EvacuationReport, ZoneState};
+use crate::{
+    time::Instant,
+    wire::evacuation::{EvacuationReport, ZoneState},
+};
+
+use super::waits::REWRITE_MAX;
 
 /// Number of reports that name a changed zone. One or two of them may be lost.
 const REPORTS_PER_CHANGE: u32 = 3;
@@ -18,6 +23,9 @@
     state: ZoneState,
     /// Number of reports that still have to name it.
     pending: u32,
+    /// Set if the store came back from an older copy that lacks the evacuation: since when,
+    /// and the version of the list that shows it.
+    lacking: Option<(Instant, u64)>,
 }
 
 /// Availability zones that are or were evacuated.
@@ -48,15 +56,18 @@
         if state.version <= known.max(self.complete) {
             return false;
         }
-        self.zones.insert(zone.to_owned(), Zone { state, pending: REPORTS_PER_CHANGE });
+        self.zones
+            .insert(zone.to_owned(), Zone { state, pending: REPORTS_PER_CHANGE, lacking: None });
         true
     }
 
     /// Applies the complete list of evacuated zones as of `version`, each with the version
     /// of its row. Returns the zones whose state has changed.
     pub fn on_list(&mut self, version: u64, evacuated: &BTreeMap<String, u64>) -> Vec<String> {
-        let restored = self.evacuated().filter(|zone| !evacuated.contains_key(*zone));
-        let restored: Vec<String> = restored.map(str::to_owned).collect();
+        let restored = self.zones.iter().filter(|(name, zone)| {
+            zone.state.evacuated && zone.lacking.is_none() && !evacuated.contains_key(*name)
+        });
+        let restored: Vec<String> = restored.map(|(name, _)| name.clone()).collect();
         let rows = evacuated.iter().map(|(zone, &row)| (zone, ZoneState::evacuated(row)));
         let gone = restored.iter().map(|zone| (zone, ZoneState::restored(version)));
         let states: Vec<_> = rows.chain(gone).map(|(zone, state)| (zone.clone(), state)).collect();
@@ -66,6 +77,42 @@
         changed
     }
 
+    /// Applies the complete list after the store has come back from an older copy. Zones that
+    /// it lacks stay evacuated until [`Evacuations::on_tick`], as the operator writes them
+    /// again. Returns the zones whose state has changed.
+    pub fn on_list_rewound(
+        &mut self,
+        now: Instant,
+        version: u64,
+        evacuated: &BTreeMap<String, u64>,
+    ) -> Vec<String> {
+        let rows = evacuated.iter().map(|(zone, &row)| (zone, ZoneState::evacuated(row)));
+        let changed = rows.filter(|(zone, state)| self.on_state(zone, *state));
+        let changed = changed.map(|(zone, _)| zone.clone()).collect();
+        for (name, zone) in &mut self.zones {
+            if zone.state.evacuated && !evacuated.contains_key(name) {
+                zone.lacking.get_or_insert((now, version)).1 = version;
+            }
+        }
+        self.complete = self.complete.max(version);
+        changed
+    }
+
+    /// Restores the zones whose evacuation the operator has not written again, and returns
+    /// them.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<String> {
+        let mut restored = Vec::new();
+        for (name, zone) in &mut self.zones {
+            let Some((since, version)) = zone.lacking else { continue };
+            if now.since(since) >= REWRITE_MAX {
+                let state = ZoneState::restored(version);
+                *zone = Zone { state, pending: REPORTS_PER_CHANGE, lacking: None };
+                restored.push(name.clone());
+            }
+        }
+        restored
+    }
+
     /// Returns the newest known state of `zone`.
     pub fn state(&self, zone: &str) -> Option<ZoneState> {
         self.zones.get(zone).map(|zone| zone.state)
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -21,6 +21,14 @@
 /// bounds hold again.
 pub const RECOVERY_MAX: Span = Span::from_millis(3_000);
 
+/// Time after the store has come back from an older copy until the operator, the upstreams
+/// and the entries have written again what it lost. Until then, what was known is kept.
+pub const REWRITE_MAX: Span = Span::from_millis(5_000);
+
+/// Longest delay before a daemon reads a table again once the store has come back from an
+/// older copy. Hundreds of daemons learn of that at the same time.
+pub const REREAD_DELAY_MAX: Span = Span::from_millis(400);
+
 /// Longest time until an answer of a healthy store: 4 ms, the network round trip, and
 /// delays of a busy host.
 pub const STORE_ANSWER_MAX: Span = Span::from_millis(100);
--- a/kingcupbay_core/src/wire/rows.rs
+++ b/kingcupbay_core/src/wire/rows.rs
@@ -1,6 +1,27 @@
 //! Rows of the platform's durable store, where daemons read, follow and write the
 //! configuration.
 
+/// Bits of a version that count within an era. Numbers of up to 53 bits survive as JSON.
+const NUMBER_BITS: u32 = 40;
+
+/// Returns the version with the `number` that the store gave in `era`, the count of its
+/// returns from an older copy. After a return the store gives the same numbers again, so
+/// that only versions of one era can be compared by number. Versions are ordered by era
+/// first.
+pub fn version_in_era(era: u64, number: u64) -> u64 {
+    (era << NUMBER_BITS) | number
+}
+
+/// Returns the era of `version`.
+pub fn era(version: u64) -> u64 {
+    version >> NUMBER_BITS
+}
+
+/// Returns the number of `version`, as the store knows it.
+pub fn number(version: u64) -> u64 {
+    version & ((1 << NUMBER_BITS) - 1)
+}
+
 /// Identifier of a row.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RowKey {
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -83,6 +83,8 @@
     pub proxy: Proxy,
     /// Whether it is registered as leaving.
     pub leaving: Cell<bool>,
+    /// Number of times that it has registered.
+    pub writes: Cell<u64>,
 }
 
 /// All processes and stand-ins of one run.
@@ -179,6 +181,8 @@
         let at = upstream.proxy.address();
         let mut row = upstream.runner.registration_at(at, upstream.service, leaving);
         row["zone"] = upstream.zone.into();
+        upstream.writes.set(upstream.writes.get() + 1);
+        row["seq"] = upstream.writes.get().into();
         self.store.put("servers", &upstream.id, &row);
     }
 
@@ -222,7 +226,15 @@
         let runner = UpstreamServer::start(any_port(), settings)?;
         let proxy = Proxy::start(SocketAddr::new(ip, 0))?;
         proxy.set_target(runner.server().address());
-        Ok(Upstream { id, service, zone, runner, proxy, leaving: Cell::new(false) })
+        Ok(Upstream {
+            id,
+            service,
+            zone,
+            runner,
+            proxy,
+            leaving: Cell::new(false),
+            writes: Cell::new(0),
+        })
     }
 }
 
--- a/kingcupbay_soak/src/operator.rs
+++ b/kingcupbay_soak/src/operator.rs
@@ -42,6 +42,8 @@
     /// Numbers of all configurations.
     numbers: RefCell<BTreeSet<u64>>,
     versions: RefCell<BTreeMap<String, u32>>,
+    /// Evacuated availability zones.
+    evacuated: RefCell<BTreeSet<String>>,
 }
 
 impl Operator {
@@ -74,9 +76,31 @@
 
     /// Evacuates the availability zone `zone`, or restores it.
     pub fn evacuate(&self, store: &Registry, zone: &str, evacuated: bool) {
-        match evacuated {
-            true => drop(store.put_bytes("op", &evacuation_key(zone), b"{}")),
-            false => store.remove("op", &evacuation_key(zone)),
+        let mut zones = self.evacuated.borrow_mut();
+        if evacuated {
+            zones.insert(zone.to_owned());
+            store.put_bytes("op", &evacuation_key(zone), b"{}");
+        } else {
+            zones.remove(zone);
+            store.remove("op", &evacuation_key(zone));
+        }
+    }
+
+    /// Writes everything again, once the store has come back from an older copy.
+    pub fn write_again(&self, store: &Registry) {
+        store.put("op", "config", &configuration(self.number()).row());
+        for (adapter, version) in &*self.versions.borrow() {
+            let (key, row) = announcement_row(adapter, *version);
+            store.put("op", &key, &row);
+        }
+        let written = store.keys("op");
+        for key in written.iter().filter_map(|key| key.strip_prefix("evacuate/")) {
+            if !self.evacuated.borrow().contains(key) {
+                store.remove("op", &evacuation_key(key));
+            }
+        }
+        for zone in &*self.evacuated.borrow() {
+            store.put_bytes("op", &evacuation_key(zone), b"{}");
         }
     }
 
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -62,6 +62,9 @@
     Calls(Fault),
     /// The store drops its change history.
     Forget,
+    /// The store comes back from a copy that lacks this many of the last versions. The
+    /// operator and the upstreams write again at the end.
+    Rewind(u64),
     /// The operator writes a configuration that withdraws the last guest key.
     Configure(u64),
     /// The operator announces a new version of an adapter.
@@ -136,7 +139,7 @@
     let answers = [Fault::LoseAnswer, Fault::ErrorAnswer, late, Fault::Reset, Fault::Silent];
     let calls =
         [Fault::Outage, Fault::Silent, Fault::LoseAnswer, Fault::Slow { millis: 250 }, late];
-    match one_of(16) {
+    match one_of(17) {
         0 | 1 => Trouble::Entry(entry, signal),
         2 => Trouble::Sidecar(engine, signal),
         3 => Trouble::Store(host, fault),
@@ -149,6 +152,7 @@
         11 => Trouble::Configure(1 + one_of(3) as u64),
         12 => Trouble::Announce(one_of(ADAPTERS.len())),
         13 | 14 => Trouble::Evacuate(one_of(ZONES.len())),
+        15 => Trouble::Rewind(1 + one_of(20) as u64),
         _ => Trouble::Leave(upstream),
     }
 }
@@ -172,6 +176,7 @@
         Trouble::Configure(step) => fleet.operator.configure(&fleet.store, step),
         Trouble::Announce(adapter) => fleet.announce(ADAPTERS[adapter]),
         Trouble::Leave(at) => leave_and_return(fleet, upstream(at), lasts).await,
+        Trouble::Rewind(versions) => rewind_and_write_again(fleet, versions, lasts).await,
         Trouble::Evacuate(at) => evacuate_and_restore(fleet, ZONES[at], lasts).await,
     }
     Ok(())
@@ -217,6 +222,15 @@
     server.apply(FaultOrder::Clear(id));
 }
 
+async fn rewind_and_write_again(fleet: &Fleet, versions: u64, lasts: Duration) {
+    // The copy contains the first configuration.
+    let version = fleet.store.version().saturating_sub(versions).max(1);
+    fleet.store.rewind(version);
+    tokio::time::sleep(lasts).await;
+    fleet.operator.write_again(&fleet.store);
+    fleet.upstreams().for_each(|upstream| fleet.register(upstream, upstream.leaving.get()));
+}
+
 async fn evacuate_and_restore(fleet: &Fleet, zone: &str, lasts: Duration) {
     fleet.operator.evacuate(&fleet.store, zone, true);
     tokio::time::sleep(lasts).await;
--- a/kingcupbay_standin/src/registry.rs
+++ b/kingcupbay_standin/src/registry.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use actix_http::{Method, StatusCode};
+use actix_http::{
+    Method, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
 use futures_util::FutureExt;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
@@ -46,6 +49,10 @@
 struct State {
     rows: RefCell<BTreeMap<RowKey, (String, u64)>>,
     history: RefCell<Vec<Change>>,
+    /// All changes since the start, also those that the history no longer has.
+    log: RefCell<Vec<Change>>,
+    /// Number of returns from an older copy, which each answer states.
+    era: Cell<u64>,
     /// Version up to which the history was dropped.
     dropped_until: RefCell<u64>,
     version: RefCell<u64>,
@@ -95,6 +102,17 @@
         self.state.changes.notify();
     }
 
+    /// Returns the version of the newest change.
+    pub fn version(&self) -> u64 {
+        *self.state.version.borrow()
+    }
+
+    /// Comes back from the copy made at `version`: later changes are gone, and their versions
+    /// are given out again.
+    pub fn rewind(&self, version: u64) {
+        self.state.rewind(version);
+    }
+
     /// Sets whether feeds that begin from now on are delayed. A feed that began
     /// delayed stays so: it is answered at the end of its wait, with all
     /// changes since.
@@ -130,12 +148,31 @@
                 }
                 None => drop(self.rows.borrow_mut().remove(&key)),
             }
+            self.log.borrow_mut().push((version, key.clone(), value.clone()));
             self.history.borrow_mut().push((version, key, value));
         }
         self.changes.notify();
         version
     }
 
+    fn rewind(&self, version: u64) {
+        self.log.borrow_mut().retain(|(at, ..)| *at <= version);
+        self.history.borrow_mut().retain(|(at, ..)| *at <= version);
+        let mut rows = BTreeMap::new();
+        for (at, key, value) in self.log.borrow().iter() {
+            match value {
+                Some(text) => drop(rows.insert(key.clone(), (text.clone(), *at))),
+                None => drop(rows.remove(key)),
+            }
+        }
+        *self.rows.borrow_mut() = rows;
+        *self.version.borrow_mut() = version;
+        let dropped = *self.dropped_until.borrow();
+        *self.dropped_until.borrow_mut() = dropped.min(version);
+        self.era.set(self.era.get() + 1);
+        self.changes.notify();
+    }
+
     fn read(&self, query: &BTreeMap<String, String>) -> Answer {
         let table = query.get("table").cloned().unwrap_or_default();
         let from = query.get("from").cloned().unwrap_or_default();
@@ -165,7 +202,8 @@
             let newer = |(ver, (of, _), _): &&Change| *ver > after && *of == table;
             history.iter().filter(newer).cloned().collect::<Vec<Change>>()
         };
-        let dropped = || after < *self.dropped_until.borrow();
+        // A feed may also begin after a version that the store does not have any more.
+        let dropped = || after < *self.dropped_until.borrow() || after > *self.version.borrow();
         let delayed = self.delayed.get();
         if delayed {
             *self.delayed_feeds.borrow_mut().entry(table.clone()).or_default() += 1;
@@ -217,12 +255,15 @@
         let state = Rc::clone(&state);
         async move {
             let query = parse_query(&call.query);
-            match (&call.method, call.path.as_str()) {
+            let mut answer = match (&call.method, call.path.as_str()) {
                 (&Method::GET, "/v1/rows-get") => state.read(&query),
                 (&Method::GET, "/v1/rows-feed") => state.feed(&query).await,
                 (&Method::POST, "/v1/rows-tx") => state.transact(&call),
                 _ => call::unknown(),
-            }
+            };
+            let era = HeaderValue::from(state.era.get());
+            answer.headers_mut().insert(HeaderName::from_static("store-era"), era);
+            answer
         }
         .boxed_local()
     })
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -3,8 +3,9 @@
 use kingcupbay_core::{time::Span, wire::error::Code};
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
-use crate::metrics::{
-    EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text,
+use crate::{
+    metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text},
+    registered::store::Store,
 };
 
 /// Metrics of an entry.
@@ -23,11 +24,12 @@
 }
 
 impl Metrics {
-    /// Creates the metrics at zero and adds `calls`, the counter of store calls.
-    pub(crate) fn new(calls: &IntCounterVec) -> Metrics {
+    /// Creates the metrics at zero and adds those of the `store`'s client.
+    pub(crate) fn new(store: &Store) -> Metrics {
         let registry = Registry::new();
-        let calls = Box::new(calls.clone());
+        let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
+        registry.register(era).expect("no other metric has its name");
         let (answers, refusals) = (
             counters(
                 &registry,
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -97,7 +97,7 @@
             catch_up: RefCell::default(),
             cold: RefCell::new(ColdShares::new(node.incarnation)),
             releases: permits::Releases::default(),
-            metrics: Metrics::new(node.store.calls()),
+            metrics: Metrics::new(&node.store),
             node,
         }
     }
--- a/kingcupbayd/src/http/pool.rs
+++ b/kingcupbayd/src/http/pool.rs
@@ -32,6 +32,7 @@
 pub(crate) struct Answer {
     /// HTTP status.
     pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
     /// Complete body.
     pub(crate) body: Bytes,
 }
@@ -132,6 +133,7 @@
             whole.extend_from_slice(&chunk);
         }
         self.put(address, link, None);
-        Ok(Answer { status: head.status.as_u16(), body: whole.freeze() })
+        let status = head.status.as_u16();
+        Ok(Answer { status, headers: head.headers, body: whole.freeze() })
     }
 }
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -142,6 +142,12 @@
     calls.expect("the name and the labels are valid")
 }
 
+/// Creates a gauge of the store's era, for the registry of either role.
+pub(crate) fn store_era() -> IntGauge {
+    let gauge = IntGauge::new("kingcupbay_store_era", "Returns of the store from an older copy");
+    gauge.expect("the name is valid")
+}
+
 /// Registers a gauge for each set of labels.
 pub(crate) fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     registered(registry, IntGaugeVec::new(Opts::new(name, help), labels))
--- a/kingcupbayd/src/registered/evacuations.rs
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -18,34 +18,56 @@
 use kingcupbay_platform::{operator, store::OPERATOR_TABLE};
 use slog::{info, warn};
 
-use crate::registered::{Node, message};
+use crate::{
+    clock,
+    registered::{Node, message},
+};
 
 /// Timeout of an answer to a report. If it is late, the next report repeats this one.
 const ANSWER_TIMEOUT: Span = Span::from_millis(300);
 
 /// Applies the state of `zone`, unless a newer one is known. `why` says how this daemon
-/// has learned of it.
-pub(crate) fn apply(node: &Node, zone: &str, state: ZoneState, why: &'static str) {
+/// has learned of it. Returns whether the state was applied.
+pub(crate) fn apply(node: &Node, zone: &str, state: ZoneState, why: &'static str) -> bool {
     let taken = node.catalogue.borrow_mut().evacuations_mut().on_state(zone, state);
     if taken {
         on_changed(node, zone, why);
     }
+    taken
 }
 
-/// Applies the complete list of the operator's rows as of `version`.
-pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64) {
+/// Applies the complete list of the operator's rows as of `version`. `rewound` says whether
+/// the list may lack zones whose evacuation the operator writes again.
+pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64, rewound: bool) {
     let zone = |row: &Row| Some((operator::evacuated_zone(&row.key.key)?.to_owned(), row.version));
     let evacuated: BTreeMap<String, u64> = rows.iter().filter_map(zone).collect();
-    let changed = node.catalogue.borrow_mut().evacuations_mut().on_list(version, &evacuated);
-    for zone in changed {
-        let known = node.catalogue.borrow().evacuations().state(&zone);
-        if known == Some(ZoneState::restored(version)) {
-            let key =
-                RowKey { table: OPERATOR_TABLE.to_owned(), key: operator::evacuation_key(&zone) };
-            node.rows.borrow_mut().on_row(&Row::removal(key, version));
-        }
-        on_changed(node, &zone, "list");
+    let now = clock::now();
+    let mut catalogue = node.catalogue.borrow_mut();
+    let zones = catalogue.evacuations_mut();
+    let changed = match rewound {
+        true => zones.on_list_rewound(now, version, &evacuated),
+        false => zones.on_list(version, &evacuated),
+    };
+    drop(catalogue);
+    changed.iter().for_each(|zone| on_listed(node, zone, "list"));
+}
+
+/// Restores zones whose evacuation the operator has not written again in time.
+pub(crate) fn on_tick(node: &Node) {
+    let now = clock::now();
+    let restored = node.catalogue.borrow_mut().evacuations_mut().on_tick(now);
+    restored.iter().for_each(|zone| on_listed(node, zone, "not written again"));
+}
+
+/// Stores the removal of the row of `zone` if it is restored, and reports the change.
+fn on_listed(node: &Node, zone: &str, why: &'static str) {
+    let state = node.catalogue.borrow().evacuations().state(zone);
+    if let Some(ZoneState { version, evacuated: false }) = state {
+        let key = operator::evacuation_key(zone);
+        let key = RowKey { table: OPERATOR_TABLE.to_owned(), key };
+        node.rows.borrow_mut().on_row(&Row::removal(key, version));
     }
+    on_changed(node, zone, why);
 }
 
 /// Logs that the state of `zone` has changed, and notifies the requests that wait for an
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -9,7 +9,7 @@
     wire::{
         evacuation::ZoneState,
         read_position::{ChangeKind, Table, TableChange},
-        rows::{Row, RowChange, RowKey, RowPage},
+        rows::{Row, RowChange, RowKey, RowPage, era, number},
     },
 };
 use kingcupbay_platform::{
@@ -63,14 +63,22 @@
                 if node.fencing.get().is_none() {
                     node.fencing.set(Some(version));
                 }
-                apply_table(&node, table, rows, version, failing_since.is_some());
+                let known = node.read_positions.borrow().known(table);
+                let since = if known == 0 || era(known) == era(version) {
+                    failing_since.map_or(ListedAfter::Feed, |_| ListedAfter::Outage)
+                } else {
+                    ListedAfter::Rewind
+                };
+                apply_table(&node, table, rows, version, since);
                 pause = waits::RETRY_PAUSE_MIN;
                 failing_since = None;
                 follow_feed(&node, table).await
             }
             Err(error) => error,
         };
-        if !matches!(error, StoreError::HistoryDropped) {
+        if matches!(error, StoreError::Rewound) {
+            tokio::time::sleep(reread_delay(&node).into()).await;
+        } else if !matches!(error, StoreError::HistoryDropped) {
             let since = *failing_since.get_or_insert_with(clock::now);
             warn!(node.log, ""; "event" => "feed_lost", "table" => table_name(table),
                 "error" => %error, "for_ms" => clock::now().since(since).as_millis());
@@ -87,6 +95,15 @@
     }
 }
 
+/// Returns how long to wait before a table is read again once the store has come back from
+/// an older copy. All daemons learn of that at the same time, and the readers go first.
+fn reread_delay(node: &Node) -> Span {
+    match node.settings.daemon.role == Role::Entry && node.is_reader() {
+        true => Span::ZERO,
+        false => Span::from_micros(node.incarnation % waits::REREAD_DELAY_MAX.as_micros()),
+    }
+}
+
 /// Waits until the store is available again, which the operator table's feed finds out.
 async fn wait_for_store(node: &Node) {
     while node.store.unavailable_since().is_some() {
@@ -104,6 +121,9 @@
         let from = rows.last().map_or(String::new(), |row| row.key.key.clone());
         let page = node.store.read(table_name(table), &from).await?;
         let version = *oldest.get_or_insert(page.version);
+        if era(page.version) != era(version) {
+            return Err(StoreError::Rewound);
+        }
         let before = rows.len();
         // A page begins with the last row of the previous one.
         rows.extend(page.rows.into_iter().filter_map(|change| match change {
@@ -206,12 +226,24 @@
     }
 }
 
+/// Why a table was listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListedAfter {
+    /// The feed cannot go on from the known version, or none was known.
+    Feed,
+    /// The store did not answer. Registrations may have expired meanwhile.
+    Outage,
+    /// The store came back from an older copy, and lacks what was written since. The
+    /// operator and the upstreams write it again.
+    Rewind,
+}
+
 /// Applies a complete table.
-fn apply_table(node: &Rc<Node>, table: Table, rows: Vec<Row>, version: u64, after_outage: bool) {
+fn apply_table(node: &Rc<Node>, table: Table, rows: Vec<Row>, version: u64, after: ListedAfter) {
     let now = clock::now();
     match table {
         Table::Operator => {
-            evacuations::on_list(node, &rows, version);
+            evacuations::on_list(node, &rows, version, after == ListedAfter::Rewind);
             for row in rows {
                 apply_change(node, table, RowChange::Put(row));
             }
@@ -224,28 +256,37 @@
             let instances: Vec<_> = instances.collect();
             let count = instances.len();
             let mut catalogue = node.catalogue.borrow_mut();
+            let after_outage = after != ListedAfter::Feed;
             let kept = catalogue.on_instances(now, instances, version, after_outage);
             info!(node.log, ""; "event" => "upstreams_read", "count" => count,
                 "version" => version, "after_outage" => after_outage,
                 "kept_missing" => kept.join(","));
         }
-        Table::Entries => apply_entries(node, &rows, version),
+        Table::Entries => apply_entries(node, &rows, version, after == ListedAfter::Rewind),
     }
     node.read_positions.borrow_mut().on_list(now, table, version);
+    if after == ListedAfter::Rewind {
+        info!(node.log, ""; "event" => "reread", "table" => table_name(table),
+            "era" => era(version), "number" => number(version));
+    }
     node.changed.notify_waiters();
 }
 
 /// Applies the list of entries, unless other entries have reported newer changes
-/// already.
-fn apply_entries(node: &Node, rows: &[Row], version: u64) {
+/// already. `rewound` says whether it may lack entries that will register again.
+fn apply_entries(node: &Node, rows: &[Row], version: u64, rewound: bool) {
     let known = node.read_positions.borrow().known(Table::Entries);
     if version < known {
         info!(node.log, ""; "event" => "entries_outdated", "version" => version,
             "known" => known);
         return;
     }
-    let members = rows.iter().filter_map(|row| member(node, row)).collect();
-    node.catalogue.borrow_mut().on_members(members);
+    let members: Vec<Member> = rows.iter().filter_map(|row| member(node, row)).collect();
+    let mut catalogue = node.catalogue.borrow_mut();
+    match rewound {
+        true => catalogue.on_members_rewound(clock::now(), members, node.host()),
+        false => catalogue.on_members(members),
+    }
 }
 
 /// Applies one change. Returns what to report of it to other entries.
@@ -300,10 +341,10 @@
 
 /// Stores and applies a change of the operator's rows.
 fn apply_operator_change(node: &Rc<Node>, change: RowChange) {
-    node.rows.borrow_mut().on_change(&change);
     match change {
         RowChange::Put(row) => on_operator_row(node, &row, "feed"),
         RowChange::Removed(key, version) => {
+            node.rows.borrow_mut().on_removal(&key, version);
             if let Some(zone) = operator::evacuated_zone(&key.key) {
                 evacuations::apply(node, zone, ZoneState::restored(version), "feed");
             }
@@ -313,14 +354,21 @@
 
 /// Stores and applies a row that another daemon has read.
 pub(crate) fn on_fetched_row(node: &Rc<Node>, row: &Row) {
-    node.rows.borrow_mut().on_row(row);
     on_operator_row(node, row, "fetched");
     node.changed.notify_waiters();
 }
 
-/// Applies a row of the operator: the configuration, an announced version or an
-/// evacuated availability zone. `why` says where the row comes from.
+/// Applies a row of the operator and stores it for other daemons, unless it is older than
+/// what this daemon acts on. `why` says where the row comes from.
 fn on_operator_row(node: &Rc<Node>, row: &Row, why: &'static str) {
+    if apply_operator_row(node, row, why) {
+        node.rows.borrow_mut().on_row(row);
+    }
+}
+
+/// Applies a row of the operator: the configuration, an announced version or an
+/// evacuated availability zone. Returns whether this daemon acts on it now.
+fn apply_operator_row(node: &Rc<Node>, row: &Row, why: &'static str) -> bool {
     if let Some(zone) = operator::evacuated_zone(&row.key.key) {
         let state = ZoneState { version: row.version, evacuated: !row.is_removal() };
         return evacuations::apply(node, zone, state, why);
@@ -334,9 +382,13 @@
                 info!(node.log, ""; "event" => "configuration", "number" => number,
                     "taken" => taken, "routes" => routes, "organisations" => organisations,
                     "version" => row.version);
+                taken
+            }
+            Err(error) => {
+                error!(node.log, ""; "event" => "configuration_unreadable", "error" => %error,
+                    "version" => row.version);
+                false
             }
-            Err(error) => error!(node.log, ""; "event" => "configuration_unreadable",
-                "error" => %error, "version" => row.version),
         }
     } else if row.key.key.starts_with(operator::VERSION_KEY_PREFIX) {
         match operator::decode_version(&row.value) {
@@ -345,9 +397,15 @@
                 let taken = node.catalogue.borrow_mut().on_version(name, version);
                 info!(node.log, ""; "event" => "adapter_version", "adapter" => adapter,
                     "version" => version, "taken" => taken);
+                taken
+            }
+            Err(error) => {
+                log_unreadable(node, &row.key, &error);
+                false
             }
-            Err(error) => log_unreadable(node, &row.key, &error),
         }
+    } else {
+        false
     }
 }
 
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -130,6 +130,7 @@
 
     /// Drops upstreams that did not register again after an outage of the store.
     pub(crate) fn tick(&self, now: Instant) {
+        evacuations::on_tick(self);
         for id in self.catalogue.borrow_mut().on_tick(now) {
             info!(self.log, ""; "event" => "upstream_gone", "id" => id, "why" => "stayed away");
         }
--- a/kingcupbayd/src/registered/rows.rs
+++ b/kingcupbayd/src/registered/rows.rs
@@ -10,7 +10,7 @@
 use kingcupbay_core::{
     deployment::waits,
     wire::{
-        rows::{Row, RowChange, RowKey},
+        rows::{Row, RowKey},
         usage::{ROWS_PATH, StoredRow, StoredRows, serde_bytes_vec::Bytes},
     },
 };
@@ -30,15 +30,12 @@
 }
 
 impl Rows {
-    /// Applies a change read from the store.
-    pub(crate) fn on_change(&mut self, change: &RowChange) {
-        match change {
-            RowChange::Put(row) => self.on_row(row),
+    /// Applies the removal of a row from the store.
+    pub(crate) fn on_removal(&mut self, key: &RowKey, version: u64) {
+        match operator::evacuated_zone(&key.key) {
             // A daemon that fetches the rows must learn that the zone is restored.
-            RowChange::Removed(key, version) if operator::evacuated_zone(&key.key).is_some() => {
-                self.on_row(&Row::removal(key.clone(), *version));
-            }
-            RowChange::Removed(key, _) => drop(self.rows.remove(key)),
+            Some(_) => self.on_row(&Row::removal(key.clone(), version)),
+            None => drop(self.rows.remove(key)),
         }
     }
 
--- a/kingcupbayd/src/registered/store.rs
+++ b/kingcupbayd/src/registered/store.rs
@@ -6,10 +6,10 @@
 use kingcupbay_core::{
     deployment::waits::STORE_CALL_TIMEOUT,
     time::{Instant, Span},
-    wire::rows::{RowPage, Txn, TxnAnswer},
+    wire::rows::{self, RowPage, Txn, TxnAnswer},
 };
 use kingcupbay_platform::{Call, DecodeError, store as platform};
-use prometheus::IntCounterVec;
+use prometheus::{IntCounterVec, IntGauge};
 use slog::{Logger, info, warn};
 use thiserror::Error;
 
@@ -19,7 +19,7 @@
         link::LinkError,
         pool::{Answer, Pool},
     },
-    metrics::store_calls,
+    metrics::{store_calls, store_era},
 };
 
 /// Why a call of the store failed.
@@ -35,6 +35,13 @@
     /// The store has dropped the history from the requested version on.
     #[error("the history is gone")]
     HistoryDropped,
+    /// The store has come back from an older copy since the requested version.
+    #[error("the store came back from an older copy")]
+    Rewound,
+    /// The answer is from before the store came back from an older copy. What it says may
+    /// be gone; a write may have been lost.
+    #[error("the answer is from before the store came back")]
+    Outdated,
     /// The answer cannot be decoded.
     #[error("{0}")]
     Decode(#[from] DecodeError),
@@ -46,6 +53,10 @@
     address: SocketAddr,
     /// Since when no call has been answered.
     unavailable_since: Cell<Option<Instant>>,
+    /// Greatest era that an answer has stated; `None` before the first answer.
+    era: Cell<Option<u64>>,
+    /// The same as a metric.
+    era_gauge: IntGauge,
     /// Calls by kind and table.
     calls: IntCounterVec,
     log: Logger,
@@ -54,7 +65,15 @@
 impl Store {
     /// Creates a client of the store at `address`.
     pub(crate) fn new(pool: Pool, address: SocketAddr, log: Logger) -> Store {
-        Store { pool, address, unavailable_since: Cell::new(None), calls: store_calls(), log }
+        Store {
+            pool,
+            address,
+            unavailable_since: Cell::new(None),
+            era: Cell::new(None),
+            era_gauge: store_era(),
+            calls: store_calls(),
+            log,
+        }
     }
 
     /// Returns the counter of calls by kind and table, for this daemon's metrics.
@@ -62,6 +81,11 @@
         &self.calls
     }
 
+    /// Returns the era as a metric, for this daemon's metrics.
+    pub(crate) fn era_gauge(&self) -> &IntGauge {
+        &self.era_gauge
+    }
+
     /// Returns since when the store has not answered, if so.
     pub(crate) fn unavailable_since(&self) -> Option<Instant> {
         self.unavailable_since.get()
@@ -70,12 +94,14 @@
     /// Returns a page of rows of `table`, from the key `from` on.
     pub(crate) async fn read(&self, table: &str, from: &str) -> Result<RowPage, StoreError> {
         self.calls.with_label_values(&["read", table]).inc();
-        let answer = self.call(&platform::encode_read(table, from), STORE_CALL_TIMEOUT).await?;
-        Ok(platform::decode_page(&answer.body)?)
+        let call = platform::encode_read(table, from);
+        let (era, answer) = self.call(&call, STORE_CALL_TIMEOUT).await?;
+        Ok(platform::decode_page(era, &answer.body)?)
     }
 
     /// Returns the changes of `table` after version `after`. Waits up to `wait` for a
-    /// first change.
+    /// first change. Fails if the store comes back from an older copy meanwhile, as it has
+    /// changes then that have lower versions.
     pub(crate) async fn feed(
         &self,
         table: &str,
@@ -83,29 +109,33 @@
         wait: Span,
     ) -> Result<RowPage, StoreError> {
         self.calls.with_label_values(&["feed", table]).inc();
-        let answer = self
-            .call(&platform::encode_feed(table, after, wait), wait + STORE_CALL_TIMEOUT)
-            .await?;
-        Ok(platform::decode_page(&answer.body)?)
+        let call = platform::encode_feed(table, after, wait);
+        let (era, answer) = self.call(&call, wait + STORE_CALL_TIMEOUT).await?;
+        if rows::era(after) < era {
+            return Err(StoreError::Rewound);
+        }
+        Ok(platform::decode_page(era, &answer.body)?)
     }
 
     /// Runs a transaction.
     pub(crate) async fn transact(&self, txn: &Txn) -> Result<TxnAnswer, StoreError> {
         let table = txn.writes.first().map_or("", |(row, _)| &row.table);
         self.calls.with_label_values(&["transact", table]).inc();
-        let answer = self.call(&platform::encode_transaction(txn), STORE_CALL_TIMEOUT).await?;
-        Ok(platform::decode_transaction(answer.status == 412, &answer.body)?)
+        let call = platform::encode_transaction(txn);
+        let (era, answer) = self.call(&call, STORE_CALL_TIMEOUT).await?;
+        Ok(platform::decode_transaction(era, answer.status == 412, &answer.body)?)
     }
 
-    /// Calls the store with the timeout `time`.
-    async fn call(&self, call: &Call, time: Span) -> Result<Answer, StoreError> {
+    /// Calls the store with the timeout `time`. Returns the answer with its era.
+    async fn call(&self, call: &Call, time: Span) -> Result<(u64, Answer), StoreError> {
         let method = if call.method == "GET" { Method::GET } else { Method::POST };
         let answered = self.pool.call(self.address, method, &call.path, &call.body, time).await;
         let result = match answered {
-            Ok(answer) => match answer.status {
-                200 | 412 => Ok(answer),
-                410 => Err(StoreError::HistoryDropped),
-                status => Err(StoreError::Refused(status)),
+            Ok(answer) => match (self.on_era(&answer), answer.status) {
+                (None, _) => Err(StoreError::Outdated),
+                (Some(era), 200 | 412) => Ok((era, answer)),
+                (Some(_), 410) => Err(StoreError::HistoryDropped),
+                (Some(_), status) => Err(StoreError::Refused(status)),
             },
             Err(error) => Err(error.into()),
         };
@@ -113,8 +143,24 @@
         result
     }
 
+    /// Returns the era of an answer; `None` if a later one is known. An answer that states
+    /// none is of the last one: a store without eras never comes back from a copy.
+    fn on_era(&self, answer: &Answer) -> Option<u64> {
+        let known = self.era.get();
+        let era = platform::decode_era(&answer.headers).or(known).unwrap_or_default();
+        if known.is_some_and(|known| era < known) {
+            return None;
+        }
+        if let Some(before) = known.filter(|&known| known < era) {
+            warn!(self.log, ""; "event" => "store_era", "era" => era, "before" => before);
+        }
+        self.era.set(Some(era));
+        self.era_gauge.set(era as i64);
+        Some(era)
+    }
+
     /// Records and logs when the store is lost and when it is back.
-    fn log_availability(&self, result: &Result<Answer, StoreError>) {
+    fn log_availability<T>(&self, result: &Result<T, StoreError>) {
         let now = clock::now();
         match (result, self.unavailable_since.get()) {
             (Ok(_) | Err(StoreError::HistoryDropped), Some(since)) => {
--- a/kingcupbayd/src/sidecar/load_reports.rs
+++ b/kingcupbayd/src/sidecar/load_reports.rs
@@ -26,6 +26,7 @@
     loop {
         tokio::time::sleep(REPORT_PERIOD.into()).await;
         let now = clock::now();
+        sidecar.node.tick(now);
         let actions = sidecar.admission.borrow_mut().on_tick(now);
         sidecar.perform(actions);
         sidecar
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -7,7 +7,10 @@
 };
 use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec, Registry};
 
-use crate::metrics::{LATENCY_BUCKETS, counters, gauges, histograms, text};
+use crate::{
+    metrics::{LATENCY_BUCKETS, counters, gauges, histograms, text},
+    registered::store::Store,
+};
 
 /// Metrics of a sidecar.
 pub(crate) struct Metrics {
@@ -19,11 +22,12 @@
 }
 
 impl Metrics {
-    /// Creates the metrics at zero and adds `calls`, the counter of store calls.
-    pub(crate) fn new(calls: &IntCounterVec) -> Metrics {
+    /// Creates the metrics at zero and adds those of the `store`'s client.
+    pub(crate) fn new(store: &Store) -> Metrics {
         let registry = Registry::new();
-        let calls = Box::new(calls.clone());
+        let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
+        registry.register(era).expect("no other metric has its name");
         Metrics {
             verdicts: counters(
                 &registry,
