Keep evacuations of an earlier era whoever reported them, and explore returns of the store

Change: a zone that a list lacks stays evacuated for 5 s whenever its state is of an earlier era, instead of depending on what the entry has read before. Conclusion: evacuations stand for the tables whose removed rows matter; once-only calls and shares of own mode are not in it, as only the platform's store has eras.

--- a/kingcupbay_core/src/deployment/evacuations.rs
+++ b/kingcupbay_core/src/deployment/evacuations.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     time::Instant,
-    wire::evacuation::{EvacuationReport, ZoneState},
+    wire::{
+        evacuation::{EvacuationReport, ZoneState},
+        rows::era,
+    },
 };
 
 use super::waits::REWRITE_MAX;
@@ -63,37 +66,30 @@
 
     /// Applies the complete list of evacuated zones as of `version`, each with the version
     /// of its row. Returns the zones whose state has changed.
-    pub fn on_list(&mut self, version: u64, evacuated: &BTreeMap<String, u64>) -> Vec<String> {
-        let restored = self.zones.iter().filter(|(name, zone)| {
-            zone.state.evacuated && zone.lacking.is_none() && !evacuated.contains_key(*name)
-        });
-        let restored: Vec<String> = restored.map(|(name, _)| name.clone()).collect();
-        let rows = evacuated.iter().map(|(zone, &row)| (zone, ZoneState::evacuated(row)));
-        let gone = restored.iter().map(|zone| (zone, ZoneState::restored(version)));
-        let states: Vec<_> = rows.chain(gone).map(|(zone, state)| (zone.clone(), state)).collect();
-        let changed = states.into_iter().filter(|(zone, state)| self.on_state(zone, *state));
-        let changed = changed.map(|(zone, _)| zone).collect();
-        self.complete = self.complete.max(version);
-        changed
-    }
-
-    /// Applies the complete list after the store has come back from an older copy. Zones that
-    /// it lacks stay evacuated until [`Evacuations::on_tick`], as the operator writes them
-    /// again. Returns the zones whose state has changed.
-    pub fn on_list_rewound(
+    ///
+    /// A zone that it lacks is restored, unless its evacuation is known from before the store
+    /// came back from an older copy. Then it stays evacuated until [`Evacuations::on_tick`],
+    /// as the operator writes it again.
+    pub fn on_list(
         &mut self,
         now: Instant,
         version: u64,
         evacuated: &BTreeMap<String, u64>,
     ) -> Vec<String> {
-        let rows = evacuated.iter().map(|(zone, &row)| (zone, ZoneState::evacuated(row)));
-        let changed = rows.filter(|(zone, state)| self.on_state(zone, *state));
-        let changed = changed.map(|(zone, _)| zone.clone()).collect();
+        let mut states: Vec<(String, ZoneState)> = Vec::new();
         for (name, zone) in &mut self.zones {
-            if zone.state.evacuated && !evacuated.contains_key(name) {
-                zone.lacking.get_or_insert((now, version)).1 = version;
+            if !zone.state.evacuated || evacuated.contains_key(name) {
+                continue;
+            }
+            match era(zone.state.version) < era(version) {
+                true => zone.lacking.get_or_insert((now, version)).1 = version,
+                false => states.push((name.clone(), ZoneState::restored(version))),
             }
         }
+        let rows = evacuated.iter().map(|(zone, &row)| (zone.clone(), ZoneState::evacuated(row)));
+        states.extend(rows);
+        let changed = states.into_iter().filter(|(zone, state)| self.on_state(zone, *state));
+        let changed = changed.map(|(zone, _)| zone).collect();
         self.complete = self.complete.max(version);
         changed
     }
--- a/kingcupbay_core/tests/evacuations.rs
+++ b/kingcupbay_core/tests/evacuations.rs
@@ -8,7 +8,7 @@
 use kingcupbay_core::{
     deployment::{catalogue::Catalogue, evacuations::Evacuations, model::Instance},
     time::{Instant, Span},
-    wire::evacuation::ZoneState,
+    wire::{evacuation::ZoneState, rows::version_in_era},
 };
 
 fn rows(rows: &[(&str, u64)]) -> BTreeMap<String, u64> {
@@ -50,9 +50,9 @@
 #[test]
 fn a_zone_that_is_not_listed_is_restored() {
     let mut zones = Evacuations::default();
-    zones.on_list(10, &rows(&[("a", 4), ("b", 6)]));
+    zones.on_list(Instant::default(), 10, &rows(&[("a", 4), ("b", 6)]));
     assert_eq!(zones.evacuated().collect::<Vec<_>>(), ["a", "b"]);
-    assert_eq!(zones.on_list(20, &rows(&[("b", 6)])), ["a"]);
+    assert_eq!(zones.on_list(Instant::default(), 20, &rows(&[("b", 6)])), ["a"]);
     assert_eq!(zones.evacuated().collect::<Vec<_>>(), ["b"]);
     assert!(!zones.on_state("a", ZoneState::evacuated(4)));
 }
@@ -63,7 +63,7 @@
 fn a_list_from_before_an_evacuation_does_not_restore_the_zone() {
     let mut zones = Evacuations::default();
     zones.on_state("a", ZoneState::evacuated(30));
-    assert!(zones.on_list(20, &rows(&[])).is_empty());
+    assert!(zones.on_list(Instant::default(), 20, &rows(&[])).is_empty());
     assert!(zones.is_evacuated("a"));
 }
 
@@ -106,8 +106,24 @@
 #[test]
 fn a_report_from_before_the_first_list_changes_nothing() {
     let mut zones = Evacuations::default();
-    zones.on_list(20, &rows(&[]));
+    zones.on_list(Instant::default(), 20, &rows(&[]));
     assert!(!zones.on_state("a", ZoneState::evacuated(4)));
     assert!(!zones.is_evacuated("a"));
     assert!(zones.on_state("a", ZoneState::evacuated(21)));
 }
+
+/// The store comes back from a copy that lacks an evacuation, also for an entry that has not
+/// listed the rows yet and knows of it from another. The zone stays evacuated until the
+/// operator has had the time to write it again, and not for good.
+#[test]
+fn a_zone_stays_evacuated_until_it_is_written_again() {
+    let after = |secs| Instant::default() + Span::from_secs(secs);
+    let mut zones = Evacuations::default();
+    zones.on_state("a", ZoneState::evacuated(version_in_era(0, 30)));
+    zones.on_list(after(0), version_in_era(1, 20), &rows(&[]));
+    zones.on_list(after(2), version_in_era(1, 25), &rows(&[]));
+    assert!(zones.is_evacuated("a") && zones.on_tick(after(4)).is_empty());
+    assert_eq!(zones.on_tick(after(5)), ["a"]);
+    assert!(!zones.is_evacuated("a"));
+    assert!(zones.on_state("a", ZoneState::evacuated(version_in_era(1, 26))));
+}
--- a/kingcupbay_core/tests/spec_evacuation.rs
+++ b/kingcupbay_core/tests/spec_evacuation.rs
@@ -198,7 +198,7 @@
                     self.zones.on_state(ZONE, state);
                 }
             }
-            _ => drop(self.zones.on_list(version, &rows)),
+            _ => drop(self.zones.on_list(NOW, version, &rows)),
         }
         match mutation {
             Mutation::SkipRemoved => {
--- a/kingcupbayd/src/registered/evacuations.rs
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -36,19 +36,12 @@
     taken
 }
 
-/// Applies the complete list of the operator's rows as of `version`. `rewound` says whether
-/// the list may lack zones whose evacuation the operator writes again.
-pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64, rewound: bool) {
+/// Applies the complete list of the operator's rows as of `version`.
+pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64) {
     let zone = |row: &Row| Some((operator::evacuated_zone(&row.key.key)?.to_owned(), row.version));
     let evacuated: BTreeMap<String, u64> = rows.iter().filter_map(zone).collect();
     let now = clock::now();
-    let mut catalogue = node.catalogue.borrow_mut();
-    let zones = catalogue.evacuations_mut();
-    let changed = match rewound {
-        true => zones.on_list_rewound(now, version, &evacuated),
-        false => zones.on_list(version, &evacuated),
-    };
-    drop(catalogue);
+    let changed = node.catalogue.borrow_mut().evacuations_mut().on_list(now, version, &evacuated);
     changed.iter().for_each(|zone| on_listed(node, zone, "list"));
 }
 
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -243,7 +243,7 @@
     let now = clock::now();
     match table {
         Table::Operator => {
-            evacuations::on_list(node, &rows, version, after == ListedAfter::Rewind);
+            evacuations::on_list(node, &rows, version);
             for row in rows {
                 apply_change(node, table, RowChange::Put(row));
             }
