Pass on evacuations that were read as a list, and say when a cold upstream takes more

A zone found evacuated in a list was not stored among the rows for other daemons, so that an entry which starts while the store is away would not learn of it; rows of the operator of unknown kinds were no longer passed on. Change: listed rows are applied one by one before the list as a whole; unknown rows are stored as before; the refusal names the time until the entry's next turn.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -229,8 +229,8 @@
                 "after_ms" => after.as_millis());
             Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
         }
-        None if !may_send_unpermitted(job, instance) => Err(None),
         None => {
+            check_unpermitted(job, instance).map_err(Some)?;
             let resident = gateway.placement.borrow().resident_version(engine, name);
             let newest = gateway.node.catalogue.borrow().version(name);
             match resident {
@@ -241,13 +241,12 @@
     }
 }
 
-/// Returns whether a request may be sent to an engine whose sidecar does not answer, and
-/// counts it if so. Only the sidecar knows whether the engine is cold.
-fn may_send_unpermitted(job: &Job, instance: &Instance) -> bool {
-    let gateway = &job.gateway;
+/// Counts a request that may be sent to an engine whose sidecar does not answer. Only the
+/// sidecar knows whether the engine is cold. An error is the time until one may be sent.
+fn check_unpermitted(job: &Job, instance: &Instance) -> Result<(), Span> {
     let service = job.deployment.services.get(&instance.service);
-    let Some(limits) = service.and_then(|service| service.cold) else { return true };
-    gateway.try_send_cold(instance, limits).is_ok()
+    let limits = service.and_then(|service| service.cold);
+    limits.map_or(Ok(()), |limits| job.gateway.try_send_cold(instance, limits))
 }
 
 /// Sends the request and waits for the head of the answer, which arrives with the first
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -118,8 +118,7 @@
         repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
     }
 
-    /// Returns whether this entry may send a request to a cold upstream, and counts it if
-    /// so.
+    /// Counts a request that this entry may send to a cold upstream.
     ///
     /// # Errors
     ///
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -71,6 +71,7 @@
     let mut sends = 0;
     let mut may_have_run = false;
     let mut failure = None;
+    let mut cold = None;
     while job.remaining() > Span::ZERO {
         let Some(instance) = choose(&job, service, &tried) else { break };
         let again = sends > 0;
@@ -81,7 +82,8 @@
             return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
         }
         tried.push(instance.id.clone());
-        if is_cold_and_used(&job, &instance) {
+        if let Some(wait) = cold_wait(&job, &instance) {
+            cold = cold.min(Some(wait)).or(Some(wait));
             continue;
         }
         let last = sends + 1 >= job.route.attempts;
@@ -108,17 +110,27 @@
     if let Some((instance, head, body)) = failure {
         return Ok(deliver(&job, &instance, &head, body));
     }
-    Err(final_refusal(&job, service, sends, may_have_run))
+    Err(final_refusal(&job, service, sends, may_have_run, cold))
 }
 
-/// Returns the refusal of a request that no upstream answers.
-fn final_refusal(job: &Job, service: &str, sends: u32, may_have_run: bool) -> Refusal {
+/// Returns the refusal of a request that no upstream answers. `cold` is the time until one
+/// of the cold upstreams takes another request, if that was in the way.
+fn final_refusal(
+    job: &Job,
+    service: &str,
+    sends: u32,
+    may_have_run: bool,
+    cold: Option<Span>,
+) -> Refusal {
     match (may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
         (false, _) if sends > 0 => {
             Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
         }
+        (false, _) if let Some(cold) = cold => {
+            Refusal::retry(Code::Overloaded, "upstreams are cold", cold)
+        }
         (false, _) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY);
             job.gateway.evacuated_refusal(service).unwrap_or(refusal)
@@ -137,11 +149,11 @@
     untried.iter().find(|row| row.id == id).map(|row| Rc::clone(row))
 }
 
-/// Returns whether `instance` is cold and this entry has used up its share of the requests
-/// that it tolerates. Counts the request otherwise.
-fn is_cold_and_used(job: &Job, instance: &Instance) -> bool {
-    let limits = job.gateway.node.catalogue.borrow().cold_limits(clock::now(), instance);
-    limits.is_some_and(|limits| job.gateway.try_send_cold(instance, limits).is_err())
+/// Returns the time until this entry may send a request to `instance`, if that is cold and
+/// this entry has used up its share. Counts the request otherwise.
+fn cold_wait(job: &Job, instance: &Instance) -> Option<Span> {
+    let limits = job.gateway.node.catalogue.borrow().cold_limits(clock::now(), instance)?;
+    job.gateway.try_send_cold(instance, limits).err()
 }
 
 /// Returns the time after which to retry if `instance`, the least busy upstream, would
--- a/kingcupbayd/src/registered/evacuations.rs
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -36,12 +36,17 @@
     taken
 }
 
-/// Applies the complete list of the operator's rows as of `version`.
-pub(crate) fn on_list(node: &Node, rows: &[Row], version: u64) {
+/// Returns the zones that `rows`, the operator's, evacuate, with the versions of their rows.
+pub(crate) fn listed(rows: &[Row]) -> BTreeMap<String, u64> {
     let zone = |row: &Row| Some((operator::evacuated_zone(&row.key.key)?.to_owned(), row.version));
-    let evacuated: BTreeMap<String, u64> = rows.iter().filter_map(zone).collect();
+    rows.iter().filter_map(zone).collect()
+}
+
+/// Applies that `zones` are all evacuated zones as of `version`. Their rows have been applied
+/// already.
+pub(crate) fn on_list(node: &Node, version: u64, zones: &BTreeMap<String, u64>) {
     let now = clock::now();
-    let changed = node.catalogue.borrow_mut().evacuations_mut().on_list(now, version, &evacuated);
+    let changed = node.catalogue.borrow_mut().evacuations_mut().on_list(now, version, zones);
     changed.iter().for_each(|zone| on_listed(node, zone, "list"));
 }
 
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -64,12 +64,14 @@
                     node.fencing.set(Some(version));
                 }
                 let known = node.read_positions.borrow().known(table);
-                let since = if known == 0 || era(known) == era(version) {
-                    failing_since.map_or(ListedAfter::Feed, |_| ListedAfter::Outage)
-                } else {
+                let after = if known > 0 && era(known) != era(version) {
                     ListedAfter::Rewind
+                } else if failing_since.is_some() {
+                    ListedAfter::Outage
+                } else {
+                    ListedAfter::Feed
                 };
-                apply_table(&node, table, rows, version, since);
+                apply_table(&node, table, rows, version, after);
                 pause = waits::RETRY_PAUSE_MIN;
                 failing_since = None;
                 follow_feed(&node, table).await
@@ -243,10 +245,11 @@
     let now = clock::now();
     match table {
         Table::Operator => {
-            evacuations::on_list(node, &rows, version);
+            let zones = evacuations::listed(&rows);
             for row in rows {
                 apply_change(node, table, RowChange::Put(row));
             }
+            evacuations::on_list(node, version, &zones);
         }
         Table::Upstreams => {
             let instances = rows.iter().filter_map(|row| {
@@ -405,7 +408,8 @@
             }
         }
     } else {
-        false
+        // Other daemons may know what to do with it.
+        true
     }
 }
 
--- a/kingcupbayd/tests/evacuation.rs
+++ b/kingcupbayd/tests/evacuation.rs
@@ -12,7 +12,10 @@
     },
     wait_until,
 };
-use kingcupbay_core::wire::evacuation::{EvacuationReport, ZoneState};
+use kingcupbay_core::wire::{
+    evacuation::{EvacuationReport, ZoneState},
+    usage::StoredRows,
+};
 use kingcupbay_standin::{Fault, FaultOrder, Registry, Rule, UpstreamServer, UpstreamSettings};
 use serde_json::json;
 
@@ -101,6 +104,11 @@
     })
     .await;
     assert!(upstreams[0].runs().is_empty());
+    // An entry that starts while the store is away fetches this one's rows.
+    let url = format!("http://{}/rows", fleet.entry.address("peers"));
+    let rows = client().get(url).send().await.unwrap().body().await.unwrap();
+    let rows: StoredRows = rmp_serde::from_slice(&rows).unwrap();
+    assert!(rows.rows.iter().any(|row| row.key == "evacuate/zone-a"));
 }
 
 /// A zone is restored while the entry cannot reach the store, which drops its history. No
