--- a/kingcupbay_core/src/cold.rs
+++ b/kingcupbay_core/src/cold.rs
@@ -17,9 +17,9 @@
 };
 
 /// Interval over which requests are counted.
-const WINDOW: Span = Span::from_secs(1);
+const RATE_WINDOW: Span = Span::from_secs(1);
 
-/// Requests in [`WINDOW`] to an upstream that is not known to be cold, as a multiple of
+/// Requests in [`RATE_WINDOW`] to an upstream that is not known to be cold, as a multiple of
 /// its cold rate. It may have turned cold unnoticed, and fails only well above the rate.
 const UNNOTICED_FACTOR: f64 = 1.5;
 
@@ -43,7 +43,7 @@
     limits: Option<ColdLimits>,
     /// The upstream may be cold until then.
     cold_until: Instant,
-    /// Times of the grants in the last [`WINDOW`], in ascending order.
+    /// Times of the grants in the last [`RATE_WINDOW`], in ascending order.
     grants: VecDeque<Instant>,
 }
 
@@ -80,7 +80,7 @@
 
     /// Returns whether a request may be granted now.
     pub fn may_grant(&mut self, now: Instant) -> bool {
-        while self.grants.front().is_some_and(|&at| now.since(at) >= WINDOW) {
+        while self.grants.front().is_some_and(|&at| now.since(at) >= RATE_WINDOW) {
             self.grants.pop_front();
         }
         self.limit(now).is_none_or(|limit| self.grants.len() < limit)
@@ -97,7 +97,7 @@
     /// others.
     pub fn wait(&self, now: Instant, ahead: usize) -> Span {
         let Some(limit) = self.limit(now) else { return Span::ZERO };
-        let current = self.grants.iter().skip_while(|at| now.since(**at) >= WINDOW);
+        let current = self.grants.iter().skip_while(|at| now.since(**at) >= RATE_WINDOW);
         let current: Vec<Instant> = current.copied().collect();
         // Each grant makes room for another one after a window.
         let excess = (current.len() + ahead + 1).saturating_sub(limit);
@@ -105,11 +105,11 @@
             return Span::ZERO;
         }
         let windows = (excess - 1) / limit;
-        let freed = current.get((excess - 1) % limit).map_or(now, |&at| at + WINDOW);
-        freed.since(now) + Span::from_micros(WINDOW.as_micros() * windows as u64)
+        let freed = current.get((excess - 1) % limit).map_or(now, |&at| at + RATE_WINDOW);
+        freed.since(now) + Span::from_micros(RATE_WINDOW.as_micros() * windows as u64)
     }
 
-    /// Returns how many requests may be granted in [`WINDOW`]; `None` for any number.
+    /// Returns how many requests may be granted in [`RATE_WINDOW`]; `None` for any number.
     fn limit(&self, now: Instant) -> Option<usize> {
         let factor = if self.is_cold(now) { 1.0 } else { UNNOTICED_FACTOR };
         self.limits.map(|limits| ((limits.rate * factor) as usize).max(1))
--- a/kingcupbay_core/tests/cold.rs
+++ b/kingcupbay_core/tests/cold.rs
@@ -5,7 +5,7 @@
     time::{Instant, Span},
 };
 
-const LIMITS: ColdLimits = ColdLimits { rate: 12.0, time: Span::from_secs(3) };
+const COLD_LIMITS: ColdLimits = ColdLimits { rate: 12.0, time: Span::from_secs(3) };
 
 fn at(millis: u64) -> Instant {
     Instant::from_micros(1_000_000_000 + millis * 1_000)
@@ -33,7 +33,7 @@
 #[test]
 fn a_cold_upstream_gets_its_rate_at_most() {
     let mut gate = ColdGate::default();
-    gate.on_limits(at(0), Some(LIMITS));
+    gate.on_limits(at(0), Some(COLD_LIMITS));
     let warm = grants(&mut gate, 4_000..8_000);
     assert_eq!(busiest_second(&warm), 18);
     gate.on_cold(at(8_000));
@@ -46,7 +46,7 @@
 #[test]
 fn an_upstream_that_may_have_turned_cold_gets_a_bounded_rate() {
     let mut gate = ColdGate::default();
-    gate.on_limits(at(0), Some(LIMITS));
+    gate.on_limits(at(0), Some(COLD_LIMITS));
     let mut times = grants(&mut gate, 0..8_500);
     gate.on_cold(at(8_500));
     times.extend(grants(&mut gate, 8_500..14_000));
@@ -57,7 +57,7 @@
 #[test]
 fn a_new_gate_assumes_that_the_rate_was_just_used() {
     let mut gate = ColdGate::default();
-    gate.on_limits(at(0), Some(LIMITS));
+    gate.on_limits(at(0), Some(COLD_LIMITS));
     let first = grants(&mut gate, 0..250);
     assert!(first.len() <= 3, "{first:?}");
     assert_eq!(busiest_second(&grants(&mut gate, 250..3_000)), 12);
@@ -68,7 +68,7 @@
 #[test]
 fn the_expected_wait_is_met() {
     let mut gate = ColdGate::default();
-    gate.on_limits(at(0), Some(LIMITS));
+    gate.on_limits(at(0), Some(COLD_LIMITS));
     for ahead in [0, 5, 30] {
         let expected = gate.wait(at(0), ahead).as_millis();
         let times = grants(&mut gate.clone(), 0..4_000);
@@ -95,13 +95,13 @@
         let mut times = Vec::new();
         for now in 0..40_000 {
             for share in &mut shares {
-                if share.try_send(at(now), "desk-1", LIMITS, entries).is_ok() {
+                if share.try_send(at(now), "desk-1", COLD_LIMITS, entries).is_ok() {
                     times.push(now);
                 }
             }
         }
         let rate = times.len() as f64 / 40.0;
-        assert!(rate <= LIMITS.rate + 0.1, "{entries} entries: {rate} a second");
+        assert!(rate <= COLD_LIMITS.rate + 0.1, "{entries} entries: {rate} a second");
         assert!(busiest_second(&times) <= 18, "{entries}: {}", busiest_second(&times));
     }
 }
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -5,14 +5,16 @@
 use std::{collections::BTreeMap, rc::Rc};
 
 use kingcupbay_core::{
+    cold::ColdLimits,
     config::model::{KeyHash, Role},
     deployment::{
         catalogue::{Catalogue, Member},
         lookup::Caller,
-        model::{AdapterName, Deployment, Instance, Organisation, Repeat, Route, Target},
+        model::{AdapterName, Deployment, Instance, Organisation, Repeat, Route, Service, Target},
     },
     id::Number,
     time::{Instant, Span},
+    wire::read_position::{ChangeKind, TableChange},
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Rc<Route> {
@@ -260,3 +262,55 @@
     let hosts: Vec<_> = catalogue.of_role(Role::Entry).map(|row| row.host.as_str()).collect();
     assert_eq!(hosts, ["new"]);
 }
+
+/// The store comes back from a copy that lacks an entry which registers again seconds later.
+/// Meanwhile the others must not share the limits among too few, and not for good either.
+#[test]
+fn entries_are_kept_for_a_while_after_the_store_came_back() {
+    let entry = |host: &str| Member {
+        host: host.into(),
+        role: Role::Entry,
+        address: format!("10.0.1.{}:7000", host.len()).parse().unwrap(),
+        zone: "a".into(),
+        incarnation: 1,
+    };
+    let second = |secs| Instant::default() + Span::from_secs(secs);
+    let hosts = |catalogue: &Catalogue| -> Vec<String> {
+        catalogue.members().map(|member| member.host.clone()).collect()
+    };
+    let mut catalogue = Catalogue::default();
+    catalogue.on_members(vec![entry("a"), entry("bb"), entry("ccc")]);
+    catalogue.on_members_rewound(second(0), vec![entry("bb")], "a");
+    // This daemon's own row is missing too, so that it registers again.
+    assert_eq!(hosts(&catalogue), ["bb", "ccc"]);
+    // Another list within that time.
+    catalogue.on_members(vec![entry("a"), entry("bb")]);
+    catalogue.on_tick(second(4));
+    assert_eq!(hosts(&catalogue), ["a", "bb", "ccc"]);
+    catalogue.on_tick(second(5));
+    assert_eq!(hosts(&catalogue), ["a", "bb"]);
+}
+
+/// A cold upstream fails above its rate. Its row says that it is cold, but the report of
+/// another entry says only that it has started.
+#[test]
+fn an_upstream_that_has_started_is_cold() {
+    let mut catalogue = Catalogue::default();
+    let limits = ColdLimits { rate: 5.0, time: Span::from_secs(3) };
+    let service = Service { cold: Some(limits), ..Service::default() };
+    let services = [("desk".to_owned(), service)].into();
+    catalogue.on_deployment(Deployment { services, ..deployment(1) });
+    let now = Instant::default();
+    let remaining = |catalogue: &Catalogue, id: &str| catalogue.cold_remaining(now, id);
+    let cold = Instance { cold_remaining: Span::from_secs(1), ..instance("read") };
+    catalogue.on_instance(now, cold.clone());
+    assert_eq!(remaining(&catalogue, "read"), Span::from_secs(1));
+    assert_eq!(catalogue.cold_limits(now, &cold), Some(limits));
+    catalogue.on_instance(now, instance("warm"));
+    assert_eq!(catalogue.cold_limits(now, &instance("warm")), None);
+    let kind = ChangeKind::Upstream(instance("reported"));
+    catalogue.on_reported_change(now, TableChange { version: 2, kind });
+    assert_eq!(remaining(&catalogue, "reported"), Span::from_secs(3));
+    catalogue.on_instance(now, Instance { born: 2, version: 3, ..instance("warm") });
+    assert_eq!(remaining(&catalogue, "warm"), Span::from_secs(3));
+}
--- a/kingcupbay_core/tests/evacuations.rs
+++ b/kingcupbay_core/tests/evacuations.rs
@@ -80,7 +80,7 @@
 }
 
 /// No upstream of an evacuated zone is chosen, and a service whose zones are all evacuated
-/// is told apart from one without upstreams.
+/// differs from one without upstreams.
 #[test]
 fn upstreams_of_an_evacuated_zone_get_no_requests() {
     let mut catalogue = Catalogue::default();
--- a/kingcupbay_core/tests/spec_evacuation.rs
+++ b/kingcupbay_core/tests/spec_evacuation.rs
@@ -25,8 +25,8 @@
 };
 use pathfinding::prelude::bfs;
 
-const ZONE: &str = "a";
-const NOW: Instant = Instant::from_micros(1_000_000_000);
+const ZONE_NAME: &str = "a";
+const START_TIME: Instant = Instant::from_micros(1_000_000_000);
 
 const WRONG: &str = "an entry acts on a state that is older than what it has read";
 const REGRESSED: &str = "an entry went back to an older state";
@@ -116,7 +116,7 @@
         let mut found = Vec::new();
         for entry in &self.entries {
             let known = entry.positions.known(Table::Operator);
-            let acts = entry.zones.is_evacuated(ZONE);
+            let acts = entry.zones.is_evacuated(ZONE_NAME);
             let is_current = (known..=self.version).any(|at| self.evacuated_at(at) == acts);
             if entry.ready && !is_current {
                 found.push(WRONG);
@@ -126,7 +126,7 @@
             }
             let mut reader = entry.clone();
             reader.receive(self.list(), mutation);
-            if reader.zones.is_evacuated(ZONE) != self.evacuated_at(self.version) {
+            if reader.zones.is_evacuated(ZONE_NAME) != self.evacuated_at(self.version) {
                 found.push(STUCK);
             }
         }
@@ -166,7 +166,7 @@
                 for change in changes.into_iter().filter(|change| change.version > known) {
                     self.on_state(change, mutation);
                 }
-                self.positions.on_page(NOW, Table::Operator, version, []);
+                self.positions.on_page(START_TIME, Table::Operator, version, []);
                 if let Some(last) = last {
                     self.positions.on_unreported(Table::Operator, last);
                 }
@@ -180,32 +180,32 @@
                 let since = if mutation == Mutation::SkipMissing { 0 } else { position.since };
                 let position = ReadPosition { since, ..position };
                 // An entry that misses changes reads the store.
-                let _ = self.positions.on_position(NOW, Table::Operator, position);
+                let _ = self.positions.on_position(START_TIME, Table::Operator, position);
             }
         }
     }
 
     fn on_list(&mut self, version: u64, evacuated: Option<u64>, mutation: Mutation) {
         let rows: BTreeMap<String, u64> =
-            evacuated.map(|row| (ZONE.to_owned(), row)).into_iter().collect();
+            evacuated.map(|row| (ZONE_NAME.to_owned(), row)).into_iter().collect();
         match mutation {
             Mutation::IgnoreMissing if evacuated.is_none() => {}
             Mutation::RestoreNewer if evacuated.is_none() => self.zones = Evacuations::default(),
             Mutation::ForgetList => {
                 let row = evacuated.map(ZoneState::evacuated);
-                let gone = self.zones.is_evacuated(ZONE).then(|| ZoneState::restored(version));
+                let gone = self.zones.is_evacuated(ZONE_NAME).then(|| ZoneState::restored(version));
                 if let Some(state) = row.or(gone) {
-                    self.zones.on_state(ZONE, state);
+                    self.zones.on_state(ZONE_NAME, state);
                 }
             }
-            _ => drop(self.zones.on_list(NOW, version, &rows)),
+            _ => drop(self.zones.on_list(START_TIME, version, &rows)),
         }
         match mutation {
             Mutation::SkipRemoved => {
-                self.positions.on_list(NOW, Table::Operator, evacuated.unwrap_or_default());
-                self.positions.on_page(NOW, Table::Operator, version, []);
+                self.positions.on_list(START_TIME, Table::Operator, evacuated.unwrap_or_default());
+                self.positions.on_page(START_TIME, Table::Operator, version, []);
             }
-            _ => self.positions.on_list(NOW, Table::Operator, version),
+            _ => self.positions.on_list(START_TIME, Table::Operator, version),
         }
         self.ready = true;
         self.on_acted(mutation);
@@ -215,16 +215,16 @@
         if mutation == Mutation::ApplyOlder {
             self.zones = Evacuations::default();
         }
-        self.zones.on_state(ZONE, state);
+        self.zones.on_state(ZONE_NAME, state);
         self.on_acted(mutation);
     }
 
     /// Records the state that the entry acts on.
     fn on_acted(&mut self, mutation: Mutation) {
-        let version = self.zones.state(ZONE).map_or(0, |state| state.version);
+        let version = self.zones.state(ZONE_NAME).map_or(0, |state| state.version);
         self.regressed |= version < self.newest;
         self.newest = self.newest.max(version);
-        if mutation == Mutation::ForgetRestored && !self.zones.is_evacuated(ZONE) {
+        if mutation == Mutation::ForgetRestored && !self.zones.is_evacuated(ZONE_NAME) {
             self.zones = Evacuations::default();
             self.newest = 0;
         }
@@ -316,7 +316,7 @@
                 format!("entry {index} reports zones to {to}"),
             ));
         }
-        if let Some(position) = sender.positions.report(NOW).remove(&Table::Operator) {
+        if let Some(position) = sender.positions.report(START_TIME).remove(&Table::Operator) {
             let step = format!("entry {index} reports its position to {to}");
             next.push(send(to, Message::Position(position), step));
         }
--- a/kingcupbay_core/tests/spec_rewind.rs
+++ b/kingcupbay_core/tests/spec_rewind.rs
@@ -24,8 +24,8 @@
 };
 use pathfinding::prelude::bfs;
 
-const ZONE: &str = "a";
-const NOW: Instant = Instant::from_micros(1_000_000_000);
+const ZONE_NAME: &str = "a";
+const START_TIME: Instant = Instant::from_micros(1_000_000_000);
 
 const WENT_BACK: &str = "an entry forgot an evacuation that the operator has not ended";
 const MISSED: &str = "an entry that has read all changes does not act on them";
@@ -122,7 +122,7 @@
         let mut found = Vec::new();
         let intended = self.decisions.last().copied().unwrap_or_default();
         for entry in &self.entries {
-            let acts = entry.zones.is_evacuated(ZONE);
+            let acts = entry.zones.is_evacuated(ZONE_NAME);
             if intended && !acts && entry.evacuated_at == self.decisions.len() {
                 found.push(WENT_BACK);
             }
@@ -139,9 +139,12 @@
         let mut world = self.clone();
         act(&mut world);
         for entry in &mut world.entries {
-            let state = entry.zones.state(ZONE);
+            let state = entry.zones.state(ZONE_NAME);
             let newest = state.is_some_and(|state| state.version >= world.decided);
-            if newest && entry.zones.is_evacuated(ZONE) && world.decisions.last() == Some(&true) {
+            if newest
+                && entry.zones.is_evacuated(ZONE_NAME)
+                && world.decisions.last() == Some(&true)
+            {
                 entry.evacuated_at = world.decisions.len();
             }
         }
@@ -172,13 +175,13 @@
                 }
                 let known = self.positions.known(Table::Operator);
                 for change in changes.into_iter().filter(|change| change.version > known) {
-                    self.zones.on_state(ZONE, change);
+                    self.zones.on_state(ZONE_NAME, change);
                 }
-                self.positions.on_page(NOW, Table::Operator, version, []);
+                self.positions.on_page(START_TIME, Table::Operator, version, []);
             }
             Message::Report(report) => {
                 for state in report.zones.into_values() {
-                    self.zones.on_state(ZONE, state);
+                    self.zones.on_state(ZONE_NAME, state);
                 }
             }
         }
@@ -186,12 +189,12 @@
 
     fn on_list(&mut self, version: u64, row: Option<u64>, mutation: Mutation) {
         let rows: BTreeMap<String, u64> =
-            row.map(|row| (ZONE.to_owned(), row)).into_iter().collect();
-        if mutation == Mutation::ListAtOnce && row.is_none() && self.zones.is_evacuated(ZONE) {
-            self.zones.on_state(ZONE, ZoneState::restored(version));
+            row.map(|row| (ZONE_NAME.to_owned(), row)).into_iter().collect();
+        if mutation == Mutation::ListAtOnce && row.is_none() && self.zones.is_evacuated(ZONE_NAME) {
+            self.zones.on_state(ZONE_NAME, ZoneState::restored(version));
         }
-        drop(self.zones.on_list(NOW, version, &rows));
-        self.positions.on_list(NOW, Table::Operator, version);
+        drop(self.zones.on_list(START_TIME, version, &rows));
+        self.positions.on_list(START_TIME, Table::Operator, version);
     }
 }
 
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -20,7 +20,7 @@
     resumed: IntCounter,
     broken: IntCounterVec,
     evacuated: IntGauge,
-    moved: IntCounter,
+    zone_left: IntCounter,
 }
 
 impl Metrics {
@@ -85,7 +85,7 @@
                 "kingcupbay_evacuated_zones",
                 "Availability zones that are evacuated",
             ),
-            moved: counter(
+            zone_left: counter(
                 &registry,
                 "kingcupbay_zone_left_total",
                 "Waits for a permit that ended as their zone was evacuated",
@@ -123,7 +123,7 @@
 
     /// Counts a wait for a permit that ended as its zone was evacuated.
     pub(crate) fn on_zone_left(&self) {
-        self.moved.inc();
+        self.zone_left.inc();
     }
 
     /// Counts a stream that ended early.
