Log and count the limits that upstreams announce

Change: the header is decoded with the others; entries keep what their answers say, log each change (upstream_limit) and count limited upstreams (kingcupbay_limited_upstreams); sidecars log what the answers to reports and orders say (engine_limit). Nothing is decided by it. An answer without the header ends a limit only if its request was sent after the limit was known, and an answer of an earlier process changes nothing.

--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 pub mod id;
 pub mod ini;
+pub mod limit;
 pub mod placement;
 pub mod queue;
 pub mod random;
--- /dev/null
+++ b/kingcupbay_core/src/limit/record.rs
@@ -0,0 +1,64 @@
+//! What a daemon knows of the limit of one upstream.
+
+use crate::{
+    time::{Instant, Span},
+    wire::metadata::AnnouncedLimit,
+};
+
+/// Shortest time for which a limit is kept without a further answer.
+const KEEP_MIN: Span = Span::from_secs(30);
+
+/// Longest time for which a limit is kept without a further answer.
+const KEEP_MAX: Span = Span::from_secs(90);
+
+/// Requests that the limit allows, each of which may repeat it, while it is kept without a
+/// further answer. Some of them may be lost.
+const KEEP_REQUESTS: f64 = 3.0;
+
+/// The last answer that said whether an upstream limits its requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitRecord {
+    /// Start of the upstream that answered, in milliseconds of its own clock.
+    pub born: u64,
+    /// Requests per second; `None` once the upstream takes any rate again.
+    pub rate: Option<f64>,
+    /// Time of the answer.
+    pub heard: Instant,
+}
+
+impl LimitRecord {
+    /// Returns the record after an answer of the upstream that started at `born`. Its
+    /// request was sent at `sent`.
+    ///
+    /// An answer that names no limit ends one only if its request was sent after the limit
+    /// was known: answers on different connections overtake each other.
+    pub fn after_answer(
+        known: Option<LimitRecord>,
+        now: Instant,
+        sent: Instant,
+        born: u64,
+        announced: AnnouncedLimit,
+    ) -> Option<LimitRecord> {
+        if known.is_some_and(|known| born < known.born) {
+            return known;
+        }
+        let known = known.filter(|known| known.born == born);
+        match announced {
+            AnnouncedLimit::PerSecond(rate) => {
+                Some(LimitRecord { born, rate: Some(rate), heard: now })
+            }
+            AnnouncedLimit::Invalid => known,
+            AnnouncedLimit::Unlimited => known.map(|known| match sent >= known.heard {
+                true => LimitRecord { rate: None, heard: now, ..known },
+                false => known,
+            }),
+        }
+    }
+
+    /// Returns the requests per second at `now`; `None` for any number.
+    pub fn rate(&self, now: Instant) -> Option<f64> {
+        let rate = self.rate?;
+        let keep = Span::from_millis_f64(KEEP_REQUESTS * 1e3 / rate).max(KEEP_MIN).min(KEEP_MAX);
+        (now.since(self.heard) < keep).then_some(rate)
+    }
+}
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -73,6 +73,20 @@
     pub encoded: bool,
     /// Idle timeout of the connection.
     pub idle: Option<Span>,
+    /// Request rate that the upstream takes.
+    pub limit: AnnouncedLimit,
+}
+
+/// Request rate that an answer announces: what its upstream takes from all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum AnnouncedLimit {
+    /// The upstream takes any rate.
+    #[default]
+    Unlimited,
+    /// The value is not a rate, and changes nothing.
+    Invalid,
+    /// Requests per second. Invariant: finite and not negative.
+    PerSecond(f64),
 }
 
 /// Load of an upstream.
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     broken: IntCounterVec,
     evacuated: IntGauge,
     zone_left: IntCounter,
+    limited: IntGauge,
 }
 
 impl Metrics {
@@ -90,6 +91,11 @@
                 "kingcupbay_zone_left_total",
                 "Waits for a permit that ended as their zone was evacuated",
             ),
+            limited: gauge(
+                &registry,
+                "kingcupbay_limited_upstreams",
+                "Upstreams that limit their requests",
+            ),
             registry,
         }
     }
@@ -126,6 +132,11 @@
         self.zone_left.inc();
     }
 
+    /// Records the number of upstreams that limit their requests.
+    pub(crate) fn set_limited(&self, upstreams: usize) {
+        self.limited.set(upstreams as i64);
+    }
+
     /// Counts a stream that ended early.
     pub(crate) fn on_broken(&self, route: &str) {
         self.broken.with_label_values(&[route]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -34,10 +34,15 @@
         model::{Deployment, Instance, Organisation, Route},
     },
     health::Health,
+    limit::LimitRecord,
     placement::Placement,
     repeat::RepeatBudget,
-    time::Span,
-    wire::{error::Code, metadata::RequestMetadata, sidecar::EngineLoadReport},
+    time::{Instant, Span},
+    wire::{
+        error::Code,
+        metadata::{AnnouncedLimit, RequestMetadata},
+        sidecar::EngineLoadReport,
+    },
 };
 use kingcupbay_platform::request;
 use slog::{info, warn};
@@ -79,6 +84,8 @@
     pub(crate) catch_up: RefCell<CatchUp>,
     /// Shares of the rates of cold upstreams that no sidecar limits.
     pub(crate) cold: RefCell<ColdShares>,
+    /// Request rates that upstreams announce, by id.
+    pub(crate) limits: RefCell<BTreeMap<String, LimitRecord>>,
     pub(crate) releases: permits::Releases,
     pub(crate) metrics: Metrics,
 }
@@ -96,6 +103,7 @@
             unreachable: RefCell::default(),
             catch_up: RefCell::default(),
             cold: RefCell::new(ColdShares::new(node.incarnation)),
+            limits: RefCell::default(),
             releases: permits::Releases::default(),
             metrics: Metrics::new(&node.store),
             node,
@@ -128,6 +136,23 @@
         self.cold.borrow_mut().try_send(clock::now(), &row.id, limits, entries)
     }
 
+    /// Records whether the answer of `row` to a request sent at `sent` limits its requests.
+    pub(crate) fn on_announced_limit(&self, row: &Instance, sent: Instant, limit: AnnouncedLimit) {
+        let now = clock::now();
+        let mut limits = self.limits.borrow_mut();
+        let before = limits.get(&row.id).copied();
+        let known = LimitRecord::after_answer(before, now, sent, row.born, limit);
+        let rate = |record: Option<LimitRecord>| record.and_then(|record| record.rate(now));
+        if rate(before) != rate(known) {
+            info!(self.node.log, ""; "event" => "upstream_limit", "upstream" => &row.id,
+                "born" => row.born, "per_s" => rate(known), "before" => rate(before));
+        }
+        if let Some(known) = known {
+            limits.insert(row.id.clone(), known);
+        }
+        self.metrics.set_limited(limits.values().filter(|row| row.rate(now).is_some()).count());
+    }
+
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
     /// zones.
     pub(crate) fn evacuated_refusal(&self, service: &str) -> Option<Refusal> {
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -61,10 +61,12 @@
         last_event: options.last_event,
     };
     let headers = request::encode_headers(&job.headers, &request_metadata);
+    let sent = clock::now();
     let mut head = link.exchange(job.method.clone(), &job.path, headers, &job.body).await?;
     for _ in 0..MISROUTED_MAX {
         let metadata = answer::decode_headers(head.status.as_u16(), &head.headers);
         if is_own(job, &metadata) {
+            job.gateway.on_announced_limit(instance, sent, metadata.limit);
             return Ok(PendingAnswer { link, head, metadata });
         }
         warn!(job.gateway.node.log, ""; "event" => "crossed_answer",
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -168,6 +168,7 @@
     gateway.health.borrow_mut().retain(known);
     gateway.backlog.borrow_mut().retain(known);
     gateway.cold.borrow_mut().retain(known);
+    gateway.limits.borrow_mut().retain(|id, _| known(id));
 }
 
 /// Answers readiness probes.
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -10,10 +10,10 @@
     },
     time::Span,
 };
-use kingcupbay_platform::engine as platform;
+use kingcupbay_platform::{answer::decode_headers, engine as platform};
 use slog::{info, warn};
 
-use crate::{clock, sidecar::Sidecar};
+use crate::{clock, http::pool::Answer, sidecar::Sidecar};
 
 /// Timeout of fetching a report. The engine is on the same host and answers at once.
 const REPORT_TIMEOUT: Span = Span::from_millis(400);
@@ -67,6 +67,7 @@
     let pool = &sidecar.node.pool;
     let called = pool.call(sidecar.engine, Method::GET, &call.path, &[], REPORT_TIMEOUT).await;
     let answer = called.map_err(|error| error.to_string())?;
+    log_limit(sidecar, "report", &answer);
     if answer.status != 200 {
         return Err(format!("status {}", answer.status));
     }
@@ -77,6 +78,16 @@
     Ok(())
 }
 
+/// Logs the limit that the answer to a call of kind `call` announces, if it has changed.
+fn log_limit(sidecar: &Sidecar, call: &'static str, answer: &Answer) {
+    let limit = decode_headers(answer.status, &answer.headers).limit;
+    let before = sidecar.limits.borrow_mut().insert(call, limit).unwrap_or_default();
+    if before != limit {
+        info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => call,
+            "limit" => ?limit, "before" => ?before);
+    }
+}
+
 /// Logs the first report after the engine has taken an order. The others only repeat it.
 fn log_report(sidecar: &Sidecar, report: &Report) {
     if report.orders == sidecar.orders.replace(report.orders) {
@@ -98,6 +109,9 @@
     let pool = &sidecar.node.pool;
     let called =
         pool.call(sidecar.engine, Method::POST, &call.path, &call.body, ORDER_TIMEOUT).await;
+    if let Ok(answer) = &called {
+        log_limit(&sidecar, "order", answer);
+    }
     let reply = match &called {
         Ok(answer) => platform::decode_order_status(answer.status),
         Err(_) => Reply::Unknown,
