--- a/kingcupbay_standin/src/upstream.rs
+++ b/kingcupbay_standin/src/upstream.rs
@@ -24,6 +24,9 @@
     },
 };
 
+/// Header with the requests per second that an upstream takes.
+const LIMIT: header::HeaderName = header::HeaderName::from_static("server-limit");
+
 /// The base model of every engine.
 pub const BASE_MODEL: &str = "base";
 
@@ -146,6 +149,10 @@
     cold_since: Cell<Option<Instant>>,
     /// Seconds in which it got more requests than it tolerates while cold.
     overheated: Cell<u32>,
+    /// Value of the header `Server-Limit` in all its answers.
+    limit: RefCell<Option<String>>,
+    /// Times of the requests and orders that it got.
+    arrivals: RefCell<Vec<Instant>>,
     changes: Changes,
 }
 
@@ -166,6 +173,8 @@
             refused_loads: Cell::new(0),
             cold_since: Cell::new(None),
             overheated: Cell::new(0),
+            limit: RefCell::default(),
+            arrivals: RefCell::default(),
             changes: Changes::default(),
         });
         let restarted = Rc::clone(&state);
@@ -221,6 +230,21 @@
         self.state.overheated.get()
     }
 
+    /// Sets the requests per second that all its answers name, as text; `None` for no limit.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *self.state.limit.borrow_mut() = limit.map(str::to_owned);
+    }
+
+    /// Returns the largest number of requests and orders that it got within `span`, of those
+    /// since `from`.
+    pub fn busiest(&self, from: Instant, span: Duration) -> usize {
+        let arrivals = self.state.arrivals.borrow();
+        let arrivals: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
+        let within = |start: &Instant| arrivals.iter().filter(|at| **at - *start < span).count();
+        let count = |index| within(&arrivals[index]) - index;
+        (0..arrivals.len()).map(count).max().unwrap_or_default()
+    }
+
     /// Turns cold now, without a restart.
     pub fn turn_cold(&self) {
         self.state.cold_since.set(Some(Instant::now()));
@@ -281,6 +305,14 @@
         }
     }
 
+    /// Adds what every answer says of the upstream itself.
+    fn add_signals(&self, headers: &mut header::HeaderMap) {
+        if let Some(limit) = self.limit.borrow().as_deref() {
+            let value = header::HeaderValue::from_str(limit).expect("tests set visible ASCII");
+            headers.insert(LIMIT, value);
+        }
+    }
+
     fn order(&self, call: &Call) -> Answer {
         let order: Value = match call.json() {
             Ok(order) => order,
@@ -432,11 +464,16 @@
 fn handler(state: &Rc<State>) -> Handler {
     let state = Rc::clone(state);
     Rc::new(move |call| {
-        let answer = match (&call.method, call.path.as_str()) {
+        let is_report = call.method == Method::GET && call.path == "/v1/report";
+        if !is_report {
+            state.arrivals.borrow_mut().push(Instant::now());
+        }
+        let mut answer = match (&call.method, call.path.as_str()) {
             (&Method::GET, "/v1/report") if state.settings.engine => state.report(),
             (&Method::POST, "/v1/order") if state.settings.engine => state.order(&call),
             _ => state.run(&call),
         };
+        state.add_signals(answer.headers_mut());
         async { answer }.boxed_local()
     })
 }
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -109,12 +109,7 @@
 
     /// Waits until the entry reports readiness.
     pub(crate) async fn wait_until_ready(&self) {
-        let url = format!("http://{}/ready", self.entry.address("ready"));
-        wait_until("readiness", async || {
-            let answer = client().get(&url).send().await.ok()?;
-            answer.status().is_success().then_some(())
-        })
-        .await;
+        wait_until_ready(&self.entry).await;
     }
 
     /// Sends a request with the usual key and reads the answer.
@@ -131,35 +126,52 @@
         key: &str,
         headers: &[(&str, &str)],
     ) -> CallerAnswer {
-        let url = format!("http://{}{path}", self.entry.address("callers"));
-        let method = method.parse().unwrap();
-        let mut request = client()
-            .request(method, url)
-            .insert_header(("host", "desk.example"))
-            .insert_header(("x-attempt-id", attempt.to_owned()))
-            .insert_header(("x-deadline-ms", "10000"))
-            .bearer_auth(key);
-        for &(name, value) in headers {
-            request = request.insert_header((name, value));
-        }
-        let mut response = request.send_body("a table for two").await.unwrap();
-        let text = |name: &str| {
-            let value = response.headers().get(name)?.to_str().ok()?;
-            Some(value.to_owned())
-        };
-        let (signature, retry_after) = (text("x-response-stamp"), text("retry-after"));
-        let status = response.status().as_u16();
-        let body = response.body().limit(1 << 20).await;
-        let body = body.map(|body| String::from_utf8(body.to_vec()).unwrap());
-        CallerAnswer {
-            status,
-            signature,
-            retry_after,
-            body: body.map_err(|error| error.to_string()),
-        }
+        send_to(&self.entry, method, path, attempt, key, headers).await
     }
 }
 
+/// Waits until `entry` reports readiness.
+pub(crate) async fn wait_until_ready(entry: &Process) {
+    let url = format!("http://{}/ready", entry.address("ready"));
+    wait_until("readiness", async || {
+        let answer = client().get(&url).send().await.ok()?;
+        answer.status().is_success().then_some(())
+    })
+    .await;
+}
+
+/// Sends a request with `key` and further `headers` to `entry` and reads the answer.
+pub(crate) async fn send_to(
+    entry: &Process,
+    method: &str,
+    path: &str,
+    attempt: &str,
+    key: &str,
+    headers: &[(&str, &str)],
+) -> CallerAnswer {
+    let url = format!("http://{}{path}", entry.address("callers"));
+    let method = method.parse().unwrap();
+    let mut request = client()
+        .request(method, url)
+        .insert_header(("host", "desk.example"))
+        .insert_header(("x-attempt-id", attempt.to_owned()))
+        .insert_header(("x-deadline-ms", "10000"))
+        .bearer_auth(key);
+    for &(name, value) in headers {
+        request = request.insert_header((name, value));
+    }
+    let mut response = request.send_body("a table for two").await.unwrap();
+    let text = |name: &str| {
+        let value = response.headers().get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let (signature, retry_after) = (text("x-response-stamp"), text("retry-after"));
+    let status = response.status().as_u16();
+    let body = response.body().limit(1 << 20).await;
+    let body = body.map(|body| String::from_utf8(body.to_vec()).unwrap());
+    CallerAnswer { status, signature, retry_after, body: body.map_err(|error| error.to_string()) }
+}
+
 /// An answer as the caller receives it.
 #[derive(Debug)]
 pub(crate) struct CallerAnswer {
