Keep the limits that upstreams announce, over all daemons

Callers saw: nothing; upstreams in need got up to twice the requests that the platform allows (LIMIT: 19 for 11 and 18 for 16 in 4 s). Change: every request of an entry passes Gateway::admit, which send() calls. Beside an engine the sidecar keeps the limit for requests and orders together; it hears of it from its own answers and from entries' permit requests. Elsewhere each listed entry has an equal part and a turn of its own, and entries report limits to each other. Requests from before the limit was known count while they lie in the window of 4 s. A limit belongs to a process (id and start); an answer without it ends it only if its request was sent after the limit was known. What cannot be served in time is refused at once, with the time spread over callers.

--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -51,7 +51,9 @@
             false => Span::ZERO,
         };
         let cold = self.cold.wait(now, self.queue.len_before(request.priority));
-        prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold)
+        let ahead = self.queue.len_before(request.priority) + self.orders_before(&request.name);
+        let limit = self.limit.wait(now, ahead);
+        prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold).max(limit)
     }
 
     /// Returns the event gap to keep: the shortest of all running requests.
@@ -69,6 +71,17 @@
         self.prefill_limit().wait_time(&self.speed, self.event_gap(), tokens)
     }
 
+    /// Returns the number of orders that the engine needs before it can run `name`: one to
+    /// load it, and one to evict another adapter.
+    fn orders_before(&self, name: &AdapterName) -> usize {
+        let Some(report) = &self.report else { return 0 };
+        if report.version(name).is_some() || report.is_pending(name) {
+            return 0;
+        }
+        let full = report.used_adapter_slots() >= self.spec.adapter_slots as usize;
+        1 + usize::from(full)
+    }
+
     /// Returns the expected time until `name` is loaded after the other adapters that
     /// queued requests wait for.
     fn load_wait(&self, now: Instant, name: &AdapterName) -> Span {
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -33,8 +33,12 @@
 use crate::{
     cold::{ColdGate, ColdLimits},
     deployment::model::{AdapterName, Engine},
+    limit::{LimitGate, LimitSource},
     time::{Instant, Span},
-    wire::sidecar::{EngineLoadReport, PermitRequest, Refusal, Verdict},
+    wire::{
+        metadata::AnnouncedLimit,
+        sidecar::{EngineLoadReport, PermitRequest, Refusal, Verdict},
+    },
 };
 
 use self::{
@@ -96,6 +100,7 @@
     /// Whether the engine's availability zone is evacuated.
     evacuated: bool,
     cold: ColdGate,
+    limit: LimitGate,
 }
 
 impl Admission {
@@ -118,6 +123,7 @@
             orders: orders::OrderPlanner::default(),
             evacuated: false,
             cold: ColdGate::default(),
+            limit: LimitGate::default(),
         }
     }
 
@@ -131,6 +137,24 @@
         self.cold.on_limits(now, limits);
     }
 
+    /// Records whether the engine limits its requests, as its answer to a call of this daemon
+    /// says that was sent at `sent`. Returns whether the limit has changed.
+    pub fn on_announced_limit(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        source: LimitSource,
+        limit: AnnouncedLimit,
+    ) -> bool {
+        self.limit.on_answer(now, sent, source, limit)
+    }
+
+    /// Returns the requests and orders per second that the engine takes; `None` for any
+    /// number.
+    pub fn limit(&self, now: Instant) -> Option<f64> {
+        self.limit.rate(now)
+    }
+
     /// Applies whether the engine's availability zone is evacuated. Waiting requests are
     /// refused by the next call that schedules.
     pub fn on_evacuation(&mut self, now: Instant, evacuated: bool) {
@@ -160,6 +184,9 @@
         request: PermitRequest,
     ) -> Vec<Action> {
         self.cold.on_cold_for(now, request.cold);
+        if let Some(limit) = request.limit {
+            self.limit.on_report(now, limit);
+        }
         if let Some(newest) = request.newest {
             self.on_version(request.name.clone(), newest);
         }
@@ -182,7 +209,10 @@
 
     /// Requests a replica of an adapter whose other engines are busy.
     pub fn on_replica_request(&mut self, now: Instant, name: AdapterName) -> Vec<Action> {
-        self.orders.on_replica_request(now, name);
+        // A limited engine has no orders to spare for what nobody waits for.
+        if self.limit.rate(now).is_none() {
+            self.orders.on_replica_request(now, name);
+        }
         self.schedule(now)
     }
 
@@ -221,6 +251,7 @@
             self.orders.on_restart(now);
             self.loads.on_restart();
             self.cold.on_cold(now);
+            self.limit.on_restart(now);
         }
         self.order_count = report.orders;
         let elapsed = now.since(self.reported_at);
@@ -286,7 +317,8 @@
             slots: self.spec.slots,
             delay: self
                 .prefill_wait(self.running.unread_tokens() + self.queue.prompt_tokens())
-                .max(self.cold.wait(now, self.queue.len())),
+                .max(self.cold.wait(now, self.queue.len()))
+                .max(self.limit.wait(now, self.queue.len())),
             open: !self.evacuated && self.report.as_ref().is_some_and(|report| !report.leaving),
             resident: Some(
                 self.report.as_ref().map_or_else(Vec::new, |report| report.resident.clone()),
@@ -298,7 +330,7 @@
     pub fn dump(&self, now: Instant) -> String {
         format!(
             "running={} waiting={} unread={} pace={:.1} event_ms={} learned={:.2} report={} \
-             fencing={:?} evacuated={} cold={}\n",
+             fencing={:?} evacuated={} cold={} limit={:?}\n",
             self.running.len(),
             self.queue.len(),
             self.running.unread_tokens(),
@@ -309,6 +341,7 @@
             self.fencing,
             self.evacuated,
             self.cold.is_cold(now),
+            self.limit.rate(now),
         )
     }
 
@@ -327,6 +360,9 @@
             return actions;
         };
         let Some(fencing) = self.fencing else { return actions };
+        if !self.limit.may_send(now) {
+            return actions;
+        }
         let used: Vec<&AdapterName> = self.running.adapters().collect();
         let input = orders::PlanInput {
             spec: &self.spec,
@@ -337,6 +373,7 @@
             loads: &self.loads,
         };
         if let Some((name, target)) = self.orders.plan(now, &input) {
+            self.limit.on_send(now);
             let (holder, after) = (self.holder.clone(), Some(report.orders));
             actions.push(Action::Order(Order { name, target, after, holder, fencing }));
         }
@@ -384,7 +421,7 @@
             if self.newest_versions.get(&request.name).is_some_and(|&newest| version < newest) {
                 continue;
             }
-            if !self.cold.may_grant(now) {
+            if !self.cold.may_grant(now) || !self.limit.may_send(now) {
                 return;
             }
             // Smaller requests do not overtake a large one, which would starve it.
@@ -401,6 +438,7 @@
             reserved += request.size.total();
             self.recent_grants.on_grant(now, request.size.prompt);
             self.cold.on_grant(now);
+            self.limit.on_send(now);
             self.running.on_grant(now, request);
             self.queue.remove(ticket);
             actions.push(Action::Answer(ticket, Verdict::Granted { version }));
--- /dev/null
+++ b/kingcupbay_core/src/limit/pace.rs
@@ -0,0 +1,64 @@
+//! Pace of the requests to a limited upstream.
+
+use std::collections::VecDeque;
+
+use crate::time::{Instant, Span};
+
+/// Window over which the platform counts the requests to a limited upstream.
+const WINDOW: Span = Span::from_secs(4);
+
+/// Requests in [`WINDOW`] that the platform tolerates beyond the rate, less one for the
+/// burst and one in reserve.
+const TOLERATED: f64 = 3.0;
+
+/// Requests that the platform tolerates in [`WINDOW`], as a multiple of the rate.
+const TOLERATED_FACTOR: f64 = 1.5;
+
+/// Keeps a rate, one request at a time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pace {
+    /// Requests sent before the limit was known, in the last [`WINDOW`].
+    before: VecDeque<Instant>,
+    /// When the next request may be sent, as far as those since the limit go.
+    due: Instant,
+}
+
+impl Pace {
+    /// Delays the first request at a new limit until `due`.
+    pub(super) fn start(&mut self, due: Instant) {
+        self.due = self.due.max(due);
+    }
+
+    /// Returns the time until a request may be sent behind `ahead` others. This daemon sends
+    /// the fraction `share` of the upstream's `limit`.
+    pub(super) fn wait(&self, now: Instant, limit: f64, share: f64, ahead: usize) -> Span {
+        let first = self.due.max(now + self.earlier_wait(now, limit, share));
+        let interval = interval(limit * share).as_micros();
+        (first + Span::from_micros(interval.saturating_mul(ahead as u64))).since(now)
+    }
+
+    /// Returns the time until those sent before the limit no longer count too much: the
+    /// upstream counts them with those that follow.
+    fn earlier_wait(&self, now: Instant, limit: f64, share: f64) -> Span {
+        let spare = (TOLERATED_FACTOR - 1.0) * limit * WINDOW.as_secs_f64() + TOLERATED;
+        let spare = (spare * share) as usize;
+        let recent = self.before.iter().filter(|at| now.since(**at) < WINDOW);
+        recent.rev().nth(spare).map_or(Span::ZERO, |&at| (at + WINDOW).since(now))
+    }
+
+    /// Records a request that is sent at `rate`, or without a limit.
+    pub(super) fn on_send(&mut self, now: Instant, rate: Option<f64>) {
+        match rate {
+            Some(rate) => self.due = self.due.max(now) + interval(rate),
+            None => {
+                self.before.retain(|at| now.since(*at) < WINDOW);
+                self.before.push_back(now);
+            }
+        }
+    }
+}
+
+/// Returns the time from one request to the next at `rate`.
+fn interval(rate: f64) -> Span {
+    Span::from_millis_f64(1e3 / rate)
+}
--- a/kingcupbay_core/src/limit/record.rs
+++ b/kingcupbay_core/src/limit/record.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     time::{Instant, Span},
-    wire::metadata::AnnouncedLimit,
+    wire::{limit::LimitReport, metadata::AnnouncedLimit},
 };
 
 /// Shortest time for which a limit is kept without a further answer.
@@ -15,6 +15,10 @@
 /// further answer. Some of them may be lost.
 const KEEP_REQUESTS: f64 = 3.0;
 
+/// Lowest rate that is kept. An upstream that takes no requests at all could not say that
+/// it takes some again.
+const RATE_MIN: f64 = 1.0 / 30.0;
+
 /// The last answer that said whether an upstream limits its requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitRecord {
@@ -55,9 +59,24 @@
         }
     }
 
+    /// Returns the record of another daemon.
+    pub fn from_report(now: Instant, report: LimitReport) -> LimitRecord {
+        LimitRecord { born: report.born, rate: report.rate, heard: now - report.age }
+    }
+
+    /// Returns the record as sent to another daemon.
+    pub fn to_report(&self, now: Instant) -> LimitReport {
+        LimitReport { born: self.born, rate: self.rate, age: now.since(self.heard) }
+    }
+
+    /// Returns whether this record is newer than `other`.
+    pub fn is_newer(&self, other: &LimitRecord) -> bool {
+        (self.born, self.heard) > (other.born, other.heard)
+    }
+
     /// Returns the requests per second at `now`; `None` for any number.
     pub fn rate(&self, now: Instant) -> Option<f64> {
-        let rate = self.rate?;
+        let rate = self.rate?.max(RATE_MIN);
         let keep = Span::from_millis_f64(KEEP_REQUESTS * 1e3 / rate).max(KEEP_MIN).min(KEEP_MAX);
         (now.since(self.heard) < keep).then_some(rate)
     }
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -5,8 +5,8 @@
 //! between an entry and an upstream daemon, as MessagePack over HTTP.
 //!
 //! [`metadata`] and [`rows`] hold messages of a platform in decoded form. On such
-//! a platform daemons exchange [`sidecar`], [`usage`], [`read_position`] and
-//! [`evacuation`] messages, as MessagePack over HTTP.
+//! a platform daemons exchange [`sidecar`], [`usage`], [`read_position`],
+//! [`evacuation`] and [`limit`] messages, as MessagePack over HTTP.
 //!
 //! [`admin`] is the interface of every daemon for the operators' tool, as JSON.
 
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod evacuation;
 pub mod fleet;
+pub mod limit;
 pub mod metadata;
 pub mod object;
 pub mod read_position;
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::metadata::Size;
+use super::{limit::LimitReport, metadata::Size};
 use crate::{
     deployment::model::{AdapterName, ResidentModel},
     time::Span,
@@ -20,7 +20,7 @@
 pub const LOAD_REPORT_PATH: &str = "/pressure";
 
 /// A request for permission to run one generation on the engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct PermitRequest {
     /// Identifier of the caller's attempt, under which the engine runs it.
@@ -48,6 +48,9 @@
     /// How much longer the engine is cold, as its registration says.
     #[serde(default)]
     pub cold: Span,
+    /// What the engine has told the entry of its limit.
+    #[serde(default)]
+    pub limit: Option<LimitReport>,
 }
 
 /// The answer to a [`PermitRequest`].
--- a/kingcupbay_core/tests/engine/mod.rs
+++ b/kingcupbay_core/tests/engine/mod.rs
@@ -216,6 +216,7 @@
         event_gap: Some(Span::from_millis(300)),
         entry: "127.0.0.1:1".parse().expect("an address"),
         cold: Span::ZERO,
+        limit: None,
     }
 }
 
--- a/kingcupbay_core/tests/lost_messages.rs
+++ b/kingcupbay_core/tests/lost_messages.rs
@@ -92,6 +92,7 @@
         event_gap: None,
         entry: "127.0.0.1:1".parse().unwrap(),
         cold: Span::ZERO,
+        limit: None,
     }
 }
 
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -20,7 +20,7 @@
         job::Job,
         permits::{self, Permit},
         reply::Refusal,
-        send::{self, PendingAnswer, SendOptions},
+        send::{self, PendingAnswer, SendError, SendOptions},
         stream::Relay,
     },
     http::link::LinkError,
@@ -122,14 +122,23 @@
                 continue;
             }
         };
-        let options = SendOptions { version, priority: Some(job.priority().min(9)), last_event };
+        let options = SendOptions {
+            version,
+            priority: Some(job.priority().min(9)),
+            last_event,
+            permitted: permit.is_some(),
+        };
         tried.sends += 1;
         match run(job, &instance, options).await {
             Ok(answer) if !answer.metadata.not_run => {
                 return Ok(Started { instance, answer, permit });
             }
             Ok(answer) => on_not_run(job, &instance, answer).await,
-            Err(error) => {
+            Err(SendError::Held(hold)) => {
+                tried.sends -= 1;
+                after = Some(after.map_or(hold.after(), |after| after.min(hold.after())));
+            }
+            Err(SendError::Link(error)) => {
                 on_error(job, &instance, &error);
                 if error.is_unsent() {
                     tried.sends -= 1;
@@ -230,7 +239,6 @@
             Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
         }
         None => {
-            check_unpermitted(job, instance).map_err(Some)?;
             let resident = gateway.placement.borrow().resident_version(engine, name);
             let newest = gateway.node.catalogue.borrow().version(name);
             match resident {
@@ -241,21 +249,13 @@
     }
 }
 
-/// Counts a request that may be sent to an engine whose sidecar does not answer. Only the
-/// sidecar knows whether the engine is cold. An error is the time until one may be sent.
-fn check_unpermitted(job: &Job, instance: &Instance) -> Result<(), Span> {
-    let service = job.deployment.services.get(&instance.service);
-    let limits = service.and_then(|service| service.cold);
-    limits.map_or(Ok(()), |limits| job.gateway.try_send_cold(instance, limits))
-}
-
 /// Sends the request and waits for the head of the answer, which arrives with the first
 /// event.
 async fn run(
     job: &Job,
     instance: &Instance,
     options: SendOptions,
-) -> Result<PendingAnswer, LinkError> {
+) -> Result<PendingAnswer, SendError> {
     let mut time = job.remaining();
     if job.route.repeat == Repeat::Resumable {
         time =
@@ -263,7 +263,7 @@
     }
     match tokio::time::timeout(time.into(), send::send(job, instance, options)).await {
         Ok(answer) => answer,
-        Err(_) => Err(LinkError::Silent),
+        Err(_) => Err(LinkError::Silent.into()),
     }
 }
 
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -57,6 +57,12 @@
         hasher.finish()
     }
 
+    /// Returns a time between `after` and twice that, so that callers who are refused for the
+    /// same reason do not all return at once.
+    pub(crate) fn spread(&self, after: Span) -> Span {
+        after + Span::from_micros(self.draw() % after.as_micros().max(1))
+    }
+
     /// Returns the attempt id, empty if the caller set none.
     pub(crate) fn attempt(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or_default()
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -28,18 +28,21 @@
     allowance::Allowance,
     backlog::Backlog,
     cold::{ColdLimits, ColdShares},
+    config::model::Role,
     deployment::{
+        catalogue::Catalogue,
         catchup::CatchUp,
         lookup::Caller,
         model::{Deployment, Instance, Organisation, Route},
     },
     health::Health,
-    limit::LimitRecord,
+    limit::{Entries, LimitShares},
     placement::Placement,
     repeat::RepeatBudget,
     time::{Instant, Span},
     wire::{
         error::Code,
+        limit::LimitReports,
         metadata::{AnnouncedLimit, RequestMetadata},
         sidecar::EngineLoadReport,
     },
@@ -52,6 +55,7 @@
 use job::Job;
 use metrics::Metrics;
 use reply::{Refusal, refuse};
+use send::Hold;
 
 /// Longest wait for an answer if the caller sets no deadline.
 const DEFAULT_DEADLINE: Span = Span::from_secs(30);
@@ -84,8 +88,8 @@
     pub(crate) catch_up: RefCell<CatchUp>,
     /// Shares of the rates of cold upstreams that no sidecar limits.
     pub(crate) cold: RefCell<ColdShares>,
-    /// Request rates that upstreams announce, by id.
-    pub(crate) limits: RefCell<BTreeMap<String, LimitRecord>>,
+    /// Parts of the request rates that upstreams announce.
+    pub(crate) limits: RefCell<LimitShares>,
     pub(crate) releases: permits::Releases,
     pub(crate) metrics: Metrics,
 }
@@ -126,31 +130,63 @@
         repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
     }
 
-    /// Counts a request that this entry may send to a cold upstream.
+    /// Counts a request that this entry may send to `row` now. `permitted` says whether the
+    /// sidecar beside it has granted the request; it keeps the limits of its engine itself.
     ///
-    /// # Errors
-    ///
-    /// Fails with the time until the next request if its share is used up.
-    pub(crate) fn try_send_cold(&self, row: &Instance, limits: ColdLimits) -> Result<(), Span> {
+    /// Every request to an upstream passes here.
+    pub(crate) fn admit(&self, row: &Instance, permitted: bool) -> Result<(), Hold> {
+        if permitted {
+            return Ok(());
+        }
+        let now = clock::now();
+        let catalogue = self.node.catalogue.borrow();
+        let hosts = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
+        let hosts: Vec<&str> = hosts.collect();
+        let entries = Entries { own: self.node.host(), hosts: &hosts };
+        self.limits
+            .borrow_mut()
+            .try_send(now, &row.id, row.born, entries)
+            .map_err(Hold::Limited)?;
+        let Some(limits) = self.cold_limits(now, &catalogue, row) else { return Ok(()) };
         let entries = self.allowance.borrow().entries();
-        self.cold.borrow_mut().try_send(clock::now(), &row.id, limits, entries)
+        self.cold.borrow_mut().try_send(now, &row.id, limits, entries).map_err(Hold::Cold)
+    }
+
+    /// Returns what `row` tolerates if it is cold, or may be: only the sidecar beside an
+    /// engine knows whether that is cold.
+    fn cold_limits(&self, now: Instant, known: &Catalogue, row: &Instance) -> Option<ColdLimits> {
+        let service = known.deployment()?.services.get(&row.service)?;
+        match service.engine {
+            Some(_) => service.cold,
+            None => known.cold_limits(now, row),
+        }
     }
 
     /// Records whether the answer of `row` to a request sent at `sent` limits its requests.
     pub(crate) fn on_announced_limit(&self, row: &Instance, sent: Instant, limit: AnnouncedLimit) {
         let now = clock::now();
-        let mut limits = self.limits.borrow_mut();
-        let before = limits.get(&row.id).copied();
-        let known = LimitRecord::after_answer(before, now, sent, row.born, limit);
-        let rate = |record: Option<LimitRecord>| record.and_then(|record| record.rate(now));
-        if rate(before) != rate(known) {
-            info!(self.node.log, ""; "event" => "upstream_limit", "upstream" => &row.id,
-                "born" => row.born, "per_s" => rate(known), "before" => rate(before));
+        if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, limit) {
+            self.on_limit_changed(now, row, "answer");
         }
-        if let Some(known) = known {
-            limits.insert(row.id.clone(), known);
+    }
+
+    /// Applies another entry's report of limits.
+    pub(crate) fn on_limit_reports(&self, reports: LimitReports) {
+        let now = clock::now();
+        for (id, report) in reports.upstreams {
+            let row = self.node.catalogue.borrow().instance(&id).cloned();
+            let Some(row) = row.filter(|row| row.born == report.born) else { continue };
+            if self.limits.borrow_mut().on_report(now, &id, report) {
+                self.on_limit_changed(now, &row, "told");
+            }
         }
-        self.metrics.set_limited(limits.values().filter(|row| row.rate(now).is_some()).count());
+    }
+
+    fn on_limit_changed(&self, now: Instant, row: &Instance, why: &'static str) {
+        let limits = self.limits.borrow();
+        info!(self.node.log, ""; "event" => "upstream_limit", "upstream" => &row.id,
+            "born" => row.born, "per_s" => limits.rate(now, &row.id, row.born), "why" => why);
+        self.metrics.set_limited(limits.limited(now));
     }
 
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -113,6 +113,7 @@
         attempt: job.attempt().to_owned(),
         newest,
         cold,
+        limit: gateway.limits.borrow().report_of(now, &instance.id, instance.born),
         name: name.clone(),
         priority: job.priority(),
         size: job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 }),
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -18,7 +18,7 @@
         Gateway,
         job::Job,
         reply::{self, Refusal},
-        send::{self, SendOptions},
+        send::{self, Hold, SendError, SendOptions},
     },
     http::link::LinkError,
 };
@@ -40,6 +40,8 @@
     Answer(ResponseHead, Bytes),
     /// The upstream says that the request did not run.
     NotRun,
+    /// The request was held back.
+    Held(Hold),
     /// The request was not sent.
     Unsent(LinkError),
     /// The request may have run.
@@ -71,7 +73,7 @@
     let mut sends = 0;
     let mut may_have_run = false;
     let mut failure = None;
-    let mut cold = None;
+    let mut held = None;
     while job.remaining() > Span::ZERO {
         let Some(instance) = choose(&job, service, &tried) else { break };
         let again = sends > 0;
@@ -82,12 +84,12 @@
             return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
         }
         tried.push(instance.id.clone());
-        if let Some(wait) = cold_wait(&job, &instance) {
-            cold = cold.min(Some(wait)).or(Some(wait));
-            continue;
-        }
         let last = sends + 1 >= job.route.attempts;
         let outcome = attempt(&job, &instance, last).await;
+        if let Outcome::Held(hold) = outcome {
+            held = Some(hold.earlier(held));
+            continue;
+        }
         record(&job, &instance, &outcome);
         sends += u32::from(!matches!(outcome, Outcome::Unsent(_)));
         match outcome {
@@ -98,7 +100,7 @@
                 return Ok(deliver(&job, &instance, &head, body));
             }
             Outcome::Answer(head, body) => failure = Some((instance, head, body)),
-            Outcome::NotRun | Outcome::Unsent(_) => {}
+            Outcome::NotRun | Outcome::Unsent(_) | Outcome::Held(_) => {}
             Outcome::Unknown(_) => {
                 may_have_run = true;
                 if !job.route.repeat.repeatable() {
@@ -110,17 +112,17 @@
     if let Some((instance, head, body)) = failure {
         return Ok(deliver(&job, &instance, &head, body));
     }
-    Err(final_refusal(&job, service, sends, may_have_run, cold))
+    Err(final_refusal(&job, service, sends, may_have_run, held))
 }
 
-/// Returns the refusal of a request that no upstream answers. `cold` is the time until one
-/// of the cold upstreams takes another request, if that was in the way.
+/// Returns the refusal of a request that no upstream answers. `held` says why it was held
+/// back, if it was.
 fn final_refusal(
     job: &Job,
     service: &str,
     sends: u32,
     may_have_run: bool,
-    cold: Option<Span>,
+    held: Option<Hold>,
 ) -> Refusal {
     match (may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
@@ -128,8 +130,8 @@
         (false, _) if sends > 0 => {
             Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
         }
-        (false, _) if let Some(cold) = cold => {
-            Refusal::retry(Code::Overloaded, "upstreams are cold", cold)
+        (false, _) if let Some(held) = held => {
+            Refusal::retry(Code::Overloaded, held.as_str(), job.spread(held.after()))
         }
         (false, _) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY);
@@ -149,13 +151,6 @@
     untried.iter().find(|row| row.id == id).map(|row| Rc::clone(row))
 }
 
-/// Returns the time until this entry may send a request to `instance`, if that is cold and
-/// this entry has used up its share. Counts the request otherwise.
-fn cold_wait(job: &Job, instance: &Instance) -> Option<Span> {
-    let limits = job.gateway.node.catalogue.borrow().cold_limits(clock::now(), instance)?;
-    job.gateway.try_send_cold(instance, limits).err()
-}
-
 /// Returns the time after which to retry if `instance`, the least busy upstream, would
 /// answer too late.
 fn check_backlog(job: &Job, instance: &Instance) -> Option<Span> {
@@ -184,8 +179,9 @@
     let began = clock::now();
     let answer = match send::send(job, instance, SendOptions::default()).await {
         Ok(answer) => answer,
-        Err(error) if error.is_unsent() => return Outcome::Unsent(error),
-        Err(error) => return Outcome::Unknown(error),
+        Err(SendError::Held(hold)) => return Outcome::Held(hold),
+        Err(SendError::Link(error)) if error.is_unsent() => return Outcome::Unsent(error),
+        Err(SendError::Link(error)) => return Outcome::Unknown(error),
     };
     match send::read_body(job, instance, answer).await {
         Ok((_, metadata, _)) if metadata.not_run => {
@@ -218,6 +214,7 @@
         Outcome::Answer(head, _) if head.status.is_server_error() => (Exchange::Failed, "failure"),
         Outcome::Answer(..) => (Exchange::Succeeded, "answer"),
         Outcome::NotRun => (Exchange::Failed, "not_run"),
+        Outcome::Held(_) => return,
         Outcome::Unsent(_) => (Exchange::Unreachable, "unsent"),
         Outcome::Unknown(LinkError::Silent) => (Exchange::Unreachable, "silent"),
         Outcome::Unknown(_) => (Exchange::Failed, "lost"),
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -9,6 +9,7 @@
 };
 use kingcupbay_platform::{answer, request};
 use slog::warn;
+use thiserror::Error;
 
 use crate::{
     clock,
@@ -41,6 +42,51 @@
     pub(crate) priority: Option<u8>,
     /// Event after which the stream resumes.
     pub(crate) last_event: Option<u64>,
+    /// Whether the sidecar beside the upstream has granted the request.
+    pub(crate) permitted: bool,
+}
+
+/// Why a request is not sent to an upstream now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// The upstream limits its requests; the time until it takes another one.
+    Limited(Span),
+    /// The upstream is cold; the time until it takes another request.
+    Cold(Span),
+}
+
+impl Hold {
+    /// Returns the time until the upstream takes another request.
+    pub(crate) fn after(self) -> Span {
+        match self {
+            Hold::Limited(after) | Hold::Cold(after) => after,
+        }
+    }
+
+    /// Returns the reason as written to answers and logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Hold::Limited(_) => "upstreams limit their requests",
+            Hold::Cold(_) => "upstreams are cold",
+        }
+    }
+
+    /// Returns the one of both that ends first.
+    pub(crate) fn earlier(self, other: Option<Hold>) -> Hold {
+        other.filter(|other| other.after() < self.after()).unwrap_or(self)
+    }
+}
+
+/// Why a request has no answer.
+#[derive(Debug)]
+#[derive(Error)]
+pub(crate) enum SendError {
+    /// It was not sent.
+    #[error("held back: {}", .0.as_str())]
+    Held(Hold),
+    /// The exchange failed.
+    #[error(transparent)]
+    Link(#[from] LinkError),
 }
 
 /// Sends the request of `job` to `instance` and reads the head of the answer. Fails if
@@ -49,7 +95,8 @@
     job: &Job,
     instance: &Instance,
     options: SendOptions,
-) -> Result<PendingAnswer, LinkError> {
+) -> Result<PendingAnswer, SendError> {
+    job.gateway.admit(instance, options.permitted).map_err(SendError::Held)?;
     let pool = &job.gateway.node.pool;
     let mut link = pool.get(instance.address).await?;
     let request_metadata = UpstreamRequestMetadata {
@@ -75,7 +122,7 @@
         pool.forget(instance.address);
         head = link.next_head().await?;
     }
-    Err(LinkError::Malformed("only answers of other requests came".to_owned()))
+    Err(LinkError::Malformed("only answers of other requests came".to_owned()).into())
 }
 
 /// Returns whether an answer belongs to the request of `job`: it names the same attempt.
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of one daemon.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
@@ -158,6 +158,11 @@
     registered(registry, IntGauge::new(name, help))
 }
 
+/// Registers a gauge of a number with a fraction.
+pub(crate) fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    registered(registry, Gauge::new(name, help))
+}
+
 /// Registers a counter.
 pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     registered(registry, IntCounter::new(name, help))
--- /dev/null
+++ b/kingcupbayd/src/registered/limits.rs
@@ -0,0 +1,53 @@
+//! Exchange of the limits that upstreams announce between entries.
+//!
+//! The entries that may send to a limited upstream hear whether the limit still holds, and
+//! report it to the others.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
+use bytes::Bytes;
+use kingcupbay_core::{
+    time::Span,
+    wire::limit::{LIMITS_PATH, LimitReports},
+};
+use slog::debug;
+
+use crate::{clock, gateway::Gateway, registered::message};
+
+/// Timeout of an answer to a report. If it is late, a later report replaces this one.
+const ANSWER_TIMEOUT: Span = Span::from_millis(300);
+
+/// Reports the limits that are due to `entries`.
+pub(crate) fn send_reports(gateway: &Rc<Gateway>, entries: &[SocketAddr]) {
+    let upstreams = gateway.limits.borrow_mut().reports(clock::now());
+    if upstreams.is_empty() {
+        return;
+    }
+    let body = rmp_serde::to_vec_named(&LimitReports { upstreams });
+    let body = Bytes::from(body.expect("a report has only plain fields"));
+    for &peer in entries {
+        drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
+    }
+}
+
+/// Sends a report to one entry.
+async fn send_report(gateway: Rc<Gateway>, peer: SocketAddr, body: Bytes) {
+    let pool = &gateway.node.pool;
+    let called = pool.call(peer, Method::POST, LIMITS_PATH, &body, ANSWER_TIMEOUT).await;
+    let error = match called {
+        Ok(answer) if answer.status == 204 => return,
+        Ok(answer) => format!("status {}", answer.status),
+        Err(error) => error.to_string(),
+    };
+    debug!(gateway.node.log, ""; "event" => "limits_lost", "peer" => %peer, "error" => error);
+}
+
+/// Applies another entry's report.
+pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
+    match message::read::<LimitReports>(&gateway.node.log, &mut request).await {
+        Ok(reports) => gateway.on_limit_reports(reports),
+        Err(answer) => return answer,
+    }
+    Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
+}
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) mod evacuations;
 pub(crate) mod follow;
+pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod read_positions;
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -9,6 +9,7 @@
     time::Span,
     wire::{
         evacuation::EVACUATIONS_PATH,
+        limit::LIMITS_PATH,
         read_position::Table,
         sidecar::{EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH},
         usage::{ROWS_PATH, USAGE_PATH},
@@ -21,7 +22,7 @@
     config::{Registry, Settings},
     gateway::{self, Gateway, permits},
     http,
-    registered::{Node, evacuations, follow::follow, members, message, usage},
+    registered::{Node, evacuations, follow::follow, limits, members, message, usage},
     server::{
         self,
         drain::{Drain, Phase},
@@ -168,7 +169,7 @@
     gateway.health.borrow_mut().retain(known);
     gateway.backlog.borrow_mut().retain(known);
     gateway.cold.borrow_mut().retain(known);
-    gateway.limits.borrow_mut().retain(|id, _| known(id));
+    gateway.limits.borrow_mut().retain(known);
 }
 
 /// Answers readiness probes.
@@ -186,6 +187,7 @@
         USAGE_PATH => usage::handle(gateway, request).await,
         LOAD_REPORT_PATH => handle_load_report(gateway, request).await,
         EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
+        LIMITS_PATH => limits::handle(gateway, request).await,
         ROWS_PATH => {
             let rows = gateway.node.rows.borrow().stored_rows();
             let body = rmp_serde::to_vec_named(&rows).expect("stored rows have only plain fields");
@@ -229,8 +231,9 @@
 async fn answer_sidecar_operator(sidecar: Rc<Sidecar>, request: Request) -> Response<BoxBody> {
     match request.path() {
         "/metrics" => {
-            let report = sidecar.admission.borrow().load_report(clock::now());
-            http::reply::text(StatusCode::OK, sidecar.metrics.text(&report))
+            let (now, admission) = (clock::now(), sidecar.admission.borrow());
+            let text = sidecar.metrics.text(&admission.load_report(now), admission.limit(now));
+            http::reply::text(StatusCode::OK, text)
         }
         "/dump" => http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump(clock::now())),
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     gateway::Gateway,
-    registered::{Node, evacuations, members, message, rows},
+    registered::{Node, evacuations, limits, members, message, rows},
 };
 
 /// Timeout of a peer's answer. If it is late, the next report replaces this one.
@@ -46,6 +46,7 @@
         if gateway.node.is_reader() {
             evacuations::send_reports(&gateway.node, &peers, report.whole);
         }
+        limits::send_reports(&gateway, &peers);
         let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
         let body = Bytes::from(body);
         for peer in peers {
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -8,7 +8,8 @@
         order::{Order, Reply},
         report::Report,
     },
-    time::Span,
+    limit::LimitSource,
+    time::{Instant, Span},
 };
 use kingcupbay_platform::{answer::decode_headers, engine as platform};
 use slog::{info, warn};
@@ -65,9 +66,10 @@
 async fn fetch_report(sidecar: &Rc<Sidecar>) -> Result<(), String> {
     let call = platform::encode_report_request();
     let pool = &sidecar.node.pool;
+    let sent = clock::now();
     let called = pool.call(sidecar.engine, Method::GET, &call.path, &[], REPORT_TIMEOUT).await;
     let answer = called.map_err(|error| error.to_string())?;
-    log_limit(sidecar, "report", &answer);
+    on_limit(sidecar, sent, LimitSource::Report, &answer);
     if answer.status != 200 {
         return Err(format!("status {}", answer.status));
     }
@@ -78,13 +80,15 @@
     Ok(())
 }
 
-/// Logs the limit that the answer to a call of kind `call` announces, if it has changed.
-fn log_limit(sidecar: &Sidecar, call: &'static str, answer: &Answer) {
+/// Applies and logs whether the engine limits its requests, as its answer to a call sent at
+/// `sent` says.
+fn on_limit(sidecar: &Sidecar, sent: Instant, source: LimitSource, answer: &Answer) {
     let limit = decode_headers(answer.status, &answer.headers).limit;
-    let before = sidecar.limits.borrow_mut().insert(call, limit).unwrap_or_default();
-    if before != limit {
-        info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => call,
-            "limit" => ?limit, "before" => ?before);
+    let now = clock::now();
+    let mut admission = sidecar.admission.borrow_mut();
+    if admission.on_announced_limit(now, sent, source, limit) {
+        info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => source.as_str(),
+            "per_s" => admission.limit(now));
     }
 }
 
@@ -107,10 +111,11 @@
 pub(crate) async fn send_order(sidecar: Rc<Sidecar>, order: Order) {
     let call = platform::encode_order(&order);
     let pool = &sidecar.node.pool;
+    let sent = clock::now();
     let called =
         pool.call(sidecar.engine, Method::POST, &call.path, &call.body, ORDER_TIMEOUT).await;
     if let Ok(answer) = &called {
-        log_limit(&sidecar, "order", answer);
+        on_limit(&sidecar, sent, LimitSource::Order, answer);
     }
     let reply = match &called {
         Ok(answer) => platform::decode_order_status(answer.status),
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -5,10 +5,10 @@
     time::Span,
     wire::sidecar::{EngineLoadReport, Verdict},
 };
-use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec, Registry};
+use prometheus::{Gauge, HistogramVec, IntCounterVec, IntGaugeVec, Registry};
 
 use crate::{
-    metrics::{LATENCY_BUCKETS, counters, gauges, histograms, text},
+    metrics::{LATENCY_BUCKETS, counters, float_gauge, gauges, histograms, text},
     registered::store::Store,
 };
 
@@ -19,6 +19,7 @@
     wait: HistogramVec,
     orders: IntCounterVec,
     requests: IntGaugeVec,
+    limit: Gauge,
 }
 
 impl Metrics {
@@ -54,6 +55,11 @@
                 "Requests that run at the engine or wait for a place there",
                 &["state"],
             ),
+            limit: float_gauge(
+                &registry,
+                "kingcupbay_engine_limit",
+                "Requests and orders per second that the engine takes",
+            ),
             registry,
         }
     }
@@ -78,8 +84,9 @@
     }
 
     /// Returns all metrics in the Prometheus text format, with `now` as the current
-    /// load.
-    pub(crate) fn text(&self, now: &EngineLoadReport) -> String {
+    /// load and `limit` as the engine's current limit.
+    pub(crate) fn text(&self, now: &EngineLoadReport, limit: Option<f64>) -> String {
+        self.limit.set(limit.unwrap_or(f64::INFINITY));
         self.requests.with_label_values(&["running"]).set(i64::from(now.running));
         self.requests.with_label_values(&["waiting"]).set(i64::from(now.waiting));
         text(&self.registry)
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -21,7 +21,7 @@
 use kingcupbay_core::{
     admission::{Action, Admission, Ticket, load_report::LoadReporter},
     time::Instant,
-    wire::{metadata::AnnouncedLimit, sidecar::Verdict},
+    wire::sidecar::Verdict,
 };
 use slog::info;
 use tokio::sync::{Notify, oneshot};
@@ -46,8 +46,6 @@
     pub(crate) wake: Notify,
     /// Entries that have recently requested permits, by address.
     pub(crate) entries: RefCell<BTreeMap<SocketAddr, EntryState>>,
-    /// Limits that the engine's answers to reports and orders announce.
-    pub(crate) limits: RefCell<BTreeMap<&'static str, AnnouncedLimit>>,
     pub(crate) metrics: Metrics,
 }
 
@@ -71,7 +69,6 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
-            limits: RefCell::default(),
             metrics: Metrics::new(&node.store),
             node,
         }
