Log what upstreams say of leaving and of rest in their answers

Change: both are decoded with the other headers and logged (upstream_leaves why=answer, upstream_rest); the stand-in sends them on request. Nothing is decided by it.

--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -75,6 +75,11 @@
     pub idle: Option<Span>,
     /// Request rate that the upstream takes.
     pub limit: AnnouncedLimit,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// Time for which the upstream, which has turned the request away, wants no other from
+    /// this daemon.
+    pub rest: Option<Span>,
 }
 
 /// Request rate that an answer announces: what its upstream takes from all daemons together.
--- a/kingcupbay_standin/src/upstream.rs
+++ b/kingcupbay_standin/src/upstream.rs
@@ -27,6 +27,9 @@
 /// Header with the requests per second that an upstream takes.
 const LIMIT: header::HeaderName = header::HeaderName::from_static("server-limit");
 
+/// Header that says that an upstream is leaving.
+const LEAVING: header::HeaderName = header::HeaderName::from_static("server-leaving");
+
 /// The base model of every engine.
 pub const BASE_MODEL: &str = "base";
 
@@ -151,6 +154,10 @@
     overheated: Cell<u32>,
     /// Value of the header `Server-Limit` in all its answers.
     limit: RefCell<Option<String>>,
+    /// Whether all its answers say that it is leaving.
+    leaving: Cell<bool>,
+    /// If set, it turns all requests away with this time after which to retry.
+    rest: RefCell<Option<String>>,
     /// Times of the requests and orders that it got.
     arrivals: RefCell<Vec<Instant>>,
     changes: Changes,
@@ -174,6 +181,8 @@
             cold_since: Cell::new(None),
             overheated: Cell::new(0),
             limit: RefCell::default(),
+            leaving: Cell::new(false),
+            rest: RefCell::default(),
             arrivals: RefCell::default(),
             changes: Changes::default(),
         });
@@ -235,6 +244,22 @@
         *self.state.limit.borrow_mut() = limit.map(str::to_owned);
     }
 
+    /// Sets whether all its answers say that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.leaving.set(leaving);
+    }
+
+    /// Turns all requests away with this time after which to retry, as text; `None` runs
+    /// them again.
+    pub fn set_rest(&self, rest: Option<&str>) {
+        *self.state.rest.borrow_mut() = rest.map(str::to_owned);
+    }
+
+    /// Returns the times of the requests and orders that it got.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.arrivals.borrow().clone()
+    }
+
     /// Returns the largest number of requests and orders that it got within `span`, of those
     /// since `from`.
     pub fn busiest(&self, from: Instant, span: Duration) -> usize {
@@ -311,6 +336,9 @@
             let value = header::HeaderValue::from_str(limit).expect("tests set visible ASCII");
             headers.insert(LIMIT, value);
         }
+        if self.leaving.get() {
+            headers.insert(LEAVING, header::HeaderValue::from_static("1"));
+        }
     }
 
     fn order(&self, call: &Call) -> Answer {
@@ -359,6 +387,12 @@
             let value = call.headers.get(name)?.to_str().ok()?;
             Some(value.to_owned())
         };
+        if let Some(rest) = self.rest.borrow().as_deref() {
+            let mut answer = refusal(StatusCode::SERVICE_UNAVAILABLE);
+            let value = header::HeaderValue::from_str(rest).expect("tests set visible ASCII");
+            answer.headers_mut().insert(header::RETRY_AFTER, value);
+            return answer;
+        }
         if text("x-expect-instance").is_some_and(|id| id != self.settings.id) {
             return refusal(StatusCode::MISDIRECTED_REQUEST);
         }
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -43,7 +43,7 @@
     wire::{
         error::Code,
         limit::LimitReports,
-        metadata::{AnnouncedLimit, RequestMetadata},
+        metadata::{AnswerMetadata, RequestMetadata},
         sidecar::EngineLoadReport,
     },
 };
@@ -162,12 +162,20 @@
         }
     }
 
-    /// Records whether the answer of `row` to a request sent at `sent` limits its requests.
-    pub(crate) fn on_announced_limit(&self, row: &Instance, sent: Instant, limit: AnnouncedLimit) {
+    /// Applies what `row` says of itself in its answer to a request sent at `sent`.
+    pub(crate) fn on_announcements(&self, row: &Instance, sent: Instant, answer: &AnswerMetadata) {
         let now = clock::now();
-        if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, limit) {
+        if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, answer.limit) {
             self.on_limit_changed(now, row, "answer");
         }
+        if answer.leaving {
+            info!(self.node.log, ""; "event" => "upstream_leaves", "upstream" => &row.id,
+                "born" => row.born, "why" => "answer");
+        }
+        if let Some(rest) = answer.rest {
+            info!(self.node.log, ""; "event" => "upstream_rest", "upstream" => &row.id,
+                "born" => row.born, "for_ms" => rest.as_millis());
+        }
     }
 
     /// Applies another entry's report of limits.
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -113,7 +113,7 @@
     for _ in 0..MISROUTED_MAX {
         let metadata = answer::decode_headers(head.status.as_u16(), &head.headers);
         if is_own(job, &metadata) {
-            job.gateway.on_announced_limit(instance, sent, metadata.limit);
+            job.gateway.on_announcements(instance, sent, &metadata);
             return Ok(PendingAnswer { link, head, metadata });
         }
         warn!(job.gateway.node.log, ""; "event" => "crossed_answer",
