Test upstreams that say in answers that they leave, failing

Cause: users saw a request at an upstream 2199 ms after its answer had said that it leaves (bound 2000 ms).

--- /dev/null
+++ b/kingcupbayd/tests/upstream_leaving.rs
@@ -0,0 +1,90 @@
+//! Upstreams that say in their answers that they leave.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{
+    registered::{ANY_PORT, Fleet, KEY, STREAM_HEADERS, request_tour, start_engine_fleet},
+    wait_until,
+};
+use kingcupbay_standin::{Fault, Rule, UpstreamServer, UpstreamSettings};
+use serde_json::json;
+
+/// Starts a plain upstream and registers it.
+fn start_desk(fleet: &Fleet, id: &str) -> UpstreamServer {
+    let desk = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain(id)).unwrap();
+    fleet.register(id, "desk", &desk);
+    desk
+}
+
+/// Sends requests until `upstream` has run more than `runs`.
+async fn request_until(fleet: &Fleet, upstream: &UpstreamServer, label: &str) {
+    let runs = upstream.runs().len();
+    let mut attempts = 0;
+    wait_until("a request at the upstream", async || {
+        attempts += 1;
+        fleet.send("GET", "/seats/today", &format!("{label}{attempts}")).await;
+        (upstream.runs().len() > runs).then_some(())
+    })
+    .await;
+}
+
+/// The store is away when an upstream says that it leaves, so no row tells it. The entry
+/// must send nothing more to it once an answer has said so.
+#[actix_rt::test]
+async fn an_answer_that_says_leaving_ends_the_requests() {
+    let fleet = Fleet::start(1).await;
+    let leaving = start_desk(&fleet, "desk-1");
+    let _staying = start_desk(&fleet, "desk-2");
+    fleet.wait_until_ready().await;
+    request_until(&fleet, &leaving, "a").await;
+    fleet.store.server().add_rule(Rule::new(Fault::Silent));
+    leaving.set_leaving(true);
+    request_until(&fleet, &leaving, "b").await;
+    let told = leaving.runs().len();
+    for attempt in 0..30 {
+        let got = fleet.send("GET", "/seats/today", &format!("c{attempt}")).await;
+        assert_eq!(got.body.unwrap(), "done by desk-2");
+    }
+    assert_eq!(leaving.runs().len(), told);
+}
+
+/// A row that says ready, written earlier or later, must not undo what the upstream itself
+/// has said. An upstream that starts again under the same id must get requests.
+#[actix_rt::test]
+async fn only_a_restart_undoes_an_answer_that_says_leaving() {
+    let mut fleet = Fleet::start(1).await;
+    let desk = start_desk(&fleet, "desk-1");
+    fleet.wait_until_ready().await;
+    desk.set_leaving(true);
+    request_until(&fleet, &desk, "a").await;
+    let told = desk.runs().len();
+    let mut row = desk.registration("desk", "ready");
+    row["seq"] = json!(1);
+    fleet.store.put("servers", "desk-1", &row);
+    wait_until("the row", async || fleet.entry.has_line("count=1").then_some(())).await;
+    let got = fleet.send("GET", "/seats/today", "b").await;
+    assert_eq!((got.status, desk.runs().len()), (503, told), "{got:?}");
+    desk.set_leaving(false);
+    row["born"] = json!(2);
+    fleet.store.put("servers", "desk-1", &row);
+    request_until(&fleet, &desk, "c").await;
+}
+
+/// An engine says that it leaves, and its reports do not say so yet. It must get no more
+/// requests, and its sidecar must not be asked.
+#[actix_rt::test]
+async fn an_engine_that_says_leaving_gets_no_more_requests() {
+    let (fleet, engine, _sidecar) = start_engine_fleet(UpstreamSettings::engine("gpu-1", 2)).await;
+    assert_eq!(request_tour(&fleet, "a", None).await.status, 200);
+    engine.set_leaving(true);
+    fleet.send_with("POST", "/tour/day", "b", KEY, STREAM_HEADERS).await;
+    let told = engine.runs().len();
+    for attempt in 0..5 {
+        let attempt = format!("c{attempt}");
+        let got = fleet.send_with("POST", "/tour/day", &attempt, KEY, STREAM_HEADERS).await;
+        assert_eq!(got.status, 503, "{got:?}");
+    }
+    assert_eq!(engine.runs().len(), told);
+}
