Send nothing more to an upstream that says in an answer that it leaves

Callers saw: a request reached an upstream 2199 ms after its answer had told the entry that it leaves (DRAIN, bound 2000 ms), while the store was away. Cause: the header Server-Leaving had no reader, so an entry learned of departures only from the store, other entries and an engine's report. The class is that of the limits: a signal of an upstream that nobody reads. Change: the catalogue keeps which upstreams have said that they leave, by id and start. Nothing but a later start undoes it, no row and no copy of the store; placement, plain services and replicas leave them out, Gateway::admit refuses a request that was chosen before, and a request that waits for a permit there leaves at once. A sidecar takes the header of a report as it takes its state. Conclusion: each entry learns it from its own answer; entries do not tell each other, as the rule binds those that were told.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -20,6 +20,7 @@
 };
 
 use super::{
+    announced::AnnouncedDepartures,
     departures::Departures,
     evacuations::Evacuations,
     model::{AdapterName, Deployment, Instance},
@@ -59,6 +60,8 @@
     replaced: BTreeSet<String>,
     /// Upstreams that have left.
     departures: Departures,
+    /// Upstreams that have said in their answers that they leave.
+    announced: AnnouncedDepartures,
     /// Availability zones whose upstreams get no new requests.
     evacuations: Evacuations,
     /// When each upstream is no longer cold. Invariant: all are in `instances`.
@@ -133,10 +136,23 @@
     /// Returns the upstreams of `service` that are neither leaving nor replaced at their
     /// address.
     fn staying<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<Instance>> {
-        let stays = |row: &&Rc<Instance>| !row.leaving && !self.replaced.contains(&row.id);
+        let stays = |row: &&Rc<Instance>| {
+            !row.leaving && !self.replaced.contains(&row.id) && !self.has_announced_leaving(row)
+        };
         self.instances().filter(move |row| row.service == service).filter(stays)
     }
 
+    /// Records that the upstream `id`, started at `born`, has said in an answer that it
+    /// leaves. Returns whether that was not known.
+    pub fn on_leaving_answer(&mut self, now: Instant, id: &str, born: u64) -> bool {
+        self.announced.on_answer(now, id, born)
+    }
+
+    /// Returns whether the upstream `row` has said in an answer that it leaves.
+    pub fn has_announced_leaving(&self, row: &Instance) -> bool {
+        self.announced.contains(&row.id, row.born)
+    }
+
     /// Returns whether `service` has upstreams, and all of them are in evacuated zones.
     pub fn is_evacuated(&self, service: &str) -> bool {
         self.serving(service).next().is_none() && self.staying(service).next().is_some()
@@ -349,6 +365,7 @@
     /// Drops upstreams that did not register again after an outage, and returns their
     /// ids. Drops daemons that did not either.
     pub fn on_tick(&mut self, now: Instant) -> Vec<String> {
+        self.announced.expire(now, |id| self.instances.contains_key(id));
         let expired = |since: &Instant| now.since(*since) >= REWRITE_MAX;
         let missing = std::mem::take(&mut self.members_missing);
         let (gone, missing): (BTreeMap<_, _>, BTreeMap<_, _>) =
--- a/kingcupbay_core/src/deployment/mod.rs
+++ b/kingcupbay_core/src/deployment/mod.rs
@@ -4,11 +4,13 @@
 //!
 //! [`model`] defines the rows, [`lookup`] finds a request's route and caller, and
 //! [`catalogue`] keeps the newest state that a daemon knows. `departures` tracks the
-//! upstreams that have left, [`evacuations`] the availability zones that are evacuated. [`catchup`] decides when to fetch a configuration from
-//! another entry. [`readers`] selects the entries that read the store for the others,
+//! upstreams that have left, `announced` those that have said in their answers that they
+//! leave, and [`evacuations`] the availability zones that are evacuated. [`catchup`] decides
+//! when to fetch a configuration from another entry. [`readers`] selects the entries that read the store for the others,
 //! and [`read_positions`] tracks how far each table is known. [`waits`] defines the
 //! timeouts of the steps by which a change reaches an entry.
 
+mod announced;
 pub mod catalogue;
 pub mod catchup;
 mod departures;
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -314,3 +314,26 @@
     catalogue.on_instance(now, Instance { born: 2, version: 3, ..instance("warm") });
     assert_eq!(remaining(&catalogue, "warm"), Span::from_secs(3));
 }
+
+/// An upstream says in an answer that it leaves. A late answer of its predecessor, a later
+/// row that says ready, and an older copy of the store that lists it once it is gone must
+/// not undo that; its own restart must.
+#[test]
+fn only_a_later_start_undoes_an_announced_departure() {
+    let at = |secs: u64| Instant::from_micros(1_000_000 * (100 + secs));
+    let mut catalogue = Catalogue::default();
+    let row = |born, version| Instance { born, version, ..instance("a") };
+    catalogue.on_instance(at(0), row(5, 1));
+    catalogue.on_leaving_answer(at(1), "a", 4);
+    assert_eq!(catalogue.listed("desk").len(), 1);
+    assert!(catalogue.on_leaving_answer(at(1), "a", 5));
+    assert!(!catalogue.on_leaving_answer(at(2), "a", 5));
+    catalogue.on_instance(at(3), Instance { count: 9, ..row(5, 2) });
+    assert!(catalogue.listed("desk").is_empty());
+    catalogue.on_instance_gone(at(4), "a", 3);
+    catalogue.on_tick(at(5));
+    catalogue.on_instance(at(6), row(5, 4));
+    assert!(catalogue.listed("desk").is_empty());
+    catalogue.on_instance(at(7), row(6, 5));
+    assert_eq!(catalogue.listed("desk").len(), 1);
+}
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -17,6 +17,7 @@
 use crate::{
     clock,
     gateway::{
+        Withdrawal,
         job::Job,
         permits::{self, Permit},
         reply::Refusal,
@@ -103,11 +104,8 @@
         tried.engines.push(instance.address);
         let acquired = tokio::select! {
             biased;
-            () = job.gateway.node.wait_for_evacuation(&instance.zone) => {
-                job.gateway.metrics.on_zone_left();
-                info!(job.gateway.node.log, ""; "event" => "zone_left",
-                    "request" => &job.metadata.attempt, "upstream" => &instance.id,
-                    "zone" => &instance.zone);
+            why = job.gateway.wait_until_withdrawn(&instance) => {
+                on_withdrawn(job, &instance, why);
                 Err(None)
             }
             acquired = acquire_permit(job, &instance, &name) => acquired,
@@ -136,7 +134,7 @@
             Ok(answer) => on_not_run(job, &instance, answer).await,
             Err(SendError::Held(hold)) => {
                 tried.sends -= 1;
-                after = Some(after.map_or(hold.after(), |after| after.min(hold.after())));
+                after = after.min(hold.after()).or(hold.after()).or(after);
             }
             Err(SendError::Link(error)) => {
                 on_error(job, &instance, &error);
@@ -249,6 +247,17 @@
     }
 }
 
+/// Records that a request no longer waits for a permit, as `why` says.
+fn on_withdrawn(job: &Job, instance: &Instance, why: Withdrawal) {
+    job.gateway.metrics.on_withdrawal(why);
+    let event = match why {
+        Withdrawal::Evacuated => "zone_left",
+        Withdrawal::Leaving => "wait_left",
+    };
+    info!(job.gateway.node.log, ""; "event" => event, "request" => &job.metadata.attempt,
+        "upstream" => &instance.id, "zone" => &instance.zone, "why" => why.as_str());
+}
+
 /// Sends the request and waits for the head of the answer, which arrives with the first
 /// event.
 async fn run(
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
 use crate::{
+    gateway::Withdrawal,
     metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text},
     registered::store::Store,
 };
@@ -21,6 +22,7 @@
     broken: IntCounterVec,
     evacuated: IntGauge,
     zone_left: IntCounter,
+    wait_left: IntCounterVec,
     limited: IntGauge,
 }
 
@@ -91,6 +93,12 @@
                 "kingcupbay_zone_left_total",
                 "Waits for a permit that ended as their zone was evacuated",
             ),
+            wait_left: counters(
+                &registry,
+                "kingcupbay_wait_left_total",
+                "Waits for a permit that ended as the engine gets no more requests",
+                &["why"],
+            ),
             limited: gauge(
                 &registry,
                 "kingcupbay_limited_upstreams",
@@ -127,9 +135,12 @@
         self.evacuated.set(zones as i64);
     }
 
-    /// Counts a wait for a permit that ended as its zone was evacuated.
-    pub(crate) fn on_zone_left(&self) {
-        self.zone_left.inc();
+    /// Counts a wait for a permit that ended as its engine gets no more requests.
+    pub(crate) fn on_withdrawal(&self, why: Withdrawal) {
+        if why == Withdrawal::Evacuated {
+            self.zone_left.inc();
+        }
+        self.wait_left.with_label_values(&[why.as_str()]).inc();
     }
 
     /// Records the number of upstreams that limit their requests.
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 };
 use kingcupbay_platform::request;
 use slog::{info, warn};
+use tokio::sync::Notify;
 
 use crate::{clock, http, registered::Node, server::drain::Phase};
 
@@ -74,6 +75,25 @@
 /// when one is restored, so this only keeps callers from retrying in vain.
 const EVACUATED_RETRY: Span = Span::from_secs(2);
 
+/// Why a request does not wait for an upstream any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Withdrawal {
+    /// Its availability zone is evacuated.
+    Evacuated,
+    /// It has said that it leaves.
+    Leaving,
+}
+
+impl Withdrawal {
+    /// Returns the reason as written to logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Withdrawal::Evacuated => "evacuated",
+            Withdrawal::Leaving => "leaving",
+        }
+    }
+}
+
 /// State of an entry.
 pub(crate) struct Gateway {
     pub(crate) node: Rc<Node>,
@@ -91,6 +111,8 @@
     /// Parts of the request rates that upstreams announce.
     pub(crate) limits: RefCell<LimitShares>,
     pub(crate) releases: permits::Releases,
+    /// Notified when an upstream has said that it leaves.
+    pub(crate) withdrawn: Notify,
     pub(crate) metrics: Metrics,
 }
 
@@ -109,6 +131,7 @@
             cold: RefCell::new(ColdShares::new(node.incarnation)),
             limits: RefCell::default(),
             releases: permits::Releases::default(),
+            withdrawn: Notify::new(),
             metrics: Metrics::new(&node.store),
             node,
         }
@@ -135,11 +158,14 @@
     ///
     /// Every request to an upstream passes here.
     pub(crate) fn admit(&self, row: &Instance, permitted: bool) -> Result<(), Hold> {
+        let catalogue = self.node.catalogue.borrow();
+        if catalogue.has_announced_leaving(row) {
+            return Err(Hold::Leaving);
+        }
         if permitted {
             return Ok(());
         }
         let now = clock::now();
-        let catalogue = self.node.catalogue.borrow();
         let hosts = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
         let hosts: Vec<&str> = hosts.collect();
         let entries = Entries { own: self.node.host(), hosts: &hosts };
@@ -168,7 +194,9 @@
         if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, answer.limit) {
             self.on_limit_changed(now, row, "answer");
         }
-        if answer.leaving {
+        let is_new = || self.node.catalogue.borrow_mut().on_leaving_answer(now, &row.id, row.born);
+        if answer.leaving && is_new() {
+            self.withdrawn.notify_waiters();
             info!(self.node.log, ""; "event" => "upstream_leaves", "upstream" => &row.id,
                 "born" => row.born, "why" => "answer");
         }
@@ -197,6 +225,27 @@
         self.metrics.set_limited(limits.limited(now));
     }
 
+    /// Waits until no request may be sent to `row` any more, and returns why.
+    pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
+        loop {
+            let (withdrawn, evacuated) =
+                (self.withdrawn.notified(), self.node.evacuated.notified());
+            {
+                let catalogue = self.node.catalogue.borrow();
+                if catalogue.evacuations().is_evacuated(&row.zone) {
+                    return Withdrawal::Evacuated;
+                }
+                if catalogue.has_announced_leaving(row) {
+                    return Withdrawal::Leaving;
+                }
+            }
+            tokio::select! {
+                () = withdrawn => {}
+                () = evacuated => {}
+            }
+        }
+    }
+
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
     /// zones.
     pub(crate) fn evacuated_refusal(&self, service: &str) -> Option<Refusal> {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -131,7 +131,8 @@
             Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
         }
         (false, _) if let Some(held) = held => {
-            Refusal::retry(Code::Overloaded, held.as_str(), job.spread(held.after()))
+            let after = held.after().map_or(NO_UPSTREAM_RETRY, |after| job.spread(after));
+            Refusal::retry(Code::Overloaded, held.as_str(), after)
         }
         (false, _) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY);
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -49,6 +49,8 @@
 /// Why a request is not sent to an upstream now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
+    /// The upstream has said that it leaves.
+    Leaving,
     /// The upstream limits its requests; the time until it takes another one.
     Limited(Span),
     /// The upstream is cold; the time until it takes another request.
@@ -56,16 +58,18 @@
 }
 
 impl Hold {
-    /// Returns the time until the upstream takes another request.
-    pub(crate) fn after(self) -> Span {
+    /// Returns the time until the upstream takes another request, if it does.
+    pub(crate) fn after(self) -> Option<Span> {
         match self {
-            Hold::Limited(after) | Hold::Cold(after) => after,
+            Hold::Leaving => None,
+            Hold::Limited(after) | Hold::Cold(after) => Some(after),
         }
     }
 
     /// Returns the reason as written to answers and logs.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Hold::Leaving => "upstreams are leaving",
             Hold::Limited(_) => "upstreams limit their requests",
             Hold::Cold(_) => "upstreams are cold",
         }
@@ -73,7 +77,8 @@
 
     /// Returns the one of both that ends first.
     pub(crate) fn earlier(self, other: Option<Hold>) -> Hold {
-        other.filter(|other| other.after() < self.after()).unwrap_or(self)
+        let end = |hold: Hold| hold.after().map_or((true, Span::ZERO), |after| (false, after));
+        other.filter(|&other| end(other) < end(self)).unwrap_or(self)
     }
 }
 
--- a/kingcupbayd/src/registered/evacuations.rs
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -127,17 +127,6 @@
 }
 
 impl Node {
-    /// Waits until `zone` is evacuated.
-    pub(crate) async fn wait_for_evacuation(&self, zone: &str) {
-        loop {
-            let changed = self.evacuated.notified();
-            if self.catalogue.borrow().evacuations().is_evacuated(zone) {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     /// Returns whether this daemon is in an evacuated zone.
     pub(crate) fn is_evacuated(&self) -> bool {
         let zone = self.settings.daemon.zone.to_string();
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -73,7 +73,8 @@
     if answer.status != 200 {
         return Err(format!("status {}", answer.status));
     }
-    let report = platform::decode_report(&answer.body).map_err(|error| error.to_string())?;
+    let mut report = platform::decode_report(&answer.body).map_err(|error| error.to_string())?;
+    report.leaving |= decode_headers(answer.status, &answer.headers).leaving;
     log_report(sidecar, &report);
     let actions = sidecar.admission.borrow_mut().on_report(clock::now(), report);
     sidecar.perform(actions);
