Leave upstreams that ask for rest alone until it is over

Cause: an upstream's Retry-After had no reader. An engine's refusal also leaves no mark in the entry, and to its sidecar an engine that runs nothing looks idle, which attracts more requests. The class is that of the limits and of leaving. Change: an entry keeps which upstreams have asked it for rest, by id and start, for 300 s at most. Gateway::admit refuses to send, placement leaves them out, and a request that waits for a permit there moves on at once. If all upstreams of a service rest, requests are refused at once with the end of the shortest rest, spread over up to 2 s. A sidecar rests from orders, and for 5 s at most from reports. Invalid times are ignored, the longest of several counts. An engine that refuses without a time to retry still leaves no mark.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -34,6 +34,7 @@
     cold::{ColdGate, ColdLimits},
     deployment::model::{AdapterName, Engine},
     limit::{LimitGate, LimitSource},
+    rest::REST_MAX,
     time::{Instant, Span},
     wire::{
         metadata::AnnouncedLimit,
@@ -101,6 +102,8 @@
     evacuated: bool,
     cold: ColdGate,
     limit: LimitGate,
+    /// The engine wants no order until then.
+    rest_until: Instant,
 }
 
 impl Admission {
@@ -124,6 +127,7 @@
             evacuated: false,
             cold: ColdGate::default(),
             limit: LimitGate::default(),
+            rest_until: Instant::default(),
         }
     }
 
@@ -149,6 +153,17 @@
         self.limit.on_answer(now, sent, source, limit)
     }
 
+    /// Records that the engine has turned away a call of this daemon and wants no other for
+    /// `time`.
+    pub fn on_rest(&mut self, now: Instant, time: Span) {
+        self.rest_until = self.rest_until.max(now + time.min(REST_MAX));
+    }
+
+    /// Returns how much longer the engine wants no call of this daemon.
+    pub fn rest(&self, now: Instant) -> Span {
+        self.rest_until.since(now)
+    }
+
     /// Returns the requests and orders per second that the engine takes; `None` for any
     /// number.
     pub fn limit(&self, now: Instant) -> Option<f64> {
@@ -252,6 +267,7 @@
             self.loads.on_restart();
             self.cold.on_cold(now);
             self.limit.on_restart(now);
+            self.rest_until = now;
         }
         self.order_count = report.orders;
         let elapsed = now.since(self.reported_at);
@@ -360,7 +376,7 @@
             return actions;
         };
         let Some(fencing) = self.fencing else { return actions };
-        if !self.limit.may_send(now) {
+        if !self.limit.may_send(now) || self.rest(now) > Span::ZERO {
             return actions;
         }
         let used: Vec<&AdapterName> = self.running.adapters().collect();
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod queue;
 pub mod random;
 pub mod repeat;
+pub mod rest;
 pub mod route;
 pub mod share;
 pub mod slot;
--- a/kingcupbay_core/tests/limited_engine.rs
+++ b/kingcupbay_core/tests/limited_engine.rs
@@ -102,3 +102,24 @@
     }
     assert!((14..=17).contains(&sent), "{sent}");
 }
+
+/// An engine turns an order away and asks for rest. Its sidecar must order nothing until then,
+/// and order again after a restart, which the new process has not asked for.
+#[test]
+fn a_resting_engine_gets_no_orders() {
+    let (mut engine, report) = engine(&["roses"]);
+    let is_order = |action: &Action| matches!(action, Action::Order(_));
+    engine.on_rest(at(0), Span::from_secs(3));
+    let mut actions = engine.on_permit_request(at(10), Ticket(1), permit_request(1, "tulips"));
+    actions.extend(engine.on_tick(at(1_000)));
+    assert!(!actions.iter().any(is_order), "{actions:?}");
+    actions = engine.on_tick(at(2_990));
+    assert!(!actions.iter().any(is_order), "{actions:?}");
+    let waiting = engine.on_permit_request(at(3_010), Ticket(2), permit_request(2, "tulips"));
+    assert!(waiting.iter().any(is_order), "{waiting:?}");
+    engine.on_reply(at(3_020), Reply::Accepted);
+    engine.on_report(at(3_030), Report { orders: 1, ..report.clone() });
+    engine.on_rest(at(3_040), Span::from_secs(60));
+    engine.on_report(at(3_050), report);
+    assert_eq!(engine.rest(at(3_060)), Span::ZERO);
+}
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -164,6 +164,9 @@
     match (tried.may_have_run, job.remaining() == Span::ZERO, after) {
         (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
+        (false, ..) if let Some(rest) = job.gateway.shortest_rest(service) => {
+            Refusal::retry(Code::Overloaded, "engines asked for rest", job.spread(rest))
+        }
         (false, _, Some(after)) => Refusal::retry(Code::Overloaded, "engines are full", after),
         (false, _, None) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no engine", NO_ENGINE_RETRY);
@@ -184,8 +187,11 @@
     let catalogue = gateway.node.catalogue.borrow();
     let health = gateway.health.borrow();
     let placement = gateway.placement.borrow();
-    let untried: Vec<&Rc<Instance>> =
-        catalogue.serving(service).filter(|row| !tried.contains(&row.address)).collect();
+    let rests = gateway.rests.borrow();
+    let is_open = |row: &&Rc<Instance>| {
+        !tried.contains(&row.address) && rests.remaining(now, &row.id, row.born).is_none()
+    };
+    let untried: Vec<&Rc<Instance>> = catalogue.serving(service).filter(is_open).collect();
     let is_healthy = |row: &&&Rc<Instance>| {
         !health.is_suspect(now, &row.id)
             && !health.is_suspect(now, &permits::sidecar_id(row.address))
@@ -252,7 +258,7 @@
     job.gateway.metrics.on_withdrawal(why);
     let event = match why {
         Withdrawal::Evacuated => "zone_left",
-        Withdrawal::Leaving => "wait_left",
+        Withdrawal::Leaving | Withdrawal::Resting => "wait_left",
     };
     info!(job.gateway.node.log, ""; "event" => event, "request" => &job.metadata.attempt,
         "upstream" => &instance.id, "zone" => &instance.zone, "why" => why.as_str());
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -15,6 +15,9 @@
 
 use crate::{clock, gateway::Gateway};
 
+/// Longest time over which the returns of refused callers are spread.
+const SPREAD_MAX: Span = Span::from_secs(2);
+
 /// An admitted request, with everything needed to forward it.
 pub(crate) struct Job {
     pub(crate) gateway: Rc<Gateway>,
@@ -57,10 +60,11 @@
         hasher.finish()
     }
 
-    /// Returns a time between `after` and twice that, so that callers who are refused for the
-    /// same reason do not all return at once.
+    /// Returns a time from `after` up to twice that, or [`SPREAD_MAX`] later, so that callers
+    /// who are refused for the same reason do not all return at once.
     pub(crate) fn spread(&self, after: Span) -> Span {
-        after + Span::from_micros(self.draw() % after.as_micros().max(1))
+        let width = after.min(SPREAD_MAX).as_micros().max(1);
+        after + Span::from_micros(self.draw() % width)
     }
 
     /// Returns the attempt id, empty if the caller set none.
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -39,6 +39,7 @@
     limit::{Entries, LimitShares},
     placement::Placement,
     repeat::RepeatBudget,
+    rest::Rests,
     time::{Instant, Span},
     wire::{
         error::Code,
@@ -82,6 +83,8 @@
     Evacuated,
     /// It has said that it leaves.
     Leaving,
+    /// It has asked this entry for rest.
+    Resting,
 }
 
 impl Withdrawal {
@@ -90,6 +93,7 @@
         match self {
             Withdrawal::Evacuated => "evacuated",
             Withdrawal::Leaving => "leaving",
+            Withdrawal::Resting => "resting",
         }
     }
 }
@@ -108,10 +112,12 @@
     pub(crate) catch_up: RefCell<CatchUp>,
     /// Shares of the rates of cold upstreams that no sidecar limits.
     pub(crate) cold: RefCell<ColdShares>,
+    /// Upstreams that have asked this entry for rest.
+    pub(crate) rests: RefCell<Rests>,
     /// Parts of the request rates that upstreams announce.
     pub(crate) limits: RefCell<LimitShares>,
     pub(crate) releases: permits::Releases,
-    /// Notified when an upstream has said that it leaves.
+    /// Notified when an upstream has said that it leaves or has asked for rest.
     pub(crate) withdrawn: Notify,
     pub(crate) metrics: Metrics,
 }
@@ -129,6 +135,7 @@
             unreachable: RefCell::default(),
             catch_up: RefCell::default(),
             cold: RefCell::new(ColdShares::new(node.incarnation)),
+            rests: RefCell::default(),
             limits: RefCell::default(),
             releases: permits::Releases::default(),
             withdrawn: Notify::new(),
@@ -162,10 +169,13 @@
         if catalogue.has_announced_leaving(row) {
             return Err(Hold::Leaving);
         }
+        let now = clock::now();
+        if let Some(rest) = self.rests.borrow().remaining(now, &row.id, row.born) {
+            return Err(Hold::Resting(rest));
+        }
         if permitted {
             return Ok(());
         }
-        let now = clock::now();
         let hosts = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
         let hosts: Vec<&str> = hosts.collect();
         let entries = Entries { own: self.node.host(), hosts: &hosts };
@@ -200,7 +210,10 @@
             info!(self.node.log, ""; "event" => "upstream_leaves", "upstream" => &row.id,
                 "born" => row.born, "why" => "answer");
         }
-        if let Some(rest) = answer.rest {
+        if let Some(rest) = answer.rest
+            && self.rests.borrow_mut().on_refusal(now, &row.id, row.born, rest)
+        {
+            self.withdrawn.notify_waiters();
             info!(self.node.log, ""; "event" => "upstream_rest", "upstream" => &row.id,
                 "born" => row.born, "for_ms" => rest.as_millis());
         }
@@ -225,6 +238,15 @@
         self.metrics.set_limited(limits.limited(now));
     }
 
+    /// Returns the time until the first upstream of `service` no longer rests, if all do.
+    pub(crate) fn shortest_rest(&self, service: &str) -> Option<Span> {
+        let (now, catalogue, rests) =
+            (clock::now(), self.node.catalogue.borrow(), self.rests.borrow());
+        let rest = |row: &Rc<Instance>| rests.remaining(now, &row.id, row.born);
+        // `None`, which is less than any time, if one of them does not rest.
+        catalogue.serving(service).map(rest).min()?
+    }
+
     /// Waits until no request may be sent to `row` any more, and returns why.
     pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
         loop {
@@ -239,6 +261,9 @@
                     return Withdrawal::Leaving;
                 }
             }
+            if self.rests.borrow().remaining(clock::now(), &row.id, row.born).is_some() {
+                return Withdrawal::Resting;
+            }
             tokio::select! {
                 () = withdrawn => {}
                 () = evacuated => {}
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -127,6 +127,9 @@
     match (may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
+        (false, _) if let Some(rest) = job.gateway.shortest_rest(service) => {
+            Refusal::retry(Code::Overloaded, "upstreams asked for rest", job.spread(rest))
+        }
         (false, _) if sends > 0 => {
             Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
         }
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -51,6 +51,8 @@
 pub(crate) enum Hold {
     /// The upstream has said that it leaves.
     Leaving,
+    /// The upstream has asked for rest; what is left of that.
+    Resting(Span),
     /// The upstream limits its requests; the time until it takes another one.
     Limited(Span),
     /// The upstream is cold; the time until it takes another request.
@@ -62,7 +64,7 @@
     pub(crate) fn after(self) -> Option<Span> {
         match self {
             Hold::Leaving => None,
-            Hold::Limited(after) | Hold::Cold(after) => Some(after),
+            Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
         }
     }
 
@@ -70,6 +72,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Hold::Leaving => "upstreams are leaving",
+            Hold::Resting(_) => "upstreams asked for rest",
             Hold::Limited(_) => "upstreams limit their requests",
             Hold::Cold(_) => "upstreams are cold",
         }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -170,6 +170,7 @@
     gateway.backlog.borrow_mut().retain(known);
     gateway.cold.borrow_mut().retain(known);
     gateway.limits.borrow_mut().retain(known);
+    gateway.rests.borrow_mut().retain(known);
 }
 
 /// Answers readiness probes.
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -25,6 +25,10 @@
 /// Failed fetches in a row after which the engine is considered lost.
 const MISSED_REPORTS_MAX: u32 = 2;
 
+/// Longest rest from report requests that an engine is granted. Without reports its sidecar
+/// knows nothing of it.
+const REPORT_REST_MAX: Span = Span::from_secs(5);
+
 /// Fetches reports forever, at the interval that the admission state asks for.
 pub(crate) async fn watch(sidecar: Rc<Sidecar>) {
     let mut misses = 0;
@@ -47,7 +51,8 @@
         }
         let requested = clock::now();
         loop {
-            let wait = sidecar.admission.borrow().report_interval();
+            let rest = sidecar.admission.borrow().rest(requested).min(REPORT_REST_MAX);
+            let wait = sidecar.admission.borrow().report_interval().max(rest);
             let passed = clock::now().since(requested);
             if passed >= wait {
                 break;
@@ -69,7 +74,7 @@
     let sent = clock::now();
     let called = pool.call(sidecar.engine, Method::GET, &call.path, &[], REPORT_TIMEOUT).await;
     let answer = called.map_err(|error| error.to_string())?;
-    on_limit(sidecar, sent, LimitSource::Report, &answer);
+    on_announcements(sidecar, sent, LimitSource::Report, &answer);
     if answer.status != 200 {
         return Err(format!("status {}", answer.status));
     }
@@ -81,16 +86,20 @@
     Ok(())
 }
 
-/// Applies and logs whether the engine limits its requests, as its answer to a call sent at
-/// `sent` says.
-fn on_limit(sidecar: &Sidecar, sent: Instant, source: LimitSource, answer: &Answer) {
-    let limit = decode_headers(answer.status, &answer.headers).limit;
+/// Applies and logs what the engine says of itself in its answer to a call sent at `sent`.
+fn on_announcements(sidecar: &Sidecar, sent: Instant, source: LimitSource, answer: &Answer) {
+    let metadata = decode_headers(answer.status, &answer.headers);
     let now = clock::now();
     let mut admission = sidecar.admission.borrow_mut();
-    if admission.on_announced_limit(now, sent, source, limit) {
+    if admission.on_announced_limit(now, sent, source, metadata.limit) {
         info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => source.as_str(),
             "per_s" => admission.limit(now));
     }
+    if let Some(rest) = metadata.rest {
+        admission.on_rest(now, rest);
+        warn!(sidecar.node.log, ""; "event" => "engine_rest", "call" => source.as_str(),
+            "for_ms" => rest.as_millis());
+    }
 }
 
 /// Logs the first report after the engine has taken an order. The others only repeat it.
@@ -116,7 +125,7 @@
     let called =
         pool.call(sidecar.engine, Method::POST, &call.path, &call.body, ORDER_TIMEOUT).await;
     if let Ok(answer) = &called {
-        on_limit(&sidecar, sent, LimitSource::Order, answer);
+        on_announcements(&sidecar, sent, LimitSource::Order, answer);
     }
     let reply = match &called {
         Ok(answer) => platform::decode_order_status(answer.status),
