Move what upstreams say of themselves into a file of its own

Change: gateway/admit.rs holds Hold, Withdrawal, Gateway::admit and what applies announcements. The list of entries is read only for a limited upstream. A sidecar logs a limit that entries report (engine_limit call=request), and the count of limited upstreams is renewed with each usage report, as a limit also ends by time. Otherwise no behaviour changes.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -142,15 +142,15 @@
     }
 
     /// Records whether the engine limits its requests, as its answer to a call of this daemon
-    /// says that was sent at `sent`. Returns whether the limit has changed.
+    /// says that was sent at `sent`.
     pub fn on_announced_limit(
         &mut self,
         now: Instant,
         sent: Instant,
         source: LimitSource,
         limit: AnnouncedLimit,
-    ) -> bool {
-        self.limit.on_answer(now, sent, source, limit)
+    ) {
+        self.limit.on_answer(now, sent, source, limit);
     }
 
     /// Records that the engine has turned away a call of this daemon and wants no other for
--- a/kingcupbay_core/src/limit/gate.rs
+++ b/kingcupbay_core/src/limit/gate.rs
@@ -43,40 +43,30 @@
 }
 
 impl LimitGate {
-    /// Records an answer to this daemon's own call, sent at `sent`. Returns whether the rate
-    /// has changed.
+    /// Records an answer to this daemon's own call, sent at `sent`.
     pub fn on_answer(
         &mut self,
         now: Instant,
         sent: Instant,
         source: LimitSource,
         announced: AnnouncedLimit,
-    ) -> bool {
+    ) {
         if sent < self.started {
-            return false;
+            return;
         }
         let known = self.records.get(&source).copied();
-        let known = LimitRecord::after_answer(known, now, sent, 0, announced);
-        self.update(now, source, known)
-    }
-
-    /// Records what an entry has been told by the upstream. Returns whether the rate has
-    /// changed.
-    pub fn on_report(&mut self, now: Instant, report: LimitReport) -> bool {
-        let record = LimitRecord::from_report(now, report);
-        let known = self.records.get(&LimitSource::Request).copied();
-        if record.heard < self.started || known.is_some_and(|known| !record.is_newer(&known)) {
-            return false;
+        if let Some(record) = LimitRecord::after_answer(known, now, sent, 0, announced) {
+            self.records.insert(source, record);
         }
-        self.update(now, LimitSource::Request, Some(record))
     }
 
-    fn update(&mut self, now: Instant, source: LimitSource, record: Option<LimitRecord>) -> bool {
-        let before = self.rate(now);
-        if let Some(record) = record {
-            self.records.insert(source, record);
+    /// Records what an entry has been told by the upstream.
+    pub fn on_report(&mut self, now: Instant, report: LimitReport) {
+        let record = LimitRecord::from_report(now, report);
+        let known = self.records.get(&LimitSource::Request);
+        if record.heard >= self.started && known.is_none_or(|known| record.is_newer(known)) {
+            self.records.insert(LimitSource::Request, record);
         }
-        before != self.rate(now)
     }
 
     /// Forgets the limit, as the upstream has restarted.
--- a/kingcupbay_core/src/limit/mod.rs
+++ b/kingcupbay_core/src/limit/mod.rs
@@ -13,4 +13,4 @@
 
 pub use gate::{LimitGate, LimitSource};
 pub use record::LimitRecord;
-pub use shares::{Entries, LimitShares};
+pub use shares::LimitShares;
--- a/kingcupbay_core/src/limit/shares.rs
+++ b/kingcupbay_core/src/limit/shares.rs
@@ -20,15 +20,6 @@
 /// Time after which an unchanged limit is reported again.
 const REPORT_PERIOD: Span = Span::from_secs(1);
 
-/// The entries among which limits are divided.
-#[derive(Clone, Copy, Debug)]
-pub struct Entries<'a> {
-    /// Host of this entry.
-    pub own: &'a str,
-    /// Hosts of all listed entries.
-    pub hosts: &'a [&'a str],
-}
-
 /// One upstream that has named a limit, or has been sent requests.
 #[derive(Clone, Debug, Default)]
 struct Upstream {
@@ -96,18 +87,19 @@
         self.upstreams.values().filter(|upstream| rate(now, upstream.record).is_some()).count()
     }
 
-    /// Counts a request to the upstream `id`, started at `born`, that this entry may send
-    /// now.
+    /// Counts a request to the upstream `id`, started at `born`, that the entry on the host
+    /// `own` may send now. `hosts` returns those of all listed entries.
     ///
     /// # Errors
     ///
     /// Fails with the time until the upstream takes another request if its limit is used up.
-    pub fn try_send(
+    pub fn try_send<'a>(
         &mut self,
         now: Instant,
         id: &str,
         born: u64,
-        entries: Entries<'_>,
+        own: &'a str,
+        hosts: impl FnOnce() -> Vec<&'a str>,
     ) -> Result<(), Span> {
         let limit = self.rate(now, id, born);
         let upstream = self.upstreams.entry(id.to_owned()).or_default();
@@ -117,7 +109,9 @@
             return Ok(());
         };
         let interval = Span::from_millis_f64(1e3 / limit);
-        let Some(Part { share, turn }) = Part::new(id, entries) else { return Err(interval) };
+        let Some(Part { share, turn }) = Part::new(id, own, &hosts()) else {
+            return Err(interval);
+        };
         if upstream.paced.replace(limit).is_none() {
             // All entries learn of the limit at nearly the same moment.
             upstream.pace.start(now + Span::from_millis_f64(turn * 1e3 / (limit * share)));
@@ -176,10 +170,10 @@
 }
 
 impl Part {
-    /// Returns the part of this entry in the limit of the upstream `id`; `None` if the entry
-    /// is not listed.
-    fn new(id: &str, entries: Entries<'_>) -> Option<Part> {
-        if entries.hosts.is_empty() {
+    /// Returns the part that the entry on `own` has in the limit of the upstream `id`; `None`
+    /// if `hosts` does not list it.
+    fn new(id: &str, own: &str, hosts: &[&str]) -> Option<Part> {
+        if hosts.is_empty() {
             // The list has not been read yet.
             return Some(Part { share: 1.0, turn: 0.0 });
         }
@@ -188,9 +182,9 @@
             (id, host).hash(&mut hasher);
             hasher.finish()
         };
-        let count = entries.hosts.len() as f64;
-        let own = entries.hosts.contains(&entries.own).then(|| score(entries.own))?;
-        let before = entries.hosts.iter().filter(|host| score(host) < own).count();
+        let count = hosts.len() as f64;
+        let own = hosts.contains(&own).then(|| score(own))?;
+        let before = hosts.iter().filter(|host| score(host) < own).count();
         Some(Part { share: 1.0 / count, turn: before as f64 / count })
     }
 }
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -1,7 +1,7 @@
 //! Request rates that upstreams announce.
 
 use kingcupbay_core::{
-    limit::{Entries, LimitGate, LimitRecord, LimitShares, LimitSource},
+    limit::{LimitGate, LimitRecord, LimitShares, LimitSource},
     random::Random,
     time::{Instant, Span},
     wire::{limit::LimitReport, metadata::AnnouncedLimit},
@@ -160,8 +160,7 @@
             if random.unit() >= entry.load / 1e3 {
                 continue;
             }
-            let listed = Entries { own, hosts: &hosts };
-            if entry.limits.try_send(at(now), "desk", 1, listed).is_ok() {
+            if entry.limits.try_send(at(now), "desk", 1, own, || hosts.clone()).is_ok() {
                 times.push(now);
                 entry.limits.on_answer(at(now), at(now), "desk", 1, per_s(rate));
             }
--- a/kingcupbay_core/tests/limited_engine.rs
+++ b/kingcupbay_core/tests/limited_engine.rs
@@ -63,7 +63,8 @@
 fn a_limited_engine_refuses_adapters_that_it_has_not_loaded() {
     let (mut engine, _) = engine(&["roses"]);
     let limit = AnnouncedLimit::PerSecond(1.0);
-    assert!(engine.on_announced_limit(at(10), at(5), LimitSource::Report, limit));
+    engine.on_announced_limit(at(10), at(5), LimitSource::Report, limit);
+    assert_eq!(engine.limit(at(10)), Some(1.0));
     let granted = engine.on_permit_request(at(20), Ticket(1), permit_request(1, "roses"));
     assert!(matches!(granted[..], [Action::Answer(_, Verdict::Granted { .. })]), "{granted:?}");
     let refused = engine.on_permit_request(at(30), Ticket(2), permit_request(2, "tulips"));
--- /dev/null
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -0,0 +1,188 @@
+//! Decides which requests an upstream gets, by what it says of itself in its answers.
+//!
+//! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
+//! daemons. Each holds for the process that has said it, by id and start.
+
+use std::rc::Rc;
+
+use kingcupbay_core::{
+    cold::ColdLimits,
+    config::model::Role,
+    deployment::{catalogue::Catalogue, model::Instance},
+    time::{Instant, Span},
+    wire::{limit::LimitReports, metadata::AnswerMetadata},
+};
+use slog::info;
+
+use crate::{clock, gateway::Gateway};
+
+/// Why a request is not sent to an upstream now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hold {
+    /// The upstream has said that it leaves.
+    Leaving,
+    /// The upstream has asked for rest; what is left of that.
+    Resting(Span),
+    /// The upstream limits its requests; the time until it takes another one.
+    Limited(Span),
+    /// The upstream is cold; the time until it takes another request.
+    Cold(Span),
+}
+
+impl Hold {
+    /// Returns the time until the upstream takes another request, if it does.
+    pub(crate) fn after(self) -> Option<Span> {
+        match self {
+            Hold::Leaving => None,
+            Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
+        }
+    }
+
+    /// Returns the reason as written to answers and logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Hold::Leaving => "upstreams are leaving",
+            Hold::Resting(_) => "upstreams asked for rest",
+            Hold::Limited(_) => "upstreams limit their requests",
+            Hold::Cold(_) => "upstreams are cold",
+        }
+    }
+
+    /// Returns the one of both that ends first.
+    pub(crate) fn earlier(self, other: Option<Hold>) -> Hold {
+        let end = |hold: Hold| hold.after().map_or((true, Span::ZERO), |after| (false, after));
+        other.filter(|&other| end(other) < end(self)).unwrap_or(self)
+    }
+}
+
+/// Why a request does not wait for an upstream any longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Withdrawal {
+    /// Its availability zone is evacuated.
+    Evacuated,
+    /// It has said that it leaves.
+    Leaving,
+    /// It has asked this entry for rest.
+    Resting,
+}
+
+impl Withdrawal {
+    /// Returns the reason as written to logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Withdrawal::Evacuated => "evacuated",
+            Withdrawal::Leaving => "leaving",
+            Withdrawal::Resting => "resting",
+        }
+    }
+}
+
+impl Gateway {
+    /// Counts a request that this entry may send to `row` now. `permitted` says whether the
+    /// sidecar beside it has granted the request; it keeps the limits of its engine itself.
+    ///
+    /// Every request to an upstream passes here.
+    pub(crate) fn admit(&self, row: &Instance, permitted: bool) -> Result<(), Hold> {
+        let catalogue = self.node.catalogue.borrow();
+        if catalogue.has_announced_leaving(row) {
+            return Err(Hold::Leaving);
+        }
+        let now = clock::now();
+        if let Some(rest) = self.rests.borrow().remaining(now, &row.id, row.born) {
+            return Err(Hold::Resting(rest));
+        }
+        if permitted {
+            return Ok(());
+        }
+        let hosts = || catalogue.of_role(Role::Entry).map(|member| member.host.as_str()).collect();
+        let mut limits = self.limits.borrow_mut();
+        let sent = limits.try_send(now, &row.id, row.born, self.node.host(), hosts);
+        sent.map_err(Hold::Limited)?;
+        let Some(cold) = self.cold_limits(now, &catalogue, row) else { return Ok(()) };
+        let entries = self.allowance.borrow().entries();
+        self.cold.borrow_mut().try_send(now, &row.id, cold, entries).map_err(Hold::Cold)
+    }
+
+    /// Returns what `row` tolerates if it is cold, or may be: only the sidecar beside an
+    /// engine knows whether that is cold.
+    fn cold_limits(&self, now: Instant, known: &Catalogue, row: &Instance) -> Option<ColdLimits> {
+        let service = known.deployment()?.services.get(&row.service)?;
+        match service.engine {
+            Some(_) => service.cold,
+            None => known.cold_limits(now, row),
+        }
+    }
+
+    /// Applies what `row` says of itself in its answer to a request sent at `sent`.
+    pub(crate) fn on_announcements(&self, row: &Instance, sent: Instant, answer: &AnswerMetadata) {
+        let now = clock::now();
+        if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, answer.limit) {
+            self.on_limit_changed(now, row, "answer");
+        }
+        let is_new = || self.node.catalogue.borrow_mut().on_leaving_answer(now, &row.id, row.born);
+        if answer.leaving && is_new() {
+            self.withdrawn.notify_waiters();
+            info!(self.node.log, ""; "event" => "upstream_leaves", "upstream" => &row.id,
+                "born" => row.born, "why" => "answer");
+        }
+        if let Some(rest) = answer.rest
+            && self.rests.borrow_mut().on_refusal(now, &row.id, row.born, rest)
+        {
+            self.withdrawn.notify_waiters();
+            info!(self.node.log, ""; "event" => "upstream_rest", "upstream" => &row.id,
+                "born" => row.born, "for_ms" => rest.as_millis());
+        }
+    }
+
+    /// Applies another entry's report of limits.
+    pub(crate) fn on_limit_reports(&self, reports: LimitReports) {
+        let now = clock::now();
+        for (id, report) in reports.upstreams {
+            let row = self.node.catalogue.borrow().instance(&id).cloned();
+            let Some(row) = row.filter(|row| row.born == report.born) else { continue };
+            if self.limits.borrow_mut().on_report(now, &id, report) {
+                self.on_limit_changed(now, &row, "told");
+            }
+        }
+    }
+
+    fn on_limit_changed(&self, now: Instant, row: &Instance, why: &'static str) {
+        let limits = self.limits.borrow();
+        info!(self.node.log, ""; "event" => "upstream_limit", "upstream" => &row.id,
+            "born" => row.born, "per_s" => limits.rate(now, &row.id, row.born), "why" => why);
+        self.metrics.set_limited(limits.limited(now));
+    }
+
+    /// Returns the time until the first upstream of `service` no longer rests, if all do.
+    pub(crate) fn shortest_rest(&self, service: &str) -> Option<Span> {
+        let (now, catalogue, rests) =
+            (clock::now(), self.node.catalogue.borrow(), self.rests.borrow());
+        let rest = |row: &Rc<Instance>| rests.remaining(now, &row.id, row.born);
+        // `None`, which is less than any time, if one of them does not rest.
+        catalogue.serving(service).map(rest).min()?
+    }
+
+    /// Waits until no request may be sent to `row` any more, and returns why.
+    pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
+        loop {
+            let (withdrawn, evacuated) =
+                (self.withdrawn.notified(), self.node.evacuated.notified());
+            {
+                let catalogue = self.node.catalogue.borrow();
+                if catalogue.evacuations().is_evacuated(&row.zone) {
+                    return Withdrawal::Evacuated;
+                }
+                if catalogue.has_announced_leaving(row) {
+                    return Withdrawal::Leaving;
+                }
+            }
+            if self.rests.borrow().remaining(clock::now(), &row.id, row.born).is_some() {
+                return Withdrawal::Resting;
+            }
+            tokio::select! {
+                () = withdrawn => {}
+                () = evacuated => {}
+            }
+        }
+    }
+}
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock,
     gateway::{
-        Withdrawal,
+        admit::Withdrawal,
         job::Job,
         permits::{self, Permit},
         reply::Refusal,
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -4,7 +4,7 @@
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
 use crate::{
-    gateway::Withdrawal,
+    gateway::admit::Withdrawal,
     metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text},
     registered::store::Store,
 };
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -4,9 +4,11 @@
 //! takes its tokens off the organisation's limit. [`plain`] sends the request to a plain
 //! service; [`generate`] sends it to an engine, once the engine's sidecar has granted a
 //! permit ([`permits`]). [`send`] makes one attempt, and [`stream`] forwards events and
-//! resumes the stream at another engine if one fails. [`reply`] builds the entry's own
+//! resumes the stream at another engine if one fails. [`admit`] decides which requests an
+//! upstream gets, by what it says of itself in its answers. [`reply`] builds the entry's own
 //! answers.
 
+pub(crate) mod admit;
 pub(crate) mod generate;
 pub(crate) mod job;
 pub(crate) mod metrics;
@@ -27,26 +29,19 @@
 use kingcupbay_core::{
     allowance::Allowance,
     backlog::Backlog,
-    cold::{ColdLimits, ColdShares},
-    config::model::Role,
+    cold::ColdShares,
     deployment::{
-        catalogue::Catalogue,
         catchup::CatchUp,
         lookup::Caller,
-        model::{Deployment, Instance, Organisation, Route},
+        model::{Deployment, Organisation, Route},
     },
     health::Health,
-    limit::{Entries, LimitShares},
+    limit::LimitShares,
     placement::Placement,
     repeat::RepeatBudget,
     rest::Rests,
-    time::{Instant, Span},
-    wire::{
-        error::Code,
-        limit::LimitReports,
-        metadata::{AnswerMetadata, RequestMetadata},
-        sidecar::EngineLoadReport,
-    },
+    time::Span,
+    wire::{error::Code, metadata::RequestMetadata, sidecar::EngineLoadReport},
 };
 use kingcupbay_platform::request;
 use slog::{info, warn};
@@ -57,7 +52,6 @@
 use job::Job;
 use metrics::Metrics;
 use reply::{Refusal, refuse};
-use send::Hold;
 
 /// Longest wait for an answer if the caller sets no deadline.
 const DEFAULT_DEADLINE: Span = Span::from_secs(30);
@@ -76,28 +70,6 @@
 /// when one is restored, so this only keeps callers from retrying in vain.
 const EVACUATED_RETRY: Span = Span::from_secs(2);
 
-/// Why a request does not wait for an upstream any longer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Withdrawal {
-    /// Its availability zone is evacuated.
-    Evacuated,
-    /// It has said that it leaves.
-    Leaving,
-    /// It has asked this entry for rest.
-    Resting,
-}
-
-impl Withdrawal {
-    /// Returns the reason as written to logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Withdrawal::Evacuated => "evacuated",
-            Withdrawal::Leaving => "leaving",
-            Withdrawal::Resting => "resting",
-        }
-    }
-}
-
 /// State of an entry.
 pub(crate) struct Gateway {
     pub(crate) node: Rc<Node>,
@@ -160,117 +132,6 @@
         repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
     }
 
-    /// Counts a request that this entry may send to `row` now. `permitted` says whether the
-    /// sidecar beside it has granted the request; it keeps the limits of its engine itself.
-    ///
-    /// Every request to an upstream passes here.
-    pub(crate) fn admit(&self, row: &Instance, permitted: bool) -> Result<(), Hold> {
-        let catalogue = self.node.catalogue.borrow();
-        if catalogue.has_announced_leaving(row) {
-            return Err(Hold::Leaving);
-        }
-        let now = clock::now();
-        if let Some(rest) = self.rests.borrow().remaining(now, &row.id, row.born) {
-            return Err(Hold::Resting(rest));
-        }
-        if permitted {
-            return Ok(());
-        }
-        let hosts = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
-        let hosts: Vec<&str> = hosts.collect();
-        let entries = Entries { own: self.node.host(), hosts: &hosts };
-        self.limits
-            .borrow_mut()
-            .try_send(now, &row.id, row.born, entries)
-            .map_err(Hold::Limited)?;
-        let Some(limits) = self.cold_limits(now, &catalogue, row) else { return Ok(()) };
-        let entries = self.allowance.borrow().entries();
-        self.cold.borrow_mut().try_send(now, &row.id, limits, entries).map_err(Hold::Cold)
-    }
-
-    /// Returns what `row` tolerates if it is cold, or may be: only the sidecar beside an
-    /// engine knows whether that is cold.
-    fn cold_limits(&self, now: Instant, known: &Catalogue, row: &Instance) -> Option<ColdLimits> {
-        let service = known.deployment()?.services.get(&row.service)?;
-        match service.engine {
-            Some(_) => service.cold,
-            None => known.cold_limits(now, row),
-        }
-    }
-
-    /// Applies what `row` says of itself in its answer to a request sent at `sent`.
-    pub(crate) fn on_announcements(&self, row: &Instance, sent: Instant, answer: &AnswerMetadata) {
-        let now = clock::now();
-        if self.limits.borrow_mut().on_answer(now, sent, &row.id, row.born, answer.limit) {
-            self.on_limit_changed(now, row, "answer");
-        }
-        let is_new = || self.node.catalogue.borrow_mut().on_leaving_answer(now, &row.id, row.born);
-        if answer.leaving && is_new() {
-            self.withdrawn.notify_waiters();
-            info!(self.node.log, ""; "event" => "upstream_leaves", "upstream" => &row.id,
-                "born" => row.born, "why" => "answer");
-        }
-        if let Some(rest) = answer.rest
-            && self.rests.borrow_mut().on_refusal(now, &row.id, row.born, rest)
-        {
-            self.withdrawn.notify_waiters();
-            info!(self.node.log, ""; "event" => "upstream_rest", "upstream" => &row.id,
-                "born" => row.born, "for_ms" => rest.as_millis());
-        }
-    }
-
-    /// Applies another entry's report of limits.
-    pub(crate) fn on_limit_reports(&self, reports: LimitReports) {
-        let now = clock::now();
-        for (id, report) in reports.upstreams {
-            let row = self.node.catalogue.borrow().instance(&id).cloned();
-            let Some(row) = row.filter(|row| row.born == report.born) else { continue };
-            if self.limits.borrow_mut().on_report(now, &id, report) {
-                self.on_limit_changed(now, &row, "told");
-            }
-        }
-    }
-
-    fn on_limit_changed(&self, now: Instant, row: &Instance, why: &'static str) {
-        let limits = self.limits.borrow();
-        info!(self.node.log, ""; "event" => "upstream_limit", "upstream" => &row.id,
-            "born" => row.born, "per_s" => limits.rate(now, &row.id, row.born), "why" => why);
-        self.metrics.set_limited(limits.limited(now));
-    }
-
-    /// Returns the time until the first upstream of `service` no longer rests, if all do.
-    pub(crate) fn shortest_rest(&self, service: &str) -> Option<Span> {
-        let (now, catalogue, rests) =
-            (clock::now(), self.node.catalogue.borrow(), self.rests.borrow());
-        let rest = |row: &Rc<Instance>| rests.remaining(now, &row.id, row.born);
-        // `None`, which is less than any time, if one of them does not rest.
-        catalogue.serving(service).map(rest).min()?
-    }
-
-    /// Waits until no request may be sent to `row` any more, and returns why.
-    pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
-        loop {
-            let (withdrawn, evacuated) =
-                (self.withdrawn.notified(), self.node.evacuated.notified());
-            {
-                let catalogue = self.node.catalogue.borrow();
-                if catalogue.evacuations().is_evacuated(&row.zone) {
-                    return Withdrawal::Evacuated;
-                }
-                if catalogue.has_announced_leaving(row) {
-                    return Withdrawal::Leaving;
-                }
-            }
-            if self.rests.borrow().remaining(clock::now(), &row.id, row.born).is_some() {
-                return Withdrawal::Resting;
-            }
-            tokio::select! {
-                () = withdrawn => {}
-                () = evacuated => {}
-            }
-        }
-    }
-
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
     /// zones.
     pub(crate) fn evacuated_refusal(&self, service: &str) -> Option<Refusal> {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -16,9 +16,10 @@
     clock,
     gateway::{
         Gateway,
+        admit::Hold,
         job::Job,
         reply::{self, Refusal},
-        send::{self, Hold, SendError, SendOptions},
+        send::{self, SendError, SendOptions},
     },
     http::link::LinkError,
 };
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    gateway::job::Job,
+    gateway::{admit::Hold, job::Job},
     http::link::{Link, LinkError},
 };
 
@@ -46,45 +46,6 @@
     pub(crate) permitted: bool,
 }
 
-/// Why a request is not sent to an upstream now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Hold {
-    /// The upstream has said that it leaves.
-    Leaving,
-    /// The upstream has asked for rest; what is left of that.
-    Resting(Span),
-    /// The upstream limits its requests; the time until it takes another one.
-    Limited(Span),
-    /// The upstream is cold; the time until it takes another request.
-    Cold(Span),
-}
-
-impl Hold {
-    /// Returns the time until the upstream takes another request, if it does.
-    pub(crate) fn after(self) -> Option<Span> {
-        match self {
-            Hold::Leaving => None,
-            Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
-        }
-    }
-
-    /// Returns the reason as written to answers and logs.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Hold::Leaving => "upstreams are leaving",
-            Hold::Resting(_) => "upstreams asked for rest",
-            Hold::Limited(_) => "upstreams limit their requests",
-            Hold::Cold(_) => "upstreams are cold",
-        }
-    }
-
-    /// Returns the one of both that ends first.
-    pub(crate) fn earlier(self, other: Option<Hold>) -> Hold {
-        let end = |hold: Hold| hold.after().map_or((true, Span::ZERO), |after| (false, after));
-        other.filter(|&other| end(other) < end(self)).unwrap_or(self)
-    }
-}
-
 /// Why a request has no answer.
 #[derive(Debug)]
 #[derive(Error)]
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -35,6 +35,7 @@
         tokio::time::sleep(period.into()).await;
         let now = clock::now();
         gateway.node.tick(now);
+        gateway.metrics.set_limited(gateway.limits.borrow().limited(now));
         let number = gateway.node.number();
         let peers = peers(&gateway);
         if peers.is_empty() {
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -90,18 +90,25 @@
 fn on_announcements(sidecar: &Sidecar, sent: Instant, source: LimitSource, answer: &Answer) {
     let metadata = decode_headers(answer.status, &answer.headers);
     let now = clock::now();
-    let mut admission = sidecar.admission.borrow_mut();
-    if admission.on_announced_limit(now, sent, source, metadata.limit) {
-        info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => source.as_str(),
-            "per_s" => admission.limit(now));
-    }
+    let before = sidecar.admission.borrow().limit(now);
+    sidecar.admission.borrow_mut().on_announced_limit(now, sent, source, metadata.limit);
+    log_limit(sidecar, now, before, source);
     if let Some(rest) = metadata.rest {
-        admission.on_rest(now, rest);
+        sidecar.admission.borrow_mut().on_rest(now, rest);
         warn!(sidecar.node.log, ""; "event" => "engine_rest", "call" => source.as_str(),
             "for_ms" => rest.as_millis());
     }
 }
 
+/// Logs the engine's limit if it is no longer `before`.
+pub(crate) fn log_limit(sidecar: &Sidecar, now: Instant, before: Option<f64>, source: LimitSource) {
+    let limit = sidecar.admission.borrow().limit(now);
+    if limit != before {
+        info!(sidecar.node.log, ""; "event" => "engine_limit", "call" => source.as_str(),
+            "per_s" => limit);
+    }
+}
+
 /// Logs the first report after the engine has taken an order. The others only repeat it.
 fn log_report(sidecar: &Sidecar, report: &Report) {
     if report.orders == sidecar.orders.replace(report.orders) {
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -6,13 +6,19 @@
 use kingcupbay_core::{
     admission::Ticket,
     deployment::model::AdapterName,
+    limit::LimitSource,
     time::Span,
     wire::sidecar::{PermitRelease, PermitRequest, Refusal, Verdict},
 };
 use slog::{debug, info};
 use tokio::sync::oneshot;
 
-use crate::{clock, http, registered::message, server::drain::Phase, sidecar::Sidecar};
+use crate::{
+    clock, http,
+    registered::message,
+    server::drain::Phase,
+    sidecar::{Sidecar, engine},
+};
 
 /// Time after which to retry at a sidecar that is stopping. Its successor starts soon.
 const STOPPING_RETRY: Span = Span::from_secs(1);
@@ -54,7 +60,9 @@
     sidecar.answers.borrow_mut().insert(ticket, sender);
     let queued = QueuedRequest { sidecar: sidecar.clone(), ticket };
     let (attempt, name) = (permit.attempt.clone(), permit.name.adapter.clone());
+    let limit = sidecar.admission.borrow().limit(now);
     let actions = sidecar.admission.borrow_mut().on_permit_request(now, ticket, permit);
+    engine::log_limit(&sidecar, now, limit, LimitSource::Request);
     sidecar.perform(actions);
     sidecar.wake.notify_one();
     let verdict =
