Let upstreams limit, rest and leave by their answers in the soak

Change: upstreams limit their requests, ask for rest and say that they leave, overlapping the other troubles; these are drawn from a seed of their own, so that kept seeds draw the others as before. After each round, while all is well, one upstream does so and the stand-in counts from outside what arrives.

--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -85,6 +85,8 @@
     pub leaving: Cell<bool>,
     /// Number of times that it has registered.
     pub writes: Cell<u64>,
+    /// When it started, as its registration says.
+    pub born: Cell<u64>,
 }
 
 /// All processes and stand-ins of one run.
@@ -183,9 +185,18 @@
         row["zone"] = upstream.zone.into();
         upstream.writes.set(upstream.writes.get() + 1);
         row["seq"] = upstream.writes.get().into();
+        row["born"] = upstream.born.get().into();
         self.store.put("servers", &upstream.id, &row);
     }
 
+    /// Registers an upstream that has said in its answers that it leaves as started anew,
+    /// which ends that.
+    pub fn restart_announced(&self, upstream: &Upstream) {
+        upstream.runner.set_leaving(false);
+        upstream.born.set(upstream.born.get() + 1);
+        self.register(upstream, false);
+    }
+
     /// Announces the next version of `adapter`, which engines can load from now on.
     pub fn announce(&self, adapter: &str) {
         // Engines must have the weights before the store announces the version.
@@ -207,6 +218,8 @@
         }
         for upstream in self.upstreams() {
             upstream.proxy.set(Flows::default());
+            upstream.runner.set_limit(None);
+            upstream.runner.set_rest(None);
             if upstream.leaving.get() {
                 self.register(upstream, false);
             }
@@ -234,6 +247,7 @@
             proxy,
             leaving: Cell::new(false),
             writes: Cell::new(0),
+            born: Cell::new(1),
         })
     }
 }
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -13,6 +13,7 @@
 use thiserror::Error;
 
 use crate::{
+    announcements,
     callers::{ADAPTERS, Caller, Context, Spec},
     daemon::DaemonFiles,
     fleet::{Fleet, Size, ZONES},
@@ -31,6 +32,12 @@
 /// Share of the rounds that have only planned work.
 const PLANNED_ROUNDS_PERCENT: u64 = 35;
 
+/// Separates the seed of what upstreams say from that of the other troubles.
+const ANNOUNCEMENTS_SEED: u64 = 0x616e_6e6f;
+
+/// Callers per entry besides the ordinary ones: a guest and two of the club.
+const OTHER_CALLERS: usize = 3;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -79,13 +86,16 @@
         finished: Cell::new(false),
     });
     let mut random = Random::new(plan.seed);
+    // Seeds that are kept for their other troubles draw these as before.
+    let mut announced = Random::new(plan.seed ^ ANNOUNCEMENTS_SEED);
     let mut outcome = Outcome::default();
     let mut planned = BTreeSet::new();
     outcome.breaches.extend(wait_for_recovery(&context, &mut random).await);
     let callers = start_callers(&context, plan, &mut random);
     for round in 1..=plan.rounds {
         let only_planned = random.below(100) < PLANNED_ROUNDS_PERCENT;
-        let troubles = trouble::draw_round(&mut random, &context.fleet, only_planned);
+        let mut troubles = trouble::draw_round(&mut random, &context.fleet, only_planned);
+        troubles.extend(trouble::draw_announcements(&mut announced, &context.fleet));
         context.round.set(round);
         if troubles.iter().all(|timed| timed.trouble.is_planned()) {
             planned.insert(round);
@@ -100,6 +110,9 @@
         outcome.recovery = outcome.recovery.max(cleared.elapsed());
         let zone = ZONES[random.below(ZONES.len() as u64) as usize];
         outcome.breaches.extend(check_evacuation(&context, &mut random, zone).await);
+        let callers = plan.callers + OTHER_CALLERS;
+        let breach = announcements::check(&context.fleet, &mut announced, callers).await;
+        outcome.breaches.extend(breach);
     }
     context.finished.set(true);
     for caller in callers {
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -71,6 +71,12 @@
     Announce(usize),
     /// An upstream is registered as leaving and, at the end, as staying.
     Leave(usize),
+    /// An upstream limits its requests, per second.
+    Limit(usize, u64),
+    /// An upstream turns requests away and asks for this many seconds of rest.
+    Rest(usize, u64),
+    /// An upstream says in its answers that it leaves and, at the end, starts anew.
+    SayLeaving(usize),
     /// An availability zone is evacuated and, at the end, restored. Its engines are cold
     /// then.
     Evacuate(usize),
@@ -86,6 +92,9 @@
                 | Trouble::Configure(_)
                 | Trouble::Announce(_)
                 | Trouble::Leave(_)
+                | Trouble::Limit(..)
+                | Trouble::Rest(..)
+                | Trouble::SayLeaving(_)
                 | Trouble::Evacuate(_)
                 | Trouble::Forget
         )
@@ -118,6 +127,23 @@
     drawn
 }
 
+/// Draws what upstreams say of themselves during a round, to overlap its other troubles.
+pub fn draw_announcements(random: &mut Random, fleet: &Fleet) -> Vec<Timed> {
+    let count = random.below(3);
+    let announcement = |_| {
+        let upstream = random.below(fleet.upstreams().count() as u64) as usize;
+        let trouble = match random.below(3) {
+            0 => Trouble::Limit(upstream, 1 + random.below(4)),
+            1 => Trouble::Rest(upstream, 1 + random.below(3)),
+            _ => Trouble::SayLeaving(upstream),
+        };
+        let at = Duration::from_millis(random.below(1_500));
+        let lasts = Duration::from_millis(100 + random.below(2_400));
+        Timed { at, lasts, trouble }
+    };
+    (0..count).map(announcement).collect()
+}
+
 fn draw(random: &mut Random, fleet: &Fleet) -> Trouble {
     let mut one_of = |count: usize| random.below(count as u64) as usize;
     let entry = one_of(fleet.entries.len());
@@ -176,6 +202,21 @@
         Trouble::Configure(step) => fleet.operator.configure(&fleet.store, step),
         Trouble::Announce(adapter) => fleet.announce(ADAPTERS[adapter]),
         Trouble::Leave(at) => leave_and_return(fleet, upstream(at), lasts).await,
+        Trouble::Limit(at, rate) => {
+            upstream(at).runner.set_limit(Some(&rate.to_string()));
+            tokio::time::sleep(lasts).await;
+            upstream(at).runner.set_limit(None);
+        }
+        Trouble::Rest(at, secs) => {
+            upstream(at).runner.set_rest(Some(&secs.to_string()));
+            tokio::time::sleep(lasts).await;
+            upstream(at).runner.set_rest(None);
+        }
+        Trouble::SayLeaving(at) => {
+            upstream(at).runner.set_leaving(true);
+            tokio::time::sleep(lasts).await;
+            fleet.restart_announced(upstream(at));
+        }
         Trouble::Rewind(versions) => rewind_and_write_again(fleet, versions, lasts).await,
         Trouble::Evacuate(at) => evacuate_and_restore(fleet, ZONES[at], lasts).await,
     }
