--- a/kingcupbay_core/src/limit/shares.rs
+++ b/kingcupbay_core/src/limit/shares.rs
@@ -133,16 +133,21 @@
         (record.born == born).then(|| record.to_report(now))
     }
 
-    /// Returns the limits to report to the other entries: those that have changed or were
-    /// last reported a while ago.
-    pub fn reports(&mut self, now: Instant) -> BTreeMap<String, LimitReport> {
-        let is_due = |upstream: &Upstream| {
+    /// Returns the limits to report to the other entries, of the upstreams that `shared` names:
+    /// those that have changed or were last reported a while ago.
+    pub fn reports(
+        &mut self,
+        now: Instant,
+        shared: impl Fn(&str) -> bool,
+    ) -> BTreeMap<String, LimitReport> {
+        let is_due = |id: &str, upstream: &Upstream| {
             let (Some(record), true) = (upstream.record, upstream.direct) else { return false };
-            upstream.reported.is_none_or(|reported| {
+            let is_new = upstream.reported.is_none_or(|reported| {
                 reported.rate != record.rate || record.heard.since(reported.heard) >= REPORT_PERIOD
-            })
+            });
+            is_new && shared(id)
         };
-        let due = self.upstreams.iter_mut().filter(|(_, upstream)| is_due(upstream));
+        let due = self.upstreams.iter_mut().filter(|(id, upstream)| is_due(id, upstream));
         due.filter_map(|(id, upstream)| {
             upstream.reported = upstream.record;
             Some((id.clone(), upstream.record?.to_report(now)))
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -167,7 +167,7 @@
         }
         if now % 100 == 0 {
             let reports: Vec<_> =
-                entries.iter_mut().map(|entry| entry.limits.reports(at(now))).collect();
+                entries.iter_mut().map(|entry| entry.limits.reports(at(now), |_| true)).collect();
             for (from, report) in reports.iter().enumerate() {
                 let others = entries.iter_mut().enumerate().filter(|(to, _)| *to != from);
                 for (_, entry) in others {
@@ -204,13 +204,14 @@
 fn an_entry_learns_of_a_limit_from_others() {
     let mut told = LimitShares::default();
     told.on_answer(at(0), at(0), "desk", 1, per_s(2.0));
-    let reports = told.reports(at(100));
+    let reports = told.reports(at(100), |_| true);
     let mut other = LimitShares::default();
     assert!(other.on_report(at(110), "desk", reports["desk"]));
     assert_eq!(other.rate(at(110), "desk", 1), Some(2.0));
     assert_eq!(other.rate(at(110), "desk", 2), None);
-    assert!(other.reports(at(120)).is_empty());
+    assert!(other.reports(at(120), |_| true).is_empty());
+    assert!(told.reports(at(1_500), |_| false).is_empty());
     told.on_answer(at(300), at(200), "desk", 1, AnnouncedLimit::Unlimited);
-    assert!(other.on_report(at(320), "desk", told.reports(at(310))["desk"]));
+    assert!(other.on_report(at(320), "desk", told.reports(at(310), |_| true)["desk"]));
     assert_eq!(other.rate(at(320), "desk", 1), None);
 }
--- a/kingcupbayd/src/registered/limits.rs
+++ b/kingcupbayd/src/registered/limits.rs
@@ -18,9 +18,17 @@
 /// Timeout of an answer to a report. If it is late, a later report replaces this one.
 const ANSWER_TIMEOUT: Span = Span::from_millis(300);
 
-/// Reports the limits that are due to `entries`.
+/// Reports the limits that are due to `entries`. Those of engines are kept by their sidecars.
 pub(crate) fn send_reports(gateway: &Rc<Gateway>, entries: &[SocketAddr]) {
-    let upstreams = gateway.limits.borrow_mut().reports(clock::now());
+    let upstreams = {
+        let catalogue = gateway.node.catalogue.borrow();
+        let is_plain = |id: &str| {
+            let service = &catalogue.instance(id)?.service;
+            Some(catalogue.deployment()?.services.get(service)?.engine.is_none())
+        };
+        let shared = |id: &str| is_plain(id).unwrap_or_default();
+        gateway.limits.borrow_mut().reports(clock::now(), shared)
+    };
     if upstreams.is_empty() {
         return;
     }
