Use a limit that rises at once, and make up for late requests

Callers saw: nothing yet; found by reading the mend of the limits. Cause: the pace kept the time of the next request that a lower rate had set, up to 30 s away after a rate of zero; and a grant that came late moved all that follow, so that a sidecar that looks at its queue every 20 ms used 200 of 240 requests at 30 a second. Change: a changed rate shortens the wait, and the next request is due one interval after the one before was due, if that was at most 100 ms late. What makes a request leave the queue of an engine is a function of its own.

--- a/kingcupbay_core/src/limit/gate.rs
+++ b/kingcupbay_core/src/limit/gate.rs
@@ -56,7 +56,7 @@
         }
         let known = self.records.get(&source).copied();
         if let Some(record) = LimitRecord::after_answer(known, now, sent, 0, announced) {
-            self.records.insert(source, record);
+            self.update(now, source, record);
         }
     }
 
@@ -65,7 +65,15 @@
         let record = LimitRecord::from_report(now, report);
         let known = self.records.get(&LimitSource::Request);
         if record.heard >= self.started && known.is_none_or(|known| record.is_newer(known)) {
-            self.records.insert(LimitSource::Request, record);
+            self.update(now, LimitSource::Request, record);
+        }
+    }
+
+    fn update(&mut self, now: Instant, source: LimitSource, record: LimitRecord) {
+        let before = self.rate(now);
+        self.records.insert(source, record);
+        if let Some(rate) = self.rate(now).filter(|rate| before != Some(*rate)) {
+            self.pace.on_limit(now, rate);
         }
     }
 
--- a/kingcupbay_core/src/limit/pace.rs
+++ b/kingcupbay_core/src/limit/pace.rs
@@ -14,6 +14,9 @@
 /// Requests that the platform tolerates in [`WINDOW`], as a multiple of the rate.
 const TOLERATED_FACTOR: f64 = 1.5;
 
+/// Longest delay of a request that the next one makes up for.
+const CATCH_UP_MAX: Span = Span::from_millis(100);
+
 /// Keeps a rate, one request at a time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
@@ -24,6 +27,11 @@
 }
 
 impl Pace {
+    /// Applies a changed `rate`. A lower one may have set a later time for the next request.
+    pub(super) fn on_limit(&mut self, now: Instant, rate: f64) {
+        self.due = self.due.min(now + interval(rate));
+    }
+
     /// Delays the first request at a new limit until `due`.
     pub(super) fn start(&mut self, due: Instant) {
         self.due = self.due.max(due);
@@ -32,24 +40,30 @@
     /// Returns the time until a request may be sent behind `ahead` others. This daemon sends
     /// the fraction `share` of the upstream's `limit`.
     pub(super) fn wait(&self, now: Instant, limit: f64, share: f64, ahead: usize) -> Span {
-        let first = self.due.max(now + self.earlier_wait(now, limit, share));
-        let interval = interval(limit * share).as_micros();
-        (first + Span::from_micros(interval.saturating_mul(ahead as u64))).since(now)
+        let interval = interval(limit * share);
+        let due = self.due(now).max(self.earlier_until(now, limit, share));
+        (due + Span::from_micros(interval.as_micros().saturating_mul(ahead as u64))).since(now)
+    }
+
+    /// Returns when the next request is due. One that is sent late leaves less time until the
+    /// next, unless nothing was waiting.
+    fn due(&self, now: Instant) -> Instant {
+        if now.since(self.due) <= CATCH_UP_MAX { self.due } else { now }
     }
 
-    /// Returns the time until those sent before the limit no longer count too much: the
+    /// Returns until when too many requests count that were sent before the limit: the
     /// upstream counts them with those that follow.
-    fn earlier_wait(&self, now: Instant, limit: f64, share: f64) -> Span {
+    fn earlier_until(&self, now: Instant, limit: f64, share: f64) -> Instant {
         let spare = (TOLERATED_FACTOR - 1.0) * limit * WINDOW.as_secs_f64() + TOLERATED;
         let spare = (spare * share) as usize;
         let recent = self.before.iter().filter(|at| now.since(**at) < WINDOW);
-        recent.rev().nth(spare).map_or(Span::ZERO, |&at| (at + WINDOW).since(now))
+        recent.rev().nth(spare).map_or(Instant::default(), |&at| at + WINDOW)
     }
 
     /// Records a request that is sent at `rate`, or without a limit.
     pub(super) fn on_send(&mut self, now: Instant, rate: Option<f64>) {
         match rate {
-            Some(rate) => self.due = self.due.max(now) + interval(rate),
+            Some(rate) => self.due = self.due(now) + interval(rate),
             None => {
                 self.before.retain(|at| now.since(*at) < WINDOW);
                 self.before.push_back(now);
--- a/kingcupbay_core/src/limit/shares.rs
+++ b/kingcupbay_core/src/limit/shares.rs
@@ -112,9 +112,14 @@
         let Some(Part { share, turn }) = Part::new(id, own, &hosts()) else {
             return Err(interval);
         };
-        if upstream.paced.replace(limit).is_none() {
+        match upstream.paced.replace(limit) {
+            Some(paced) if paced == limit => {}
+            Some(_) => upstream.pace.on_limit(now, limit * share),
             // All entries learn of the limit at nearly the same moment.
-            upstream.pace.start(now + Span::from_millis_f64(turn * 1e3 / (limit * share)));
+            None => {
+                upstream.pace.on_limit(now, limit * share);
+                upstream.pace.start(now + Span::from_millis_f64(turn * 1e3 / (limit * share)));
+            }
         }
         match upstream.pace.wait(now, limit, share, 0) {
             Span::ZERO => {
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -57,6 +57,43 @@
     }
 }
 
+/// An upstream that took nothing takes ten requests a second. They must not wait for the turn
+/// that the lower rate had set.
+#[test]
+fn a_raised_limit_takes_effect_at_once() {
+    let mut gate = LimitGate::default();
+    gate.on_answer(at(0), at(0), LimitSource::Report, per_s(0.0));
+    assert_eq!(granted(&mut gate, 0..1_000).len(), 1);
+    gate.on_answer(at(1_000), at(990), LimitSource::Report, per_s(10.0));
+    assert!(granted(&mut gate, 1_000..2_000).len() >= 9);
+    let mut shares = LimitShares::default();
+    let hosts = || vec!["entry-1", "entry-2"];
+    let mut sends = |millis: std::ops::Range<u64>, rate: f64| {
+        shares.on_answer(at(millis.start), at(millis.start), "desk", 1, per_s(rate));
+        let sent = |now: &u64| shares.try_send(at(*now), "desk", 1, "entry-1", hosts).is_ok();
+        millis.filter(sent).count()
+    };
+    sends(0..1_000, 0.1);
+    assert!(sends(1_000..3_000, 10.0) >= 8);
+}
+
+/// A sidecar looks at its queue every 20 ms, so that each grant is late. The rate must be
+/// used all the same.
+#[test]
+fn late_grants_do_not_lower_the_rate() {
+    let mut gate = LimitGate::default();
+    gate.on_answer(at(0), at(0), LimitSource::Report, per_s(30.0));
+    let granted = (0..8_000).step_by(20).filter(|&now| {
+        let granted = gate.may_send(at(now));
+        if granted {
+            gate.on_send(at(now));
+        }
+        granted
+    });
+    let count = granted.count();
+    assert!((230..=245).contains(&count), "{count}");
+}
+
 /// The expected wait decides which requests are refused at once, so it has to come true.
 #[test]
 fn the_expected_wait_is_met() {
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -162,22 +162,26 @@
         catalogue.serving(service).map(rest).min()?
     }
 
+    /// Returns why no request may be sent to `row`, not even one that waits for it already.
+    fn withdrawal(&self, row: &Instance) -> Option<Withdrawal> {
+        let catalogue = self.node.catalogue.borrow();
+        if catalogue.evacuations().is_evacuated(&row.zone) {
+            return Some(Withdrawal::Evacuated);
+        }
+        if catalogue.has_announced_leaving(row) {
+            return Some(Withdrawal::Leaving);
+        }
+        let rest = self.rests.borrow().remaining(clock::now(), &row.id, row.born);
+        rest.map(|_| Withdrawal::Resting)
+    }
+
     /// Waits until no request may be sent to `row` any more, and returns why.
     pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
         loop {
-            let (withdrawn, evacuated) =
-                (self.withdrawn.notified(), self.node.evacuated.notified());
-            {
-                let catalogue = self.node.catalogue.borrow();
-                if catalogue.evacuations().is_evacuated(&row.zone) {
-                    return Withdrawal::Evacuated;
-                }
-                if catalogue.has_announced_leaving(row) {
-                    return Withdrawal::Leaving;
-                }
-            }
-            if self.rests.borrow().remaining(clock::now(), &row.id, row.born).is_some() {
-                return Withdrawal::Resting;
+            let withdrawn = self.withdrawn.notified();
+            let evacuated = self.node.evacuated.notified();
+            if let Some(why) = self.withdrawal(row) {
+                return why;
             }
             tokio::select! {
                 () = withdrawn => {}
