Ignore what an answer 421 says of its upstream

Cause: an answer was taken for the word of the upstream that the request was sent to. After an address is given out again, another process answers 421 there; if it leaves, limits its requests or wants rest, that was kept for the upstream of before, which got no more requests under the same id. Change: an answer 421 says nothing of the upstream.

--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one upstream.
 
-use actix_http::ResponseHead;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use kingcupbay_core::{
     deployment::model::Instance,
@@ -82,7 +82,10 @@
     for _ in 0..MISROUTED_MAX {
         let metadata = answer::decode_headers(head.status.as_u16(), &head.headers);
         if is_own(job, &metadata) {
-            job.gateway.on_announcements(instance, sent, &metadata);
+            // Another upstream at the address answers so.
+            if head.status != StatusCode::MISDIRECTED_REQUEST {
+                job.gateway.on_announcements(instance, sent, &metadata);
+            }
             return Ok(PendingAnswer { link, head, metadata });
         }
         warn!(job.gateway.node.log, ""; "event" => "crossed_answer",
--- a/kingcupbayd/tests/upstream_leaving.rs
+++ b/kingcupbayd/tests/upstream_leaving.rs
@@ -88,3 +88,23 @@
     }
     assert_eq!(engine.runs().len(), told);
 }
+
+/// The address of an upstream has been given to another one, which answers 421 and says that
+/// it leaves, limits its requests and wants rest. None of that is said of the first.
+#[actix_rt::test]
+async fn another_upstream_at_the_address_says_nothing_of_this_one() {
+    let fleet = Fleet::start(1).await;
+    let other = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain("other")).unwrap();
+    fleet.register("desk-1", "desk", &other);
+    fleet.wait_until_ready().await;
+    other.set_leaving(true);
+    other.set_limit(Some("0"));
+    wait_until("a request at the address", async || {
+        fleet.send("GET", "/seats/today", "a").await;
+        (!other.arrivals().is_empty()).then_some(())
+    })
+    .await;
+    let desk = start_desk(&fleet, "desk-1");
+    request_until(&fleet, &desk, "b").await;
+    request_until(&fleet, &desk, "c").await;
+}
