--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -112,6 +112,25 @@
         wait_until_ready(&self.entry).await;
     }
 
+    /// Starts a plain upstream and registers it.
+    pub(crate) fn start_desk(&self, id: &str) -> UpstreamServer {
+        let desk = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain(id)).unwrap();
+        self.register(id, "desk", &desk);
+        desk
+    }
+
+    /// Sends requests for the plain service until `upstream` has got one.
+    pub(crate) async fn request_until(&self, upstream: &UpstreamServer, label: &str) {
+        let before = upstream.arrivals().len();
+        let mut attempts = 0;
+        wait_until("a request at the upstream", async || {
+            attempts += 1;
+            self.send("GET", "/seats/today", &format!("{label}{attempts}")).await;
+            (upstream.arrivals().len() > before).then_some(())
+        })
+        .await;
+    }
+
     /// Sends a request with the usual key and reads the answer.
     pub(crate) async fn send(&self, method: &str, path: &str, attempt: &str) -> CallerAnswer {
         self.send_with(method, path, attempt, KEY, &[]).await
