Let no late answer bring back a limit

Callers saw: nothing yet; found by reading the mend of the limits. They would have been refused at an upstream that takes all requests again. Cause: an answer that names a limit was always applied, also one whose request was sent before the limit ended. Only an answer without a limit had to be newer. Evidence: the new test, which failed: a late answer set 2 a second again. Change: any answer of a process counts only if its request was sent after the answer before was received. A limit that is named anew is so known by the next answer.

--- a/kingcupbay_core/src/limit/record.rs
+++ b/kingcupbay_core/src/limit/record.rs
@@ -34,8 +34,8 @@
     /// Returns the record after an answer of the upstream that started at `born`. Its
     /// request was sent at `sent`.
     ///
-    /// An answer that names no limit ends one only if its request was sent after the limit
-    /// was known: answers on different connections overtake each other.
+    /// An answer counts only if its request was sent after the one before was received:
+    /// answers on different connections overtake each other.
     pub fn after_answer(
         known: Option<LimitRecord>,
         now: Instant,
@@ -47,15 +47,17 @@
             return known;
         }
         let known = known.filter(|known| known.born == born);
+        if known.is_some_and(|known| sent < known.heard) {
+            return known;
+        }
         match announced {
             AnnouncedLimit::PerSecond(rate) => {
                 Some(LimitRecord { born, rate: Some(rate), heard: now })
             }
             AnnouncedLimit::Invalid => known,
-            AnnouncedLimit::Unlimited => known.map(|known| match sent >= known.heard {
-                true => LimitRecord { rate: None, heard: now, ..known },
-                false => known,
-            }),
+            AnnouncedLimit::Unlimited => {
+                known.map(|known| LimitRecord { rate: None, heard: now, ..known })
+            }
         }
     }
 
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -118,6 +118,19 @@
     assert_eq!(ended.rate(at(90)), None);
 }
 
+/// The answer to an earlier request names a limit and arrives after the limit has ended. It
+/// must not bring the limit back.
+#[test]
+fn a_late_answer_does_not_bring_back_a_limit() {
+    let known = LimitRecord::after_answer(None, at(50), at(40), 1, per_s(2.0));
+    let none = AnnouncedLimit::Unlimited;
+    let ended = LimitRecord::after_answer(known, at(90), at(70), 1, none);
+    let late = LimitRecord::after_answer(ended, at(95), at(60), 1, per_s(2.0)).expect("known");
+    assert_eq!(late.rate(at(95)), None);
+    let next = LimitRecord::after_answer(ended, at(120), at(100), 1, per_s(2.0)).expect("known");
+    assert_eq!(next.rate(at(120)), Some(2.0));
+}
+
 /// An upstream restarts. Its limit must not outlast it, and a late answer of the earlier
 /// process must not limit the new one.
 #[test]
