Keep a limit while a row names an earlier start of its upstream

Callers saw: nothing yet; found by reading the mend of the limits. Cause: a limit held only if the row named the very start that had announced it. After the store has come back from an older copy the row names an earlier one, so the limit was dropped, and answers of the same upstream, taken for those of an earlier process, could not set it again until it had registered. Evidence: the new test, which failed. Change: the record of a later start holds for a row with an earlier one.

--- a/kingcupbay_core/src/limit/shares.rs
+++ b/kingcupbay_core/src/limit/shares.rs
@@ -76,10 +76,11 @@
     }
 
     /// Returns the requests per second that the upstream `id`, started at `born`, takes in
-    /// total; `None` for any number.
+    /// total; `None` for any number. A row may name an earlier start than the answers do, if
+    /// the store has come back from an older copy.
     pub fn rate(&self, now: Instant, id: &str, born: u64) -> Option<f64> {
         let record = self.upstreams.get(id)?.record;
-        rate(now, record.filter(|record| record.born == born))
+        rate(now, record.filter(|record| record.born >= born))
     }
 
     /// Returns the number of limited upstreams.
@@ -135,7 +136,7 @@
     /// sidecar.
     pub fn report_of(&self, now: Instant, id: &str, born: u64) -> Option<LimitReport> {
         let record = self.upstreams.get(id)?.record?;
-        (record.born == born).then(|| record.to_report(now))
+        (record.born >= born).then(|| record.to_report(now))
     }
 
     /// Returns the limits to report to the other entries, of the upstreams that `shared` names:
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -131,6 +131,16 @@
     assert_eq!(next.rate(at(120)), Some(2.0));
 }
 
+/// The store comes back from an older copy, whose row names an earlier start. The limit of the
+/// process that runs must hold until it registers again.
+#[test]
+fn an_older_row_does_not_drop_a_limit() {
+    let mut shares = LimitShares::default();
+    shares.on_answer(at(0), at(0), "plain-1", 5, per_s(2.0));
+    assert_eq!(shares.rate(at(10), "plain-1", 4), Some(2.0));
+    assert_eq!(shares.rate(at(10), "plain-1", 6), None);
+}
+
 /// An upstream restarts. Its limit must not outlast it, and a late answer of the earlier
 /// process must not limit the new one.
 #[test]
