Keep a rest while a row names an earlier start of its upstream

Callers saw: nothing yet; found by reading the mend of the rest. Cause: as with limits, a rest held only if the row named the very start that had asked for it, and a row from an older copy of the store names an earlier one. Evidence: the new test, which failed. Change: the rest of a later start holds for a row with an earlier one.

--- a/kingcupbay_core/src/rest.rs
+++ b/kingcupbay_core/src/rest.rs
@@ -41,9 +41,11 @@
         new
     }
 
-    /// Returns how much longer the upstream `id` that started at `born` rests, if it does.
+    /// Returns how much longer the upstream `id` that started at `born` rests, if it does. A
+    /// row may name an earlier start than the refusal, if the store has come back from an older
+    /// copy.
     pub fn remaining(&self, now: Instant, id: &str, born: u64) -> Option<Span> {
-        let rest = self.rests.get(id).filter(|rest| rest.born == born && rest.until > now)?;
+        let rest = self.rests.get(id).filter(|rest| rest.born >= born && rest.until > now)?;
         Some(rest.until.since(now))
     }
 
--- a/kingcupbay_core/tests/rest.rs
+++ b/kingcupbay_core/tests/rest.rs
@@ -35,6 +35,15 @@
     assert_eq!(rests.remaining(at(2), "desk", 2), secs(4));
 }
 
+/// The store comes back from an older copy, whose row names an earlier start. The rest of the
+/// process that runs must last.
+#[test]
+fn an_older_row_does_not_end_a_rest() {
+    let mut rests = Rests::default();
+    rests.on_refusal(at(0), "plain-1", 5, Span::from_secs(3));
+    assert_eq!(rests.remaining(at(1), "plain-1", 4), secs(2));
+}
+
 /// An upstream asks for years of rest by mistake. It must get requests again.
 #[test]
 fn an_endless_rest_is_cut_short() {
