Name constants by quantity and unit, and play fleets that change

No test had entries added, restarted or frozen under a limit. A test adds, restarts and freezes entries under a limit.

--- a/kingcupbay_core/src/limit/gate.rs
+++ b/kingcupbay_core/src/limit/gate.rs
@@ -60,11 +60,11 @@
         }
     }
 
-    /// Records what an entry has been told by the upstream.
+    /// Records what the upstream has announced to an entry.
     pub fn on_report(&mut self, now: Instant, report: LimitReport) {
         let record = LimitRecord::from_report(now, report);
         let known = self.records.get(&LimitSource::Request);
-        if record.heard >= self.started && known.is_none_or(|known| record.is_newer(known)) {
+        if record.received >= self.started && known.is_none_or(|known| record.is_newer(known)) {
             self.update(now, LimitSource::Request, record);
         }
     }
--- a/kingcupbay_core/src/limit/pace.rs
+++ b/kingcupbay_core/src/limit/pace.rs
@@ -5,13 +5,13 @@
 use crate::time::{Instant, Span};
 
 /// Window over which the platform counts the requests to a limited upstream.
-const WINDOW: Span = Span::from_secs(4);
+const RATE_WINDOW: Span = Span::from_secs(4);
 
-/// Requests in [`WINDOW`] that the platform tolerates beyond the rate, less one for the
+/// Requests in [`RATE_WINDOW`] that the platform tolerates beyond the rate, less one for the
 /// burst and one in reserve.
-const TOLERATED: f64 = 3.0;
+const TOLERATED_REQUESTS: f64 = 3.0;
 
-/// Requests that the platform tolerates in [`WINDOW`], as a multiple of the rate.
+/// Requests that the platform tolerates in [`RATE_WINDOW`], as a multiple of the rate.
 const TOLERATED_FACTOR: f64 = 1.5;
 
 /// Longest delay of a request that the next one makes up for.
@@ -20,7 +20,7 @@
 /// Keeps a rate, one request at a time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
-    /// Requests sent before the limit was known, in the last [`WINDOW`].
+    /// Requests sent before the limit was known, in the last [`RATE_WINDOW`].
     before: VecDeque<Instant>,
     /// When the next request may be sent, as far as those since the limit go.
     due: Instant,
@@ -54,10 +54,11 @@
     /// Returns until when too many requests count that were sent before the limit: the
     /// upstream counts them with those that follow.
     fn earlier_until(&self, now: Instant, limit: f64, share: f64) -> Instant {
-        let spare = (TOLERATED_FACTOR - 1.0) * limit * WINDOW.as_secs_f64() + TOLERATED;
+        let spare =
+            (TOLERATED_FACTOR - 1.0) * limit * RATE_WINDOW.as_secs_f64() + TOLERATED_REQUESTS;
         let spare = (spare * share) as usize;
-        let recent = self.before.iter().filter(|at| now.since(**at) < WINDOW);
-        recent.rev().nth(spare).map_or(Instant::default(), |&at| at + WINDOW)
+        let recent = self.before.iter().filter(|at| now.since(**at) < RATE_WINDOW);
+        recent.rev().nth(spare).map_or(Instant::default(), |&at| at + RATE_WINDOW)
     }
 
     /// Records a request that is sent at `rate`, or without a limit.
@@ -65,7 +66,7 @@
         match rate {
             Some(rate) => self.due = self.due(now) + interval(rate),
             None => {
-                self.before.retain(|at| now.since(*at) < WINDOW);
+                self.before.retain(|at| now.since(*at) < RATE_WINDOW);
                 self.before.push_back(now);
             }
         }
--- a/kingcupbay_core/src/limit/record.rs
+++ b/kingcupbay_core/src/limit/record.rs
@@ -27,7 +27,7 @@
     /// Requests per second; `None` once the upstream takes any rate again.
     pub rate: Option<f64>,
     /// Time of the answer.
-    pub heard: Instant,
+    pub received: Instant,
 }
 
 impl LimitRecord {
@@ -47,39 +47,39 @@
             return known;
         }
         let known = known.filter(|known| known.born == born);
-        if known.is_some_and(|known| sent < known.heard) {
+        if known.is_some_and(|known| sent < known.received) {
             return known;
         }
         match announced {
             AnnouncedLimit::PerSecond(rate) => {
-                Some(LimitRecord { born, rate: Some(rate), heard: now })
+                Some(LimitRecord { born, rate: Some(rate), received: now })
             }
             AnnouncedLimit::Invalid => known,
             AnnouncedLimit::Unlimited => {
-                known.map(|known| LimitRecord { rate: None, heard: now, ..known })
+                known.map(|known| LimitRecord { rate: None, received: now, ..known })
             }
         }
     }
 
     /// Returns the record of another daemon.
     pub fn from_report(now: Instant, report: LimitReport) -> LimitRecord {
-        LimitRecord { born: report.born, rate: report.rate, heard: now - report.age }
+        LimitRecord { born: report.born, rate: report.rate, received: now - report.age }
     }
 
     /// Returns the record as sent to another daemon.
     pub fn to_report(&self, now: Instant) -> LimitReport {
-        LimitReport { born: self.born, rate: self.rate, age: now.since(self.heard) }
+        LimitReport { born: self.born, rate: self.rate, age: now.since(self.received) }
     }
 
     /// Returns whether this record is newer than `other`.
     pub fn is_newer(&self, other: &LimitRecord) -> bool {
-        (self.born, self.heard) > (other.born, other.heard)
+        (self.born, self.received) > (other.born, other.received)
     }
 
     /// Returns the requests per second at `now`; `None` for any number.
     pub fn rate(&self, now: Instant) -> Option<f64> {
         let rate = self.rate?.max(RATE_MIN);
         let keep = Span::from_millis_f64(KEEP_REQUESTS * 1e3 / rate).max(KEEP_MIN).min(KEEP_MAX);
-        (now.since(self.heard) < keep).then_some(rate)
+        (now.since(self.received) < keep).then_some(rate)
     }
 }
--- a/kingcupbay_core/src/limit/shares.rs
+++ b/kingcupbay_core/src/limit/shares.rs
@@ -149,7 +149,8 @@
         let is_due = |id: &str, upstream: &Upstream| {
             let (Some(record), true) = (upstream.record, upstream.direct) else { return false };
             let is_new = upstream.reported.is_none_or(|reported| {
-                reported.rate != record.rate || record.heard.since(reported.heard) >= REPORT_PERIOD
+                reported.rate != record.rate
+                    || record.received.since(reported.received) >= REPORT_PERIOD
             });
             is_new && shared(id)
         };
--- a/kingcupbay_core/src/wire/limit.rs
+++ b/kingcupbay_core/src/wire/limit.rs
@@ -23,7 +23,7 @@
     pub age: Span,
 }
 
-/// Limits that an entry has been told by upstreams.
+/// Limits that upstreams have announced to an entry.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct LimitReports {
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -48,7 +48,7 @@
     /// How much longer the engine is cold, as its registration says.
     #[serde(default)]
     pub cold: Span,
-    /// What the engine has told the entry of its limit.
+    /// What the engine has announced to the entry of its limit.
     #[serde(default)]
     pub limit: Option<LimitReport>,
 }
--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -69,8 +69,8 @@
     let mut shares = LimitShares::default();
     let hosts = || vec!["entry-1", "entry-2"];
     let mut sends = |millis: std::ops::Range<u64>, rate: f64| {
-        shares.on_answer(at(millis.start), at(millis.start), "desk", 1, per_s(rate));
-        let sent = |now: &u64| shares.try_send(at(*now), "desk", 1, "entry-1", hosts).is_ok();
+        shares.on_answer(at(millis.start), at(millis.start), "plain-1", 1, per_s(rate));
+        let sent = |now: &u64| shares.try_send(at(*now), "plain-1", 1, "entry-1", hosts).is_ok();
         millis.filter(sent).count()
     };
     sends(0..1_000, 0.1);
@@ -208,21 +208,31 @@
 }
 
 /// Plays `millis` of callers who ask for one upstream with a limit of `rate`. Each entry
-/// hears of the limit by its own answers, and of the others' ten times a second. Returns the
+/// learns of the limit by its own answers, and by the others' reports ten times a second. Returns the
 /// times of the requests in milliseconds.
-fn play(entries: &mut [Entry], rate: f64, millis: u64, seed: u64) -> Vec<u64> {
-    let hosts: Vec<String> = entries.iter().map(|entry| entry.host.clone()).collect();
-    let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
+fn play(
+    entries: &mut Vec<Entry>,
+    rate: f64,
+    millis: u64,
+    seed: u64,
+    change: impl Fn(u64, &mut Vec<Entry>),
+) -> Vec<u64> {
+    let mut listed: Vec<String> = Vec::new();
     let mut random = Random::new(seed);
     let mut times = Vec::new();
     for now in 0..millis {
+        change(now, entries);
+        if listed.len() != entries.len() {
+            listed = entries.iter().map(|entry| entry.host.clone()).collect();
+        }
+        let hosts: Vec<&str> = listed.iter().map(String::as_str).collect();
         for (entry, own) in entries.iter_mut().zip(&hosts) {
             if random.unit() >= entry.load / 1e3 {
                 continue;
             }
-            if entry.limits.try_send(at(now), "desk", 1, own, || hosts.clone()).is_ok() {
+            if entry.limits.try_send(at(now), "plain-1", 1, own, || hosts.clone()).is_ok() {
                 times.push(now);
-                entry.limits.on_answer(at(now), at(now), "desk", 1, per_s(rate));
+                entry.limits.on_answer(at(now), at(now), "plain-1", 1, per_s(rate));
             }
         }
         if now % 100 == 0 {
@@ -241,14 +251,14 @@
     times
 }
 
-/// Many entries hear of a limit within a second. Together they must keep to the rate, and
+/// Many entries learn of a limit within a second. Together they must keep to the rate, and
 /// use most of it, whatever their number and however uneven their callers.
 #[test]
 fn entries_keep_to_the_limit_together() {
     for (count, rate) in [(4, 0.3), (4, 1.0), (4, 9.0), (30, 1.0), (30, 9.0), (340, 1.0)] {
         for (even, seed) in [(true, 1), (false, 2), (true, 3)] {
             let mut entries = entries(count, 40.0_f64.max(rate * 4.0), even);
-            let times = play(&mut entries, rate, 24_000, seed);
+            let times = play(&mut entries, rate, 24_000, seed, |_, _| {});
             let known: Vec<u64> = times.iter().copied().filter(|at| *at >= 500).collect();
             let case = format!("{count} {rate} {even} {seed}");
             assert!(busiest(&known) <= allowed(rate), "{case}: {}", busiest(&known));
@@ -258,20 +268,55 @@
     }
 }
 
+/// Entries are added, restarted, and frozen with their callers waiting. Together they must
+/// keep to the limit, and use most of it once all is well.
+#[test]
+fn added_restarted_and_frozen_entries_keep_to_the_limit() {
+    for (count, rate) in [(4, 1.0), (4, 9.0), (30, 2.0)] {
+        for seed in 1..=3 {
+            let total = 40.0;
+            let mut fleet = entries(count, total, true);
+            let change = |now: u64, fleet: &mut Vec<Entry>| match now {
+                8_000 => {
+                    let mut added = entries(count, total, true);
+                    added.iter_mut().for_each(|entry| entry.host.push_str("-added"));
+                    fleet.append(&mut added);
+                }
+                12_000 => {
+                    fleet
+                        .iter_mut()
+                        .step_by(2)
+                        .for_each(|entry| entry.limits = LimitShares::default());
+                }
+                14_000 => fleet[1].load = 0.0,
+                18_000 => fleet[1].load = total,
+                _ => {}
+            };
+            let times = play(&mut fleet, rate, 28_000, seed, change);
+            let known: Vec<u64> = times.iter().copied().filter(|at| *at >= 500).collect();
+            // Each entry that was restarted sends one request before it has been answered.
+            let allowed = allowed(rate) + count;
+            assert!(busiest(&known) <= allowed, "{count} {rate} {seed}: {}", busiest(&known));
+            let late = times.iter().filter(|at| **at >= 20_000).count() as f64 / 8.0;
+            assert!(late >= 0.5 * rate, "{count} {rate} {seed}: {late}");
+        }
+    }
+}
+
 /// An entry restarts and knows nothing. It must learn of the limit from the others, so that
-/// it need not be told by the upstream.
+/// the upstream need not announce it again.
 #[test]
 fn an_entry_learns_of_a_limit_from_others() {
-    let mut told = LimitShares::default();
-    told.on_answer(at(0), at(0), "desk", 1, per_s(2.0));
-    let reports = told.reports(at(100), |_| true);
+    let mut direct = LimitShares::default();
+    direct.on_answer(at(0), at(0), "plain-1", 1, per_s(2.0));
+    let reports = direct.reports(at(100), |_| true);
     let mut other = LimitShares::default();
-    assert!(other.on_report(at(110), "desk", reports["desk"]));
-    assert_eq!(other.rate(at(110), "desk", 1), Some(2.0));
-    assert_eq!(other.rate(at(110), "desk", 2), None);
+    assert!(other.on_report(at(110), "plain-1", reports["plain-1"]));
+    assert_eq!(other.rate(at(110), "plain-1", 1), Some(2.0));
+    assert_eq!(other.rate(at(110), "plain-1", 2), None);
     assert!(other.reports(at(120), |_| true).is_empty());
-    assert!(told.reports(at(1_500), |_| false).is_empty());
-    told.on_answer(at(300), at(200), "desk", 1, AnnouncedLimit::Unlimited);
-    assert!(other.on_report(at(320), "desk", told.reports(at(310), |_| true)["desk"]));
-    assert_eq!(other.rate(at(320), "desk", 1), None);
+    assert!(direct.reports(at(1_500), |_| false).is_empty());
+    direct.on_answer(at(300), at(200), "plain-1", 1, AnnouncedLimit::Unlimited);
+    assert!(other.on_report(at(320), "plain-1", direct.reports(at(310), |_| true)["plain-1"]));
+    assert_eq!(other.rate(at(320), "plain-1", 1), None);
 }
--- a/kingcupbay_core/tests/limited_engine.rs
+++ b/kingcupbay_core/tests/limited_engine.rs
@@ -77,16 +77,16 @@
     assert!(!planned.iter().any(|action| matches!(action, Action::Order(_))), "{planned:?}");
 }
 
-/// Entries were told of the limit, and the answers to the sidecar name none. Requests and
+/// Entries know of the limit, and the answers to the sidecar name none. Requests and
 /// orders together must keep to it.
 #[test]
 fn requests_and_orders_share_the_limit() {
     let (mut engine, mut report) = engine(&["roses", "lilies"]);
-    let told = LimitReport { born: 1, rate: Some(2.0), age: Span::from_millis(5) };
+    let reported = LimitReport { born: 1, rate: Some(2.0), age: Span::from_millis(5) };
     let mut sent = 0;
     for now in (0..8_000).step_by(10) {
         let adapter = ["roses", "tulips", "lilies"][now as usize / 10 % 3];
-        let request = PermitRequest { limit: Some(told), ..permit_request(now, adapter) };
+        let request = PermitRequest { limit: Some(reported), ..permit_request(now, adapter) };
         let mut actions = engine.on_permit_request(at(now + 1), Ticket(now), request);
         actions.extend(engine.on_report(at(now + 2), report.clone()));
         for action in actions {
--- a/kingcupbay_core/tests/rest.rs
+++ b/kingcupbay_core/tests/rest.rs
@@ -17,10 +17,10 @@
 #[test]
 fn a_rest_lasts_as_long_as_the_upstream_asked() {
     let mut rests = Rests::default();
-    assert!(rests.on_refusal(at(0), "desk", 1, Span::from_secs(3)));
-    assert!(!rests.on_refusal(at(1), "desk", 1, Span::from_secs(1)));
-    assert_eq!(rests.remaining(at(1), "desk", 1), secs(2));
-    assert_eq!(rests.remaining(at(3), "desk", 1), None);
+    assert!(rests.on_refusal(at(0), "plain-1", 1, Span::from_secs(3)));
+    assert!(!rests.on_refusal(at(1), "plain-1", 1, Span::from_secs(1)));
+    assert_eq!(rests.remaining(at(1), "plain-1", 1), secs(2));
+    assert_eq!(rests.remaining(at(3), "plain-1", 1), None);
 }
 
 /// An upstream restarts. It must not inherit a rest, neither by an early nor by a late answer
@@ -28,11 +28,11 @@
 #[test]
 fn a_restarted_upstream_does_not_rest() {
     let mut rests = Rests::default();
-    rests.on_refusal(at(0), "desk", 1, Span::from_secs(3));
-    assert_eq!(rests.remaining(at(1), "desk", 2), None);
-    rests.on_refusal(at(1), "desk", 2, Span::from_secs(5));
-    rests.on_refusal(at(2), "desk", 1, Span::from_secs(30));
-    assert_eq!(rests.remaining(at(2), "desk", 2), secs(4));
+    rests.on_refusal(at(0), "plain-1", 1, Span::from_secs(3));
+    assert_eq!(rests.remaining(at(1), "plain-1", 2), None);
+    rests.on_refusal(at(1), "plain-1", 2, Span::from_secs(5));
+    rests.on_refusal(at(2), "plain-1", 1, Span::from_secs(30));
+    assert_eq!(rests.remaining(at(2), "plain-1", 2), secs(4));
 }
 
 /// The store comes back from an older copy, whose row names an earlier start. The rest of the
@@ -48,6 +48,6 @@
 #[test]
 fn an_endless_rest_is_cut_short() {
     let mut rests = Rests::default();
-    rests.on_refusal(at(0), "desk", 1, Span::from_secs(1_000_000_000));
-    assert_eq!(rests.remaining(at(300), "desk", 1), None);
+    rests.on_refusal(at(0), "plain-1", 1, Span::from_secs(1_000_000_000));
+    assert_eq!(rests.remaining(at(300), "plain-1", 1), None);
 }
--- a/kingcupbay_soak/src/announcements.rs
+++ b/kingcupbay_soak/src/announcements.rs
@@ -14,20 +14,20 @@
 
 /// Time after an announcement from which arrivals count. Requests that were sent before the
 /// first answer with it are still on their way until then.
-const TOLD_AFTER: Duration = Duration::from_millis(500);
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(500);
 
 /// Span in which requests to a limited upstream are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
 /// Requests per second that a limited upstream names.
-const LIMIT: &str = "2";
+const LIMIT_PER_SEC: &str = "2";
 
 /// Requests and orders that such an upstream may get in [`LIMIT_WINDOW`]: one and a half
 /// times the limit and five.
 const LIMITED_MAX: usize = 17;
 
 /// Rest that an upstream asks for.
-const REST: Duration = Duration::from_secs(2);
+const REST_TIME: Duration = Duration::from_secs(2);
 
 /// Requests that a resting upstream may get from one daemon.
 const RESTING_MAX: usize = 2;
@@ -44,15 +44,15 @@
     let first_answers = fleet.entries.len() * callers;
     let (promise, arrived, allowed) = match random.below(3) {
         0 => {
-            upstream.runner.set_limit(Some(LIMIT));
-            tokio::time::sleep(TOLD_AFTER + LIMIT_WINDOW).await;
+            upstream.runner.set_limit(Some(LIMIT_PER_SEC));
+            tokio::time::sleep(FIRST_ANSWER_TIME + LIMIT_WINDOW).await;
             upstream.runner.set_limit(None);
-            let busiest = upstream.runner.busiest(began + TOLD_AFTER, LIMIT_WINDOW);
+            let busiest = upstream.runner.busiest(began + FIRST_ANSWER_TIME, LIMIT_WINDOW);
             ("a limited upstream gets its rate", busiest, LIMITED_MAX)
         }
         1 => {
-            upstream.runner.set_rest(Some(&REST.as_secs().to_string()));
-            tokio::time::sleep(REST).await;
+            upstream.runner.set_rest(Some(&REST_TIME.as_secs().to_string()));
+            tokio::time::sleep(REST_TIME).await;
             upstream.runner.set_rest(None);
             let allowed = first_answers + RESTING_MAX * fleet.entries.len();
             ("a resting upstream gets nothing", arrivals(upstream, began), allowed)
@@ -70,7 +70,7 @@
 }
 
 /// Returns the number of requests that count since the announcement at `began`. Each caller
-/// may have one on its way when its entry is told.
+/// may have one on its way when its entry has the first answer.
 fn arrivals(upstream: &Upstream, began: Instant) -> usize {
-    upstream.runner.arrivals().iter().filter(|at| **at >= began + TOLD_AFTER).count()
+    upstream.runner.arrivals().iter().filter(|at| **at >= began + FIRST_ANSWER_TIME).count()
 }
--- a/kingcupbay_standin/src/upstream.rs
+++ b/kingcupbay_standin/src/upstream.rs
@@ -25,10 +25,10 @@
 };
 
 /// Header with the requests per second that an upstream takes.
-const LIMIT: header::HeaderName = header::HeaderName::from_static("server-limit");
+const LIMIT_HEADER: header::HeaderName = header::HeaderName::from_static("server-limit");
 
 /// Header that says that an upstream is leaving.
-const LEAVING: header::HeaderName = header::HeaderName::from_static("server-leaving");
+const LEAVING_HEADER: header::HeaderName = header::HeaderName::from_static("server-leaving");
 
 /// The base model of every engine.
 pub const BASE_MODEL: &str = "base";
@@ -334,10 +334,10 @@
     fn add_signals(&self, headers: &mut header::HeaderMap) {
         if let Some(limit) = self.limit.borrow().as_deref() {
             let value = header::HeaderValue::from_str(limit).expect("tests set visible ASCII");
-            headers.insert(LIMIT, value);
+            headers.insert(LIMIT_HEADER, value);
         }
         if self.leaving.get() {
-            headers.insert(LEAVING, header::HeaderValue::from_static("1"));
+            headers.insert(LEAVING_HEADER, header::HeaderValue::from_static("1"));
         }
     }
 
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -141,7 +141,7 @@
             let row = self.node.catalogue.borrow().instance(&id).cloned();
             let Some(row) = row.filter(|row| row.born == report.born) else { continue };
             if self.limits.borrow_mut().on_report(now, &id, report) {
-                self.on_limit_changed(now, &row, "told");
+                self.on_limit_changed(now, &row, "report");
             }
         }
     }
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -13,6 +13,9 @@
 /// API key of the organisation in every test.
 pub(crate) const KEY: &str = "key-of-the-winery";
 
+/// The plain service of every test.
+pub(crate) const PLAIN_SERVICE: &str = "desk";
+
 /// Loopback address whose port the kernel chooses.
 pub(crate) const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -113,10 +116,10 @@
     }
 
     /// Starts a plain upstream and registers it.
-    pub(crate) fn start_desk(&self, id: &str) -> UpstreamServer {
-        let desk = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain(id)).unwrap();
-        self.register(id, "desk", &desk);
-        desk
+    pub(crate) fn start_plain(&self, id: &str) -> UpstreamServer {
+        let upstream = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain(id)).unwrap();
+        self.register(id, PLAIN_SERVICE, &upstream);
+        upstream
     }
 
     /// Sends requests for the plain service until `upstream` has got one.
--- a/kingcupbayd/tests/upstream_leaving.rs
+++ b/kingcupbayd/tests/upstream_leaving.rs
@@ -5,30 +5,32 @@
 mod common;
 
 use common::{
-    registered::{ANY_PORT, Fleet, KEY, STREAM_HEADERS, request_tour, start_engine_fleet},
+    registered::{
+        ANY_PORT, Fleet, KEY, PLAIN_SERVICE, STREAM_HEADERS, request_tour, start_engine_fleet,
+    },
     wait_until,
 };
 use kingcupbay_standin::{Fault, Rule, UpstreamServer, UpstreamSettings};
 use serde_json::json;
 
-/// The store is away when an upstream says that it leaves, so no row tells it. The entry
+/// The store is away when an upstream says that it leaves, so no row says so. The entry
 /// must send nothing more to it once an answer has said so.
 #[actix_rt::test]
 async fn an_answer_that_says_leaving_ends_the_requests() {
     let fleet = Fleet::start(1).await;
-    let leaving = fleet.start_desk("desk-1");
-    let _staying = fleet.start_desk("desk-2");
+    let leaving = fleet.start_plain("plain-1");
+    let _staying = fleet.start_plain("plain-2");
     fleet.wait_until_ready().await;
     fleet.request_until(&leaving, "a").await;
     fleet.store.server().add_rule(Rule::new(Fault::Silent));
     leaving.set_leaving(true);
     fleet.request_until(&leaving, "b").await;
-    let told = leaving.runs().len();
+    let before = leaving.runs().len();
     for attempt in 0..30 {
         let got = fleet.send("GET", "/seats/today", &format!("c{attempt}")).await;
-        assert_eq!(got.body.unwrap(), "done by desk-2");
+        assert_eq!(got.body.unwrap(), "done by plain-2");
     }
-    assert_eq!(leaving.runs().len(), told);
+    assert_eq!(leaving.runs().len(), before);
 }
 
 /// A row that says ready, written earlier or later, must not undo what the upstream itself
@@ -36,21 +38,21 @@
 #[actix_rt::test]
 async fn only_a_restart_undoes_an_answer_that_says_leaving() {
     let mut fleet = Fleet::start(1).await;
-    let desk = fleet.start_desk("desk-1");
+    let upstream = fleet.start_plain("plain-1");
     fleet.wait_until_ready().await;
-    desk.set_leaving(true);
-    fleet.request_until(&desk, "a").await;
-    let told = desk.runs().len();
-    let mut row = desk.registration("desk", "ready");
+    upstream.set_leaving(true);
+    fleet.request_until(&upstream, "a").await;
+    let before = upstream.runs().len();
+    let mut row = upstream.registration(PLAIN_SERVICE, "ready");
     row["seq"] = json!(1);
-    fleet.store.put("servers", "desk-1", &row);
+    fleet.store.put("servers", "plain-1", &row);
     wait_until("the row", async || fleet.entry.has_line("count=1").then_some(())).await;
     let got = fleet.send("GET", "/seats/today", "b").await;
-    assert_eq!((got.status, desk.runs().len()), (503, told), "{got:?}");
-    desk.set_leaving(false);
+    assert_eq!((got.status, upstream.runs().len()), (503, before), "{got:?}");
+    upstream.set_leaving(false);
     row["born"] = json!(2);
-    fleet.store.put("servers", "desk-1", &row);
-    fleet.request_until(&desk, "c").await;
+    fleet.store.put("servers", "plain-1", &row);
+    fleet.request_until(&upstream, "c").await;
 }
 
 /// An engine says that it leaves, and its reports do not say so yet. It must get no more
@@ -61,13 +63,13 @@
     assert_eq!(request_tour(&fleet, "a", None).await.status, 200);
     engine.set_leaving(true);
     fleet.send_with("POST", "/tour/day", "b", KEY, STREAM_HEADERS).await;
-    let told = engine.runs().len();
+    let before = engine.runs().len();
     for attempt in 0..5 {
         let attempt = format!("c{attempt}");
         let got = fleet.send_with("POST", "/tour/day", &attempt, KEY, STREAM_HEADERS).await;
         assert_eq!(got.status, 503, "{got:?}");
     }
-    assert_eq!(engine.runs().len(), told);
+    assert_eq!(engine.runs().len(), before);
 }
 
 /// The address of an upstream has been given to another one, which answers 421 and says that
@@ -76,7 +78,7 @@
 async fn another_upstream_at_the_address_says_nothing_of_this_one() {
     let fleet = Fleet::start(1).await;
     let other = UpstreamServer::start(ANY_PORT, UpstreamSettings::plain("other")).unwrap();
-    fleet.register("desk-1", "desk", &other);
+    fleet.register("plain-1", PLAIN_SERVICE, &other);
     fleet.wait_until_ready().await;
     other.set_leaving(true);
     other.set_limit(Some("0"));
@@ -85,7 +87,7 @@
         (!other.arrivals().is_empty()).then_some(())
     })
     .await;
-    let desk = fleet.start_desk("desk-1");
-    fleet.request_until(&desk, "b").await;
-    fleet.request_until(&desk, "c").await;
+    let upstream = fleet.start_plain("plain-1");
+    fleet.request_until(&upstream, "b").await;
+    fleet.request_until(&upstream, "c").await;
 }
--- a/kingcupbayd/tests/upstream_limit.rs
+++ b/kingcupbayd/tests/upstream_limit.rs
@@ -17,9 +17,9 @@
 use kingcupbay_standin::UpstreamSettings;
 
 /// Span in which the requests to a limited upstream are counted.
-const WINDOW: Duration = Duration::from_secs(4);
+const RATE_WINDOW: Duration = Duration::from_secs(4);
 
-/// Requests in [`WINDOW`] that an upstream with a limit of one a second may get, as the
+/// Requests in [`RATE_WINDOW`] that an upstream with a limit of one a second may get, as the
 /// platform's rules say.
 const MAX_REQUESTS: usize = 11;
 
@@ -32,13 +32,13 @@
     engine.set_limit(Some("1"));
     let began = Instant::now();
     let mut sent = 0;
-    while began.elapsed() < WINDOW {
+    while began.elapsed() < RATE_WINDOW {
         let adapter = format!("base/{}", ["roses", "tulips", "lilies"][sent % 3]);
         let headers = [("x-model", adapter.as_str()), STREAM_HEADERS[1]];
         fleet.send_with("POST", "/tour/day", &format!("b{sent}"), KEY, &headers).await;
         sent += 1;
     }
-    let busiest = engine.busiest(began, WINDOW);
+    let busiest = engine.busiest(began, RATE_WINDOW);
     assert!(busiest <= MAX_REQUESTS, "{busiest} of {sent}");
     let text = get_text(&sidecar, "/metrics").await;
     assert!(text.contains("kingcupbay_engine_limit 1\n"), "{text}");
@@ -50,20 +50,20 @@
 async fn entries_share_the_rate_of_a_limited_upstream() {
     let first = Fleet::start(1).await;
     let second = start_entry("entry-2", &first.store, 1);
-    let limited = first.start_desk("desk-1");
-    let free = first.start_desk("desk-2");
+    let limited = first.start_plain("plain-1");
+    let free = first.start_plain("plain-2");
     first.wait_until_ready().await;
     wait_until_ready(&second).await;
     limited.set_limit(Some("1"));
     let began = Instant::now();
     let mut sent = 0;
-    while began.elapsed() < WINDOW {
+    while began.elapsed() < RATE_WINDOW {
         let entry = if sent % 2 == 0 { &first.entry } else { &second };
         send_to(entry, "GET", "/seats/today", &format!("a{sent}"), KEY, &[]).await;
         sent += 1;
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    let busiest = limited.busiest(began, WINDOW);
+    let busiest = limited.busiest(began, RATE_WINDOW);
     assert!(busiest <= MAX_REQUESTS, "{busiest}");
     assert!(free.runs().len() > MAX_REQUESTS);
 }
@@ -73,9 +73,9 @@
 #[actix_rt::test]
 async fn requests_beyond_the_limit_are_refused_at_once() {
     let fleet = Fleet::start(1).await;
-    let desk = fleet.start_desk("desk-1");
+    let upstream = fleet.start_plain("plain-1");
     fleet.wait_until_ready().await;
-    desk.set_limit(Some("0.5"));
+    upstream.set_limit(Some("0.5"));
     let mut attempts = 0;
     let refused = wait_until("a refusal", async || {
         attempts += 1;
@@ -94,13 +94,13 @@
 #[actix_rt::test]
 async fn a_limit_ends_when_answers_no_longer_name_it() {
     let mut fleet = Fleet::start(1).await;
-    let desk = fleet.start_desk("desk-1");
+    let upstream = fleet.start_plain("plain-1");
     fleet.wait_until_ready().await;
-    desk.set_limit(Some("2"));
+    upstream.set_limit(Some("2"));
     fleet.send("GET", "/seats/today", "a").await;
     wait_until("the limit", async || fleet.entry.has_line("event=upstream_limit").then_some(()))
         .await;
-    desk.set_limit(None);
+    upstream.set_limit(None);
     let mut attempts = 0;
     wait_until("ten answers in a row", async || {
         for _ in 0..10 {
--- a/kingcupbayd/tests/upstream_rest.rs
+++ b/kingcupbayd/tests/upstream_rest.rs
@@ -17,15 +17,15 @@
 #[actix_rt::test]
 async fn a_resting_upstream_gets_no_requests() {
     let fleet = Fleet::start(1).await;
-    let resting = fleet.start_desk("desk-1");
-    let _other = fleet.start_desk("desk-2");
+    let resting = fleet.start_plain("plain-1");
+    let _other = fleet.start_plain("plain-2");
     fleet.wait_until_ready().await;
     resting.set_rest(Some("60"));
     fleet.request_until(&resting, "a").await;
     let asked = resting.arrivals().len();
     for attempt in 0..60 {
         let got = fleet.send("GET", "/seats/today", &format!("b{attempt}")).await;
-        assert_eq!(got.body.unwrap(), "done by desk-2");
+        assert_eq!(got.body.unwrap(), "done by plain-2");
         tokio::time::sleep(Duration::from_millis(30)).await;
     }
     assert_eq!(resting.arrivals().len(), asked);
@@ -36,7 +36,7 @@
 #[actix_rt::test]
 async fn requests_are_refused_at_once_while_all_upstreams_rest() {
     let fleet = Fleet::start(1).await;
-    let resting = fleet.start_desk("desk-1");
+    let resting = fleet.start_plain("plain-1");
     fleet.wait_until_ready().await;
     resting.set_rest(Some("1.5"));
     fleet.request_until(&resting, "a").await;
@@ -77,12 +77,12 @@
 #[actix_rt::test]
 async fn an_invalid_time_to_retry_is_ignored() {
     let fleet = Fleet::start(1).await;
-    let desk = fleet.start_desk("desk-1");
+    let upstream = fleet.start_plain("plain-1");
     fleet.wait_until_ready().await;
     for rest in ["", "-1", "NaN", "0", "Wed, 21 Oct 2026 07:28:00 GMT"] {
-        desk.set_rest(Some(rest));
-        fleet.request_until(&desk, "a").await;
-        desk.set_rest(None);
+        upstream.set_rest(Some(rest));
+        fleet.request_until(&upstream, "a").await;
+        upstream.set_rest(None);
         let got = fleet.send("GET", "/seats/today", "b").await;
         assert_eq!(got.status, 200, "{rest}: {got:?}");
     }
