Take fractions in the settings that the platform gives

The platform's bounds are whole numbers, fractions or missing, and `grace_ms = {{bounds.graceS}}000` glues three zeros to one. Ruled out: rounding in the templates, which render text only. Change: `repeat_slack` and `repeat_percent` are decimals, `grace_s` takes seconds with fractions, and an empty value keeps the default. `grace_ms` is understood as before.

--- a/kingcupbayd/src/config/reader.rs
+++ b/kingcupbayd/src/config/reader.rs
@@ -141,6 +141,43 @@
         }
     }
 
+    /// Returns a decimal within `bounds`, or the default if the key is missing or empty.
+    pub(crate) fn decimal(
+        &mut self,
+        section: &'static str,
+        key: &str,
+        bounds: std::ops::RangeInclusive<f64>,
+        default: f64,
+    ) -> f64 {
+        let Some((text, line)) = self.take(section, key) else { return default };
+        match text.parse::<f64>() {
+            _ if text.is_empty() => default,
+            Ok(value) if bounds.contains(&value) => value,
+            _ => {
+                let allowed = format!("a number from {} to {}", bounds.start(), bounds.end());
+                self.add_mistake(line, section, key, text, allowed);
+                default
+            }
+        }
+    }
+
+    /// Returns a span given in seconds under `key_s`, or in milliseconds under the older key
+    /// `key_ms`, or the default.
+    pub(crate) fn span(
+        &mut self,
+        section: &'static str,
+        (key_s, key_ms): (&str, &str),
+        bounds: std::ops::RangeInclusive<Span>,
+        default: Span,
+    ) -> Span {
+        let (low, high) = (*bounds.start(), *bounds.end());
+        let seconds = low.as_secs_f64()..=high.as_secs_f64();
+        let millis = low.as_millis()..=high.as_millis();
+        let older = self.millis(section, key_ms, millis, default.as_millis());
+        let value = self.decimal(section, key_s, seconds, older.as_secs_f64());
+        Span::from_millis_f64(value * 1_000.0)
+    }
+
     /// Returns a span given in milliseconds, or the default.
     pub(crate) fn millis(
         &mut self,
--- a/kingcupbayd/src/config/registry.rs
+++ b/kingcupbayd/src/config/registry.rs
@@ -39,8 +39,7 @@
         let ready = entry.then(|| reader.required(section, "ready", address, "127.0.0.1:0"));
         let engine = (!entry).then(|| reader.required(section, "engine", address, "127.0.0.1:0"));
         let service = (!entry).then(|| reader.required(section, "service", "a name", "unnamed"));
-        let percent = reader.number(section, "repeat_percent", 0..=100, 20_u32);
-        let slack = reader.number(section, "repeat_slack", 0..=100_000, 50_u32);
+        let percent = reader.decimal(section, "repeat_percent", 0.0..=100.0, 20.0);
         Registry {
             store: reader.required(section, "store", address, "127.0.0.1:0"),
             ready,
@@ -56,11 +55,16 @@
             },
             seeds: reader.list(section, "seeds", "IP:PORT, IP:PORT, ..."),
             repeats: RepeatLimits {
-                ratio: f64::from(percent) / 100.0,
-                slack: f64::from(slack),
+                ratio: percent / 100.0,
+                slack: reader.decimal(section, "repeat_slack", 0.0..=1e9, 50.0),
                 window: reader.millis(section, "repeat_window_ms", 100..=600_000, 10_000),
             },
-            grace: reader.millis(section, "grace_ms", 100..=600_000, 8_000),
+            grace: reader.span(
+                section,
+                ("grace_s", "grace_ms"),
+                Span::from_millis(100)..=Span::from_secs(600),
+                Span::from_secs(8),
+            ),
         }
     }
 }
