Register each entry with one write that is waited for

Each entry gave up after 0.7 s and wrote again 0.3 s later, so hundreds of them kept the queue full for ever. Ruled out: another part for each entry, as a list of the table reads each part with a call of its own; a conditional write, which costs a read and does not shorten the queue. Change: a write's timeout is longer than the queue that the store allows, whatever the number of entries; the pause between attempts grows and is spread; before another write, an entry looks for its row in the list that it follows. `a_late_registration_is_not_written_again` waits in vain for a registration on the code before.

--- a/kingcupbay_core/src/deployment/mod.rs
+++ b/kingcupbay_core/src/deployment/mod.rs
@@ -7,7 +7,8 @@
 //! upstreams that have left, `announced` those that have said in their answers that they
 //! leave, and [`evacuations`] the availability zones that are evacuated. [`catchup`] decides
 //! when to fetch a configuration from another entry. [`readers`] selects the entries that read the store for the others,
-//! and [`read_positions`] tracks how far each table is known. [`waits`] defines the
+//! and [`read_positions`] tracks how far each table is known. [`registration`] decides when
+//! an entry writes its registration again. [`waits`] defines the
 //! timeouts of the steps by which a change reaches an entry.
 
 mod announced;
@@ -19,4 +20,5 @@
 pub mod model;
 pub mod read_positions;
 pub mod readers;
+pub mod registration;
 pub mod waits;
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -37,6 +37,10 @@
 /// takes up to sixty times as long when it is slow.
 pub const STORE_CALL_TIMEOUT: Span = Span::from_millis(700);
 
+/// Timeout of a write of the store. The store lets writes wait for up to a second, however
+/// many there are, and refuses further ones.
+pub const STORE_WRITE_TIMEOUT: Span = Span::from_millis(1_700);
+
 /// Wait of a reader's feed of the operator's rows. A feed that begins while the store
 /// drops its history may miss changes: it is answered only when the wait ends, with all
 /// that it missed. The answer to the first feed also shows that the store is available.
--- a/kingcupbayd/src/registered/members.rs
+++ b/kingcupbayd/src/registered/members.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 
 use kingcupbay_core::{
-    deployment::catalogue::Member,
-    time::Span,
+    deployment::{catalogue::Member, registration::Registration},
     wire::rows::{RowKey, Txn, TxnAnswer},
 };
 use slog::{info, warn};
@@ -15,9 +14,6 @@
 /// Name of the entries' table.
 pub(crate) const ENTRY_TABLE: &str = "entries";
 
-/// Pause between two attempts to register.
-const RETRY_PAUSE: Span = Span::from_millis(300);
-
 /// Registers this entry, and retries until the store has accepted it.
 pub(crate) async fn register(node: Rc<Node>) {
     let member = Member {
@@ -30,6 +26,7 @@
     let value = serde_json::to_vec(&member).expect("a member has only strings and numbers");
     let key = RowKey { table: ENTRY_TABLE.to_owned(), key: member.host };
     let txn = Txn { conditions: Vec::new(), writes: vec![(key, Some(value))] };
+    let mut registration = Registration::new(node.incarnation);
     loop {
         match node.store.transact(&txn).await {
             Ok(TxnAnswer::Committed(version)) => {
@@ -40,10 +37,23 @@
             Ok(TxnAnswer::Conflict(_)) => unreachable!("the write has no condition"),
             Err(error) => warn!(node.log, ""; "event" => "register_failed", "error" => %error),
         }
-        tokio::time::sleep(RETRY_PAUSE.into()).await;
+        tokio::time::sleep(registration.on_failure().into()).await;
+        // The store may have carried out a write whose answer did not arrive.
+        if is_listed(&node) {
+            info!(node.log, ""; "event" => "registered", "why" => "listed");
+            node.registered.set(true);
+            return;
+        }
     }
 }
 
+/// Returns whether the list of entries holds this start of this entry.
+fn is_listed(node: &Node) -> bool {
+    let catalogue = node.catalogue.borrow();
+    let own = catalogue.members().find(|member| member.host == node.host());
+    own.is_some_and(|member| member.incarnation == node.incarnation)
+}
+
 /// Registers this entry again if another entry has removed it from the list. They do so
 /// after a long silence, and an entry that is not listed admits no requests that have a
 /// limit. Without this, an entry that is reachable again would refuse its callers
--- a/kingcupbayd/src/registered/store.rs
+++ b/kingcupbayd/src/registered/store.rs
@@ -4,7 +4,7 @@
 
 use actix_http::Method;
 use kingcupbay_core::{
-    deployment::waits::STORE_CALL_TIMEOUT,
+    deployment::waits::{STORE_CALL_TIMEOUT, STORE_WRITE_TIMEOUT},
     time::{Instant, Span},
     wire::rows::{self, RowPage, Txn, TxnAnswer},
 };
@@ -122,7 +122,7 @@
         let table = txn.writes.first().map_or("", |(row, _)| &row.table);
         self.calls.with_label_values(&["transact", table]).inc();
         let call = platform::encode_transaction(txn);
-        let (era, answer) = self.call(&call, STORE_CALL_TIMEOUT).await?;
+        let (era, answer) = self.call(&call, STORE_WRITE_TIMEOUT).await?;
         Ok(platform::decode_transaction(era, answer.status == 412, &answer.body)?)
     }
 
--- a/kingcupbayd/tests/registered.rs
+++ b/kingcupbayd/tests/registered.rs
@@ -11,6 +11,7 @@
 };
 
 use common::{
+    get_text,
     registered::{ANY_PORT, CallerAnswer, Fleet, KEY, config_row, start_entry},
     wait_until,
 };
@@ -355,3 +356,20 @@
         assert!(longest <= LEAVING_MS, "{table}: {longest} ms");
     }
 }
+
+/// Guards against repeated writes of a registration whose answer is late: each fills the
+/// queue of the store further, and changes the list for all daemons that follow it.
+#[actix_rt::test]
+async fn a_late_registration_is_not_written_again() {
+    let store = Registry::start(ANY_PORT).unwrap();
+    store.put("op", "config", &config_row(1, &[KEY]));
+    let slow = Rule::new(Fault::Slow { millis: 1_200 }).path("/v1/rows-tx");
+    store.server().add_rule(slow);
+    let mut entry = start_entry("entry-1", &store, 1);
+    wait_until("the registration", async || entry.has_line("event=registered").then_some(()))
+        .await;
+    let writes = "kingcupbay_store_calls_total{call=\"transact\",table=\"entries\"} ";
+    let text = get_text(&entry, "/metrics").await;
+    let count = text.lines().find_map(|line| line.strip_prefix(writes));
+    assert_eq!(count, Some("1"));
+}
