Send load reports to the entries that ask, and keep engines that owe none

Cause: an entry that had not asked an engine for 20 s got no load reports from it, took it for silent 1.5 s later and never asked it again while others were left. In a small fleet every entry asks every engine each second; among 625 engines an entry asks each once in ten minutes, so that it would give up the homes of most adapters one by one. A sidecar that had restarted was given up for good in any fleet. And each permit request bought up to 80 reports: some 31,000 a second with 356 entries. Ruled out: longer silence, which only moves the moment; fewer reports to all, which makes entries that do choose the engine choose by older load. Change: a sidecar reports for 2 s after each permit request, and keeps what the entry knows of its adapters for a minute. An engine counts as silent only while its sidecar owes reports, and is tried again 5 s after none is due. Measured: `an_engine_that_owes_no_report_is_not_silent` and `a_silent_engine_is_tried_again` fail with the condition of before. Conclusion: reports follow requests, not entries times engines.

--- a/kingcupbay_core/src/admission/load_report.rs
+++ b/kingcupbay_core/src/admission/load_report.rs
@@ -9,6 +9,11 @@
     wire::sidecar::EngineLoadReport,
 };
 
+/// How long an entry is sent load reports after each of its permit requests. A sidecar
+/// reports to those entries that currently choose its engine: in a large fleet, each entry
+/// asks each engine rarely, and reports to all would grow with the number of both.
+pub const REPORTED_FOR: Span = Span::from_secs(2);
+
 /// Interval of reports without changes, so that a silent sidecar is detected: an
 /// entry treats it as gone after three missing reports.
 const HEARTBEAT_INTERVAL: Span = Span::from_millis(500);
--- a/kingcupbay_core/src/placement.rs
+++ b/kingcupbay_core/src/placement.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    admission::load_report::REPORTED_FOR,
     deployment::model::{AdapterName, resident_version},
     time::{Instant, Span},
     wire::sidecar::EngineLoadReport,
@@ -47,10 +48,14 @@
 /// Age at which an engine's load report is ignored.
 const REPORT_AGE_MAX: Span = Span::from_secs(2);
 
-/// Time without a load report after which an engine is tried after the others. By
-/// then six reports in a row are missing.
+/// Time without a load report, while reports are due, after which an engine is tried after
+/// the others. By then three reports in a row are missing.
 const SILENCE_MAX: Span = Span::from_millis(1_500);
 
+/// How long an engine whose reports are missing is tried after the others once no report is
+/// due any more. Its sidecar may have restarted and reports only when it is asked again.
+const SILENCE_PAUSE: Span = Span::from_secs(5);
+
 /// One engine, as of its last load report.
 #[derive(Clone, Debug, Default)]
 struct EngineState {
@@ -59,6 +64,17 @@
     reported: Option<Instant>,
     /// Requests sent to the engine since then.
     sent: u32,
+    /// Since when and until when the sidecar owes reports, as this entry has asked it for
+    /// permits.
+    due: Option<(Instant, Instant)>,
+}
+
+impl EngineState {
+    /// Returns for how long a report that was due has been missing.
+    fn missing_for(&self, now: Instant) -> Span {
+        let Some((since, until)) = self.due else { return Span::ZERO };
+        now.min(until).since(self.reported.unwrap_or_default().max(since))
+    }
 }
 
 /// State of the engines, as one entry knows it.
@@ -78,17 +94,21 @@
         engine: SocketAddr,
         report: EngineLoadReport,
     ) -> bool {
-        let before = self.engines.remove(&engine);
-        let resident = report.resident.or_else(|| before.and_then(|state| state.report.resident));
+        let state = self.engines.entry(engine).or_default();
+        let resident = report.resident.or_else(|| state.report.resident.take());
         let known = resident.is_some();
-        let report = EngineLoadReport { resident, ..report };
-        self.engines.insert(engine, EngineState { report, reported: Some(now), sent: 0 });
+        state.report = EngineLoadReport { resident, ..report };
+        state.reported = Some(now);
+        state.sent = 0;
         known
     }
 
-    /// Records that a request was sent to `engine`.
-    pub fn on_send(&mut self, engine: SocketAddr) {
-        self.engines.entry(engine).or_default().sent += 1;
+    /// Records that a request was sent to `engine`, whose sidecar owes reports from now on.
+    pub fn on_send(&mut self, now: Instant, engine: SocketAddr) {
+        let state = self.engines.entry(engine).or_default();
+        state.sent += 1;
+        let since = state.due.filter(|&(_, until)| now < until).map_or(now, |(since, _)| since);
+        state.due = Some((since, now + REPORTED_FOR));
     }
 
     /// Records that a request to `engine` was refused, or did not arrive.
@@ -97,10 +117,11 @@
         state.sent = state.sent.saturating_sub(1);
     }
 
-    /// Returns whether the sidecar of `engine` has stopped sending load reports.
+    /// Returns whether the sidecar of `engine` has stopped sending load reports that it owes.
     pub fn is_silent(&self, now: Instant, engine: SocketAddr) -> bool {
-        let reported = self.engines.get(&engine).and_then(|state| state.reported);
-        reported.is_some_and(|reported| now.since(reported) >= SILENCE_MAX)
+        let Some(state) = self.engines.get(&engine) else { return false };
+        let recent = state.due.is_some_and(|(_, until)| now < until + SILENCE_PAUSE);
+        recent && state.missing_for(now) >= SILENCE_MAX
     }
 
     /// Returns the version of `name` that `engine` last reported as resident.
--- a/kingcupbay_core/tests/placement.rs
+++ b/kingcupbay_core/tests/placement.rs
@@ -95,7 +95,7 @@
     let mut sent: BTreeMap<SocketAddr, u32> = BTreeMap::new();
     for _ in 0..12 {
         let engine = placement.choose(at(10), &name(1), &engines).unwrap();
-        placement.on_send(engine);
+        placement.on_send(at(10), engine);
         *sent.entry(engine).or_default() += 1;
     }
     assert_eq!(sent.into_values().collect::<Vec<_>>(), [4, 4, 4]);
@@ -148,6 +148,35 @@
     assert_ne!(placement.choose(at(10), &name(1), &engines), Some(home));
 }
 
+/// An entry that has not asked an engine for a while gets no load reports from it. The
+/// engine must not count as silent for that, or each entry would in time give up the homes of
+/// most adapters.
+#[test]
+fn an_engine_that_owes_no_report_is_not_silent() {
+    let engine = engines(1)[0];
+    let mut placement = Placement::default();
+    placement.on_send(at(0), engine);
+    placement.on_load_report(at(200), engine, load_report(2, &[1]));
+    placement.on_load_report(at(1_900), engine, load_report(2, &[1]));
+    for now in [2_500, 4_000, 30_000] {
+        assert!(!placement.is_silent(at(now), engine), "{now} ms");
+    }
+}
+
+/// A sidecar was killed and restarted, and knows nothing of the entries that asked before. An
+/// engine whose reports were missing must be tried again after a while.
+#[test]
+fn a_silent_engine_is_tried_again() {
+    let engine = engines(1)[0];
+    let mut placement = Placement::default();
+    for now in (0..3_000).step_by(500) {
+        placement.on_send(at(now), engine);
+    }
+    assert!(placement.is_silent(at(3_000), engine));
+    assert!(placement.is_silent(at(5_000), engine));
+    assert!(!placement.is_silent(at(11_000), engine));
+}
+
 /// An idle engine that holds the adapter is preferred to its home, which does not.
 #[test]
 fn a_holder_is_preferred_to_the_home() {
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -123,7 +123,7 @@
         entry: gateway.node.peer_address,
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
-    gateway.placement.borrow_mut().on_send(engine);
+    gateway.placement.borrow_mut().on_send(now, engine);
     let pool = &gateway.node.pool;
     let called =
         pool.call(sidecar, Method::POST, PERMIT_PATH, &body, max_wait + MESSAGE_TIMEOUT).await;
--- a/kingcupbayd/src/sidecar/load_reports.rs
+++ b/kingcupbayd/src/sidecar/load_reports.rs
@@ -5,6 +5,7 @@
 
 use actix_http::Method;
 use kingcupbay_core::{
+    admission::load_report::REPORTED_FOR,
     time::{Instant, Span},
     wire::sidecar::{EngineLoadReport, LOAD_REPORT_PATH},
 };
@@ -18,8 +19,9 @@
 /// Timeout of an entry's answer.
 const ANSWER_TIMEOUT: Span = Span::from_millis(300);
 
-/// Time without a permit request after which an entry is sent no more reports.
-const ENTRY_IDLE_MAX: Span = Span::from_secs(20);
+/// Time without a permit request after which an entry's state is dropped. An entry that asks
+/// again before need not be sent the adapters that it knows.
+const ENTRY_IDLE_MAX: Span = Span::from_secs(60);
 
 /// Sends load reports forever.
 pub(crate) async fn send_reports(sidecar: Rc<Sidecar>) {
@@ -36,6 +38,9 @@
         let mut load_report = sidecar.admission.borrow().load_report(now);
         load_report.engine = Some(sidecar.engine);
         for (&address, entry) in sidecar.entries.borrow_mut().iter_mut() {
+            if now.since(entry.last_request) >= REPORTED_FOR {
+                continue;
+            }
             if let Some(report) = entry.reporter.next(now, &load_report) {
                 drop(actix_rt::spawn(send_report(sidecar.clone(), address, now, report)));
             }
