Report the level of a limit as of now

Cause: a usage report named the tokens left as of the entry's last own request of the organisation, less all that others had used since. Ruled out: adopting no level at a start, which gives a full burst away at each. Change: reports name the level refilled up to now.

--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -93,6 +93,9 @@
     own_level: f64,
     /// When both levels were last refilled.
     refilled: Instant,
+    /// Rate and burst at which they were.
+    rate: f64,
+    burst: f64,
     /// Tokens admitted since the start, less refunds.
     spent: i64,
     /// Average of the tokens requested per second, as of `demand_at`.
@@ -246,7 +249,8 @@
         let mut uses = BTreeMap::new();
         for (name, account) in &mut self.accounts {
             account.decay(now);
-            let Account { spent, demand, level, .. } = *account;
+            let level = account.refilled_level(now);
+            let Account { spent, demand, .. } = *account;
             let last = self.reported.get(name);
             let unchanged = last.is_some_and(|last| {
                 last.spent == spent && demand <= last.demand * DEMAND_GROWTH_REPORTED
@@ -365,6 +369,8 @@
             level: burst,
             own_level: burst * share,
             refilled: now,
+            rate: 0.0,
+            burst,
             spent: 0,
             demand: 0.0,
             demand_at: now,
@@ -373,7 +379,9 @@
         let passed = now.since(account.refilled).as_secs_f64();
         account.decay(now);
         account.refilled = now;
-        let gained = who.rate as f64 * passed;
+        account.rate = who.rate as f64;
+        account.burst = burst;
+        let gained = account.rate * passed;
         account.level = (account.level + gained).min(burst);
         account.own_level = (account.own_level + gained * share).min(burst * share);
         account
@@ -381,6 +389,12 @@
 }
 
 impl Account {
+    /// Returns the tokens left in the fleet's bucket now.
+    fn refilled_level(&self, now: Instant) -> f64 {
+        let passed = now.since(self.refilled).as_secs_f64();
+        (self.level + self.rate * passed).min(self.burst)
+    }
+
     /// Decays the average of the demand up to `now`.
     fn decay(&mut self, now: Instant) {
         let passed = now.since(self.demand_at).as_secs_f64();
--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -231,6 +231,24 @@
     assert!(worst >= 8 * RATE * 9 / 10, "{worst}");
 }
 
+/// Guards against an organisation in debt for seconds at an entry that restarts: the others
+/// must not report the level of their last own request, less all that was used since.
+#[test]
+fn a_restarted_entry_adopts_a_level_of_now() {
+    let mut fleet = Fleet::new(2);
+    let demand = |at: usize| if at == 0 { 0.9 * RATE as f64 } else { 0.0 };
+    fleet.entries[1].try_acquire(at(0), &winery(), 500).unwrap();
+    fleet.run(0, 5_000, 500, demand);
+    let mut fresh = Allowance::new("entry-0", 77, at(5_000));
+    fresh.on_entries(["entry-0", "entry-1"].into_iter());
+    fresh.try_acquire(at(5_000), &winery(), 500).unwrap();
+    fleet.entries[1].on_full_report_request();
+    let report = fleet.entries[1].usage_report(at(5_000), Number(1));
+    assert!(fresh.on_usage_report(at(5_010), report));
+    let (_, level) = fresh.levels().next().unwrap();
+    assert!(level >= 0.8 * RATE as f64, "{level}");
+}
+
 /// Most organisations send an entry no request between two usage reports. The reports
 /// do not name them each time, but the other entries learn within a second that demand
 /// has fallen.
