Keep limits at 32 entries, and let the others ask and follow them

Reports came once a second, so what others may have used was held back for 2.5 s, more than the whole burst of a small organisation; and one silent entry of hundreds restricted all others to parts of 1/356. Ruled out, on paper: an epidemic exchange of each entry's usage, as it carries 356 records a second to every entry and twice that at twice the size; groups with aggregated reports, whose counts jump as a relay fails; one keeper for each organisation, as a second one during a cut admits the limit again. Built and taken out: followers that fetch configurations from limiters; on a host of 20 Mbit/s the fetches held up the answers to those who asked (one entry's lines: four limiters without an answer in the second of a configuration). Change: the first 32 entries by rank (one of each zone after the other) exchange reports as before, with the same code and tests. Every other entry asks one of them for the tokens of each request, the same one for an organisation, and another one if that does not answer in 0.1 s. Two limiters of its zone report to each follower every 0.4 s what the readers have read, so it calls the store only for configurations. An entry that is gone is removed by one entry, not by all at the same moment. Messages are counted by kind. Up to 32 entries nothing changes. Conclusion: a follower's messages do not grow with the fleet; a limiter's grow by two reports in 32 entries.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -24,7 +24,7 @@
     departures::Departures,
     evacuations::Evacuations,
     model::{AdapterName, Deployment, Instance},
-    waits::REWRITE_MAX,
+    waits::{RELAYED_FOR, REWRITE_MAX},
 };
 
 /// Registration of another daemon of the fleet.
@@ -68,6 +68,8 @@
     cold_until: BTreeMap<String, Instant>,
     /// Daemons by host.
     members: BTreeMap<String, Member>,
+    /// Number of changes of `members`.
+    member_changes: u64,
     /// Daemons that were missing after the store came back from an older copy, with the time
     /// at which that was noticed. Invariant: all are in `members`.
     members_missing: BTreeMap<String, Instant>,
@@ -325,6 +327,12 @@
         self.departures.report(now, whole)
     }
 
+    /// Returns the departures to pass on to followers, with the versions of the store that show
+    /// them.
+    pub fn departures_to_relay(&self, now: Instant) -> BTreeMap<String, u64> {
+        self.departures.recent(now, RELAYED_FOR)
+    }
+
     /// Applies the complete list of registrations as of `version`.
     ///
     /// After an outage of the store, upstreams that are not listed are kept for
@@ -371,6 +379,7 @@
         let (gone, missing): (BTreeMap<_, _>, BTreeMap<_, _>) =
             missing.into_iter().partition(|(_, since)| expired(since));
         self.members_missing = missing;
+        self.member_changes += u64::from(!gone.is_empty());
         self.members.retain(|host, _| !gone.contains_key(host));
         let expired = |since: &Instant| now.since(*since) >= MISSING_MAX;
         let gone: Vec<String> = self
@@ -395,8 +404,19 @@
         self.members().filter(move |member| member.role == role)
     }
 
+    /// Returns a number that grows with each change of the list of daemons.
+    pub fn member_changes(&self) -> u64 {
+        self.member_changes
+    }
+
+    /// Returns the entries.
+    pub fn entries(&self) -> impl Iterator<Item = &Member> {
+        self.of_role(Role::Entry)
+    }
+
     /// Applies a daemon's registration.
     pub fn on_member(&mut self, member: Member) {
+        self.member_changes += 1;
         // A host that reuses the address of a dead one replaces it.
         self.members.retain(|_, other| other.address != member.address);
         self.members_missing.remove(&member.host);
@@ -405,6 +425,7 @@
 
     /// Removes a daemon whose registration was deleted.
     pub fn on_member_gone(&mut self, host: &str) {
+        self.member_changes += 1;
         self.members_missing.remove(host);
         self.members.remove(host);
     }
@@ -412,6 +433,7 @@
     /// Applies the complete list of daemons. Those that were missing after the store came back
     /// from an older copy are kept until [`Catalogue::on_tick`].
     pub fn on_members(&mut self, rows: Vec<Member>) {
+        self.member_changes += 1;
         let missing = &self.members_missing;
         self.members.retain(|host, _| missing.contains_key(host));
         for row in rows {
@@ -425,6 +447,7 @@
     /// the host `own` is not kept, so that it registers again.
     pub fn on_members_rewound(&mut self, now: Instant, rows: Vec<Member>, own: &str) {
         let listed: BTreeSet<String> = rows.iter().map(|row| row.host.clone()).collect();
+        self.member_changes += 1;
         self.members.remove(own);
         let missing = self.members.keys().filter(|host| !listed.contains(*host));
         let missing: Vec<String> = missing.cloned().collect();
--- a/kingcupbay_core/src/deployment/departures.rs
+++ b/kingcupbay_core/src/deployment/departures.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Returns the departures that this daemon has learned of within `age`, with their versions,
+    /// from the store or from another entry.
+    pub(super) fn recent(&self, now: Instant, age: Span) -> BTreeMap<String, u64> {
+        let recent = self.left.iter().filter(|(_, row)| now.since(row.learned) < age);
+        let mut recent: Vec<(&String, u64)> = recent.map(|(id, row)| (id, row.version)).collect();
+        recent.sort_by_key(|&(_, version)| std::cmp::Reverse(version));
+        recent.truncate(DEPARTURES_PER_REPORT_MAX);
+        recent.into_iter().map(|(id, version)| (id.clone(), version)).collect()
+    }
+
     /// Returns the departures to name in the next usage report, with their versions: the
     /// new ones, or in a `whole` report the newest of all.
     pub(super) fn report(&mut self, now: Instant, whole: bool) -> BTreeMap<String, u64> {
--- a/kingcupbay_core/src/deployment/read_positions.rs
+++ b/kingcupbay_core/src/deployment/read_positions.rs
@@ -17,7 +17,9 @@
     wire::read_position::{ReadPosition, Table, TableChange},
 };
 
-use super::waits::{ENTRIES_AGE_MAX, OPERATOR_AGE_MAX, STORE_ANSWER_MAX, UPSTREAMS_AGE_MAX};
+use super::waits::{
+    ENTRIES_AGE_MAX, OPERATOR_AGE_MAX, RELAYED_FOR, STORE_ANSWER_MAX, UPSTREAMS_AGE_MAX,
+};
 
 /// Number of usage reports that carry a change. One of them may be lost.
 const REPORTS_PER_CHANGE: u32 = 2;
@@ -59,6 +61,10 @@
     /// Changes that this entry read from the store before another reported them, each
     /// with the number of usage reports that still have to carry it.
     changes: VecDeque<(TableChange, u32)>,
+    /// Invariant: changes after this version, up to `known`, are in `recent`.
+    recent_since: u64,
+    /// Changes that were learned recently in any way, to pass on to followers.
+    recent: VecDeque<(TableChange, Instant)>,
 }
 
 /// Read positions of all tables that the entry follows.
@@ -80,6 +86,8 @@
         progress.on_own(now, version);
         progress.since = progress.since.max(version);
         progress.changes.clear();
+        progress.recent_since = progress.known;
+        progress.recent.clear();
     }
 
     /// Records that the store answered with `changes` up to `version`.
@@ -92,7 +100,10 @@
     ) {
         let progress = self.tables.entry(table).or_default();
         progress.on_own(now, version);
-        progress.changes.extend(changes.into_iter().map(|change| (change, REPORTS_PER_CHANGE)));
+        for change in changes {
+            progress.on_change(now, &change);
+            progress.changes.push_back((change, REPORTS_PER_CHANGE));
+        }
         while progress.changes.len() > CHANGES_PER_REPORT_MAX {
             progress.drop_oldest();
         }
@@ -102,6 +113,7 @@
     pub fn on_unreported(&mut self, table: Table, version: u64) {
         let progress = self.tables.entry(table).or_default();
         progress.since = progress.since.max(version);
+        progress.recent_since = progress.recent_since.max(version);
     }
 
     /// Returns the read positions for the next usage report, of the tables that this
@@ -113,6 +125,15 @@
             .collect()
     }
 
+    /// Returns the read positions to pass on to followers, of the tables that this entry knows
+    /// from its own reads or from other entries.
+    pub fn relay(&mut self, now: Instant) -> BTreeMap<Table, ReadPosition> {
+        let tables = self.tables.iter_mut();
+        tables
+            .filter_map(|(&table, progress)| Some((table, progress.relay(now, table.max_age())?)))
+            .collect()
+    }
+
     /// Applies another entry's read position. Returns the changes to apply, in order of
     /// their versions, or `None` if changes are missing in between.
     pub fn on_position(
@@ -136,6 +157,9 @@
         // The sender reports these changes to all other entries too.
         let reported = changes.last().map_or(0, |change| change.version);
         progress.since = progress.since.max(reported);
+        for change in &changes {
+            progress.on_change(now, change);
+        }
         let age = position.age + STORE_ANSWER_MAX;
         let as_of = Instant::from_micros(now.as_micros().saturating_sub(age.as_micros()));
         progress.confirmed = progress.confirmed.max(Some(as_of));
@@ -183,6 +207,35 @@
         Some(ReadPosition { version, age, since, changes })
     }
 
+    /// Stores a change to pass on.
+    fn on_change(&mut self, now: Instant, change: &TableChange) {
+        self.recent.push_back((change.clone(), now));
+        if self.recent.len() > CHANGES_PER_REPORT_MAX {
+            self.drop_oldest_recent();
+        }
+    }
+
+    /// Returns the read position to pass on, unless what it is based on is as old as `limit`.
+    fn relay(&mut self, now: Instant, limit: Span) -> Option<ReadPosition> {
+        while self.recent.front().is_some_and(|(_, at)| now.since(*at) >= RELAYED_FOR) {
+            self.drop_oldest_recent();
+        }
+        let as_of = self.confirmed.max(self.own.map(|(_, at)| at))?;
+        let age = now.since(as_of);
+        if age >= limit {
+            return None;
+        }
+        let since = self.recent_since.min(self.known);
+        let changes = self.recent.iter().map(|(change, _)| change.clone()).collect();
+        Some(ReadPosition { version: self.known, age, since, changes })
+    }
+
+    fn drop_oldest_recent(&mut self) {
+        if let Some((change, _)) = self.recent.pop_front() {
+            self.recent_since = self.recent_since.max(change.version);
+        }
+    }
+
     fn drop_oldest(&mut self) {
         if let Some((change, _)) = self.changes.pop_front() {
             self.since = self.since.max(change.version);
--- a/kingcupbay_core/src/deployment/readers.rs
+++ b/kingcupbay_core/src/deployment/readers.rs
@@ -1,8 +1,8 @@
 //! Selection of the readers: entries that read the store's tables for all.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
-use super::catalogue::Member;
+use super::{catalogue::Member, ranks::by_rank};
 
 /// Smallest number of readers. In a small fleet, all entries are readers.
 const READERS_MIN: usize = 4;
@@ -14,18 +14,9 @@
 /// be more or fewer readers, and an entry that receives no reports from any reader reads
 /// the store itself.
 pub fn is_reader<'a>(entries: impl Iterator<Item = &'a Member>, host: &str) -> bool {
-    let mut zones: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
-    for entry in entries {
-        zones.entry(&entry.zone).or_default().push(entry);
-    }
+    let order = by_rank(entries);
+    let zones: BTreeSet<&str> = order.iter().map(|member| member.zone.as_str()).collect();
     let readers = zones.len().max(READERS_MIN);
-    let mut order: Vec<(usize, u64, &str)> = Vec::new();
-    for members in zones.values_mut() {
-        members.sort_by_key(|member| (member.incarnation, &member.host));
-        let indexed = members.iter().enumerate();
-        order.extend(indexed.map(|(index, member)| (index, member.incarnation, &*member.host)));
-    }
-    order.sort();
-    let index = order.iter().position(|(_, _, other)| *other == host);
+    let index = order.iter().position(|member| member.host == host);
     index.is_none_or(|index| index < readers)
 }
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -46,13 +46,24 @@
 /// that it missed. The answer to the first feed also shows that the store is available.
 pub const OPERATOR_FEED_WAIT: Span = Span::from_millis(2_000);
 
+/// Wait of a reader's feed of the operator's rows in a fleet with followers, which learn from
+/// reports alone that nothing has changed.
+pub const FOLLOWED_FEED_WAIT: Span = Span::from_millis(700);
+
 /// Wait of a reader's feed of upstreams. It is short so that the other entries learn in
 /// time that nothing has changed.
 pub const UPSTREAMS_FEED_WAIT: Span = Span::from_millis(400);
 
+/// Wait of the feed of upstreams at an entry that reports none of it to others.
+pub const OWN_UPSTREAMS_FEED_WAIT: Span = Span::from_millis(1_500);
+
 /// Wait of an entry's feed of entries.
 pub const ENTRIES_FEED_WAIT: Span = Span::from_secs(2);
 
+/// Pause between two calls of the feed of entries at an entry that is listed and reports none
+/// of it to others. Hundreds of entries may register one after the other.
+pub const OWN_ENTRIES_FEED_PAUSE: Span = Span::from_secs(2);
+
 /// Wait of the feed of the operator's rows at an entry that also learns of changes from
 /// other entries.
 pub const LISTENER_FEED_WAIT: Span = Span::from_secs(10);
@@ -61,6 +72,9 @@
 /// feed whose connection has died is abandoned then.
 pub const OPERATOR_AGE_MAX: Span = Span::from_millis(2_500);
 
+/// The same at a follower, which has no feed of its own meanwhile.
+pub const FOLLOWER_OPERATOR_AGE_MAX: Span = Span::from_millis(1_700);
+
 /// Age up to which another entry's read position of the upstreams is valid.
 pub const UPSTREAMS_AGE_MAX: Span = Span::from_millis(1_700);
 
@@ -90,6 +104,12 @@
 /// Longest pause after repeated failed calls.
 pub const RETRY_PAUSE_MAX: Span = Span::from_millis(800);
 
+/// Time between two reports of a limiter to a follower.
+pub const RELAY_PERIOD: Span = Span::from_millis(400);
+
+/// How long a limiter names a change to its followers: several reports, as one may be lost.
+pub const RELAYED_FOR: Span = Span::from_millis(1_800);
+
 /// Time allowed for the store's feed to deliver a configuration that another entry
 /// already has, before it is fetched from that entry.
 pub const OWN_FEED_DELAY: Span = Span::from_millis(400);
--- a/kingcupbay_core/src/wire/usage.rs
+++ b/kingcupbay_core/src/wire/usage.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::Number;
+use crate::{id::Number, time::Span};
 
 use super::read_position::{ReadPosition, Table};
 
@@ -15,6 +15,42 @@
 /// cannot reach the store.
 pub const ROWS_PATH: &str = "/rows";
 
+/// Path at a limiter that takes an [`AcquireRequest`] of another entry. The answer is an
+/// [`AcquireVerdict`].
+pub const ACQUIRE_PATH: &str = "/acquire";
+/// Path at a limiter that takes back the tokens of an [`AcquireRequest`] whose request did not
+/// run. The answer is 204.
+pub const REFUND_PATH: &str = "/refund";
+
+/// A request for tokens of an organisation's limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AcquireRequest {
+    /// Name of the organisation.
+    pub organisation: String,
+    /// Tokens per second of its limit, as the asking entry knows it.
+    pub rate: u64,
+    /// Tokens that it may use at once.
+    pub burst: u64,
+    /// Tokens of the request.
+    pub cost: u64,
+}
+
+/// The answer to an [`AcquireRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum AcquireVerdict {
+    /// The tokens were taken.
+    Acquired,
+    /// The limit does not allow the request.
+    OverLimit {
+        /// Time until it is expected to.
+        retry_after: Span,
+    },
+    /// The asked entry keeps no limits.
+    NotLimiter,
+}
+
 /// Usage by the callers of one entry.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -99,7 +99,7 @@
         let sent = limits.try_send(now, &row.id, row.born, self.node.host(), hosts);
         sent.map_err(Hold::Limited)?;
         let Some(cold) = self.cold_limits(now, &catalogue, row) else { return Ok(()) };
-        let entries = self.allowance.borrow().entries();
+        let entries = self.entries();
         self.cold.borrow_mut().try_send(now, &row.id, cold, entries).map_err(Hold::Cold)
     }
 
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -1,7 +1,9 @@
 //! An admitted request.
 
 use std::{
+    cell::Cell,
     hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -29,6 +31,8 @@
     pub(crate) metadata: RequestMetadata,
     /// Tokens taken off its organisation's limit.
     pub(crate) cost: u64,
+    /// The limiter that took them off; `None` if this entry did itself.
+    pub(crate) limiter: Cell<Option<SocketAddr>>,
     pub(crate) method: Method,
     /// Path and query.
     pub(crate) path: String,
@@ -71,12 +75,4 @@
     pub(crate) fn attempt(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or_default()
     }
-
-    /// Returns its tokens to the organisation's limit, as it did not run.
-    pub(crate) fn refund(&self) {
-        if let Some(organisation) = &self.organisation {
-            let now = clock::now();
-            self.gateway.allowance.borrow_mut().refund(now, organisation, self.cost);
-        }
-    }
 }
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -6,7 +6,7 @@
 use crate::{
     gateway::admit::Withdrawal,
     metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text},
-    registered::store::Store,
+    registered::{control::ControlMetrics, store::Store},
 };
 
 /// Metrics of an entry.
@@ -24,15 +24,18 @@
     zone_left: IntCounter,
     wait_left: IntCounterVec,
     limited: IntGauge,
+    limiters_asked: IntCounterVec,
 }
 
 impl Metrics {
-    /// Creates the metrics at zero and adds those of the `store`'s client.
-    pub(crate) fn new(store: &Store) -> Metrics {
+    /// Creates the metrics at zero and adds those of the `store`'s client and of the messages
+    /// to other daemons.
+    pub(crate) fn new(store: &Store, control: &ControlMetrics) -> Metrics {
         let registry = Registry::new();
         let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
         registry.register(era).expect("no other metric has its name");
+        control.register(&registry);
         let (answers, refusals) = (
             counters(
                 &registry,
@@ -104,6 +107,12 @@
                 "kingcupbay_limited_upstreams",
                 "Upstreams that limit their requests",
             ),
+            limiters_asked: counters(
+                &registry,
+                "kingcupbay_limiters_asked_total",
+                "Requests for tokens of a limit to other entries, by outcome",
+                &["outcome"],
+            ),
             registry,
         }
     }
@@ -148,6 +157,11 @@
         self.limited.set(upstreams as i64);
     }
 
+    /// Counts a request for tokens to a limiter.
+    pub(crate) fn on_limiter_asked(&self, outcome: &str) {
+        self.limiters_asked.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a stream that ended early.
     pub(crate) fn on_broken(&self, route: &str) {
         self.broken.with_label_values(&[route]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -19,7 +19,7 @@
 pub(crate) mod stream;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -32,6 +32,7 @@
     cold::ColdShares,
     deployment::{
         catchup::CatchUp,
+        limiters::Limiters,
         lookup::Caller,
         model::{Deployment, Organisation, Route},
     },
@@ -44,10 +45,14 @@
     wire::{error::Code, metadata::RequestMetadata, sidecar::EngineLoadReport},
 };
 use kingcupbay_platform::request;
-use slog::{info, warn};
+use slog::warn;
 use tokio::sync::Notify;
 
-use crate::{clock, http, registered::Node, server::drain::Phase};
+use crate::{
+    clock, http,
+    registered::{Node, limiters},
+    server::drain::Phase,
+};
 
 use job::Job;
 use metrics::Metrics;
@@ -73,7 +78,10 @@
 /// State of an entry.
 pub(crate) struct Gateway {
     pub(crate) node: Rc<Node>,
+    /// Limits of organisations, if this entry keeps them.
     pub(crate) allowance: RefCell<Allowance>,
+    /// The entries that keep limits.
+    pub(crate) limiters: RefCell<Limiters>,
     pub(crate) placement: RefCell<Placement>,
     pub(crate) health: RefCell<Health>,
     pub(crate) backlog: RefCell<Backlog>,
@@ -100,6 +108,7 @@
         let allowance = Allowance::new(node.host(), node.incarnation, clock::now());
         Gateway {
             allowance: RefCell::new(allowance),
+            limiters: RefCell::new(Limiters::new(node.host())),
             placement: RefCell::default(),
             health: RefCell::default(),
             backlog: RefCell::default(),
@@ -111,7 +120,7 @@
             limits: RefCell::default(),
             releases: permits::Releases::default(),
             withdrawn: Notify::new(),
-            metrics: Metrics::new(&node.store),
+            metrics: Metrics::new(&node.store, &node.control),
             node,
         }
     }
@@ -123,10 +132,15 @@
         known && self.node.drain.phase() == Phase::Serving
     }
 
+    /// Returns the number of entries, including this one.
+    pub(crate) fn entries(&self) -> usize {
+        self.node.entries.get().max(1)
+    }
+
     /// Returns whether a request of `service` may be sent to one more upstream, and
     /// counts it if so.
     pub(crate) fn may_repeat(&self, service: &str) -> bool {
-        let entries = self.allowance.borrow().entries();
+        let entries = self.entries();
         let mut repeats = self.repeats.borrow_mut();
         let repeats = repeats.entry(service.to_owned()).or_default();
         repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
@@ -189,6 +203,7 @@
         deployment,
         metadata,
         cost,
+        limiter: Cell::default(),
         body,
         method: request.method().clone(),
         path: path(&request),
@@ -198,7 +213,7 @@
         route,
         organisation,
     });
-    if let Err(refusal) = take_tokens(&job) {
+    if let Err(refusal) = limiters::acquire(&job).await {
         return refuse(&gateway, &job.metadata, refusal);
     }
     serve(job).await
@@ -218,7 +233,7 @@
         Ok(response) => response,
         Err(refusal) => {
             if refusal.not_run {
-                job.refund();
+                limiters::refund(&job);
             }
             let now = clock::now();
             warn!(job.gateway.node.log, ""; "event" => "failed", "request" => &job.metadata.attempt,
@@ -272,19 +287,6 @@
     }
 }
 
-/// Takes the request's tokens off its organisation's limit.
-fn take_tokens(job: &Job) -> Result<(), Refusal> {
-    let Some(organisation) = &job.organisation else { return Ok(()) };
-    let now = clock::now();
-    let acquired = job.gateway.allowance.borrow_mut().try_acquire(now, organisation, job.cost);
-    acquired.map_err(|over| {
-        info!(job.gateway.node.log, ""; "event" => "over_rate", "request" => &job.metadata.attempt,
-            "organisation" => &organisation.name, "cost" => job.cost, "rate" => organisation.rate,
-            "after_ms" => over.retry_after.as_millis());
-        Refusal::retry(Code::OverRate, "over the rate", over.retry_after)
-    })
-}
-
 /// Returns the path and query as sent by the caller.
 fn path(request: &Request) -> String {
     let uri = request.uri();
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -124,9 +124,9 @@
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
     gateway.placement.borrow_mut().on_send(now, engine);
-    let pool = &gateway.node.pool;
+    let node = &gateway.node;
     let called =
-        pool.call(sidecar, Method::POST, PERMIT_PATH, &body, max_wait + MESSAGE_TIMEOUT).await;
+        node.call(sidecar, Method::POST, PERMIT_PATH, &body, max_wait + MESSAGE_TIMEOUT).await;
     let answer = match called {
         Ok(answer) if answer.status == 200 => {
             rmp_serde::from_slice(&answer.body).map_err(|error| error.to_string())
@@ -156,7 +156,7 @@
     let body = rmp_serde::to_vec_named(&name).expect("a name has only plain fields");
     let sidecar = sidecar_address(&gateway, engine);
     let called =
-        gateway.node.pool.call(sidecar, Method::POST, REPLICA_PATH, &body, MESSAGE_TIMEOUT).await;
+        gateway.node.call(sidecar, Method::POST, REPLICA_PATH, &body, MESSAGE_TIMEOUT).await;
     let error = match called {
         Ok(answer) if answer.status == 204 => None,
         Ok(answer) => Some(format!("status {}", answer.status)),
@@ -180,8 +180,8 @@
 async fn send_releases_to(gateway: Rc<Gateway>, sidecar: SocketAddr, releases: Vec<PermitRelease>) {
     let body = rmp_serde::to_vec(&releases).expect("a release has only plain fields");
     for _ in 0..RELEASE_ATTEMPTS {
-        let pool = &gateway.node.pool;
-        let called = pool.call(sidecar, Method::POST, RELEASE_PATH, &body, MESSAGE_TIMEOUT).await;
+        let node = &gateway.node;
+        let called = node.call(sidecar, Method::POST, RELEASE_PATH, &body, MESSAGE_TIMEOUT).await;
         match called {
             Ok(answer) if answer.status == 204 => return,
             Ok(answer) => {
--- a/kingcupbayd/src/registered/evacuations.rs
+++ b/kingcupbayd/src/registered/evacuations.rs
@@ -78,16 +78,18 @@
     node.changed.notify_waiters();
 }
 
-/// Reports the evacuated zones to `entries`, all of them if the report is `whole`.
-pub(crate) fn send_reports(node: &Rc<Node>, entries: &[SocketAddr], whole: bool) {
+/// Reports the evacuated zones to `entries`, all of them if the report is `whole`. A reader
+/// reports changes to the sidecars too.
+pub(crate) fn send_reports(node: &Rc<Node>, entries: Vec<SocketAddr>, whole: bool) {
     let report = node.catalogue.borrow_mut().evacuations_mut().report(whole);
     if report.zones.is_empty() {
         return;
     }
     let body = rmp_serde::to_vec_named(&report).expect("a report has only plain fields");
     let body = Bytes::from(body);
-    let sidecars = if whole { Vec::new() } else { sidecars_in(node, &report) };
-    for peer in entries.iter().copied().chain(sidecars) {
+    let reports_change = !whole && node.reader.get();
+    let sidecars = if reports_change { sidecars_in(node, &report) } else { Vec::new() };
+    for peer in entries.into_iter().chain(sidecars) {
         drop(actix_rt::spawn(send_report(node.clone(), peer, body.clone())));
     }
 }
@@ -105,7 +107,7 @@
 
 /// Sends a report to one daemon.
 async fn send_report(node: Rc<Node>, peer: SocketAddr, body: Bytes) {
-    let called = node.pool.call(peer, Method::POST, EVACUATIONS_PATH, &body, ANSWER_TIMEOUT).await;
+    let called = node.call(peer, Method::POST, EVACUATIONS_PATH, &body, ANSWER_TIMEOUT).await;
     let error = match called {
         Ok(answer) if answer.status == 204 => return,
         Ok(answer) => format!("status {}", answer.status),
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -4,7 +4,7 @@
 
 use kingcupbay_core::{
     config::model::Role,
-    deployment::{catalogue::Member, waits},
+    deployment::{catalogue::Member, limiters::LIMITERS_MAX, waits},
     time::{Instant, Span},
     wire::{
         evacuation::ZoneState,
@@ -34,21 +34,27 @@
 
 /// Returns how long a feed waits for a first change. `listens` says whether other
 /// entries report changes of the table too.
-fn feed_wait(table: Table, role: Role, listens: bool) -> Span {
-    match (table, role) {
+fn feed_wait(node: &Node, table: Table, listens: bool) -> Span {
+    let followed = node.entries.get() > LIMITERS_MAX;
+    match (table, node.settings.daemon.role) {
         (_, Role::Upstream) => waits::SIDECAR_FEED_WAIT,
         (Table::Operator, Role::Entry) if listens => waits::LISTENER_FEED_WAIT,
+        (Table::Operator, Role::Entry) if followed && node.reader.get() => {
+            waits::FOLLOWED_FEED_WAIT
+        }
         (Table::Operator, Role::Entry) => waits::OPERATOR_FEED_WAIT,
-        (Table::Upstreams, Role::Entry) => waits::UPSTREAMS_FEED_WAIT,
+        (Table::Upstreams, Role::Entry) if node.reader.get() => waits::UPSTREAMS_FEED_WAIT,
+        (Table::Upstreams, Role::Entry) => waits::OWN_UPSTREAMS_FEED_WAIT,
         (Table::Entries, Role::Entry) => waits::ENTRIES_FEED_WAIT,
     }
 }
 
 /// Returns the pause after a call that returned changes.
-fn feed_pause(table: Table, role: Role) -> Span {
-    match (table, role) {
+fn feed_pause(node: &Node, table: Table) -> Span {
+    match (table, node.settings.daemon.role) {
         (_, Role::Upstream) => waits::SIDECAR_FEED_PAUSE,
         (Table::Operator, Role::Entry) => waits::OPERATOR_FEED_PAUSE,
+        (Table::Entries, Role::Entry) if !node.reader.get() => waits::OWN_ENTRIES_FEED_PAUSE,
         (Table::Upstreams | Table::Entries, Role::Entry) => waits::OTHER_FEED_PAUSE,
     }
 }
@@ -100,7 +106,7 @@
 /// Returns how long to wait before a table is read again once the store has come back from
 /// an older copy. All daemons learn of that at the same time, and the readers go first.
 fn reread_delay(node: &Node) -> Span {
-    match node.settings.daemon.role == Role::Entry && node.is_reader() {
+    match node.settings.daemon.role == Role::Entry && node.reader.get() {
         true => Span::ZERO,
         false => Span::from_micros(node.incarnation % waits::REREAD_DELAY_MAX.as_micros()),
     }
@@ -140,7 +146,6 @@
 
 /// Applies changes until a call fails, and returns the error.
 async fn follow_feed(node: &Rc<Node>, table: Table) -> StoreError {
-    let role = node.settings.daemon.role;
     let mut before = false;
     loop {
         let listens = node.listen_time(table).is_some();
@@ -149,12 +154,12 @@
             info!(node.log, ""; "event" => if listens { "listens" } else { "reads" },
                 "table" => table_name(table), "version" => known);
         }
-        if table != Table::Operator && listens {
+        if listens && (table != Table::Operator || node.follower.get()) {
             node.read_due(table).await;
             continue;
         }
         let store_failure = node.store_failure.notified();
-        let wait = feed_wait(table, role, listens);
+        let wait = feed_wait(node, table, listens);
         let after = node.read_positions.borrow().known(table);
         let began = clock::now();
         let feed = node.store.feed(table_name(table), after, wait);
@@ -184,7 +189,7 @@
                 }
                 apply_page(node, table, page);
                 if changed {
-                    tokio::time::sleep(feed_pause(table, role).into()).await;
+                    tokio::time::sleep(feed_pause(node, table).into()).await;
                 }
             }
             Err(error) => return error,
--- a/kingcupbayd/src/registered/limits.rs
+++ b/kingcupbayd/src/registered/limits.rs
@@ -18,8 +18,9 @@
 /// Timeout of an answer to a report. If it is late, a later report replaces this one.
 const ANSWER_TIMEOUT: Span = Span::from_millis(300);
 
-/// Reports the limits that are due to `entries`. Those of engines are kept by their sidecars.
-pub(crate) fn send_reports(gateway: &Rc<Gateway>, entries: &[SocketAddr]) {
+/// Reports the limits that are due to the other entries. Those of engines are kept by their
+/// sidecars.
+pub(crate) fn send_reports(gateway: &Rc<Gateway>) {
     let upstreams = {
         let catalogue = gateway.node.catalogue.borrow();
         let is_plain = |id: &str| {
@@ -34,15 +35,22 @@
     }
     let body = rmp_serde::to_vec_named(&LimitReports { upstreams });
     let body = Bytes::from(body.expect("a report has only plain fields"));
-    for &peer in entries {
+    for peer in other_entries(gateway) {
         drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
     }
 }
 
+/// Returns the addresses of the other entries.
+fn other_entries(gateway: &Gateway) -> Vec<SocketAddr> {
+    let catalogue = gateway.node.catalogue.borrow();
+    let others = catalogue.entries().filter(|member| member.host != gateway.node.host());
+    others.map(|member| member.address).collect()
+}
+
 /// Sends a report to one entry.
 async fn send_report(gateway: Rc<Gateway>, peer: SocketAddr, body: Bytes) {
-    let pool = &gateway.node.pool;
-    let called = pool.call(peer, Method::POST, LIMITS_PATH, &body, ANSWER_TIMEOUT).await;
+    let node = &gateway.node;
+    let called = node.call(peer, Method::POST, LIMITS_PATH, &body, ANSWER_TIMEOUT).await;
     let error = match called {
         Ok(answer) if answer.status == 204 => return,
         Ok(answer) => format!("status {}", answer.status),
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -6,12 +6,15 @@
 //! [`Catalogue`] up to date from the store's feeds, or from other daemons while the
 //! store is not available ([`rows`]). [`read_positions`] decides when an entry relies on
 //! what other entries have read. [`members`] maintains the list of entries in the store,
-//! [`usage`] sends them usage reports, [`evacuations`] reports evacuated zones, and
-//! [`message`] reads messages of other daemons.
+//! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
+//! [`evacuations`] reports evacuated zones, [`message`] reads messages of other daemons, and
+//! [`control`] calls them and counts that.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
 
+pub(crate) mod control;
 pub(crate) mod evacuations;
 pub(crate) mod follow;
+pub(crate) mod limiters;
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod message;
@@ -41,6 +44,7 @@
     server::drain::Drain,
 };
 
+use control::ControlMetrics;
 use rows::Rows;
 use store::Store;
 
@@ -58,6 +62,14 @@
     pub(crate) fencing: Cell<Option<u64>>,
     /// Whether the store has accepted this entry's registration.
     pub(crate) registered: Cell<bool>,
+    /// Number of listed entries.
+    pub(crate) entries: Cell<usize>,
+    /// Whether this daemon reads the store itself at all times.
+    pub(crate) reader: Cell<bool>,
+    /// Whether this entry learns of changes from limiters.
+    pub(crate) follower: Cell<bool>,
+    /// Messages to other daemons.
+    pub(crate) control: ControlMetrics,
     pub(crate) catalogue: RefCell<Catalogue>,
     /// Versions up to which the tables are known.
     pub(crate) read_positions: RefCell<ReadPositions>,
@@ -91,6 +103,10 @@
             store: Store::new(pool.clone(), registry.store, log.clone()),
             fencing: Cell::default(),
             registered: Cell::default(),
+            entries: Cell::default(),
+            reader: Cell::new(true),
+            follower: Cell::default(),
+            control: ControlMetrics::new(),
             catalogue: RefCell::default(),
             read_positions: RefCell::default(),
             rows: RefCell::default(),
--- a/kingcupbayd/src/registered/read_positions.rs
+++ b/kingcupbayd/src/registered/read_positions.rs
@@ -4,8 +4,10 @@
 use std::collections::BTreeMap;
 
 use kingcupbay_core::{
-    config::model::Role,
-    deployment::readers,
+    deployment::{
+        readers,
+        waits::{FOLLOWER_OPERATOR_AGE_MAX, OPERATOR_AGE_MAX},
+    },
     time::{Instant, Span},
     wire::{
         read_position::{ChangeKind, ReadPosition, Table, TableChange},
@@ -17,24 +19,31 @@
 use crate::{clock, registered::Node};
 
 impl Node {
-    /// Returns whether this daemon reads the store itself at all times.
-    pub(crate) fn is_reader(&self) -> bool {
+    /// Finds out whether this entry reads the store itself at all times, once the list of
+    /// entries has changed.
+    pub(crate) fn update_reader(&self) {
         let catalogue = self.catalogue.borrow();
-        self.settings.daemon.role == Role::Upstream
-            || readers::is_reader(catalogue.of_role(Role::Entry), self.host())
+        self.reader.set(readers::is_reader(catalogue.entries(), self.host()));
     }
 
     /// Returns for how long other entries' read positions of `table` replace calls of
     /// the store. `None` if this daemon has to read the table itself.
     pub(crate) fn listen_time(&self, table: Table) -> Option<Span> {
         let listen_time = self.read_positions.borrow().remaining(clock::now(), table)?;
-        (!self.is_reader()).then_some(listen_time)
+        let listen_time = match table {
+            Table::Operator if self.follower.get() => {
+                let listen_time = listen_time + FOLLOWER_OPERATOR_AGE_MAX;
+                listen_time.saturating_sub(OPERATOR_AGE_MAX)
+            }
+            _ => listen_time,
+        };
+        (!self.reader.get() && listen_time > Span::ZERO).then_some(listen_time)
     }
 
     /// Returns this daemon's own read positions for the next usage report. Listeners
     /// report none: they all read every table when they start, and at the same time.
     pub(crate) fn own_read_positions(&self, now: Instant) -> BTreeMap<Table, ReadPosition> {
-        match self.is_reader() {
+        match self.reader.get() {
             true => self.read_positions.borrow_mut().report(now),
             false => BTreeMap::new(),
         }
--- a/kingcupbayd/src/registered/rows.rs
+++ b/kingcupbayd/src/registered/rows.rs
@@ -62,7 +62,7 @@
 /// Fetches the rows of the daemon at `address` and applies the newer ones. Returns
 /// whether the rows were received.
 pub(crate) async fn fetch(node: &Rc<Node>, address: SocketAddr) -> bool {
-    let called = node.pool.call(address, Method::GET, ROWS_PATH, &[], waits::FETCH_TIMEOUT).await;
+    let called = node.call(address, Method::GET, ROWS_PATH, &[], waits::FETCH_TIMEOUT).await;
     let answer = match called {
         Ok(answer) if answer.status == 200 => answer,
         Ok(answer) => {
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -12,7 +12,7 @@
         limit::LIMITS_PATH,
         read_position::Table,
         sidecar::{EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH},
-        usage::{ROWS_PATH, USAGE_PATH},
+        usage::{ACQUIRE_PATH, REFUND_PATH, ROWS_PATH, USAGE_PATH},
     },
 };
 use slog::{Logger, info};
@@ -22,7 +22,7 @@
     config::{Registry, Settings},
     gateway::{self, Gateway, permits},
     http,
-    registered::{Node, evacuations, follow::follow, limits, members, message, usage},
+    registered::{Node, evacuations, follow::follow, limiters, limits, members, message, usage},
     server::{
         self,
         drain::{Drain, Phase},
@@ -150,20 +150,30 @@
 
 /// Updates the list of entries that share the limits whenever the catalogue changes.
 async fn update_entries(gateway: Rc<Gateway>) {
+    let mut applied = None;
     loop {
         let changed = gateway.node.changed.notified();
-        apply_entries(&gateway);
-        members::ensure_listed(&gateway.node);
+        let changes = gateway.node.catalogue.borrow().member_changes();
+        if applied.replace(changes) != Some(changes) {
+            apply_entries(&gateway);
+        }
+        drop_unregistered(&gateway);
         changed.await;
     }
 }
 
-/// Applies the catalogue to the allowance, and drops the state of unregistered
-/// upstreams.
+/// Applies the list of entries.
 fn apply_entries(gateway: &Gateway) {
+    let node = &gateway.node;
+    node.entries.set(node.catalogue.borrow().entries().count());
+    node.update_reader();
+    limiters::on_entries(gateway);
+    members::ensure_listed(node);
+}
+
+/// Drops the state of unregistered upstreams.
+fn drop_unregistered(gateway: &Gateway) {
     let catalogue = gateway.node.catalogue.borrow();
-    let entries = catalogue.of_role(Role::Entry).map(|member| member.host.as_str());
-    gateway.allowance.borrow_mut().on_entries(entries);
     gateway.metrics.set_evacuated(catalogue.evacuations().evacuated().count());
     let known = |id: &str| catalogue.instance(id).is_some() || permits::is_sidecar(id);
     gateway.health.borrow_mut().retain(known);
@@ -189,6 +199,8 @@
         LOAD_REPORT_PATH => handle_load_report(gateway, request).await,
         EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
         LIMITS_PATH => limits::handle(gateway, request).await,
+        ACQUIRE_PATH => limiters::handle_acquire(gateway, request).await,
+        REFUND_PATH => limiters::handle_refund(gateway, request).await,
         ROWS_PATH => {
             let rows = gateway.node.rows.borrow().stored_rows();
             let body = rmp_serde::to_vec_named(&rows).expect("stored rows have only plain fields");
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -5,7 +5,7 @@
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use bytes::Bytes;
 use kingcupbay_core::{
-    config::model::Role,
+    deployment::waits::RELAY_PERIOD,
     time::{Instant, Span},
     wire::usage::{USAGE_PATH, UsageReport},
 };
@@ -30,29 +30,27 @@
 /// Sends usage reports forever.
 pub(crate) async fn send_reports(gateway: Rc<Gateway>) {
     let mut last_removal = clock::now();
+    let mut last_relay = last_removal;
     loop {
         let period = gateway.allowance.borrow().report_period();
         tokio::time::sleep(period.into()).await;
         let now = clock::now();
         gateway.node.tick(now);
         gateway.metrics.set_limited(gateway.limits.borrow().limited(now));
-        let number = gateway.node.number();
-        let peers = peers(&gateway);
-        if peers.is_empty() {
-            continue;
+        limits::send_reports(&gateway);
+        let peers = gateway.limiters.borrow().peers().to_vec();
+        let mut whole = false;
+        if !peers.is_empty() {
+            whole = report_usage(&gateway, now, &peers);
         }
-        let mut report = gateway.allowance.borrow_mut().usage_report(now, number);
-        report.left = gateway.node.catalogue.borrow_mut().departures_to_report(now, report.whole);
-        report.positions = gateway.node.own_read_positions(now);
-        if gateway.node.is_reader() {
-            evacuations::send_reports(&gateway.node, &peers, report.whole);
-        }
-        limits::send_reports(&gateway, &peers);
-        let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
-        let body = Bytes::from(body);
-        for peer in peers {
-            drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
+        let followers: Vec<SocketAddr> = gateway.limiters.borrow().followers().collect();
+        if !followers.is_empty() && now.since(last_relay) >= RELAY_PERIOD {
+            last_relay = now;
+            relay(&gateway, now, &followers);
         }
+        let reader = gateway.node.reader.get();
+        let others = peers.into_iter().filter(|_| reader).chain(followers);
+        evacuations::send_reports(&gateway.node, others.collect(), whole);
         if now.since(last_removal) >= REMOVAL_PAUSE {
             last_removal = now;
             remove_silent(&gateway);
@@ -60,6 +58,39 @@
     }
 }
 
+/// Sends a usage report to `peers`. Returns whether it is a whole one.
+fn report_usage(gateway: &Rc<Gateway>, now: Instant, peers: &[SocketAddr]) -> bool {
+    let node = &gateway.node;
+    let mut report = gateway.allowance.borrow_mut().usage_report(now, node.number());
+    report.left = node.catalogue.borrow_mut().departures_to_report(now, report.whole);
+    report.positions = node.own_read_positions(now);
+    let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
+    let body = Bytes::from(body);
+    for &peer in peers {
+        drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
+    }
+    report.whole
+}
+
+/// Passes on to `followers` what is known of the tables, departures and the configuration.
+fn relay(gateway: &Rc<Gateway>, now: Instant, followers: &[SocketAddr]) {
+    let node = &gateway.node;
+    let report = UsageReport {
+        host: node.host().to_owned(),
+        incarnation: node.incarnation,
+        number: node.number(),
+        whole: true,
+        left: node.catalogue.borrow().departures_to_relay(now),
+        positions: node.read_positions.borrow_mut().relay(now),
+        ..UsageReport::default()
+    };
+    let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
+    let body = Bytes::from(body);
+    for &follower in followers {
+        drop(actix_rt::spawn(send_report(gateway.clone(), follower, body.clone())));
+    }
+}
+
 /// Applies another entry's usage report.
 pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
     let mut report = match message::read::<UsageReport>(&gateway.node.log, &mut request).await {
@@ -80,7 +111,8 @@
     }
     gateway.node.on_read_positions(now, &mut report);
     apply_departures(&gateway.node, now, &report);
-    let known = gateway.allowance.borrow_mut().on_usage_report(now, report);
+    let limiter = gateway.limiters.borrow().is_limiter();
+    let known = !limiter || gateway.allowance.borrow_mut().on_usage_report(now, report);
     let status = if known { StatusCode::NO_CONTENT } else { StatusCode::ACCEPTED };
     Response::with_body(status, BoxBody::new(()))
 }
@@ -108,17 +140,9 @@
         "newest" => catch_up.newest().0, "ms" => now.since(began).as_millis());
 }
 
-/// Returns the addresses of the other entries.
-fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
-    let catalogue = gateway.node.catalogue.borrow();
-    let others = catalogue.of_role(Role::Entry).filter(|member| member.host != gateway.node.host());
-    others.map(|member| member.address).collect()
-}
-
 /// Sends a usage report to one entry.
 async fn send_report(gateway: Rc<Gateway>, peer: SocketAddr, body: Bytes) {
-    let called =
-        gateway.node.pool.call(peer, Method::POST, USAGE_PATH, &body, ANSWER_TIMEOUT).await;
+    let called = gateway.node.call(peer, Method::POST, USAGE_PATH, &body, ANSWER_TIMEOUT).await;
     let failed = match &called {
         Ok(answer) => !matches!(answer.status, 202 | 204),
         Err(_) => true,
@@ -126,6 +150,9 @@
     if called.as_ref().is_ok_and(|answer| answer.status == 202) {
         gateway.allowance.borrow_mut().on_full_report_request();
     }
+    if !failed {
+        gateway.limiters.borrow_mut().on_answer(clock::now(), peer);
+    }
     let changed = match failed {
         true => gateway.unreachable.borrow_mut().insert(peer),
         false => gateway.unreachable.borrow_mut().remove(&peer),
@@ -144,8 +171,10 @@
         return;
     }
     let now = clock::now();
-    let allowance = gateway.allowance.borrow();
-    for host in allowance.silent_since(now, SILENCE_MAX) {
+    let (allowance, limiters) = (gateway.allowance.borrow(), gateway.limiters.borrow());
+    let limit = SILENCE_MAX + limiters.removal_delay();
+    let silent = limiters.is_limiter().then(|| allowance.silent_since(now, limit));
+    for host in silent.into_iter().flatten().chain(limiters.silent_followers(now, limit)) {
         drop(actix_rt::spawn(members::remove(gateway.node.clone(), host.to_owned())));
     }
 }
--- a/kingcupbayd/src/sidecar/load_reports.rs
+++ b/kingcupbayd/src/sidecar/load_reports.rs
@@ -55,9 +55,9 @@
     at: Instant,
     report: EngineLoadReport,
 ) {
-    let pool = &sidecar.node.pool;
+    let node = &sidecar.node;
     let body = rmp_serde::to_vec(&report).expect("a load report has only plain fields");
-    let called = pool.call(entry, Method::POST, LOAD_REPORT_PATH, &body, ANSWER_TIMEOUT).await;
+    let called = node.call(entry, Method::POST, LOAD_REPORT_PATH, &body, ANSWER_TIMEOUT).await;
     let acknowledged = called.as_ref().is_ok_and(|answer| answer.status == 204);
     if let Some(entry) = sidecar.entries.borrow_mut().get_mut(&entry) {
         entry.reporter.on_answer(at, acknowledged);
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     metrics::{LATENCY_BUCKETS, counters, float_gauge, gauges, histograms, text},
-    registered::store::Store,
+    registered::{control::ControlMetrics, store::Store},
 };
 
 /// Metrics of a sidecar.
@@ -23,12 +23,14 @@
 }
 
 impl Metrics {
-    /// Creates the metrics at zero and adds those of the `store`'s client.
-    pub(crate) fn new(store: &Store) -> Metrics {
+    /// Creates the metrics at zero and adds those of the `store`'s client and of the messages
+    /// to other daemons.
+    pub(crate) fn new(store: &Store, control: &ControlMetrics) -> Metrics {
         let registry = Registry::new();
         let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
         registry.register(era).expect("no other metric has its name");
+        control.register(&registry);
         Metrics {
             verdicts: counters(
                 &registry,
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -69,7 +69,7 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
-            metrics: Metrics::new(&node.store),
+            metrics: Metrics::new(&node.store, &node.control),
             node,
         }
     }
--- a/kingcupbayd/tests/registered.rs
+++ b/kingcupbayd/tests/registered.rs
@@ -366,8 +366,7 @@
     let slow = Rule::new(Fault::Slow { millis: 1_200 }).path("/v1/rows-tx");
     store.server().add_rule(slow);
     let mut entry = start_entry("entry-1", &store, 1);
-    wait_until("the registration", async || entry.has_line("event=registered").then_some(()))
-        .await;
+    wait_until("the registration", async || entry.has_line("event=registered").then_some(())).await;
     let writes = "kingcupbay_store_calls_total{call=\"transact\",table=\"entries\"} ";
     let text = get_text(&entry, "/metrics").await;
     let count = text.lines().find_map(|line| line.strip_prefix(writes));
