Spread the requests of an adapter in demand while the fleet is idle

Cause: with 625 engines at 1.3 streams each, callers waited up to two latency targets for a place at one engine and were then refused: the busiest engine got 13 times the mean. An entry asks each engine so rarely that it knows the load of few, so it chose the adapter's home, and after a refusal the next three in the order, which all other entries had chosen too. Ruled out: more engines asked one after the other, as their number grows with the adapter's load; the home as a directory of its copies, a message more for each request and a daemon that others depend on. Change: an engine that refuses as busy makes the entry spread the adapter's requests over twice as many engines of its order, by known load and then at random; half as many after 10 s. While the engines that the entry knows are below a fifth of their places, a request waits 350 ms at most before the next engine is asked, as that loads the adapter in less.

--- a/kingcupbay_core/src/placement.rs
+++ b/kingcupbay_core/src/placement.rs
@@ -7,6 +7,10 @@
 //! The engines that hold an adapter share its requests: the least busy one gets the
 //! next. While all of them are busier than the other engines, the next engine in the
 //! order is asked to load a replica, so the number of replicas follows demand.
+//!
+//! In a large fleet, an entry asks each engine so rarely that it knows the load of few. It
+//! learns that an adapter is in demand as its engines refuse requests, and then spreads the
+//! adapter's requests over twice as many engines, as long as the fleet is mostly idle.
 
 use std::{
     collections::BTreeMap,
@@ -17,6 +21,7 @@
 use crate::{
     admission::load_report::REPORTED_FOR,
     deployment::model::{AdapterName, resident_version},
+    random::mix,
     time::{Instant, Span},
     wire::sidecar::EngineLoadReport,
 };
@@ -45,6 +50,19 @@
 /// report.
 const REPLICA_PAUSE: Span = Span::from_millis(1_000);
 
+/// Mean load of the engines up to which the fleet counts as idle: a request that would wait at
+/// one engine is better off at another, although that has to load its adapter.
+const IDLE_FLEET_LOAD_MAX: f64 = 0.2;
+
+/// Age at which an engine's load report says nothing about the fleet any more.
+const FLEET_REPORT_AGE_MAX: Span = Span::from_secs(10);
+
+/// Time after which an adapter's requests are spread over half as many engines.
+const SPREAD_HALF_LIFE: Span = Span::from_secs(10);
+
+/// Time after which a spread is forgotten: it has been halved six times.
+const SPREAD_FORGOTTEN: Span = Span::from_secs(60);
+
 /// Age at which an engine's load report is ignored.
 const REPORT_AGE_MAX: Span = Span::from_secs(2);
 
@@ -56,6 +74,10 @@
 /// due any more. Its sidecar may have restarted and reports only when it is asked again.
 const SILENCE_PAUSE: Span = Span::from_secs(5);
 
+/// Number of engines that learn of a new version of an adapter from a reader. Others learn of
+/// it with the first request for the adapter.
+const USUAL_HOLDERS: usize = 3;
+
 /// One engine, as of its last load report.
 #[derive(Clone, Debug, Default)]
 struct EngineState {
@@ -70,6 +92,13 @@
 }
 
 impl EngineState {
+    /// Returns the load as of the last report.
+    fn reported_load(&self) -> f64 {
+        let report = &self.report;
+        let used = f64::from(report.running + report.waiting) / f64::from(report.slots.max(1));
+        used + report.delay.as_millis() as f64 / PREFILL_DELAY_SCALE_MS
+    }
+
     /// Returns for how long a report that was due has been missing.
     fn missing_for(&self, now: Instant) -> Span {
         let Some((since, until)) = self.due else { return Span::ZERO };
@@ -83,6 +112,8 @@
     engines: BTreeMap<SocketAddr, EngineState>,
     /// When a replica of each adapter was last requested.
     replicas: BTreeMap<AdapterName, Instant>,
+    /// Over how many engines the requests of each adapter were last spread, and since when.
+    spreads: BTreeMap<AdapterName, (usize, Instant)>,
 }
 
 impl Placement {
@@ -151,6 +182,53 @@
         holder.or(idle).or_else(|| candidates.iter().copied().min_by(less))
     }
 
+    /// Returns the number of engines over which requests of `name` are spread.
+    fn spread(&self, now: Instant, name: &AdapterName) -> usize {
+        let Some(&(engines, since)) = self.spreads.get(name) else { return 1 };
+        let halvings = now.since(since).as_micros() / SPREAD_HALF_LIFE.as_micros();
+        (engines >> halvings.min(32)).max(1)
+    }
+
+    /// Records that an engine has refused a request of `name` as it is busy, or let it wait in
+    /// vain. `engines` is the number of those that could have got it.
+    pub fn on_busy(&mut self, now: Instant, name: &AdapterName, engines: usize) {
+        let forgotten = |since: Instant| now.since(since) >= SPREAD_FORGOTTEN;
+        self.spreads.retain(|_, (_, since)| !forgotten(*since));
+        let spread = (self.spread(now, name) * 2).min(engines.max(1));
+        self.spreads.insert(name.clone(), (spread, now));
+    }
+
+    /// Returns whether the engines that this entry knows of are mostly idle.
+    pub fn is_fleet_idle(&self, now: Instant) -> bool {
+        let is_recent = |state: &&EngineState| {
+            state.reported.is_some_and(|reported| now.since(reported) < FLEET_REPORT_AGE_MAX)
+        };
+        let loads = self.engines.values().filter(is_recent).map(EngineState::reported_load);
+        let (count, sum) = loads.fold((0, 0.0), |(count, sum), load| (count + 1, sum + load));
+        sum <= IDLE_FLEET_LOAD_MAX * f64::from(count)
+    }
+
+    /// Returns the engine for a request of `name`, an adapter whose requests are spread. `draw`
+    /// is a random number, drawn anew for each request.
+    pub fn choose_spread(
+        &self,
+        now: Instant,
+        name: &AdapterName,
+        candidates: &[SocketAddr],
+        draw: u64,
+    ) -> Option<SocketAddr> {
+        let spread = self.spread(now, name);
+        if spread <= 1 || !self.is_fleet_idle(now) {
+            return None;
+        }
+        let order = preference_order(name, candidates);
+        let engines = order.into_iter().take(spread).enumerate();
+        let key = |&(at, engine): &(usize, SocketAddr)| {
+            ((self.load(now, engine) * 1e3) as u64, mix(draw ^ at as u64))
+        };
+        engines.min_by_key(key).map(|(_, engine)| engine)
+    }
+
     /// Returns the engine that should load a replica of `name`, if all its holders are
     /// busy. After that, returns none for the adapter for `REPLICA_PAUSE`.
     pub fn choose_replica(
@@ -187,17 +265,9 @@
     /// [`PREFILL_DELAY_SCALE_MS`].
     fn load(&self, now: Instant, engine: SocketAddr) -> f64 {
         let Some(state) = self.engines.get(&engine) else { return 0.0 };
-        let report = &state.report;
-        let slots = f64::from(report.slots.max(1));
-        let sent = f64::from(state.sent) / slots;
+        let sent = f64::from(state.sent) / f64::from(state.report.slots.max(1));
         let fresh = state.reported.is_some_and(|reported| now.since(reported) < REPORT_AGE_MAX);
-        match fresh {
-            true => {
-                let used = f64::from(report.running + report.waiting) / slots;
-                used + report.delay.as_millis() as f64 / PREFILL_DELAY_SCALE_MS + sent
-            }
-            false => sent,
-        }
+        if fresh { state.reported_load() + sent } else { sent }
     }
 
     fn mean_load(&self, now: Instant, candidates: &[SocketAddr]) -> f64 {
@@ -206,6 +276,14 @@
     }
 }
 
+/// Returns the engines among `candidates` that usually hold `name`: its home and those that
+/// replicas are requested of first.
+pub fn usual_holders(name: &AdapterName, candidates: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut order = preference_order(name, candidates);
+    order.truncate(USUAL_HOLDERS);
+    order
+}
+
 /// Sorts `candidates` by preference for `name`, its home first.
 fn preference_order(name: &AdapterName, candidates: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut order: Vec<(u64, SocketAddr)> =
--- a/kingcupbay_core/tests/placement.rs
+++ b/kingcupbay_core/tests/placement.rs
@@ -8,6 +8,7 @@
     deployment::model::{AdapterName, ResidentModel},
     health::{Exchange, Health},
     placement::Placement,
+    random::Random,
     repeat::{RepeatBudget, RepeatLimits},
     time::{Instant, Span},
     wire::sidecar::EngineLoadReport,
@@ -177,6 +178,59 @@
     assert!(!placement.is_silent(at(11_000), engine));
 }
 
+/// Hundreds of entries each send a popular adapter a request now and then, and know nothing of
+/// its engines' loads. If all of them kept to its home and the next ones in the order, requests
+/// would wait there while hundreds of engines are idle.
+#[test]
+fn requests_of_an_adapter_in_demand_are_spread() {
+    let (engines, adapter) = (engines(200), name(1));
+    let mut entries: Vec<Placement> = (0..100).map(|_| Placement::default()).collect();
+    let mut random = Random::new(3);
+    let mut running: Vec<(u64, SocketAddr)> = Vec::new();
+    let (mut asked, mut refused, mut requests) = (0, 0, 0);
+    // 60 requests a second of 2 s each need eight engines of 16 slots.
+    for now in (0..40_000).step_by(17) {
+        running.retain(|(end, _)| *end > now);
+        let placement = &mut entries[random.below(100) as usize];
+        // Most of its requests are for other adapters, each at an engine of its own.
+        for _ in 0..4 {
+            let other = engines[random.below(200) as usize];
+            let busy = running.iter().filter(|(_, engine)| *engine == other).count() as u32;
+            let report = EngineLoadReport { slots: 16, ..load_report(busy + 1, &[2]) };
+            placement.on_load_report(at(now), other, report);
+        }
+        let mut tried = Vec::new();
+        let placed = (0..4).any(|_| {
+            let untried: Vec<SocketAddr> =
+                engines.iter().copied().filter(|engine| !tried.contains(engine)).collect();
+            let engine = placement
+                .choose_spread(at(now), &adapter, &untried, random.draw())
+                .or_else(|| placement.choose(at(now), &adapter, &untried))
+                .unwrap();
+            tried.push(engine);
+            placement.on_send(at(now), engine);
+            let running_there = running.iter().filter(|(_, other)| *other == engine).count();
+            let busy = running_there >= 16;
+            let report = EngineLoadReport { slots: 16, ..load_report(running_there as u32, &[1]) };
+            placement.on_load_report(at(now), engine, report);
+            if busy {
+                placement.on_refusal(engine);
+                placement.on_busy(at(now), &adapter, untried.len());
+            } else {
+                running.push((now + 2_000, engine));
+            }
+            !busy
+        });
+        if now >= 10_000 {
+            requests += 1;
+            asked += tried.len();
+            refused += usize::from(!placed);
+        }
+    }
+    assert!(refused * 100 <= requests, "{refused} of {requests} refused");
+    assert!(asked * 10 <= requests * 15, "{asked} engines asked for {requests} requests");
+}
+
 /// An idle engine that holds the adapter is preferred to its home, which does not.
 #[test]
 fn a_holder_is_preferred_to_the_home() {
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -41,6 +41,10 @@
 /// nothing.
 const FAILED_WAIT_MAX: Span = Span::from_millis(500);
 
+/// Maximum wait for a permit while the fleet is mostly idle and further engines can be asked.
+/// Another engine loads the adapter in this time.
+const IDLE_FLEET_WAIT_MAX: Span = Span::from_millis(350);
+
 /// Shortest maximum wait for which a permit is requested.
 const PERMIT_WAIT_MIN: Span = Span::from_millis(60);
 
@@ -96,19 +100,20 @@
     let name = job.metadata.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
     let began = clock::now();
-    for _ in 0..PERMIT_REQUESTS_MAX {
+    for attempt in 0..PERMIT_REQUESTS_MAX {
         if job.remaining() <= PERMIT_WAIT_MIN || !may_send(job, service, tried) {
             break;
         }
         let Some(instance) = choose(job, service, &name, &tried.engines) else { break };
         tried.engines.push(instance.address);
+        let last = attempt + 1 == PERMIT_REQUESTS_MAX;
         let acquired = tokio::select! {
             biased;
             why = job.gateway.wait_until_withdrawn(&instance) => {
                 on_withdrawn(job, &instance, why);
                 Err(None)
             }
-            acquired = acquire_permit(job, &instance, &name) => acquired,
+            acquired = acquire_permit(job, &instance, &name, last) => acquired,
         };
         let (version, permit) = match acquired {
             Ok(acquired) => acquired,
@@ -200,8 +205,10 @@
     let healthy: Vec<SocketAddr> =
         untried.iter().filter(is_healthy).map(|row| row.address).collect();
     let all = || untried.iter().map(|row| row.address).collect::<Vec<_>>();
-    let engine =
-        placement.choose(now, name, &healthy).or_else(|| placement.choose(now, name, &all()))?;
+    let engine = placement
+        .choose_spread(now, name, &healthy, job.draw())
+        .or_else(|| placement.choose(now, name, &healthy))
+        .or_else(|| placement.choose(now, name, &all()))?;
     drop(placement);
     if let Some(at) = gateway.placement.borrow_mut().choose_replica(now, name, &healthy) {
         drop(actix_rt::spawn(permits::request_replica(gateway.clone(), at, name.clone())));
@@ -212,11 +219,13 @@
 /// Acquires a permit for an engine. Returns it with the version of the adapter that may
 /// run the request. If the sidecar does not answer, the engine is used without a permit,
 /// provided that the adapter is known to be resident. An error is the time until a
-/// permit may be available, if known.
+/// permit may be available, if known. `last` says whether no other engine is asked after this
+/// one.
 async fn acquire_permit(
     job: &Job,
     instance: &Instance,
     name: &AdapterName,
+    last: bool,
 ) -> Result<(Option<u32>, Option<Permit>), Option<Span>> {
     let engine = instance.address;
     let gateway = &job.gateway;
@@ -224,7 +233,10 @@
     let suspect = gateway.health.borrow().is_suspect(now, &permits::sidecar_id(engine));
     let waited = now.since(job.arrived);
     let target = Span::from_micros(job.route.latency_target.as_micros() * PERMIT_WAIT_FACTOR);
-    let max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
+    let mut max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
+    if !last && gateway.placement.borrow().is_fleet_idle(now) {
+        max_wait = max_wait.min(IDLE_FLEET_WAIT_MAX);
+    }
     let verdict = match suspect {
         true => None,
         false => permits::request_permit(job, instance, name, max_wait).await,
@@ -236,7 +248,15 @@
             Ok((version, Some(permit)))
         }
         Some((Verdict::Refused { why, after }, _)) => {
-            gateway.placement.borrow_mut().on_refusal(engine);
+            let mut placement = gateway.placement.borrow_mut();
+            placement.on_refusal(engine);
+            if why == PermitRefusal::Busy {
+                placement.on_busy(
+                    now,
+                    name,
+                    gateway.node.catalogue.borrow().serving(&instance.service).count(),
+                );
+            }
             info!(gateway.node.log, ""; "event" => "no_place", "request" => &job.metadata.attempt,
                 "upstream" => &instance.id, "why" => why.as_str(),
                 "after_ms" => after.as_millis());
