Confirm specifications by permit requests, not by calls of the store

Cause: each sidecar followed the operator's rows, so each change of the configuration was a call of the store by every engine's daemon, 625 in the whole fleet, although hardly any change concerns an engine. Ruled out: a longer pause between calls, which makes the change that matters as late as it makes the others rare; the rows by way of entries, 100 KB each. Change: a permit request names the entry's configuration and a hash of the engine's specification there. While the hash is the sidecar's own, the sidecar does not follow the rows; when it differs under a greater number, it reads them at once; after 15 s without a confirmation, and in an evacuated zone, it follows them as before. Readers send new versions of adapters to the three engines that usually hold them; other engines learn of them by permit requests, as they did already. Followers read a configuration from the store when a report shows that there is one. Measured: `specs.rs`: four configurations cost a sidecar no call. Conclusion: a configuration still costs a call of each entry.

--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -1,6 +1,11 @@
 //! Data model of the operator's configuration and of the upstreams' registrations.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -96,6 +101,15 @@
     pub cold: Option<ColdLimits>,
 }
 
+impl Service {
+    /// Returns a hash of what a sidecar needs to know of its service.
+    pub fn spec_hash(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        format!("{:?}", (&self.engine, &self.cold)).hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 /// Capacity of one model engine.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Engine {
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -82,6 +82,11 @@
 /// entry that the others do not know yet admits only its small share of the limits.
 pub const ENTRIES_AGE_MAX: Span = Span::from_secs(5);
 
+/// Time after an entry's permit request has confirmed the specification of an engine during
+/// which its sidecar does not follow the operator's rows. If it did, each configuration would
+/// cost as many calls of the store as there are engines.
+pub const SPEC_AGE_MAX: Span = Span::from_secs(15);
+
 /// Wait of a sidecar's feed. A sidecar also learns of new versions from the entries.
 pub const SIDECAR_FEED_WAIT: Span = Span::from_secs(20);
 
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -7,6 +7,7 @@
 use super::{limit::LimitReport, metadata::Size};
 use crate::{
     deployment::model::{AdapterName, ResidentModel},
+    id::Number,
     time::Span,
 };
 
@@ -51,6 +52,33 @@
     /// What the engine has announced to the entry of its limit.
     #[serde(default)]
     pub limit: Option<LimitReport>,
+    /// The engine's specification in the entry's configuration.
+    #[serde(default)]
+    pub spec: Option<SpecDigest>,
+}
+
+/// Digest of the specification of an engine. It shows a sidecar whether a configuration that
+/// it has not read concerns its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SpecDigest {
+    /// Number of the configuration.
+    pub number: Number,
+    /// Hash of the specification, the same at all daemons of one build.
+    pub hash: u64,
+}
+
+/// Path at a sidecar that takes an [`AnnouncedVersion`]. The answer is 204.
+pub const VERSION_PATH: &str = "/version";
+
+/// A new version of an adapter or a base model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AnnouncedVersion {
+    /// Name of the adapter or base model.
+    pub name: AdapterName,
+    /// Its newest version.
+    pub version: u32,
 }
 
 /// The answer to a [`PermitRequest`].
--- a/kingcupbay_core/tests/engine/mod.rs
+++ b/kingcupbay_core/tests/engine/mod.rs
@@ -217,6 +217,7 @@
         entry: "127.0.0.1:1".parse().expect("an address"),
         cold: Span::ZERO,
         limit: None,
+        spec: None,
     }
 }
 
--- a/kingcupbay_core/tests/limited_engine.rs
+++ b/kingcupbay_core/tests/limited_engine.rs
@@ -35,6 +35,7 @@
         entry: "127.0.0.1:1".parse().unwrap(),
         cold: Span::ZERO,
         limit: None,
+        spec: None,
     }
 }
 
--- a/kingcupbay_core/tests/waits.rs
+++ b/kingcupbay_core/tests/waits.rs
@@ -2,11 +2,15 @@
 
 use kingcupbay_core::{
     allowance::Allowance,
-    deployment::waits::{
-        ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT, EVACUATION_MAX, FETCH_PAUSE_MIN, FETCH_TIMEOUT,
-        OPERATOR_AGE_MAX, OPERATOR_FEED_PAUSE, OPERATOR_FEED_WAIT, OTHER_FEED_PAUSE,
-        OWN_FEED_DELAY, PROPAGATION_MAX, RECOVERY_MAX, RETRY_PAUSE_MIN, STORE_ANSWER_MAX,
-        STORE_CALL_TIMEOUT, UPSTREAMS_AGE_MAX, UPSTREAMS_FEED_WAIT,
+    deployment::{
+        limiters::LIMITERS_MAX,
+        waits::{
+            ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT, EVACUATION_MAX, FETCH_PAUSE_MIN, FETCH_TIMEOUT,
+            FOLLOWED_FEED_WAIT, FOLLOWER_OPERATOR_AGE_MAX, OPERATOR_AGE_MAX, OPERATOR_FEED_PAUSE,
+            OPERATOR_FEED_WAIT, OTHER_FEED_PAUSE, OWN_FEED_DELAY, PROPAGATION_MAX, RECOVERY_MAX,
+            RELAY_PERIOD, RELAYED_FOR, RETRY_PAUSE_MIN, STORE_ANSWER_MAX, STORE_CALL_TIMEOUT,
+            UPSTREAMS_AGE_MAX, UPSTREAMS_FEED_WAIT,
+        },
     },
     time::{Instant, Span},
 };
@@ -127,3 +131,30 @@
         }
     }
 }
+
+/// A follower learns changes from limiters, which learn them from readers. With any number of
+/// entries, reports must come before what they confirm is too old, and a change must be known in
+/// time although one report of a limiter is lost.
+#[test]
+fn a_follower_knows_in_time() {
+    // The number of limiters is the same in all fleets that have followers.
+    let report = report_period(LIMITERS_MAX);
+    let upstreams = sum(&[OTHER_FEED_PAUSE, UPSTREAMS_FEED_WAIT, report, RELAY_PERIOD]);
+    assert!(upstreams <= UPSTREAMS_AGE_MAX, "{upstreams:?}");
+    let operator = sum(&[OPERATOR_FEED_PAUSE, FOLLOWED_FEED_WAIT, report, RELAY_PERIOD]);
+    assert!(operator <= FOLLOWER_OPERATOR_AGE_MAX, "{operator:?}");
+    let changed = sum(&[
+        OPERATOR_FEED_PAUSE,
+        STORE_ANSWER_MAX,
+        report,
+        RELAY_PERIOD,
+        RELAY_PERIOD,
+        STORE_ANSWER_MAX,
+    ]);
+    assert!(changed <= PROPAGATION_MAX, "{changed:?}");
+    let left = sum(&[OTHER_FEED_PAUSE, STORE_ANSWER_MAX, report, RELAY_PERIOD, RELAY_PERIOD]);
+    assert!(left <= PROPAGATION_MAX, "{left:?}");
+    let silent = sum(&[FOLLOWER_OPERATOR_AGE_MAX, STORE_ANSWER_MAX, STORE_ANSWER_MAX]);
+    assert!(silent <= PROPAGATION_MAX, "{silent:?}");
+    assert!(RELAYED_FOR >= sum(&[RELAY_PERIOD, RELAY_PERIOD, RELAY_PERIOD]));
+}
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -14,7 +14,10 @@
     time::Span,
     wire::{
         metadata::Size,
-        sidecar::{PERMIT_PATH, PermitRelease, PermitRequest, RELEASE_PATH, REPLICA_PATH, Verdict},
+        sidecar::{
+            PERMIT_PATH, PermitRelease, PermitRequest, RELEASE_PATH, REPLICA_PATH, SpecDigest,
+            Verdict,
+        },
     },
 };
 use slog::{info, warn};
@@ -109,11 +112,14 @@
         let catalogue = gateway.node.catalogue.borrow();
         (catalogue.version(name), catalogue.cold_remaining(now, &instance.id))
     };
+    let service = job.deployment.services.get(&instance.service);
+    let number = job.deployment.number;
     let request = PermitRequest {
         attempt: job.attempt().to_owned(),
         newest,
         cold,
         limit: gateway.limits.borrow().report_of(now, &instance.id, instance.born),
+        spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
         priority: job.priority(),
         size: job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 }),
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -10,6 +10,7 @@
         evacuation::ZoneState,
         read_position::{ChangeKind, Table, TableChange},
         rows::{Row, RowChange, RowKey, RowPage, era, number},
+        sidecar::AnnouncedVersion,
     },
 };
 use kingcupbay_platform::{
@@ -20,7 +21,7 @@
 
 use crate::{
     clock,
-    registered::{Node, evacuations, members::ENTRY_TABLE, rows, store::StoreError},
+    registered::{Node, evacuations, members::ENTRY_TABLE, rows, specs, store::StoreError},
 };
 
 /// Returns the name of a table in the store.
@@ -154,6 +155,11 @@
             info!(node.log, ""; "event" => if listens { "listens" } else { "reads" },
                 "table" => table_name(table), "version" => known);
         }
+        if let Some(rest) = node.spec_remaining(clock::now()) {
+            // The state is checked again, whichever ends first.
+            let _ = tokio::time::timeout(rest.into(), node.behind.notified()).await;
+            continue;
+        }
         if listens && (table != Table::Operator || node.follower.get()) {
             node.read_due(table).await;
             continue;
@@ -402,7 +408,10 @@
         match operator::decode_version(&row.value) {
             Ok((name, version)) => {
                 let adapter = name.adapter.clone().unwrap_or_default();
-                let taken = node.catalogue.borrow_mut().on_version(name, version);
+                let taken = node.catalogue.borrow_mut().on_version(name.clone(), version);
+                if taken && why == "feed" {
+                    specs::report_version(node, AnnouncedVersion { name, version });
+                }
                 info!(node.log, ""; "event" => "adapter_version", "adapter" => adapter,
                     "version" => version, "taken" => taken);
                 taken
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -8,7 +8,8 @@
 //! what other entries have read. [`members`] maintains the list of entries in the store,
 //! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
 //! [`evacuations`] reports evacuated zones, [`message`] reads messages of other daemons, and
-//! [`control`] calls them and counts that.
+//! [`control`] calls them and counts that. [`specs`] spares sidecars reads of the operator's
+//! rows.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
 
 pub(crate) mod control;
@@ -20,6 +21,7 @@
 pub(crate) mod message;
 pub(crate) mod read_positions;
 pub(crate) mod rows;
+pub(crate) mod specs;
 pub(crate) mod start;
 pub(crate) mod store;
 pub(crate) mod usage;
@@ -68,6 +70,8 @@
     pub(crate) reader: Cell<bool>,
     /// Whether this entry learns of changes from limiters.
     pub(crate) follower: Cell<bool>,
+    /// When an entry last confirmed the specification of this sidecar's engine.
+    pub(crate) spec_confirmed: Cell<Option<Instant>>,
     /// Messages to other daemons.
     pub(crate) control: ControlMetrics,
     pub(crate) catalogue: RefCell<Catalogue>,
@@ -106,6 +110,7 @@
             entries: Cell::default(),
             reader: Cell::new(true),
             follower: Cell::default(),
+            spec_confirmed: Cell::default(),
             control: ControlMetrics::new(),
             catalogue: RefCell::default(),
             read_positions: RefCell::default(),
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -11,7 +11,10 @@
         evacuation::EVACUATIONS_PATH,
         limit::LIMITS_PATH,
         read_position::Table,
-        sidecar::{EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH},
+        sidecar::{
+            EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH,
+            VERSION_PATH,
+        },
         usage::{ACQUIRE_PATH, REFUND_PATH, ROWS_PATH, USAGE_PATH},
     },
 };
@@ -22,7 +25,9 @@
     config::{Registry, Settings},
     gateway::{self, Gateway, permits},
     http,
-    registered::{Node, evacuations, follow::follow, limiters, limits, members, message, usage},
+    registered::{
+        Node, evacuations, follow::follow, limiters, limits, members, message, specs, usage,
+    },
     server::{
         self,
         drain::{Drain, Phase},
@@ -228,6 +233,7 @@
         RELEASE_PATH => sidecar::permits::handle_releases(sidecar, request).await,
         REPLICA_PATH => sidecar::permits::handle_replica_request(sidecar, request).await,
         EVACUATIONS_PATH => evacuations::handle(sidecar.node.clone(), request).await,
+        VERSION_PATH => specs::handle_version(sidecar.node.clone(), request).await,
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock, http,
-    registered::message,
+    registered::{message, specs},
     server::drain::Phase,
     sidecar::{Sidecar, engine},
 };
@@ -50,6 +50,9 @@
     };
     let now = clock::now();
     sidecar.entries.borrow_mut().entry(permit.entry).or_default().last_request = now;
+    if let Some(digest) = permit.spec {
+        specs::on_digest(&sidecar.node, now, digest);
+    }
     if sidecar.node.drain.phase() != Phase::Serving {
         let verdict = Verdict::Refused { why: Refusal::Unready, after: STOPPING_RETRY };
         return answer(&verdict);
