Read the operator's rows rarely beside an engine

Ruled out: reading upstreams later when reports cannot carry all changes, as a test demands that these are read at once. Change: a sidecar that knows a configuration reads again 15 s after its last read or confirmation, or at once when a permit request names another specification; only in an evacuated zone does it follow the rows. An entry that is listed and no reader pauses 1.4 s between feeds of upstreams, which `a_change_is_known_in_time` adds up.

--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -60,6 +60,10 @@
 /// Wait of an entry's feed of entries.
 pub const ENTRIES_FEED_WAIT: Span = Span::from_secs(2);
 
+/// Pause between two calls of the feed of upstreams at such an entry. Hundreds of upstreams may
+/// register one after the other.
+pub const OWN_UPSTREAMS_FEED_PAUSE: Span = Span::from_millis(1_400);
+
 /// Pause between two calls of the feed of entries at an entry that is listed and reports none
 /// of it to others. Hundreds of entries may register one after the other.
 pub const OWN_ENTRIES_FEED_PAUSE: Span = Span::from_secs(2);
@@ -82,12 +86,13 @@
 /// entry that the others do not know yet admits only its small share of the limits.
 pub const ENTRIES_AGE_MAX: Span = Span::from_secs(5);
 
-/// Time after an entry's permit request has confirmed the specification of an engine during
-/// which its sidecar does not follow the operator's rows. If it did, each configuration would
-/// cost as many calls of the store as there are engines.
+/// Time after a sidecar has read the operator's rows, or an entry's permit request has
+/// confirmed the specification of its engine, until it reads them again. If it followed them,
+/// each configuration would cost as many calls of the store as there are engines. The store
+/// keeps a longer history.
 pub const SPEC_AGE_MAX: Span = Span::from_secs(15);
 
-/// Wait of a sidecar's feed. A sidecar also learns of new versions from the entries.
+/// Wait of a sidecar's feed while its zone is evacuated, or no configuration is known.
 pub const SIDECAR_FEED_WAIT: Span = Span::from_secs(20);
 
 /// Pause between two calls of a sidecar's feed. There are as many sidecars as engines,
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -38,6 +38,7 @@
 fn feed_wait(node: &Node, table: Table, listens: bool) -> Span {
     let followed = node.entries.get() > LIMITERS_MAX;
     match (table, node.settings.daemon.role) {
+        (_, Role::Upstream) if node.follows_rarely() => Span::ZERO,
         (_, Role::Upstream) => waits::SIDECAR_FEED_WAIT,
         (Table::Operator, Role::Entry) if listens => waits::LISTENER_FEED_WAIT,
         (Table::Operator, Role::Entry) if followed && node.reader.get() => {
@@ -56,6 +57,7 @@
         (_, Role::Upstream) => waits::SIDECAR_FEED_PAUSE,
         (Table::Operator, Role::Entry) => waits::OPERATOR_FEED_PAUSE,
         (Table::Entries, Role::Entry) if !node.reader.get() => waits::OWN_ENTRIES_FEED_PAUSE,
+        (Table::Upstreams, Role::Entry) if !node.reader.get() => waits::OWN_UPSTREAMS_FEED_PAUSE,
         (Table::Upstreams | Table::Entries, Role::Entry) => waits::OTHER_FEED_PAUSE,
     }
 }
@@ -157,7 +159,11 @@
         }
         if let Some(rest) = node.spec_remaining(clock::now()) {
             // The state is checked again, whichever ends first.
-            let _ = tokio::time::timeout(rest.into(), node.behind.notified()).await;
+            tokio::select! {
+                () = tokio::time::sleep(rest.into()) => {}
+                () = node.behind.notified() => {}
+                () = node.evacuated.notified() => {}
+            }
             continue;
         }
         if listens && (table != Table::Operator || node.follower.get()) {
@@ -194,7 +200,8 @@
                         "version" => page.version);
                 }
                 apply_page(node, table, page);
-                if changed {
+                node.spec_confirmed.set(Some(clock::now()));
+                if changed && !node.follows_rarely() {
                     tokio::time::sleep(feed_pause(node, table).into()).await;
                 }
             }
@@ -279,6 +286,7 @@
         Table::Entries => apply_entries(node, &rows, version, after == ListedAfter::Rewind),
     }
     node.read_positions.borrow_mut().on_list(now, table, version);
+    node.spec_confirmed.set(Some(now));
     if after == ListedAfter::Rewind {
         info!(node.log, ""; "event" => "reread", "table" => table_name(table),
             "era" => era(version), "number" => number(version));
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -70,7 +70,8 @@
     pub(crate) reader: Cell<bool>,
     /// Whether this entry learns of changes from limiters.
     pub(crate) follower: Cell<bool>,
-    /// When an entry last confirmed the specification of this sidecar's engine.
+    /// When this sidecar last read the operator's rows, or an entry last confirmed the
+    /// specification of its engine.
     pub(crate) spec_confirmed: Cell<Option<Instant>>,
     /// Messages to other daemons.
     pub(crate) control: ControlMetrics,
--- a/kingcupbayd/src/registered/specs.rs
+++ b/kingcupbayd/src/registered/specs.rs
@@ -1,7 +1,7 @@
 //! What a sidecar needs of the operator's rows, without reading them at each change.
 //!
 //! Every permit request says which specification the entry's configuration has for the
-//! engine. While that is the known one, the sidecar does not follow the operator's rows. The
+//! engine. While that is the known one, the sidecar does not read the operator's rows. The
 //! readers send new versions of adapters to the sidecars that usually hold them.
 
 use std::{net::SocketAddr, rc::Rc};
@@ -38,11 +38,18 @@
 }
 
 impl Node {
-    /// Returns for how long this sidecar need not follow the operator's rows, as entries
-    /// confirm what it knows. `None` if it has to. In an evacuated zone it has to, as entries
-    /// do not say when the zone is restored.
+    /// Returns whether this is a sidecar that need not follow the operator's rows, as entries
+    /// say what has changed. In an evacuated zone it has to: entries do not say when the zone is
+    /// restored.
+    pub(crate) fn follows_rarely(&self) -> bool {
+        let sidecar = self.settings.daemon.role == Role::Upstream;
+        sidecar && self.deployment().is_some() && !self.is_evacuated()
+    }
+
+    /// Returns for how long this sidecar need not read the operator's rows. `None` if it has
+    /// to.
     pub(crate) fn spec_remaining(&self, now: Instant) -> Option<Span> {
-        if self.settings.daemon.role != Role::Upstream || self.is_evacuated() {
+        if !self.follows_rarely() {
             return None;
         }
         let until = self.spec_confirmed.get()? + SPEC_AGE_MAX;
