Send plain requests where work is fast at the moment

Cause: upstreams of some services say in the fourth number of `X-Server-Load` how long work takes on their machine at the moment, and nobody read it; of three with equally many requests the slow one got as many as the others. Ruled out: a mean over the last answers, as the number changes many times a second and a mean of an entry's few answers is older than what it describes. Engines: their load reaches entries by their sidecars, and a stream lasts longer than the number holds; not built. A request goes where the requests there with it, each at that pace, are fewest; the estimate of early refusals uses the pace too.

--- a/kingcupbay_core/src/backlog.rs
+++ b/kingcupbay_core/src/backlog.rs
@@ -43,7 +43,8 @@
 struct Upstream {
     load: Load,
     reported: Instant,
-    /// Average service time of a request without queueing, in milliseconds.
+    /// Average service time of a request without queueing, at the usual pace of its machine,
+    /// in milliseconds.
     service_ms: f64,
 }
 
@@ -57,7 +58,7 @@
     /// Records an answer that arrived `took` after its request was sent, with the load
     /// that the upstream reported.
     pub fn on_answer(&mut self, now: Instant, id: &str, load: Load, took: Span) {
-        let unqueued = took.as_millis_f64() / service_times(load);
+        let unqueued = took.as_millis_f64() / (service_times(load) * load.work_factor());
         let upstream = self.upstreams.entry(id.to_owned()).or_insert(Upstream {
             load,
             reported: now,
@@ -94,7 +95,8 @@
         if upstream.load.waiting == 0 {
             return None;
         }
-        let expected = upstream.service_ms * service_times(upstream.load);
+        let load = upstream.load;
+        let expected = upstream.service_ms * service_times(load) * load.work_factor();
         let target = target.as_millis_f64().max(1.0);
         let fraction = ((expected / target - SHEDDING_START) / (SHEDDING_FULL - SHEDDING_START))
             .clamp(0.0, REFUSED_FRACTION_MAX);
--- a/kingcupbay_core/src/health.rs
+++ b/kingcupbay_core/src/health.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use crate::time::{Instant, Span};
+use crate::{
+    time::{Instant, Span},
+    wire::metadata::{Load, USUAL_WORK_PERCENT},
+};
 
 /// Time after which a failure counts half.
 const FAILURE_HALF_LIFE: Span = Span::from_secs(2);
@@ -38,8 +41,8 @@
     unreachable: Option<Instant>,
     /// Open requests from this daemon.
     open: u32,
-    /// Running and waiting requests that it last reported.
-    load: u32,
+    /// Load that it last reported.
+    load: Load,
     load_at: Instant,
 }
 
@@ -80,10 +83,10 @@
         }
     }
 
-    /// Records the number of running and waiting requests that `id` reported.
-    pub fn on_load(&mut self, now: Instant, id: &str, busy: u32) {
+    /// Records the load that `id` reported.
+    pub fn on_load(&mut self, now: Instant, id: &str, load: Load) {
         let record = self.records.entry(id.to_owned()).or_default();
-        record.load = busy;
+        record.load = load;
         record.load_at = now;
     }
 
@@ -104,12 +107,20 @@
     /// the reported load if that is recent and larger.
     pub fn busy(&self, now: Instant, id: &str) -> u32 {
         self.records.get(id).map_or(0, |record| {
-            let load = if now.since(record.load_at) < REPORT_AGE_MAX { record.load } else { 0 };
-            record.open.max(load)
+            let load = record.recent_load(now).unwrap_or_default();
+            record.open.max(load.running + load.waiting)
         })
     }
 
-    /// Returns the least busy of `ids`, healthy ones first. `draw`, a random number,
+    /// Returns how long another request would take at `id`, for comparison with other
+    /// upstreams: the requests there with it, each taking as long as work does on its machine.
+    fn expected_work(&self, now: Instant, id: &str) -> u64 {
+        let load = self.records.get(id).and_then(|record| record.recent_load(now));
+        let percent = load.and_then(|load| load.work_percent).unwrap_or(USUAL_WORK_PERCENT);
+        (u64::from(self.busy(now, id)) + 1) * u64::from(percent)
+    }
+
+    /// Returns that one of `ids` from which an answer is expected first, healthy ones first. `draw`, a random number,
     /// breaks ties.
     pub fn choose<'a>(
         &self,
@@ -120,12 +131,19 @@
         let tie_break =
             |at: usize| (at as u64).wrapping_add(draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         ids.enumerate()
-            .min_by_key(|(at, id)| (self.is_suspect(now, id), self.busy(now, id), tie_break(*at)))
+            .min_by_key(|(at, id)| {
+                (self.is_suspect(now, id), self.expected_work(now, id), tie_break(*at))
+            })
             .map(|(_, id)| id)
     }
 }
 
 impl Record {
+    /// Returns the last reported load, unless it is too old.
+    fn recent_load(&self, now: Instant) -> Option<Load> {
+        (now.since(self.load_at) < REPORT_AGE_MAX).then_some(self.load)
+    }
+
     /// Returns the number of failures, decayed up to `now`.
     fn recent_failures(&self, now: Instant) -> f64 {
         let age = now.since(self.updated).as_micros() as f64;
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -103,4 +103,16 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// How long work takes on its machine at the moment, in percent of the usual time.
+    pub work_percent: Option<u32>,
 }
+
+impl Load {
+    /// Returns how long work takes, as a multiple of the usual time.
+    pub fn work_factor(&self) -> f64 {
+        f64::from(self.work_percent.unwrap_or(USUAL_WORK_PERCENT)) / f64::from(USUAL_WORK_PERCENT)
+    }
+}
+
+/// [`Load::work_percent`] of a machine on which work takes the usual time.
+pub const USUAL_WORK_PERCENT: u32 = 100;
--- a/kingcupbay_core/tests/backlog.rs
+++ b/kingcupbay_core/tests/backlog.rs
@@ -67,6 +67,7 @@
                 running: running.len() as u32,
                 waiting: queue.len() as u32,
                 slots: SLOTS as u32,
+                ..Load::default()
             };
             let took = now - done.arrived;
             let span = Span::from_micros((took * 1e3) as u64);
@@ -133,7 +134,7 @@
 #[test]
 fn an_outdated_load_report_refuses_nothing() {
     let mut backlog = Backlog::default();
-    let load = Load { running: 6, waiting: 24, slots: 6 };
+    let load = Load { running: 6, waiting: 24, slots: 6, ..Load::default() };
     let (target, took) = (Span::from_millis(300), Span::from_millis(300));
     backlog.on_answer(instant(0.0), "desk-1", load, took);
     assert!(backlog.refuse(instant(100.0), "desk-1", target, 0).is_some());
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -124,9 +124,7 @@
     pool.put(instance.address, answer.link, answer.metadata.idle);
     let id = &instance.id;
     if let Some(load) = answer.metadata.load {
-        let now = clock::now();
-        let busy = load.running + load.waiting;
-        job.gateway.health.borrow_mut().on_load(now, id, busy);
+        job.gateway.health.borrow_mut().on_load(clock::now(), id, load);
     }
     Ok((answer.head, answer.metadata, body.freeze()))
 }
