Count no entry as silent that is off the list

The ranks of the entries had changed; the last report of one that was a limiter no more arrived at others after the new list, which counted it as an entry that might be spending unnoticed, and kept to their parts for good. In a small fleet the same holds for an entry that is taken off the list. Ruled out: ignoring reports of entries that are not listed, as newcomers report before they are. Change: an entry that is not listed and reports no more is dropped once it would count as silent.

--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -11,7 +11,7 @@
 //! entry that receives no reports from another one freezes its share, and so does the
 //! other one, so that the shares do not add up to more than the whole.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     deployment::model::Organisation,
@@ -123,6 +123,9 @@
     /// The other entries by host. `None`: registered, but no report received since
     /// this entry started.
     peers: BTreeMap<String, Option<Peer>>,
+    /// Hosts of the other listed entries. Invariant: all are in `peers`, which also holds
+    /// entries that have reported without being listed.
+    listed: BTreeSet<String>,
     /// Last reported use of each organisation.
     reported: BTreeMap<String, OrganisationUsage>,
     /// Usage reports until the next full one.
@@ -143,6 +146,7 @@
             started: now,
             accounts: BTreeMap::new(),
             peers: BTreeMap::new(),
+            listed: BTreeSet::new(),
             reported: BTreeMap::new(),
             until_full: 0,
             peer_silent: false,
@@ -154,12 +158,14 @@
     pub fn on_entries<'a>(&mut self, hosts: impl Iterator<Item = &'a str>) {
         let mut before = std::mem::take(&mut self.peers);
         let mut listed = false;
+        self.listed.clear();
         for host in hosts {
             match host == self.host {
                 true => listed = true,
                 false => {
                     let peer = before.remove(host).flatten();
                     self.peers.insert(host.to_owned(), peer);
+                    self.listed.insert(host.to_owned());
                 }
             }
         }
@@ -315,6 +321,7 @@
     /// begins, limits this entry to its share of the current level, as the other entry
     /// does: the bucket may be nearly empty although nothing was spent here.
     fn check_peers(&mut self, now: Instant) -> bool {
+        self.drop_unlisted(now);
         let peer_silent = self.has_silent_peer(now);
         if peer_silent && !std::mem::replace(&mut self.peer_silent, peer_silent) {
             let names: Vec<String> = self.accounts.keys().cloned().collect();
@@ -329,9 +336,22 @@
     }
 
     fn has_silent_peer(&self, now: Instant) -> bool {
-        let limit =
-            Span::from_micros((self.report_period().as_micros() as f64 * SILENT_PERIODS) as u64);
-        self.silent_since(now, limit).next().is_some()
+        self.silent_since(now, self.silence_max()).next().is_some()
+    }
+
+    /// Returns the time without a report after which an entry counts as silent.
+    fn silence_max(&self) -> Span {
+        Span::from_micros((self.report_period().as_micros() as f64 * SILENT_PERIODS) as u64)
+    }
+
+    /// Drops entries that are not listed and report no more. They have been taken off the list
+    /// and admit nothing.
+    fn drop_unlisted(&mut self, now: Instant) {
+        let (listed, limit) = (&self.listed, self.silence_max());
+        self.peers.retain(|host, peer| {
+            let silent = peer.as_ref().is_none_or(|peer| now.since(peer.received) >= limit);
+            listed.contains(host) || !silent
+        });
     }
 
     /// Returns this entry's share of the rate of `who`, from 0 to 1.
--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -249,6 +249,27 @@
     assert!(level >= 0.8 * RATE as f64, "{level}");
 }
 
+/// Guards against limits that are held back for good: the last report of an entry that is no
+/// longer listed arrives after the list, and no other one follows.
+#[test]
+fn an_unlisted_entry_does_not_count_as_silent() {
+    let mut entry = Allowance::new("entry-0", 1, at(0));
+    entry.on_entries(["entry-0", "entry-1"].into_iter());
+    let report = |host: &str| UsageReport {
+        host: host.to_owned(),
+        incarnation: 7,
+        whole: true,
+        ..UsageReport::default()
+    };
+    entry.on_usage_report(at(0), report("entry-2"));
+    for now in (0..10_000).step_by(100) {
+        entry.on_usage_report(at(now), report("entry-1"));
+    }
+    for _ in 0..9 {
+        assert!(entry.try_acquire(at(10_000), &winery(), RATE / 10).is_ok());
+    }
+}
+
 /// Most organisations send an entry no request between two usage reports. The reports
 /// do not name them each time, but the other entries learn within a second that demand
 /// has fallen.
--- a/kingcupbay_core/tests/limiters.rs
+++ b/kingcupbay_core/tests/limiters.rs
@@ -386,3 +386,30 @@
     delays.dedup();
     assert_eq!(delays.len(), LIMITERS_MAX);
 }
+
+/// A few entries are killed and restart at once, some of them limiters. Organisations inside
+/// their limits must be able to use them again soon.
+#[test]
+fn restarted_limiters_do_not_hold_limits_back() {
+    for seed in 0..6 {
+        for rate in [2_700, RATE] {
+            let who = Organisation { rate, burst: rate, ..winery() };
+            let cost = if rate == RATE { 1_500 } else { 600 };
+            let each = 0.5 * rate as f64 / 356.0;
+            let mut fleet = Fleet::new(356, seed);
+            fleet.run((0, 20_000), &who, cost, |_| each);
+            let before = fleet.admitted_since(0) as f64 / fleet.requested as f64;
+            let mut random = Random::new(seed);
+            for _ in 0..23 {
+                let index = random.below(356) as usize;
+                fleet.entries[index] = Entry::new(index, seed + 70, 20_000);
+            }
+            fleet.list(20_500);
+            fleet.run((20_500, 23_000), &who, cost, |_| each);
+            fleet.requested = 0;
+            fleet.run((23_000, 60_000), &who, cost, |_| each);
+            let after = fleet.admitted_since(22_500) as f64 / fleet.requested as f64;
+            assert!(after >= before - 0.05, "seed {seed}, rate {rate}: {after} of {before}");
+        }
+    }
+}
