--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -251,11 +251,8 @@
             let mut placement = gateway.placement.borrow_mut();
             placement.on_refusal(engine);
             if why == PermitRefusal::Busy {
-                placement.on_busy(
-                    now,
-                    name,
-                    gateway.node.catalogue.borrow().serving(&instance.service).count(),
-                );
+                let engines = gateway.node.catalogue.borrow().serving(&instance.service).count();
+                placement.on_busy(now, name, engines);
             }
             info!(gateway.node.log, ""; "event" => "no_place", "request" => &job.metadata.attempt,
                 "upstream" => &instance.id, "why" => why.as_str(),
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -192,7 +192,7 @@
             Ok(page) => {
                 let changed = !page.rows.is_empty();
                 let took = clock::now().since(began);
-                if changed && took >= wait {
+                if changed && took >= wait && wait > Span::ZERO {
                     // A change ends the wait early, unless the store missed it for this
                     // feed.
                     warn!(node.log, ""; "event" => "feed_deaf", "table" => table_name(table),
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -49,8 +49,10 @@
             relay(&gateway, now, &followers);
         }
         let reader = gateway.node.reader.get();
-        let others = peers.into_iter().filter(|_| reader).chain(followers);
-        evacuations::send_reports(&gateway.node, others.collect(), whole);
+        let others: Vec<_> = peers.into_iter().filter(|_| reader).chain(followers).collect();
+        if !others.is_empty() {
+            evacuations::send_reports(&gateway.node, others, whole);
+        }
         if now.since(last_removal) >= REMOVAL_PAUSE {
             last_removal = now;
             remove_silent(&gateway);
