--- a/kingcupbay_core/tests/limiters.rs
+++ b/kingcupbay_core/tests/limiters.rs
@@ -19,7 +19,7 @@
     wire::usage::UsageReport,
 };
 
-const RATE: u64 = 100_000;
+const RATE_PER_S: u64 = 100_000;
 
 /// Simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
@@ -38,8 +38,8 @@
     Organisation {
         name: "winery".into(),
         priority: None,
-        rate: RATE,
-        burst: RATE,
+        rate: RATE_PER_S,
+        burst: RATE_PER_S,
         plain_cost: 200,
         counts_tokens: true,
     }
@@ -222,7 +222,7 @@
 }
 
 /// Tokens that the platform allows in 8 s: rate and burst, a tenth more, and 11,000.
-const BOUND: u64 = (8 * RATE + RATE) * 11 / 10 + 11_000;
+const WINDOW_TOKENS_MAX: u64 = (8 * RATE_PER_S + RATE_PER_S) * 11 / 10 + 11_000;
 
 /// An organisation sends four times its rate, unevenly over hundreds of entries.
 #[test]
@@ -230,10 +230,12 @@
     for count in [68, 356, 720] {
         let mut fleet = Fleet::new(count, 1);
         let total: f64 = (1..=count).map(|weight| weight as f64).sum();
-        fleet.run((0, 16_000), &winery(), 1_500, |at| 4.0 * RATE as f64 * (at + 1) as f64 / total);
+        fleet.run((0, 16_000), &winery(), 1_500, |at| {
+            4.0 * RATE_PER_S as f64 * (at + 1) as f64 / total
+        });
         let worst = fleet.worst_window();
-        assert!(worst <= BOUND, "{count} entries: {worst}");
-        assert!(worst >= 8 * RATE * 9 / 10, "{count} entries: {worst}");
+        assert!(worst <= WINDOW_TOKENS_MAX, "{count} entries: {worst}");
+        assert!(worst >= 8 * RATE_PER_S * 9 / 10, "{count} entries: {worst}");
     }
 }
 
@@ -244,7 +246,7 @@
         let mut fleet = Fleet::new(count, 2);
         let weight = |at: usize| if at.is_multiple_of(10) { 10.0 } else { 1.0 };
         let total: f64 = (0..count).map(weight).sum();
-        fleet.run((0, 16_000), &winery(), 1_500, |at| 0.8 * RATE as f64 * weight(at) / total);
+        fleet.run((0, 16_000), &winery(), 1_500, |at| 0.8 * RATE_PER_S as f64 * weight(at) / total);
         let refused = 1.0 - fleet.admitted_since(0) as f64 / fleet.requested as f64;
         assert!(refused < 0.002, "{count} entries: {refused}");
     }
@@ -279,7 +281,7 @@
 fn a_limit_holds_as_half_of_a_large_fleet_is_killed() {
     for seed in 0..3 {
         let mut fleet = Fleet::new(356, seed);
-        let each = 4.0 * RATE as f64 / 356.0;
+        let each = 4.0 * RATE_PER_S as f64 / 356.0;
         fleet.run((0, 6_000), &winery(), 1_500, |_| each);
         for entry in fleet.entries.iter_mut().filter(|row| row.member.incarnation % 100 < 55) {
             entry.alive = false;
@@ -293,9 +295,9 @@
         fleet.list(10_000);
         fleet.run((10_000, 20_000), &winery(), 1_500, |_| each);
         let worst = fleet.worst_window();
-        assert!(worst <= BOUND, "seed {seed}: {worst}");
+        assert!(worst <= WINDOW_TOKENS_MAX, "seed {seed}: {worst}");
         let after = fleet.admitted_since(12_000);
-        assert!(after >= 8 * RATE * 3 / 4, "seed {seed}: {after}");
+        assert!(after >= 8 * RATE_PER_S * 3 / 4, "seed {seed}: {after}");
     }
 }
 
@@ -305,12 +307,12 @@
 fn a_limit_holds_as_a_large_fleet_is_split() {
     for seed in 0..3 {
         let mut fleet = Fleet::new(356, seed);
-        let each = 3.0 * RATE as f64 / 356.0;
+        let each = 3.0 * RATE_PER_S as f64 / 356.0;
         fleet.run((0, 4_000), &winery(), 1_500, |_| each);
         fleet.linked = |from, to| from % 2 == to % 2;
         fleet.run((4_000, 16_000), &winery(), 1_500, |_| each);
         let worst = fleet.worst_window();
-        assert!(worst <= BOUND, "seed {seed}: {worst}");
+        assert!(worst <= WINDOW_TOKENS_MAX, "seed {seed}: {worst}");
     }
 }
 
@@ -319,13 +321,13 @@
 fn a_limit_holds_as_entries_are_added() {
     for seed in 0..3 {
         let mut fleet = Fleet::new(204, seed);
-        fleet.run((0, 6_000), &winery(), 1_500, |_| 3.0 * RATE as f64 / 204.0);
+        fleet.run((0, 6_000), &winery(), 1_500, |_| 3.0 * RATE_PER_S as f64 / 204.0);
         fleet.add(152, seed + 9, 6_000);
-        fleet.run((6_000, 20_000), &winery(), 1_500, |_| 3.0 * RATE as f64 / 356.0);
+        fleet.run((6_000, 20_000), &winery(), 1_500, |_| 3.0 * RATE_PER_S as f64 / 356.0);
         let worst = fleet.worst_window();
-        assert!(worst <= BOUND, "seed {seed}: {worst}");
+        assert!(worst <= WINDOW_TOKENS_MAX, "seed {seed}: {worst}");
         let after = fleet.admitted_since(8_000);
-        assert!(after >= 12 * RATE * 3 / 4, "seed {seed}: {after}");
+        assert!(after >= 12 * RATE_PER_S * 3 / 4, "seed {seed}: {after}");
     }
 }
 
@@ -392,9 +394,9 @@
 #[test]
 fn restarted_limiters_do_not_hold_limits_back() {
     for seed in 0..6 {
-        for rate in [2_700, RATE] {
+        for rate in [2_700, RATE_PER_S] {
             let who = Organisation { rate, burst: rate, ..winery() };
-            let cost = if rate == RATE { 1_500 } else { 600 };
+            let cost = if rate == RATE_PER_S { 1_500 } else { 600 };
             let each = 0.5 * rate as f64 / 356.0;
             let mut fleet = Fleet::new(356, seed);
             fleet.run((0, 20_000), &who, cost, |_| each);
--- a/kingcupbay_core/tests/work_factor.rs
+++ b/kingcupbay_core/tests/work_factor.rs
@@ -9,8 +9,8 @@
     wire::metadata::Load,
 };
 
-const UPSTREAMS: [&str; 3] = ["desk-1", "desk-2", "desk-3"];
-const ENTRIES: u64 = 4;
+const UPSTREAM_IDS: [&str; 3] = ["plain-1", "plain-2", "plain-3"];
+const ENTRY_COUNT: u64 = 4;
 const SLOTS: usize = 6;
 
 /// Time of a request at the usual pace, in milliseconds.
@@ -37,8 +37,8 @@
 /// answers. Without `named`, the answers name no pace.
 fn late_fraction(rate: f64, named: bool, seed: u64) -> f64 {
     let mut random = Random::new(seed);
-    let mut entries: Vec<Health> = (0..ENTRIES).map(|_| Health::default()).collect();
-    let mut ends: Vec<Vec<f64>> = vec![Vec::new(); UPSTREAMS.len()];
+    let mut entries: Vec<Health> = (0..ENTRY_COUNT).map(|_| Health::default()).collect();
+    let mut ends: Vec<Vec<f64>> = vec![Vec::new(); UPSTREAM_IDS.len()];
     let mut answers: Vec<(f64, usize, usize)> = Vec::new();
     let (mut now, mut late, mut count) = (0.0, 0, 0);
     while now < 30_000.0 {
@@ -53,13 +53,13 @@
                 slots: SLOTS as u32,
                 work_percent: named.then(|| percent(seed, at, end)),
             };
-            entries[entry].on_end(UPSTREAMS[at]);
-            entries[entry].on_load(instant(end), UPSTREAMS[at], load);
+            entries[entry].on_end(UPSTREAM_IDS[at]);
+            entries[entry].on_load(instant(end), UPSTREAM_IDS[at], load);
         }
-        let entry = random.below(ENTRIES) as usize;
+        let entry = random.below(ENTRY_COUNT) as usize;
         let chosen =
-            entries[entry].choose(instant(now), UPSTREAMS.into_iter(), random.draw()).unwrap();
-        let at = UPSTREAMS.iter().position(|id| *id == chosen).unwrap();
+            entries[entry].choose(instant(now), UPSTREAM_IDS.into_iter(), random.draw()).unwrap();
+        let at = UPSTREAM_IDS.iter().position(|id| *id == chosen).unwrap();
         entries[entry].on_send(chosen);
         let mut busy = ends[at].clone();
         busy.sort_by(f64::total_cmp);
