Add the fields of messages that decisions under hard load need

Cause: permit requests do not name the organisation, load reports hold one delay for all priorities and nothing of an engine's speed, usage reports and requests to limiters know no priorities, and no message asks an entry to continue a stream elsewhere. Ruled out: a new path for each message, which would double their number. Longer lists of values, which builds of before reject. Change: fields with defaults at the end of the messages. Reports that use them are encoded with field names, which builds of before skip; all others stay as they were, byte for byte. Conclusion: the parts that decide under load can be built side by side.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -339,6 +339,8 @@
             resident: Some(
                 self.report.as_ref().map_or_else(Vec::new, |report| report.resident.clone()),
             ),
+            delays: Vec::new(),
+            capacity: None,
         }
     }
 
--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance.rs
@@ -267,9 +267,10 @@
             if !peer_silent {
                 account.reported_demand = demand;
             }
-            uses.insert(name.clone(), OrganisationUsage { spent, demand, level });
+            let kinds = BTreeMap::new();
+            uses.insert(name.clone(), OrganisationUsage { spent, demand, level, kinds });
         }
-        self.reported.extend(uses.iter().map(|(name, used)| (name.clone(), *used)));
+        self.reported.extend(uses.iter().map(|(name, used)| (name.clone(), used.clone())));
         let host = self.host.clone();
         let incarnation = self.incarnation;
         UsageReport { host, incarnation, number, whole: full, uses, ..UsageReport::default() }
--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -55,6 +55,16 @@
     /// The engine's specification in the entry's configuration.
     #[serde(default)]
     pub spec: Option<SpecDigest>,
+    /// Organisation that the request belongs to; `None` from an entry that does not name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<String>,
+    /// Whether the engine already has the memory of the run, so that it prefills nothing.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub transferred: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Digest of the specification of an engine. It shows a sidecar whether a configuration that
@@ -164,4 +174,85 @@
     /// Resident adapters; `None` if the entry has been sent them before.
     #[serde(rename = "held")]
     pub resident: Option<Vec<ResidentModel>>,
+    /// Expected waits of requests that are less urgent than the most urgent one, in ascending
+    /// order of priority. Empty if `delay` holds for every priority.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub delays: Vec<PriorityDelay>,
+    /// What the engine can take at the moment; `None` if its sidecar does not measure it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<EngineCapacity>,
+}
+
+impl EngineLoadReport {
+    /// Whether the report has fields that sidecars of earlier builds do not send. Such a report
+    /// is encoded with field names, since earlier builds reject a longer list of values but
+    /// ignore names that they do not know.
+    pub fn is_extended(&self) -> bool {
+        !self.delays.is_empty() || self.capacity.is_some()
+    }
+}
+
+/// Expected wait for a permit at one priority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PriorityDelay {
+    /// Priority from which this wait applies; 0 is the most urgent.
+    pub priority: u8,
+    /// Prefill time of the prompts that are ahead of a new request of this priority.
+    pub delay: Span,
+}
+
+/// What an engine can take, as its sidecar has measured it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct EngineCapacity {
+    /// Prompt tokens prefilled per second at the usual pace of its host.
+    pub prefill_rate: u32,
+    /// Time between two events of a stream, without prefill, at the usual pace.
+    pub event_interval: Span,
+    /// How long work takes on its host at the moment, in percent of the usual time.
+    pub work_percent: u32,
+    /// Prompt tokens per second that the engine can prefill at the moment while every running
+    /// stream keeps its event gap. Zero if it cannot keep the gap even for a single stream.
+    pub sustained_rate: u32,
+}
+
+/// Path at an entry that takes a list of [`TransferRequest`]. The answer is 204.
+pub const TRANSFER_PATH: &str = "/transfer";
+
+/// A sidecar's request that an entry continues a running stream at another engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TransferRequest {
+    /// Address of the engine that runs the stream.
+    pub engine: std::net::SocketAddr,
+    /// Identifier of the caller's attempt.
+    pub attempt: String,
+    /// Time until the engine is gone, if known.
+    pub within: Option<Span>,
+    /// Why the stream has to continue elsewhere.
+    pub why: TransferReason,
+}
+
+/// Why a stream continues at another engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub enum TransferReason {
+    /// The engine is leaving.
+    Leaving,
+    /// The engine's availability zone is evacuated.
+    Evacuated,
+    /// The engine has become too slow for the stream's event gap.
+    Slow,
+}
+
+impl TransferReason {
+    /// Returns the reason as written to logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TransferReason::Leaving => "leaving",
+            TransferReason::Evacuated => "evacuated",
+            TransferReason::Slow => "slow",
+        }
+    }
 }
--- a/kingcupbay_core/src/wire/usage.rs
+++ b/kingcupbay_core/src/wire/usage.rs
@@ -34,6 +34,23 @@
     pub burst: u64,
     /// Tokens of the request.
     pub cost: u64,
+    /// Kind of the request; `None` from an entry that does not name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kind: Option<RequestKind>,
+    /// Time that the caller has left. Zero if the asking entry does not name it.
+    #[serde(default)]
+    pub remaining: Span,
+}
+
+/// Kind of a request, by which an organisation's tokens are divided while it asks for more
+/// than its rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestKind {
+    /// Hash of the service's name, the same at all daemons of one build.
+    pub service: u32,
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// The answer to an [`AcquireRequest`].
@@ -46,6 +63,10 @@
     OverLimit {
         /// Time until it is expected to.
         retry_after: Span,
+        /// Whether it will not allow the request before the caller's deadline, so that a retry
+        /// is in vain.
+        #[serde(default)]
+        hopeless: bool,
     },
     /// The asked entry keeps no limits.
     NotLimiter,
@@ -75,8 +96,17 @@
     pub positions: BTreeMap<Table, ReadPosition>,
 }
 
+impl UsageReport {
+    /// Whether the report has fields that entries of earlier builds do not send. Such a report
+    /// is encoded with field names, since earlier builds reject a longer list of values but
+    /// ignore names that they do not know.
+    pub fn is_extended(&self) -> bool {
+        self.uses.values().any(|used| !used.kinds.is_empty())
+    }
+}
+
 /// Usage of one organisation at one entry.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct OrganisationUsage {
     /// Tokens admitted since the entry started, minus those returned.
@@ -85,6 +115,10 @@
     pub demand: f64,
     /// Remaining tokens of the burst, as estimated by the entry.
     pub level: f64,
+    /// Demand of each kind of request. Empty unless the organisation's requests differ in
+    /// priority.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub kinds: BTreeMap<RequestKind, f64>,
 }
 
 /// Rows as read from the store or received from another daemon.
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -40,6 +40,8 @@
         cold: Span::ZERO,
         limit: None,
         spec: None,
+        organisation: None,
+        transferred: false,
     }
 }
 
--- a/kingcupbay_core/tests/engine/mod.rs
+++ b/kingcupbay_core/tests/engine/mod.rs
@@ -218,6 +218,8 @@
         cold: Span::ZERO,
         limit: None,
         spec: None,
+        organisation: None,
+        transferred: false,
     }
 }
 
--- a/kingcupbay_core/tests/evacuated_engine.rs
+++ b/kingcupbay_core/tests/evacuated_engine.rs
@@ -31,6 +31,8 @@
         cold: Span::ZERO,
         limit: None,
         spec: None,
+        organisation: None,
+        transferred: false,
     }
 }
 
--- a/kingcupbay_core/tests/lost_messages.rs
+++ b/kingcupbay_core/tests/lost_messages.rs
@@ -94,6 +94,8 @@
         cold: Span::ZERO,
         limit: None,
         spec: None,
+        organisation: None,
+        transferred: false,
     }
 }
 
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -127,6 +127,8 @@
         max_wait,
         event_gap: job.route.event_gap,
         entry: gateway.node.peer_address,
+        organisation: None,
+        transferred: false,
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
     gateway.placement.borrow_mut().on_send(now, engine);
--- a/kingcupbayd/src/registered/limiters.rs
+++ b/kingcupbayd/src/registered/limiters.rs
@@ -74,7 +74,7 @@
                 job.limiter.set(Some(limiter));
                 return Ok(());
             }
-            Some(AcquireVerdict::OverLimit { retry_after }) => {
+            Some(AcquireVerdict::OverLimit { retry_after, .. }) => {
                 gateway.metrics.on_limiter_asked("over_limit");
                 return Err(over_rate(job, organisation, retry_after));
             }
@@ -102,6 +102,8 @@
         rate: organisation.rate,
         burst: organisation.burst,
         cost: job.cost,
+        kind: None,
+        remaining: job.remaining(),
     }
 }
 
@@ -164,7 +166,9 @@
             let mut allowance = gateway.allowance.borrow_mut();
             match allowance.try_acquire(clock::now(), &organisation, asked.cost) {
                 Ok(()) => AcquireVerdict::Acquired,
-                Err(over) => AcquireVerdict::OverLimit { retry_after: over.retry_after },
+                Err(over) => {
+                    AcquireVerdict::OverLimit { retry_after: over.retry_after, hopeless: false }
+                }
             }
         }
         false => AcquireVerdict::NotLimiter,
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -66,8 +66,12 @@
     let mut report = gateway.allowance.borrow_mut().usage_report(now, node.number());
     report.left = node.catalogue.borrow_mut().departures_to_report(now, report.whole);
     report.positions = node.own_read_positions(now);
-    let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
-    let body = Bytes::from(body);
+    // Entries of earlier builds reject a longer list of values.
+    let encoded = match report.is_extended() {
+        true => rmp_serde::to_vec_named(&report),
+        false => rmp_serde::to_vec(&report),
+    };
+    let body = Bytes::from(encoded.expect("a usage report has only plain fields"));
     for &peer in peers {
         drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
     }
--- a/kingcupbayd/src/sidecar/load_reports.rs
+++ b/kingcupbayd/src/sidecar/load_reports.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Encodes a load report so that entries of earlier builds understand it.
+fn encode(report: &EngineLoadReport) -> Vec<u8> {
+    let encoded = match report.is_extended() {
+        true => rmp_serde::to_vec_named(report),
+        false => rmp_serde::to_vec(report),
+    };
+    encoded.expect("a load report has only plain fields")
+}
+
 /// Sends one load report to `entry` and applies its answer.
 async fn send_report(
     sidecar: Rc<Sidecar>,
@@ -56,7 +65,7 @@
     report: EngineLoadReport,
 ) {
     let node = &sidecar.node;
-    let body = rmp_serde::to_vec(&report).expect("a load report has only plain fields");
+    let body = encode(&report);
     let called = node.call(entry, Method::POST, LOAD_REPORT_PATH, &body, ANSWER_TIMEOUT).await;
     let acknowledged = called.as_ref().is_ok_and(|answer| answer.status == 204);
     if let Some(entry) = sidecar.entries.borrow_mut().get_mut(&entry) {
