--- a/kingcupbay_core/src/wire/sidecar.rs
+++ b/kingcupbay_core/src/wire/sidecar.rs
@@ -190,6 +190,12 @@
     pub fn is_extended(&self) -> bool {
         !self.delays.is_empty() || self.capacity.is_some()
     }
+
+    /// Returns the expected wait of a request of this `priority`.
+    pub fn delay_for(&self, priority: u8) -> Span {
+        let named = self.delays.iter().rev().find(|row| row.priority <= priority);
+        named.map_or(self.delay, |row| row.delay)
+    }
 }
 
 /// Expected wait for a permit at one priority.
