Order an engine's queue by priority, with a share for the less urgent

Cause: The queue sorted first by whether the latency target could still be met. Contest summaries have the tightest target of load L and were queued behind all casual summaries under load. Change: The most urgent waits first, less urgent requests get one in eight granted prompt tokens. Within a priority, organisations take turns once their usage differs by 400 ms of prefill. Waits are estimated from that order, hopeless less urgent requests are refused when a more urgent one arrives, load reports name waits by priority, and a crowd refused for lack of the base model is told to return by priority. schedule.rs is moved out of mod.rs. Shedding among equal priorities is open.

--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -3,10 +3,10 @@
 use crate::{
     deployment::model::AdapterName,
     time::{Instant, Span},
-    wire::sidecar::{PermitRequest, Refusal},
+    wire::sidecar::{PermitRequest, PriorityDelay, Refusal},
 };
 
-use super::{Admission, prefill::PrefillLimit};
+use super::{Admission, BASE_MODEL_RETRY, prefill::PrefillLimit};
 
 /// Longest pause between two events for routes that set none. The users' routes
 /// that do set one use the same.
@@ -56,6 +56,39 @@
         prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold).max(limit)
     }
 
+    /// Returns the expected waits by priority; none if no priority differs.
+    pub(super) fn priority_delays(&self, now: Instant) -> Vec<PriorityDelay> {
+        let mut delays: Vec<PriorityDelay> = Vec::new();
+        if self.seen_priorities.len() < 2 || self.queue.is_empty() {
+            return delays;
+        }
+        for &priority in &self.seen_priorities {
+            let tokens = self.running.unread_tokens() + self.queue.prompt_tokens_before(priority);
+            let requests = self.queue.len_before(priority);
+            let delay = self
+                .prefill_wait(tokens)
+                .max(self.cold.wait(now, requests))
+                .max(self.limit.wait(now, requests));
+            if delays.last().is_none_or(|last| last.delay != delay) {
+                delays.push(PriorityDelay { priority, delay });
+            }
+        }
+        if delays.len() < 2 {
+            delays.clear();
+        }
+        delays
+    }
+
+    /// Returns when a request refused for lack of a base model may retry. Where priorities
+    /// differ, retries are made in order of priority and as fast as the engine serves.
+    pub(super) fn promise_retry(&mut self, now: Instant, request: &PermitRequest) -> Span {
+        if self.seen_priorities.len() < 2 {
+            return BASE_MODEL_RETRY;
+        }
+        let work = self.prefill_wait(request.size.prompt);
+        self.retries.promise(now, BASE_MODEL_RETRY, request.priority, work)
+    }
+
     /// Returns the event gap to keep: the shortest of all running requests.
     pub(super) fn event_gap(&self) -> Span {
         self.running.event_gap().unwrap_or(DEFAULT_EVENT_GAP)
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -5,7 +5,7 @@
 //! adapters therefore need no agreement between hosts.
 //!
 //! [`estimate`] decides whether a request is accepted and predicts how long it
-//! waits. [`queue`] holds the waiting requests and [`running`] those with a permit.
+//! waits. [`schedule`] grants permits and refuses. [`queue`] holds the waiting requests and [`running`] those with a permit.
 //! [`orders`] decides what the engine loads and unloads. [`order`] and [`report`]
 //! define the messages to and from the engine, [`load_report`] the updates to
 //! entries. [`speed`], [`prefill`] and [`loads`] learn how fast the engine is.
@@ -13,9 +13,9 @@
 //! An engine prefills prompts between the tokens of running requests. Prompts
 //! sent beyond what it can prefill within the event gap of the running streams
 //! ([`prefill`]) delay those streams, and once sent they can be neither overtaken
-//! by a more urgent request nor refused. They wait here instead: requests that can
-//! still meet their latency target go before those that cannot, and within each
-//! group the most urgent goes first.
+//! by a more urgent request nor refused. They wait here instead. The most urgent goes
+//! first, while less urgent ones get a guaranteed share ([`shares`]). Within a priority,
+//! requests that can still meet their latency target go before those that cannot.
 
 mod estimate;
 pub mod load_report;
@@ -25,10 +25,13 @@
 pub mod prefill;
 pub mod queue;
 pub mod report;
+mod retry;
 mod running;
+mod schedule;
+mod shares;
 pub mod speed;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     cold::{ColdGate, ColdLimits},
@@ -48,6 +51,7 @@
     prefill::{PrefillScale, RecentGrants},
     queue::{Queue, Waiter},
     report::Report,
+    retry::PromisedRetries,
     running::Running,
     speed::Speed,
 };
@@ -60,10 +64,6 @@
 /// Shortest retry delay: the longest interval between two reports.
 const MIN_RETRY: Span = Span::from_millis(200);
 
-/// Percentage of the engine's memory that permits may reserve. The rest is left for
-/// the engine's rounding of each request up to whole blocks.
-const USABLE_MEMORY_PERCENT: u64 = 95;
-
 /// Identifies a permit request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
@@ -104,6 +104,9 @@
     limit: LimitGate,
     /// The engine wants no order until then.
     rest_until: Instant,
+    /// Priorities of requests so far. Decisions by priority are made only if they differ.
+    seen_priorities: BTreeSet<u8>,
+    retries: PromisedRetries,
 }
 
 impl Admission {
@@ -128,6 +131,8 @@
             cold: ColdGate::default(),
             limit: LimitGate::default(),
             rest_until: Instant::default(),
+            seen_priorities: BTreeSet::new(),
+            retries: PromisedRetries::default(),
         }
     }
 
@@ -205,8 +210,12 @@
         if let Some(newest) = request.newest {
             self.on_version(request.name.clone(), newest);
         }
+        self.seen_priorities.insert(request.priority);
         if let Some(refusal) = self.refusal_reason(&request) {
-            let after = if refusal == Refusal::Unready { BASE_MODEL_RETRY } else { MIN_RETRY };
+            let after = match refusal {
+                Refusal::Unready => self.promise_retry(now, &request),
+                _ => MIN_RETRY,
+            };
             return vec![refuse(ticket, refusal, after)];
         }
         let estimate = self.estimate_wait(now, &request);
@@ -218,8 +227,13 @@
             return vec![refuse(ticket, Refusal::Busy, after)];
         }
         self.orders.on_use(now, &request.name);
+        let priority = request.priority;
         self.queue.push(Waiter::new(now, ticket, request));
-        self.schedule(now)
+        let mut actions = self.schedule(now);
+        if self.queue.get(ticket).is_some() {
+            actions.extend(self.refuse_hopeless(now, priority));
+        }
+        actions
     }
 
     /// Requests a replica of an adapter whose other engines are busy.
@@ -339,7 +353,7 @@
             resident: Some(
                 self.report.as_ref().map_or_else(Vec::new, |report| report.resident.clone()),
             ),
-            delays: Vec::new(),
+            delays: self.priority_delays(now),
             capacity: None,
         }
     }
@@ -363,111 +377,6 @@
         )
     }
 
-    /// Refuses expired and unservable requests, grants permits, and plans the next
-    /// order.
-    fn schedule(&mut self, now: Instant) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for waiter in self.queue.expire(now) {
-            let after = self.estimate_wait(now, &waiter.request).max(MIN_RETRY);
-            actions.push(refuse(waiter.ticket, Refusal::Busy, after));
-        }
-        self.refuse_unservable(&mut actions);
-        let order = self.grant_order(now);
-        self.grant_permits(now, &order, &mut actions);
-        let Some(report) = self.report.as_ref().filter(|_| !self.evacuated) else {
-            return actions;
-        };
-        let Some(fencing) = self.fencing else { return actions };
-        if !self.limit.may_send(now) || self.rest(now) > Span::ZERO {
-            return actions;
-        }
-        let used: Vec<&AdapterName> = self.running.adapters().collect();
-        let input = orders::PlanInput {
-            spec: &self.spec,
-            report,
-            newest: &self.newest_versions,
-            used: &used,
-            awaited: &self.queue.load_order(&order),
-            loads: &self.loads,
-        };
-        if let Some((name, target)) = self.orders.plan(now, &input) {
-            self.limit.on_send(now);
-            let (holder, after) = (self.holder.clone(), Some(report.orders));
-            actions.push(Action::Order(Order { name, target, after, holder, fencing }));
-        }
-        actions
-    }
-
-    /// Refuses all waiting requests if the engine is gone, leaving or evacuated, as
-    /// another engine may still serve them in time.
-    fn refuse_unservable(&mut self, actions: &mut Vec<Action>) {
-        let why = match &self.report {
-            _ if self.evacuated => Refusal::Evacuated,
-            None => Refusal::Unready,
-            Some(report) if report.leaving => Refusal::Leaving,
-            Some(_) => return,
-        };
-        for waiter in self.queue.clear() {
-            actions.push(refuse(waiter.ticket, why, MIN_RETRY));
-        }
-    }
-
-    /// Returns the waiting requests in the order in which they get permits. One
-    /// whose adapter is not loaded has to wait for the load first.
-    fn grant_order(&self, now: Instant) -> Vec<Ticket> {
-        self.queue.grant_order(now, |name| {
-            let resident =
-                self.report.as_ref().is_some_and(|report| report.version(name).is_some());
-            if resident { Span::ZERO } else { self.loads.wait_time(now, name, 0) }
-        })
-    }
-
-    fn grant_permits(&mut self, now: Instant, order: &[Ticket], actions: &mut Vec<Action>) {
-        let Some(report) = &self.report else { return };
-        let memory = self.usable_memory(report);
-        let limit = self.prefill_limit();
-        self.recent_grants.expire(now, self.event_gap());
-        let mut reserved = self.running.reserved_tokens();
-        let mut free_slots = (self.spec.slots as usize).saturating_sub(self.running.len());
-        for &ticket in order {
-            if free_slots == 0 {
-                return;
-            }
-            let Some(waiter) = self.queue.get(ticket) else { continue };
-            let request = &waiter.request;
-            let Some(version) = report.version(&request.name) else { continue };
-            if self.newest_versions.get(&request.name).is_some_and(|&newest| version < newest) {
-                continue;
-            }
-            if !self.cold.may_grant(now) || !self.limit.may_send(now) {
-                return;
-            }
-            // Smaller requests do not overtake a large one, which would starve it.
-            let unread = self.running.unread_tokens();
-            if reserved + request.size.total() > memory {
-                return;
-            }
-            if !self.recent_grants.fits(limit, unread, request.size.prompt) {
-                self.running.on_prefill_delayed();
-                return;
-            }
-            let version = request.name.adapter.is_some().then_some(version);
-            free_slots -= 1;
-            reserved += request.size.total();
-            self.recent_grants.on_grant(now, request.size.prompt);
-            self.cold.on_grant(now);
-            self.limit.on_send(now);
-            self.running.on_grant(now, request);
-            self.queue.remove(ticket);
-            actions.push(Action::Answer(ticket, Verdict::Granted { version }));
-        }
-    }
-
-    fn usable_memory(&self, report: &Report) -> u64 {
-        let memory = if report.memory > 0 { report.memory } else { self.spec.kv_tokens };
-        memory * USABLE_MEMORY_PERCENT / 100
-    }
-
     fn is_outdated(&self, name: &AdapterName, version: u32) -> bool {
         self.newest_versions.get(name).is_some_and(|&newest| version < newest)
     }
--- a/kingcupbay_core/src/admission/queue.rs
+++ b/kingcupbay_core/src/admission/queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a permit, and the order in which they get one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::{
     deployment::model::AdapterName,
@@ -8,12 +8,10 @@
     wire::sidecar::PermitRequest,
 };
 
-use super::Ticket;
-
-/// Waiting time that one step of priority is worth. A more urgent request overtakes
-/// those that arrived up to this long before it. One that has waited longer goes
-/// first regardless of priority, so no priority is starved.
-const PRIORITY_STEP: Span = Span::from_millis(300);
+use super::{
+    Ticket,
+    shares::{self, Shares, Usage},
+};
 
 /// Expected time from a permit to the first event, spent on prefill.
 const PREFILL_TIME: Span = Span::from_millis(150);
@@ -36,19 +34,23 @@
     }
 
     /// Returns the time after which a permit is no longer useful.
-    fn deadline(&self) -> Instant {
+    pub(super) fn deadline(&self) -> Instant {
         self.queued_at + self.request.max_wait
     }
 
+    /// Returns its organisation. Requests that name none count as one organisation.
+    fn organisation(&self) -> &str {
+        self.request.organisation.as_deref().unwrap_or_default()
+    }
+
     /// Whether it can meet its latency target with a permit granted after `wait`.
     fn can_meet_target(&self, now: Instant, wait: Span) -> bool {
         now + wait + PREFILL_TIME <= self.queued_at + self.request.latency_target
     }
 
-    /// Returns its position in the order of priority; the earlier time goes first.
-    fn priority_time(&self) -> Instant {
-        self.queued_at
-            + Span::from_micros(PRIORITY_STEP.as_micros() * u64::from(self.request.priority))
+    /// Returns the prompt tokens that the engine prefills for it.
+    pub fn prefill_tokens(&self) -> u64 {
+        if self.request.transferred { 0 } else { self.request.size.prompt }
     }
 }
 
@@ -56,11 +58,14 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     waiters: BTreeMap<Ticket, Waiter>,
+    shares: Shares,
+    usage: Usage,
 }
 
 impl Queue {
     /// Adds a request.
     pub fn push(&mut self, waiter: Waiter) {
+        self.shares.retain(&self.priorities());
         self.waiters.insert(waiter.ticket, waiter);
     }
 
@@ -87,18 +92,83 @@
         self.waiters.get(&ticket)
     }
 
-    /// Returns the tickets in the order in which they get permits. Requests that can
-    /// meet their latency target go before those that cannot, as a permit spent on a
-    /// late request makes the next one late too. `wait` returns the shortest wait
-    /// for an adapter.
-    pub fn grant_order(&self, now: Instant, wait: impl Fn(&AdapterName) -> Span) -> Vec<Ticket> {
-        let sort_key = |waiter: &Waiter| {
+    /// Removes a request that gets a permit and counts its tokens.
+    pub fn grant(&mut self, now: Instant, ticket: Ticket) {
+        let Some(waiter) = self.waiters.get(&ticket) else { return };
+        let tokens = waiter.prefill_tokens();
+        let waiting: BTreeSet<u8> = self.waiters.values().map(|w| w.request.priority).collect();
+        self.shares.on_grant(&waiting, waiter.request.priority, tokens);
+        self.usage.on_grant(now, waiter.organisation(), tokens);
+        self.waiters.remove(&ticket);
+    }
+
+    /// Returns the tickets in the order in which they get permits. The most urgent goes
+    /// first, except for the share of less urgent ones. Within a priority, requests that
+    /// can meet their latency target go before those that cannot, as a permit spent on a
+    /// late request makes the next one late too; then organisations take turns, once
+    /// their recently granted tokens differ by `turn`. `wait` returns the shortest wait for
+    /// an adapter.
+    pub fn grant_order(
+        &self,
+        now: Instant,
+        turn: u64,
+        wait: impl Fn(&AdapterName) -> Span,
+    ) -> Vec<Ticket> {
+        let mut lanes: BTreeMap<u8, Vec<(bool, Instant, Ticket)>> = BTreeMap::new();
+        for waiter in self.waiters.values() {
             let late = !waiter.can_meet_target(now, wait(&waiter.request.name));
-            (late, waiter.priority_time(), waiter.ticket)
-        };
-        let mut order: Vec<_> = self.waiters.values().map(sort_key).collect();
-        order.sort_unstable();
-        order.into_iter().map(|(_, _, ticket)| ticket).collect()
+            let key = (late, waiter.queued_at, waiter.ticket);
+            lanes.entry(waiter.request.priority).or_default().push(key);
+        }
+        let lanes = lanes.into_iter().map(|(priority, mut keys)| {
+            keys.sort_unstable();
+            let (late, in_time) = keys.into_iter().partition::<Vec<_>, _>(|(late, ..)| *late);
+            // Tokens of those in time count in the turns of the late ones.
+            let mut usage = self.usage.current(now);
+            let mut lane = self.take_turns(&in_time, turn, &mut usage);
+            lane.extend(self.take_turns(&late, turn, &mut usage));
+            (priority, lane)
+        });
+        self.shares.merge(lanes.collect())
+    }
+
+    /// Returns requests, sorted by arrival, in the order of their organisations' turns, with
+    /// their prompt tokens.
+    fn take_turns(
+        &self,
+        keys: &[(bool, Instant, Ticket)],
+        turn: u64,
+        usage: &mut BTreeMap<String, u64>,
+    ) -> VecDeque<(Ticket, u64)> {
+        let waiters = keys.iter().filter_map(|(.., ticket)| self.get(*ticket));
+        let mut lines: BTreeMap<&str, VecDeque<&Waiter>> = BTreeMap::new();
+        for waiter in waiters {
+            lines.entry(waiter.organisation()).or_default().push_back(waiter);
+        }
+        let mut turns = VecDeque::new();
+        while let Some(name) = lines
+            .iter()
+            .filter_map(|(name, line)| Some((*name, line.front()?)))
+            .min_by_key(|(name, first)| {
+                (
+                    usage.get(*name).copied().unwrap_or_default() / turn.max(1),
+                    first.queued_at,
+                    first.ticket,
+                )
+            })
+            .map(|(name, _)| name)
+        {
+            let Some(waiter) = lines.get_mut(name).and_then(VecDeque::pop_front) else { break };
+            let tokens = waiter.prefill_tokens();
+            *usage.entry(name.to_owned()).or_default() += tokens;
+            turns.push_back((waiter.ticket, tokens));
+        }
+        turns
+    }
+
+    /// Returns the waiting priorities, most urgent first.
+    pub(super) fn priorities(&self) -> BTreeSet<u8> {
+        self.waiters.values().map(|waiter| waiter.request.priority).collect()
     }
 
     /// Returns the adapters that requests wait for in the order in which to load
@@ -122,13 +192,17 @@
 
     /// Returns the prompt tokens of all waiting requests.
     pub fn prompt_tokens(&self) -> u64 {
-        self.waiters.values().map(|waiter| waiter.request.size.prompt).sum()
+        self.waiters.values().map(Waiter::prefill_tokens).sum()
     }
 
-    /// Returns the prompt tokens of requests of this `priority` or a more urgent one.
+    /// Returns the prompt tokens that get permits before a new request of this `priority`:
+    /// those of requests at least as urgent, and the share of less urgent ones meanwhile.
     pub fn prompt_tokens_before(&self, priority: u8) -> u64 {
-        let before = self.waiters.values().filter(|waiter| waiter.request.priority <= priority);
-        before.map(|waiter| waiter.request.size.prompt).sum()
+        let (before, after): (Vec<&Waiter>, Vec<&Waiter>) =
+            self.waiters.values().partition(|waiter| waiter.request.priority <= priority);
+        let sum = |waiters: &[&Waiter]| waiters.iter().map(|w| w.prefill_tokens()).sum::<u64>();
+        let before = sum(&before);
+        before + sum(&after).min(shares::share_beside(before))
     }
 
     /// Returns the number of requests of this `priority` or a more urgent one.
