--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -42,16 +42,17 @@
         let ahead =
             self.running.unread_tokens() + self.queue.prompt_tokens_before(request.priority);
         let prefill = self.prefill_wait(ahead.saturating_sub(self.prefill_limit().burst_tokens()));
-        let full = self.running.len() + self.queue.len() >= self.spec.slots.max(1) as usize;
+        let before = self.queue.len_before(request.priority);
+        let full = self.running.len() + before >= self.spec.slots.max(1) as usize;
         let slot = match full {
             true => {
-                let excess = self.running.len() + self.queue.len() + 1 - self.spec.slots as usize;
+                let excess = self.running.len() + before + 1 - self.spec.slots as usize;
                 self.speed.time_for_ends(excess as u64)
             }
             false => Span::ZERO,
         };
-        let cold = self.cold.wait(now, self.queue.len_before(request.priority));
-        let ahead = self.queue.len_before(request.priority) + self.orders_before(&request.name);
+        let cold = self.cold.wait(now, before);
+        let ahead = before + self.orders_before(&request.name);
         let limit = self.limit.wait(now, ahead);
         prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold).max(limit)
     }
--- a/kingcupbay_core/src/backlog.rs
+++ b/kingcupbay_core/src/backlog.rs
@@ -7,6 +7,9 @@
 //! never all of them: an entry learns of the load only from answers, and if all entries
 //! stopped on the same report, the upstream would be idle until they all resumed.
 //!
+//! Where requests of an upstream differ in priority, the fraction is taken from the less
+//! urgent ones first (load L of docs/HARD-LOAD.md).
+//!
 //! Example load: one upstream left of three, with six slots and 60 ms per request, gets
 //! 110 requests a second from 22 entries, with a latency target of 300 ms. The test
 //! `backlog.rs::the_last_upstream_serves_in_time` simulates it.
@@ -38,6 +41,10 @@
 /// Largest fraction that is refused. Answers to the other requests report the load.
 const REFUSED_FRACTION_MAX: f64 = 0.9;
 
+/// Half-life of the number of requests by priority. It covers several reports of an
+/// upstream, and follows a change of the load within a few seconds.
+const DEMAND_HALF_LIFE: Span = Span::from_secs(2);
+
 /// Load of one upstream, as its answers report it.
 #[derive(Clone, Copy, Debug)]
 struct Upstream {
@@ -52,6 +59,8 @@
 #[derive(Debug, Default)]
 pub struct Backlog {
     upstreams: BTreeMap<String, Upstream>,
+    /// Recent requests by upstream and priority, as of the given time.
+    demand: BTreeMap<String, BTreeMap<u8, (Instant, f64)>>,
 }
 
 impl Backlog {
@@ -81,6 +90,45 @@
     /// Drops upstreams that are no longer registered.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.upstreams.retain(|id, _| known(id));
+        self.demand.retain(|id, _| known(id));
+    }
+
+    /// Counts a request of `priority` for `id`, whether or not it is refused.
+    pub fn on_request(&mut self, now: Instant, id: &str, priority: u8) {
+        let demand = self.demand.entry(id.to_owned()).or_default();
+        let (at, count) = demand.entry(priority).or_insert((now, 0.0));
+        *count = decayed(now, *at, *count) + 1.0;
+        *at = now;
+    }
+
+    /// Decides as [`Backlog::refuse`] for a request of `priority`. The fraction is refused
+    /// from the least urgent requests first.
+    pub fn refuse_by_priority(
+        &self,
+        now: Instant,
+        id: &str,
+        target: Span,
+        priority: u8,
+        draw: u64,
+    ) -> Option<Span> {
+        let (fraction, expected) = self.refused_fraction(now, id, target)?;
+        let own = self.own_fraction(now, id, priority, fraction);
+        (unit(draw) < own).then_some(expected)
+    }
+
+    /// Returns the fraction refused of the requests of `priority` if `fraction` of all are.
+    fn own_fraction(&self, now: Instant, id: &str, priority: u8, fraction: f64) -> f64 {
+        let Some(demand) = self.demand.get(id).filter(|demand| demand.len() > 1) else {
+            return fraction;
+        };
+        let count = |(_, (at, count)): (&u8, &(Instant, f64))| decayed(now, *at, *count);
+        let all: f64 = demand.iter().map(count).sum();
+        let own: f64 = demand.iter().filter(|row| *row.0 == priority).map(count).sum();
+        if own <= 0.0 {
+            return fraction;
+        }
+        let less: f64 = demand.iter().filter(|row| *row.0 > priority).map(count).sum();
+        ((fraction * all - REFUSED_FRACTION_MAX * less) / own).clamp(0.0, REFUSED_FRACTION_MAX)
     }
 
     /// Decides whether to refuse a request that must be answered within `target`
@@ -88,6 +136,13 @@
     ///
     /// `draw` is a random number, drawn anew for each request.
     pub fn refuse(&self, now: Instant, id: &str, target: Span, draw: u64) -> Option<Span> {
+        let (fraction, expected) = self.refused_fraction(now, id, target)?;
+        (unit(draw) < fraction).then_some(expected)
+    }
+
+    /// Returns the fraction of requests with this `target` to refuse, and the time until the
+    /// upstream has processed what is queued now.
+    fn refused_fraction(&self, now: Instant, id: &str, target: Span) -> Option<(f64, Span)> {
         let upstream = self
             .upstreams
             .get(id)
@@ -100,12 +155,19 @@
         let target = target.as_millis_f64().max(1.0);
         let fraction = ((expected / target - SHEDDING_START) / (SHEDDING_FULL - SHEDDING_START))
             .clamp(0.0, REFUSED_FRACTION_MAX);
-        let drawn = (draw >> 11) as f64 / (1_u64 << 53) as f64;
-        // By then the upstream has processed what is queued now.
-        (drawn < fraction).then(|| Span::from_millis_f64(expected))
+        Some((fraction, Span::from_millis_f64(expected)))
     }
 }
 
+/// Returns a drawn number as one between 0 and 1.
+fn unit(draw: u64) -> f64 {
+    (draw >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+fn decayed(now: Instant, at: Instant, count: f64) -> f64 {
+    count * (-now.since(at).as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64()).exp2()
+}
+
 /// Returns the expected time to answer a request that queues behind those waiting, as
 /// a multiple of the service time.
 fn service_times(load: Load) -> f64 {
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod random;
 pub mod repeat;
 pub mod rest;
+pub mod retry_after;
 pub mod route;
 pub mod share;
 pub mod slot;
