Tell sidecars the organisation, and log and count by priority

Cause: Permit requests named no organisation, refusals for lack of capacity had one Retry-After for all, and logs and counters had no priority. Ruled out: A label on kingcupbay_places_total and kingcupbay_refusals_total: their series are read by dashboards and tests by their present labels. Change: Entries set organisation, decide on plain requests by priority and spread Retry-After where the configuration has several priorities.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -172,7 +172,9 @@
         (false, ..) if let Some(rest) = job.gateway.shortest_rest(service) => {
             Refusal::retry(Code::Overloaded, "engines asked for rest", job.spread(rest))
         }
-        (false, _, Some(after)) => Refusal::retry(Code::Overloaded, "engines are full", after),
+        (false, _, Some(after)) => {
+            Refusal::retry(Code::Overloaded, "engines are full", job.retry_after(after))
+        }
         (false, _, None) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no engine", NO_ENGINE_RETRY);
             job.gateway.evacuated_refusal(service).unwrap_or(refusal)
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::{Deployment, Organisation, Route},
+    retry_after::retry_after,
     time::{Instant, Span},
     wire::metadata::RequestMetadata,
 };
@@ -71,6 +72,14 @@
         after + Span::from_micros(self.draw() % width)
     }
 
+    /// Returns the time after which this request may retry if capacity is expected `after`
+    /// now. Where priorities of the deployment differ, it is spread by priority.
+    pub(crate) fn retry_after(&self, after: Span) -> Span {
+        let routes = self.deployment.routes.iter().map(|route| route.priority);
+        let own = self.deployment.organisations.iter().filter_map(|row| row.priority);
+        retry_after(after, self.priority(), &routes.chain(own).collect(), self.draw())
+    }
+
     /// Returns the attempt id, empty if the caller set none.
     pub(crate) fn attempt(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or_default()
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -14,6 +14,7 @@
     registry: Registry,
     answers: IntCounterVec,
     refusals: IntCounterVec,
+    priorities: IntCounterVec,
     sends: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
@@ -48,6 +49,12 @@
         Metrics {
             answers,
             refusals,
+            priorities: counters(
+                &registry,
+                "kingcupbay_refusals_by_priority_total",
+                "Admitted requests refused, by priority",
+                &["priority", "code"],
+            ),
             sends: counters(
                 &registry,
                 "kingcupbay_sends_total",
@@ -172,6 +179,12 @@
         self.refusals.with_label_values(&[code.as_str()]).inc();
     }
 
+    /// Counts a refused request of `priority` that was within its organisation's limit.
+    pub(crate) fn on_refusal_at(&self, priority: u8, code: Code) {
+        let priority = priority.min(9).to_string();
+        self.priorities.with_label_values(&[priority.as_str(), code.as_str()]).inc();
+    }
+
     /// Counts an attempt at an upstream.
     pub(crate) fn on_send(&self, outcome: &str) {
         self.sends.with_label_values(&[outcome]).inc();
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -127,7 +127,7 @@
         max_wait,
         event_gap: job.route.event_gap,
         entry: gateway.node.peer_address,
-        organisation: None,
+        organisation: job.organisation.as_ref().map(|organisation| organisation.name.clone()),
         transferred: false,
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -81,7 +81,7 @@
         if again && (sends >= job.route.attempts || !job.gateway.may_repeat(service)) {
             break;
         }
-        if let Some(after) = check_backlog(&job, &instance).filter(|_| tried.is_empty()) {
+        if let Some(after) = tried.is_empty().then(|| check_backlog(&job, &instance)).flatten() {
             return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
         }
         tried.push(instance.id.clone());
@@ -132,7 +132,7 @@
             Refusal::retry(Code::Overloaded, "upstreams asked for rest", job.spread(rest))
         }
         (false, _) if sends > 0 => {
-            Refusal::retry(Code::Overloaded, "upstreams are full", FULL_RETRY)
+            Refusal::retry(Code::Overloaded, "upstreams are full", job.retry_after(FULL_RETRY))
         }
         (false, _) if let Some(held) = held => {
             let after = held.after().map_or(NO_UPSTREAM_RETRY, |after| job.spread(after));
@@ -161,7 +161,10 @@
 fn check_backlog(job: &Job, instance: &Instance) -> Option<Span> {
     let now = clock::now();
     let target = job.route.latency_target.saturating_sub(now.since(job.arrived));
-    job.gateway.backlog.borrow().refuse(now, &instance.id, target, job.draw())
+    let mut backlog = job.gateway.backlog.borrow_mut();
+    backlog.on_request(now, &instance.id, job.priority());
+    let refused = backlog.refuse_by_priority(now, &instance.id, target, job.priority(), job.draw());
+    refused.map(|after| job.retry_after(after))
 }
 
 /// Makes one attempt at `instance`. `last` says whether no other upstream may be tried
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -16,6 +16,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     verdicts: IntCounterVec,
+    priorities: IntCounterVec,
     wait: HistogramVec,
     orders: IntCounterVec,
     requests: IntGaugeVec,
@@ -38,6 +39,12 @@
                 "Requests for a place by what became of them",
                 &["verdict"],
             ),
+            priorities: counters(
+                &registry,
+                "kingcupbay_places_by_priority_total",
+                "Requests for a place by priority and what became of them",
+                &["priority", "verdict"],
+            ),
             wait: histograms(
                 &registry,
                 "kingcupbay_place_wait_seconds",
@@ -66,13 +73,16 @@
         }
     }
 
-    /// Counts a verdict on a permit request that waited for `waited`.
-    pub(crate) fn on_verdict(&self, verdict: &Verdict, waited: Span) {
+    /// Counts a verdict on a permit request of `priority` that waited for `waited`.
+    pub(crate) fn on_verdict(&self, verdict: &Verdict, priority: u8, waited: Span) {
         let name = match verdict {
             Verdict::Granted { .. } => "granted",
             Verdict::Refused { why, .. } => why.as_str(),
         };
         self.verdicts.with_label_values(&[name]).inc();
+        // Priorities above 9 are sent to engines as 9.
+        let priority = priority.min(9).to_string();
+        self.priorities.with_label_values(&[priority.as_str(), name]).inc();
         self.wait.with_label_values(&[name]).observe(waited.as_secs_f64());
     }
 
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -63,6 +63,7 @@
     sidecar.answers.borrow_mut().insert(ticket, sender);
     let queued = QueuedRequest { sidecar: sidecar.clone(), ticket };
     let (attempt, name) = (permit.attempt.clone(), permit.name.adapter.clone());
+    let priority = permit.priority;
     let limit = sidecar.admission.borrow().limit(now);
     let actions = sidecar.admission.borrow_mut().on_permit_request(now, ticket, permit);
     engine::log_limit(&sidecar, now, limit, LimitSource::Request);
@@ -72,14 +73,14 @@
         receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING_RETRY });
     drop(queued);
     let waited = clock::now().since(now);
-    sidecar.metrics.on_verdict(&verdict, waited);
+    sidecar.metrics.on_verdict(&verdict, priority, waited);
     let waited = waited.as_millis();
     match &verdict {
         Verdict::Granted { version } => debug!(sidecar.node.log, ""; "event" => "granted",
-            "request" => attempt, "adapter" => name, "version" => version,
+            "request" => attempt, "adapter" => name, "priority" => priority, "version" => version,
             "waited_ms" => waited),
         Verdict::Refused { why, after } => info!(sidecar.node.log, ""; "event" => "no_place",
-            "request" => attempt, "adapter" => name, "why" => why.as_str(),
+            "request" => attempt, "adapter" => name, "priority" => priority, "why" => why.as_str(),
             "after_ms" => after.as_millis(), "waited_ms" => waited),
     }
     answer(&verdict)
