--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -3,10 +3,10 @@
 use crate::{
     deployment::model::AdapterName,
     time::{Instant, Span},
-    wire::sidecar::{PermitRequest, Refusal},
+    wire::sidecar::{PermitRequest, PriorityDelay, Refusal},
 };
 
-use super::{Admission, prefill::PrefillLimit};
+use super::{Admission, BASE_MODEL_RETRY, prefill::PrefillLimit};
 
 /// Longest pause between two events for routes that set none. The users' routes
 /// that do set one use the same.
@@ -42,20 +42,54 @@
         let ahead =
             self.running.unread_tokens() + self.queue.prompt_tokens_before(request.priority);
         let prefill = self.prefill_wait(ahead.saturating_sub(self.prefill_limit().burst_tokens()));
-        let full = self.running.len() + self.queue.len() >= self.spec.slots.max(1) as usize;
+        let before = self.queue.len_before(request.priority);
+        let full = self.running.len() + before >= self.spec.slots.max(1) as usize;
         let slot = match full {
             true => {
-                let excess = self.running.len() + self.queue.len() + 1 - self.spec.slots as usize;
+                let excess = self.running.len() + before + 1 - self.spec.slots as usize;
                 self.speed.time_for_ends(excess as u64)
             }
             false => Span::ZERO,
         };
-        let cold = self.cold.wait(now, self.queue.len_before(request.priority));
-        let ahead = self.queue.len_before(request.priority) + self.orders_before(&request.name);
+        let cold = self.cold.wait(now, before);
+        let ahead = before + self.orders_before(&request.name);
         let limit = self.limit.wait(now, ahead);
         prefill.max(self.load_wait(now, &request.name)).max(slot).max(cold).max(limit)
     }
 
+    /// Returns the expected waits by priority; none if no priority differs.
+    pub(super) fn priority_delays(&self, now: Instant) -> Vec<PriorityDelay> {
+        let mut delays: Vec<PriorityDelay> = Vec::new();
+        if self.seen_priorities.len() < 2 || self.queue.is_empty() {
+            return delays;
+        }
+        for &priority in &self.seen_priorities {
+            let tokens = self.running.unread_tokens() + self.queue.prompt_tokens_before(priority);
+            let requests = self.queue.len_before(priority);
+            let delay = self
+                .prefill_wait(tokens)
+                .max(self.cold.wait(now, requests))
+                .max(self.limit.wait(now, requests));
+            if delays.last().is_none_or(|last| last.delay != delay) {
+                delays.push(PriorityDelay { priority, delay });
+            }
+        }
+        if delays.len() < 2 {
+            delays.clear();
+        }
+        delays
+    }
+
+    /// Returns when a request refused for lack of a base model may retry. Where priorities
+    /// differ, retries are made in order of priority and as fast as the engine serves.
+    pub(super) fn promise_retry(&mut self, now: Instant, request: &PermitRequest) -> Span {
+        if self.seen_priorities.len() < 2 {
+            return BASE_MODEL_RETRY;
+        }
+        let work = self.prefill_wait(request.size.prompt);
+        self.retries.promise(now, BASE_MODEL_RETRY, request.priority, work)
+    }
+
     /// Returns the event gap to keep: the shortest of all running requests.
     pub(super) fn event_gap(&self) -> Span {
         self.running.event_gap().unwrap_or(DEFAULT_EVENT_GAP)
