Divide an organisation's rate by service and priority

Cause: limits grant by arrival and cost. While an organisation asks for more than its rate, urgent requests are refused as often as others, and all refused callers are told to retry within the same second. A short wait at the entry is not tried yet. Change: the demand of kinds (service, priority) is averaged and reported to other entries; the rate is divided first between services, then by priority; a sub-bucket for each kind holds each entry to the same fraction of the demand. What is left over goes to more urgent kinds first. Refusals promise tokens, and are hopeless beyond a third of the time that the caller has left. Followers name kind and remaining time. Logs and counters by priority. End-to-end tests are open.

--- a/kingcupbay_core/src/allowance.rs
+++ b/kingcupbay_core/src/allowance/mod.rs
@@ -10,9 +10,20 @@
 //! entry then limits itself to its share of the rate, in proportion to its demand. An
 //! entry that receives no reports from another one freezes its share, and so does the
 //! other one, so that the shares do not add up to more than the whole.
+//!
+//! While an organisation asks for more than its rate, with requests that differ in priority,
+//! [`kinds`] divides the rate between them.
+
+mod account;
+mod kinds;
+
+pub use kinds::{OverLimit, TokenRequest};
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use account::Account;
+use kinds::{Claim, Demand, Kinds};
+
 use crate::{
     deployment::model::Organisation,
     id::Number,
@@ -51,6 +62,9 @@
 /// organisation whose demand exceeds this reserve is over its limit anyway.
 const RESERVED_BURST_MAX: f64 = 0.5;
 
+/// Largest fraction of the burst kept for kinds of requests that come first.
+const KEPT_BURST_MAX: f64 = 0.4;
+
 /// Report periods without a report after which an entry counts as silent and may be
 /// spending unnoticed: three reports in a row are missing.
 const SILENT_PERIODS: f64 = 3.5;
@@ -77,34 +91,6 @@
 /// Longest retry delay returned to a caller.
 const RETRY_AFTER_MAX: Span = Span::from_secs(5);
 
-/// Error for a request that exceeds its organisation's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OverLimit {
-    /// Time until the limit is expected to allow the request.
-    pub retry_after: Span,
-}
-
-/// Bucket and demand of one organisation, as this entry knows them.
-#[derive(Clone, Debug)]
-struct Account {
-    /// Tokens left in the fleet's bucket. A negative value is debt.
-    level: f64,
-    /// Tokens left in this entry's share of the bucket.
-    own_level: f64,
-    /// When both levels were last refilled.
-    refilled: Instant,
-    /// Rate and burst at which they were.
-    rate: f64,
-    burst: f64,
-    /// Tokens admitted since the start, less refunds.
-    spent: i64,
-    /// Average of the tokens requested per second, as of `demand_at`.
-    demand: f64,
-    demand_at: Instant,
-    /// Demand last reported while no other entry was silent.
-    reported_demand: f64,
-}
-
 /// Another entry, as of its last usage report.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -200,6 +186,22 @@
         now: Instant,
         who: &Organisation,
         cost: u64,
+    ) -> Result<(), OverLimit> {
+        if who.rate == 0 {
+            return Ok(());
+        }
+        let request = TokenRequest { cost, ..TokenRequest::default() };
+        self.acquire(now, who, &request)
+    }
+
+    /// Takes the tokens of `request` from the bucket of `who`.
+    ///
+    /// Fails with the time after which to retry if the limit does not allow it.
+    pub fn acquire(
+        &mut self,
+        now: Instant,
+        who: &Organisation,
+        request: &TokenRequest,
     ) -> Result<(), OverLimit> {
         if who.rate == 0 {
             return Ok(());
@@ -209,15 +211,31 @@
         let lag = self.report_period().as_secs_f64() * REPORT_LAG_PERIODS;
         let reserved = (self.others_demand(who) * lag).min(who.burst as f64 * RESERVED_BURST_MAX);
         let delisted = self.removed && !self.peers.is_empty();
+        let mut kinds = self.reported_kinds(who);
         let account = self.account(now, who, share);
-        let cost = cost as f64;
+        let cost = request.cost as f64;
         account.demand += cost / DEMAND_WINDOW_SECS;
+        let kind = account.kinds.on_request(now, request);
+        for (key, demand) in account.kinds.demand(now) {
+            *kinds.entry(key).or_default() += demand;
+        }
+        let claim = account.divide(now, &kinds, kind);
+        let level_min = claim.map_or(0.0, Claim::level_min);
         let burst = who.burst as f64;
         let needed = cost.min(burst * LARGE_REQUEST_LEVEL);
         let own_needed = cost.min(burst * share * LARGE_REQUEST_LEVEL);
-        let shared = !peer_silent && account.level >= reserved + needed;
-        let own =
-            account.own_level >= own_needed && (peer_silent || account.level >= needed.min(0.0));
+        // Nothing is refused while the bucket holds enough for the kinds that come first.
+        let ahead = match claim {
+            None | Some(Claim::Entitled) => 0.0,
+            _ => {
+                let lacking = kinds.values().sum::<f64>() - who.rate as f64;
+                let first = kinds::demand_ahead(&kinds, kind);
+                (first.min(lacking) * lag).min(burst * KEPT_BURST_MAX)
+            }
+        };
+        let shared = !peer_silent && account.level >= reserved + needed + ahead;
+        let own = account.own_level >= own_needed.max(burst * share * level_min)
+            && (peer_silent || account.level >= needed.min(0.0));
         if !delisted && (shared || own) {
             account.level -= cost;
             account.own_level = match own {
@@ -225,13 +243,22 @@
                 false => (account.own_level - cost).max(0.0),
             };
             account.spent += cost as i64;
+            if claim.is_some() {
+                account.kinds.spend(kind, cost);
+            }
             return Ok(());
         }
+        if let Some(claim) = claim {
+            let after = account.kinds.promise(now, kind, request);
+            let retry_after = after.unwrap_or(RETRY_AFTER_MAX);
+            return Err(OverLimit { retry_after, hopeless: after.is_none(), why: claim.why() });
+        }
         let rate = who.rate as f64;
         let refill = (own_needed - account.own_level) / (rate * share).max(1.0);
         let wait = refill.max(-account.level / rate);
         let after = Span::from_micros((wait.max(RETRY_AFTER_MIN_SECS) * 1e6) as u64);
-        Err(OverLimit { retry_after: after.min(RETRY_AFTER_MAX) })
+        let retry_after = after.min(RETRY_AFTER_MAX);
+        Err(OverLimit { retry_after, hopeless: false, why: "no tokens left" })
     }
 
     /// Returns `cost` tokens of a request that did not run.
@@ -267,7 +294,9 @@
             if !peer_silent {
                 account.reported_demand = demand;
             }
-            let kinds = BTreeMap::new();
+            let kinds = account.kinds.demand(now);
+            let differ = kinds::differ(&kinds) || named_by_others(&self.peers, name);
+            let kinds = if differ { kinds::named(&kinds) } else { BTreeMap::new() };
             uses.insert(name.clone(), OrganisationUsage { spent, demand, level, kinds });
         }
         self.reported.extend(uses.iter().map(|(name, used)| (name.clone(), used.clone())));
@@ -318,6 +347,11 @@
         self.accounts.iter().map(|(name, account)| (name.as_str(), account.level))
     }
 
+    /// Returns the bucket level of one organisation.
+    pub fn level(&self, organisation: &str) -> Option<f64> {
+        self.accounts.get(organisation).map(|account| account.level)
+    }
+
     /// Checks whether another entry is silent and may be spending unnoticed. When that
     /// begins, limits this entry to its share of the current level, as the other entry
     /// does: the bucket may be nearly empty although nothing was spent here.
@@ -383,6 +417,14 @@
         known.filter_map(|peer| peer.uses.get(&who.name)).map(|used| used.demand).sum()
     }
 
+    /// Returns the demand of each kind of requests that the other entries report for `who`.
+    fn reported_kinds(&self, who: &Organisation) -> Demand {
+        let known = self.peers.values().flatten().filter_map(|peer| peer.uses.get(&who.name));
+        let mut demand = Demand::new();
+        known.for_each(|used| kinds::add_reported(&mut demand, used));
+        demand
+    }
+
     /// Returns the account of `who`, refilled up to `now`.
     fn account(&mut self, now: Instant, who: &Organisation, share: f64) -> &mut Account {
         let burst = who.burst as f64;
@@ -396,6 +438,8 @@
             demand: 0.0,
             demand_at: now,
             reported_demand: 0.0,
+            kinds: Kinds::default(),
+            divided: None,
         });
         let passed = now.since(account.refilled).as_secs_f64();
         account.decay(now);
@@ -409,17 +453,8 @@
     }
 }
 
-impl Account {
-    /// Returns the tokens left in the fleet's bucket now.
-    fn refilled_level(&self, now: Instant) -> f64 {
-        let passed = now.since(self.refilled).as_secs_f64();
-        (self.level + self.rate * passed).min(self.burst)
-    }
-
-    /// Decays the average of the demand up to `now`.
-    fn decay(&mut self, now: Instant) {
-        let passed = now.since(self.demand_at).as_secs_f64();
-        self.demand *= (-passed / DEMAND_WINDOW_SECS).exp();
-        self.demand_at = now;
-    }
+/// Returns whether another entry names the kinds of requests of `organisation`.
+fn named_by_others(peers: &BTreeMap<String, Option<Peer>>, organisation: &str) -> bool {
+    let mut known = peers.values().flatten().filter_map(|peer| peer.uses.get(organisation));
+    known.any(|used| !used.kinds.is_empty())
 }
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -25,6 +25,8 @@
     wait_left: IntCounterVec,
     limited: IntGauge,
     limiters_asked: IntCounterVec,
+    limit_requests: IntCounterVec,
+    limit_tokens: IntCounterVec,
 }
 
 impl Metrics {
@@ -113,6 +115,18 @@
                 "Requests for tokens of a limit to other entries, by outcome",
                 &["outcome"],
             ),
+            limit_requests: counters(
+                &registry,
+                "kingcupbay_limit_requests_total",
+                "Requests for tokens of organisations' limits, by priority and outcome",
+                &["priority", "outcome"],
+            ),
+            limit_tokens: counters(
+                &registry,
+                "kingcupbay_limit_tokens_total",
+                "Tokens requested of organisations' limits, by priority and outcome",
+                &["priority", "outcome"],
+            ),
             registry,
         }
     }
@@ -162,6 +176,25 @@
         self.limiters_asked.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request whose `tokens` were taken off its organisation's limit.
+    pub(crate) fn on_acquired(&self, priority: u8, tokens: u64) {
+        self.on_limit_request(priority, "acquired", tokens);
+    }
+
+    /// Counts a request that its organisation's limit does not allow. It is `hopeless` if the
+    /// caller is not told to retry.
+    pub(crate) fn on_over_rate(&self, priority: u8, tokens: u64, hopeless: bool) {
+        let outcome = if hopeless { "hopeless" } else { "refused" };
+        self.on_limit_request(priority, outcome, tokens);
+    }
+
+    fn on_limit_request(&self, priority: u8, outcome: &str, tokens: u64) {
+        let priority = priority.to_string();
+        let labels = [priority.as_str(), outcome];
+        self.limit_requests.with_label_values(&labels).inc();
+        self.limit_tokens.with_label_values(&labels).inc_by(tokens);
+    }
+
     /// Counts a stream that ended early.
     pub(crate) fn on_broken(&self, route: &str) {
         self.broken.with_label_values(&[route]).inc();
--- a/kingcupbayd/src/registered/limiters.rs
+++ b/kingcupbayd/src/registered/limiters.rs
@@ -1,16 +1,20 @@
 //! Asks limiters for tokens of organisations' limits, and answers those who ask.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use kingcupbay_core::{
-    allowance::Allowance,
+    allowance::{Allowance, OverLimit, TokenRequest},
     deployment::model::Organisation,
     random::mix,
     time::Span,
     wire::{
         error::Code,
-        usage::{ACQUIRE_PATH, AcquireRequest, AcquireVerdict, REFUND_PATH},
+        usage::{ACQUIRE_PATH, AcquireRequest, AcquireVerdict, REFUND_PATH, RequestKind},
     },
 };
 use slog::{info, warn};
@@ -60,8 +64,20 @@
     let gateway = &job.gateway;
     let now = clock::now();
     if gateway.limiters.borrow().is_limiter() || organisation.rate == 0 {
-        let acquired = gateway.allowance.borrow_mut().try_acquire(now, organisation, job.cost);
-        return acquired.map_err(|over| over_rate(job, organisation, over.retry_after));
+        let request = TokenRequest {
+            cost: job.cost,
+            kind: Some(kind(job)),
+            remaining: job.remaining(),
+            draw: job.draw(),
+        };
+        let acquired = gateway.allowance.borrow_mut().acquire(now, organisation, &request);
+        return match acquired {
+            Ok(()) => {
+                gateway.metrics.on_acquired(job.priority(), job.cost);
+                Ok(())
+            }
+            Err(over) => Err(over_rate(job, organisation, over)),
+        };
     }
     let mut asked = Vec::new();
     while asked.len() < LIMITERS_ASKED_MAX && job.remaining() > ANSWER_TIMEOUT {
@@ -71,12 +87,14 @@
         match ask(gateway, limiter, &acquire_request(job, organisation)).await {
             Some(AcquireVerdict::Acquired) => {
                 gateway.metrics.on_limiter_asked("acquired");
+                gateway.metrics.on_acquired(job.priority(), job.cost);
                 job.limiter.set(Some(limiter));
                 return Ok(());
             }
-            Some(AcquireVerdict::OverLimit { retry_after, .. }) => {
+            Some(AcquireVerdict::OverLimit { retry_after, hopeless }) => {
                 gateway.metrics.on_limiter_asked("over_limit");
-                return Err(over_rate(job, organisation, retry_after));
+                let over = OverLimit { retry_after, hopeless, why: "the limiter refused" };
+                return Err(over_rate(job, organisation, over));
             }
             Some(AcquireVerdict::NotLimiter) => gateway.metrics.on_limiter_asked("not_limiter"),
             None => gateway.metrics.on_limiter_asked("failed"),
@@ -89,11 +107,25 @@
 }
 
 /// Logs that the limit of `organisation` does not allow a request, and returns its refusal.
-fn over_rate(job: &Job, organisation: &Organisation, after: Span) -> Refusal {
+fn over_rate(job: &Job, organisation: &Organisation, over: OverLimit) -> Refusal {
+    let after = (!over.hopeless).then_some(over.retry_after);
     info!(job.gateway.node.log, ""; "event" => "over_rate", "request" => &job.metadata.attempt,
-        "organisation" => &organisation.name, "cost" => job.cost, "rate" => organisation.rate,
-        "after_ms" => after.as_millis());
-    Refusal::retry(Code::OverRate, "over the rate", after)
+        "organisation" => &organisation.name, "route" => &job.route.name,
+        "priority" => job.priority(), "why" => over.why, "hopeless" => over.hopeless,
+        "level" => job.gateway.allowance.borrow().level(&organisation.name).map(|level| level as i64),
+        "cost" => job.cost, "rate" => organisation.rate, "after_ms" => after.map(Span::as_millis));
+    job.gateway.metrics.on_over_rate(job.priority(), job.cost, over.hopeless);
+    match after {
+        Some(after) => Refusal::retry(Code::OverRate, "over the rate", after),
+        None => Refusal::plain(Code::OverRate, "over the rate"),
+    }
+}
+
+/// Returns the kind of a request. The hash is the same at all daemons of one build.
+fn kind(job: &Job) -> RequestKind {
+    let mut hasher = DefaultHasher::new();
+    job.route.target(job.draw()).hash(&mut hasher);
+    RequestKind { service: hasher.finish() as u32, priority: job.priority() }
 }
 
 fn acquire_request(job: &Job, organisation: &Organisation) -> AcquireRequest {
@@ -102,7 +134,7 @@
         rate: organisation.rate,
         burst: organisation.burst,
         cost: job.cost,
-        kind: None,
+        kind: Some(kind(job)),
         remaining: job.remaining(),
     }
 }
@@ -164,10 +196,24 @@
         true => {
             let organisation = organisation(&gateway, &asked);
             let mut allowance = gateway.allowance.borrow_mut();
-            match allowance.try_acquire(clock::now(), &organisation, asked.cost) {
+            let now = clock::now();
+            let request = TokenRequest {
+                cost: asked.cost,
+                kind: asked.kind,
+                remaining: asked.remaining,
+                draw: mix(gateway.node.incarnation ^ now.as_micros()),
+            };
+            match allowance.acquire(now, &organisation, &request) {
                 Ok(()) => AcquireVerdict::Acquired,
                 Err(over) => {
-                    AcquireVerdict::OverLimit { retry_after: over.retry_after, hopeless: false }
+                    info!(gateway.node.log, ""; "event" => "over_limit",
+                        "organisation" => &organisation.name,
+                        "priority" => asked.kind.map(|kind| kind.priority),
+                        "service" => asked.kind.map(|kind| kind.service), "why" => over.why,
+                        "level" => allowance.level(&organisation.name).map(|level| level as i64),
+                        "cost" => asked.cost, "hopeless" => over.hopeless);
+                    let OverLimit { retry_after, hopeless, .. } = over;
+                    AcquireVerdict::OverLimit { retry_after, hopeless }
                 }
             }
         }
