Measure the pace of an engine's host, and limit prefill by it

Cause: on hosts shared with others, all work takes 2.5 times as long for about 600 ms at a time. Speeds were averaged over a hundred measurements, and the factor on the prefill limit could not fall below 1.0, so streams stalled in every such period. Change: admission/pace.rs counts steps and prefilled tokens between two reports against usual times that it learns as medians. Where the pace varies, the limit follows it, a prompt that would stall streams is not sent while the host is slow, the factor may fall to 0.05, and all streams that ran beside prefill count for it. Speeds are learned at the usual pace. Elsewhere the pace is exactly 1 and nothing changes. Reports that show tokens within events make Speed::on_tokens count too few tokens per event, as it drops those of reports without an event. That is left as it is for steady hosts, whose decisions must not change.

--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -6,12 +6,16 @@
     wire::sidecar::{PermitRequest, Refusal},
 };
 
-use super::{Admission, prefill::PrefillLimit};
+use super::{Admission, prefill::PrefillLimit, queue::Waiter};
 
 /// Longest pause between two events for routes that set none. The users' routes
 /// that do set one use the same.
 pub(super) const DEFAULT_EVENT_GAP: Span = Span::from_millis(300);
 
+/// Work factor from which prompts that would stall streams wait until the host is faster. It
+/// is between the usual pace and that of slow periods.
+const HOLDING_WORK: f64 = 1.5;
+
 impl Admission {
     /// Returns why `request` cannot be accepted now; `None` if it can.
     pub(super) fn refusal_reason(&self, request: &PermitRequest) -> Option<Refusal> {
@@ -61,14 +65,36 @@
         self.running.event_gap().unwrap_or(DEFAULT_EVENT_GAP)
     }
 
+    /// Whether the limit lets `waiter` send its prompt now.
+    pub(super) fn fits_prefill(&self, limit: PrefillLimit, waiter: &Waiter) -> bool {
+        let (unread, tokens) = (self.running.unread_tokens(), waiter.request.size.prompt);
+        if !self.pace.is_varying(self.reported_at) {
+            return self.recent_grants.fits(limit, unread, tokens);
+        }
+        let work = self.pace.work(self.reported_at);
+        self.recent_grants.fits_at_pace(limit, unread, tokens, work >= HOLDING_WORK)
+    }
+
     /// Returns the limit on prompt tokens sent to the engine.
     pub(super) fn prefill_limit(&self) -> PrefillLimit {
+        let now = self.reported_at;
+        if self.pace.is_varying(now) {
+            let (gap, factor) = (self.event_gap(), self.prefill_scale.factor());
+            let (work, streaming) = (self.pace.work(now), self.running.is_streaming());
+            return PrefillLimit::at_pace(&self.pace, gap, factor, work, streaming);
+        }
         PrefillLimit::new(&self.speed, self.event_gap(), self.prefill_scale.factor())
     }
 
     /// Returns the expected time until the last of `tokens` can be sent to the engine.
     pub(super) fn prefill_wait(&self, tokens: u64) -> Span {
-        self.prefill_limit().wait_time(&self.speed, self.event_gap(), tokens)
+        let wait = self.prefill_limit().wait_time(&self.speed, self.event_gap(), tokens);
+        match self.pace.is_varying(self.reported_at) {
+            true => {
+                wait.max(self.pace.prefill_time(tokens).scaled(self.pace.work(self.reported_at)))
+            }
+            false => wait,
+        }
     }
 
     /// Returns the number of orders that the engine needs before it can run `name`: one to
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -8,7 +8,7 @@
 //! waits. [`queue`] holds the waiting requests and [`running`] those with a permit.
 //! [`orders`] decides what the engine loads and unloads. [`order`] and [`report`]
 //! define the messages to and from the engine, [`load_report`] the updates to
-//! entries. [`speed`], [`prefill`] and [`loads`] learn how fast the engine is.
+//! entries. [`speed`], [`pace`], [`prefill`] and [`loads`] learn how fast the engine is.
 //!
 //! An engine prefills prompts between the tokens of running requests. Prompts
 //! sent beyond what it can prefill within the event gap of the running streams
@@ -22,6 +22,7 @@
 pub mod loads;
 pub mod order;
 mod orders;
+pub mod pace;
 pub mod prefill;
 pub mod queue;
 pub mod report;
@@ -97,6 +98,7 @@
     prefill_scale: PrefillScale,
     speed: Speed,
     loads: LoadLimiter,
+    pace: pace::Pace,
     orders: orders::OrderPlanner,
     /// Whether the engine's availability zone is evacuated.
     evacuated: bool,
@@ -123,6 +125,7 @@
             prefill_scale: PrefillScale::default(),
             speed: Speed::default(),
             loads: LoadLimiter::default(),
+            pace: pace::Pace::default(),
             orders: orders::OrderPlanner::default(),
             evacuated: false,
             cold: ColdGate::default(),
@@ -239,7 +242,10 @@
 
     /// Records the longest pause between two events of a stream that ended normally.
     pub fn on_stream_complete(&mut self, attempt: &str, pause: Span) {
-        if let Some(event_gap) = self.running.delayed_gap(attempt) {
+        let varying = self.pace.is_varying(self.reported_at);
+        let prefill_gap = self.running.prefill_gap(attempt).filter(|_| varying);
+        if let Some(event_gap) = self.running.delayed_gap(attempt).or(prefill_gap) {
+            self.prefill_scale.on_pace(varying);
             self.prefill_scale
                 .on_stream_complete(pause, event_gap.unwrap_or(estimate::DEFAULT_EVENT_GAP));
         }
@@ -271,7 +277,7 @@
         }
         self.order_count = report.orders;
         let elapsed = now.since(self.reported_at);
-        self.running.on_report(now, elapsed, &report, &mut self.speed);
+        self.running.on_report(now, elapsed, &report, &mut self.speed, &mut self.pace);
         self.orders.on_report();
         let resident = |name: &AdapterName| report.version(name).is_some();
         self.loads.on_report(now, resident, |name| report.is_pending(name));
@@ -348,7 +354,7 @@
     pub fn dump(&self, now: Instant) -> String {
         format!(
             "running={} waiting={} unread={} pace={:.1} event_ms={} learned={:.2} report={} \
-             fencing={:?} evacuated={} cold={} limit={:?}\n",
+             fencing={:?} evacuated={} cold={} limit={:?} work={:.2} varying={}\n",
             self.running.len(),
             self.queue.len(),
             self.running.unread_tokens(),
@@ -360,6 +366,8 @@
             self.evacuated,
             self.cold.is_cold(now),
             self.limit.rate(now),
+            self.pace.work(now),
+            self.pace.is_varying(now),
         )
     }
 
@@ -443,11 +451,10 @@
                 return;
             }
             // Smaller requests do not overtake a large one, which would starve it.
-            let unread = self.running.unread_tokens();
             if reserved + request.size.total() > memory {
                 return;
             }
-            if !self.recent_grants.fits(limit, unread, request.size.prompt) {
+            if !self.fits_prefill(limit, waiter) {
                 self.running.on_prefill_delayed();
                 return;
             }
--- a/kingcupbay_core/src/admission/prefill.rs
+++ b/kingcupbay_core/src/admission/prefill.rs
@@ -19,7 +19,7 @@
 
 use crate::time::{Instant, Span};
 
-use super::speed::Speed;
+use super::{pace::Pace, speed::Speed};
 
 /// Most prompt tokens that an engine is assumed to prefill between two tokens of a
 /// stream: the usual default of engines.
@@ -67,10 +67,14 @@
 /// slower engine would otherwise be overloaded again and again.
 const CEILING_GROWTH_FACTOR: f64 = 1.002;
 
-/// Lower and upper bound of the scale. Below 1, requests would be refused to protect
-/// streams that already keep their event gap.
+/// Lower and upper bound of the scale on a host whose pace does not vary. Below 1, requests
+/// would be refused to protect streams that already keep their event gap.
 const FACTOR_BOUNDS: (f64, f64) = (1.0, 1.5);
 
+/// Lower bound of the scale on a host whose pace varies, where it only keeps the scale from
+/// vanishing: at this share of the computed limit, prompts are sent one by one.
+const VARYING_FACTOR_MIN: f64 = 0.05;
+
 /// Factor on the computed prefill limit, learned from the pauses of streams.
 #[derive(Debug)]
 pub(super) struct PrefillScale {
@@ -85,6 +89,8 @@
     stalled: u32,
     /// Their longest pause, as a share of the event gap.
     longest_share: f64,
+    /// Lower bound of `factor`.
+    floor: f64,
 }
 
 impl Default for PrefillScale {
@@ -95,11 +101,19 @@
             streams: 0,
             stalled: 0,
             longest_share: 0.0,
+            floor: FACTOR_BOUNDS.0,
         }
     }
 }
 
 impl PrefillScale {
+    /// Applies whether the pace of the host varies.
+    pub(super) fn on_pace(&mut self, varying: bool) {
+        self.floor = if varying { VARYING_FACTOR_MIN } else { FACTOR_BOUNDS.0 };
+        self.ceiling = self.ceiling.max(self.floor);
+        self.factor = self.factor.max(self.floor);
+    }
+
     /// Records the longest pause of a stream that ended normally and ran while
     /// prompts were delayed.
     pub(super) fn on_stream_complete(&mut self, pause: Span, event_gap: Span) {
@@ -119,7 +133,7 @@
     }
 
     fn scale(&mut self, by: f64) {
-        let (low, high) = FACTOR_BOUNDS;
+        let (low, high) = (self.floor, FACTOR_BOUNDS.1);
         self.ceiling = self.ceiling.clamp(low, high);
         self.factor = (self.factor * by).clamp(low, self.ceiling);
         (self.streams, self.stalled, self.longest_share) = (0, 0, 0.0);
@@ -159,6 +173,24 @@
         }
     }
 
+    /// Computes the limit for a host whose pace varies, if work takes `work` times as long as
+    /// usual. Without a stream that could stall, only what waits at the engine is limited.
+    pub(super) fn at_pace(
+        pace: &Pace,
+        event_gap: Span,
+        factor: f64,
+        work: f64,
+        streaming: bool,
+    ) -> PrefillLimit {
+        match pace.prefill_budget(event_gap, work).filter(|_| streaming) {
+            Some(budget) => PrefillLimit::PerGap((budget as f64 * factor) as u64),
+            None => {
+                let time = UNREAD_WINDOW.as_millis_f64() / work;
+                PrefillLimit::Window((pace.prefill_rate() * time) as u64)
+            }
+        }
+    }
+
     /// Returns the tokens that can be sent without a wait.
     pub(super) fn burst_tokens(self) -> u64 {
         let (PrefillLimit::PerGap(tokens) | PrefillLimit::Window(tokens)) = self;
@@ -195,6 +227,23 @@
         }
     }
 
+    /// Whether a prompt of `tokens` may be sent now to an engine whose pace varies. One that
+    /// would stall the streams is sent alone, and not while the host is slow (`holding`).
+    pub(super) fn fits_at_pace(
+        &self,
+        limit: PrefillLimit,
+        unread: u64,
+        tokens: u64,
+        holding: bool,
+    ) -> bool {
+        let PrefillLimit::PerGap(budget) = limit else {
+            return self.fits(limit, unread, tokens);
+        };
+        let recent: u64 = self.grants.iter().map(|(_, tokens)| tokens).sum();
+        let sent = unread.max(recent);
+        sent.saturating_add(tokens) <= budget || (sent == 0 && !holding)
+    }
+
     /// Whether a prompt of `tokens` may be sent now, while `unread` tokens are still
     /// to be prefilled. A prompt longer than the limit per event gap is sent alone.
     pub(super) fn fits(&self, limit: PrefillLimit, unread: u64, tokens: u64) -> bool {
--- a/kingcupbay_core/src/time.rs
+++ b/kingcupbay_core/src/time.rs
@@ -92,6 +92,11 @@
         Span(self.0.abs_diff(other.0))
     }
 
+    /// Returns the span multiplied by `factor`, rounded down to microseconds.
+    pub fn scaled(self, factor: f64) -> Span {
+        Span((self.0 as f64 * factor) as u64)
+    }
+
     /// Returns this span minus `other`, or zero if `other` is longer.
     pub const fn saturating_sub(self, other: Span) -> Span {
         Span(self.0.saturating_sub(other.0))
