--- a/kingcupbay_core/src/admission/schedule.rs
+++ b/kingcupbay_core/src/admission/schedule.rs
@@ -134,19 +134,17 @@
                 return;
             }
             // Smaller requests do not overtake a large one, which would starve it.
-            let unread = self.running.unread_tokens();
             if reserved + request.size.total() > memory {
                 return;
             }
-            let prompt = waiter.prefill_tokens();
-            if !self.recent_grants.fits(limit, unread, prompt) {
+            if !self.fits_prefill(limit, waiter) {
                 self.running.on_prefill_delayed();
                 return;
             }
             let version = request.name.adapter.is_some().then_some(version);
             free_slots -= 1;
             reserved += request.size.total();
-            self.recent_grants.on_grant(now, prompt);
+            self.recent_grants.on_grant(now, waiter.prefill_tokens());
             self.cold.on_grant(now);
             self.limit.on_send(now);
             self.running.on_grant(now, request);
