Report an engine's capacity, and place requests by expected times

Cause: entries counted slots, so engines at 0.6 and 1.6 times the usual speed got as many streams, and requests waited at one engine while others had capacity. Change: load reports contain `capacity`; it is logged and exported. Where rates differ by a quarter or a pace does, entries choose by the expected first event and end, avoid engines that cannot keep the gap or the deadline, count prompts sent since the report, prefer the own zone among equals, weigh homes by rate, and bound the wait by the next best engine. Conclusion: open are replicas by zone, the tokens of an event in reports, and the first seconds, in which speeds are unknown.

--- a/kingcupbay_core/src/admission/load_report.rs
+++ b/kingcupbay_core/src/admission/load_report.rs
@@ -6,9 +6,11 @@
 
 use crate::{
     time::{Instant, Span},
-    wire::sidecar::EngineLoadReport,
+    wire::sidecar::{EngineCapacity, EngineLoadReport},
 };
 
+use super::Admission;
+
 /// How long an entry is sent load reports after each of its permit requests. A sidecar
 /// reports to those entries that currently choose its engine: in a large fleet, each entry
 /// asks each engine rarely, and reports to all would grow with the number of both.
@@ -26,6 +28,33 @@
 /// targets are about ten times as long.
 const DELAY_CHANGE: Span = Span::from_millis(80);
 
+/// Change of the work factor that is reported at once, in percent of the former one. Engines
+/// whose rates differ by less count as alike.
+const WORK_CHANGE_PERCENT: u32 = 25;
+
+impl Admission {
+    /// Returns what the engine can take; `None` until its usual speed is known.
+    pub fn capacity(&self, now: Instant) -> Option<EngineCapacity> {
+        let pace = &self.pace;
+        if !pace.is_known() {
+            return None;
+        }
+        let (work, gap) = (pace.work(now), self.event_gap());
+        let per_second = pace.prefill_rate() * 1e3;
+        let sustained = match pace.prefill_budget(gap, work) {
+            Some(budget) => budget as f64 / gap.as_secs_f64().max(1e-3),
+            None if pace.event_interval().scaled(work) > gap => 0.0,
+            None => per_second / work,
+        };
+        Some(EngineCapacity {
+            prefill_rate: per_second as u32,
+            event_interval: pace.event_interval(),
+            work_percent: (work * 100.0).round() as u32,
+            sustained_rate: sustained as u32,
+        })
+    }
+}
+
 /// State of the load reports sent to one entry.
 #[derive(Clone, Debug, Default)]
 pub struct LoadReporter {
@@ -67,4 +96,14 @@
     last.open != now.open
         || change >= now.slots.max(1) * LOAD_CHANGE_PERCENT
         || last.delay.abs_diff(now.delay) >= DELAY_CHANGE
+        || work_changed(last.capacity, now.capacity)
+}
+
+/// Whether the pace changed such that another engine may be chosen.
+fn work_changed(last: Option<EngineCapacity>, now: Option<EngineCapacity>) -> bool {
+    let (Some(last), Some(now)) = (last, now) else { return false };
+    let change = last.work_percent.abs_diff(now.work_percent).saturating_mul(100);
+    change >= last.work_percent.max(1).saturating_mul(WORK_CHANGE_PERCENT)
+        || (last.work_percent != now.work_percent
+            && (last.sustained_rate == 0) != (now.sustained_rate == 0))
 }
--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -346,7 +346,7 @@
                 self.report.as_ref().map_or_else(Vec::new, |report| report.resident.clone()),
             ),
             delays: Vec::new(),
-            capacity: None,
+            capacity: self.capacity(now),
         }
     }
 
--- a/kingcupbay_core/src/placement.rs
+++ b/kingcupbay_core/src/placement/mod.rs
@@ -8,16 +8,22 @@
 //! next. While all of them are busier than the other engines, the next engine in the
 //! order is asked to load a replica, so the number of replicas follows demand.
 //!
+//! Where the speeds of engines differ, [`pace`] chooses by expected times instead.
+//!
 //! In a large fleet, an entry asks each engine so rarely that it knows the load of few. It
 //! learns that an adapter is in demand as its engines refuse requests, and then spreads the
 //! adapter's requests over twice as many engines, as long as the fleet is mostly idle.
 
+mod pace;
+
 use std::{
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
 };
 
+pub use self::pace::Want;
+
 use crate::{
     admission::load_report::REPORTED_FOR,
     deployment::model::{AdapterName, resident_version},
@@ -84,8 +90,9 @@
     report: EngineLoadReport,
     /// When the report arrived.
     reported: Option<Instant>,
-    /// Requests sent to the engine since then.
+    /// Requests sent to the engine since then, and their prompt tokens.
     sent: u32,
+    sent_tokens: u64,
     /// Since when and until when the sidecar owes reports, as this entry has asked it for
     /// permits.
     due: Option<(Instant, Instant)>,
@@ -131,6 +138,7 @@
         state.report = EngineLoadReport { resident, ..report };
         state.reported = Some(now);
         state.sent = 0;
+        state.sent_tokens = 0;
         known
     }
 
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -6,6 +6,7 @@
 use kingcupbay_core::{
     deployment::model::{AdapterName, Instance, Repeat},
     health::Exchange,
+    placement::Want,
     time::Span,
     wire::{
         error::Code,
@@ -104,16 +105,17 @@
         if job.remaining() <= PERMIT_WAIT_MIN || !may_send(job, service, tried) {
             break;
         }
-        let Some(instance) = choose(job, service, &name, &tried.engines) else { break };
+        let Some((instance, wait)) = choose(job, service, &name, &tried.engines) else { break };
         tried.engines.push(instance.address);
         let last = attempt + 1 == PERMIT_REQUESTS_MAX;
+        let wait = wait.filter(|_| !last);
         let acquired = tokio::select! {
             biased;
             why = job.gateway.wait_until_withdrawn(&instance) => {
                 on_withdrawn(job, &instance, why);
                 Err(None)
             }
-            acquired = acquire_permit(job, &instance, &name, last) => acquired,
+            acquired = acquire_permit(job, &instance, &name, last, wait) => acquired,
         };
         let (version, permit) = match acquired {
             Ok(acquired) => acquired,
@@ -180,13 +182,14 @@
     }
 }
 
-/// Returns the engine to try next.
+/// Returns the engine to try next, and how long to wait there until another one would start
+/// the request sooner, where the speeds of engines differ.
 fn choose(
     job: &Job,
     service: &str,
     name: &AdapterName,
     tried: &[SocketAddr],
-) -> Option<Rc<Instance>> {
+) -> Option<(Rc<Instance>, Option<Span>)> {
     let now = clock::now();
     let gateway = &job.gateway;
     let catalogue = gateway.node.catalogue.borrow();
@@ -205,27 +208,37 @@
     let healthy: Vec<SocketAddr> =
         untried.iter().filter(is_healthy).map(|row| row.address).collect();
     let all = || untried.iter().map(|row| row.address).collect::<Vec<_>>();
-    let engine = placement
-        .choose_spread(now, name, &healthy, job.draw())
-        .or_else(|| placement.choose(now, name, &healthy))
-        .or_else(|| placement.choose(now, name, &all()))?;
+    let zone = gateway.node.settings.daemon.zone.to_string();
+    let near = untried.iter().filter(|row| row.zone == zone).map(|row| row.address).collect();
+    let want = Want { size: job.size(), priority: job.priority(), remaining: job.remaining() };
+    let (engine, wait) = match placement.choose_at_pace(now, name, &want, &healthy, &near) {
+        Some(chosen) => chosen,
+        None => {
+            let engine = placement
+                .choose_spread(now, name, &healthy, job.draw())
+                .or_else(|| placement.choose(now, name, &healthy))
+                .or_else(|| placement.choose(now, name, &all()))?;
+            (engine, None)
+        }
+    };
     drop(placement);
     if let Some(at) = gateway.placement.borrow_mut().choose_replica(now, name, &healthy) {
         drop(actix_rt::spawn(permits::request_replica(gateway.clone(), at, name.clone())));
     }
-    untried.into_iter().find(|row| row.address == engine).cloned()
+    untried.into_iter().find(|row| row.address == engine).cloned().map(|row| (row, wait))
 }
 
 /// Acquires a permit for an engine. Returns it with the version of the adapter that may
 /// run the request. If the sidecar does not answer, the engine is used without a permit,
 /// provided that the adapter is known to be resident. An error is the time until a
 /// permit may be available, if known. `last` says whether no other engine is asked after this
-/// one.
+/// one, `wait` how long to wait at most, if another one would start the request sooner.
 async fn acquire_permit(
     job: &Job,
     instance: &Instance,
     name: &AdapterName,
     last: bool,
+    wait: Option<Span>,
 ) -> Result<(Option<u32>, Option<Permit>), Option<Span>> {
     let engine = instance.address;
     let gateway = &job.gateway;
@@ -234,12 +247,17 @@
     let waited = now.since(job.arrived);
     let target = Span::from_micros(job.route.latency_target.as_micros() * PERMIT_WAIT_FACTOR);
     let mut max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
-    if !last && gateway.placement.borrow().is_fleet_idle(now) {
+    if let Some(wait) = wait {
+        max_wait = max_wait.min(wait).max(PERMIT_WAIT_MIN);
+    } else if !last && gateway.placement.borrow().is_fleet_idle(now) {
         max_wait = max_wait.min(IDLE_FLEET_WAIT_MAX);
     }
     let verdict = match suspect {
         true => None,
-        false => permits::request_permit(job, instance, name, max_wait).await,
+        false => {
+            gateway.placement.borrow_mut().on_send_prompt(engine, job.size().prompt);
+            permits::request_permit(job, instance, name, max_wait).await
+        }
     };
     match verdict {
         Some((Verdict::Granted { version }, permit)) => {
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -12,7 +12,7 @@
 use kingcupbay_core::{
     deployment::model::{Deployment, Organisation, Route},
     time::{Instant, Span},
-    wire::metadata::RequestMetadata,
+    wire::metadata::{RequestMetadata, Size},
 };
 
 use crate::{clock, gateway::Gateway};
@@ -57,6 +57,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Returns the size of the generation, or a usual one if the caller states none.
+    pub(crate) fn size(&self) -> Size {
+        self.metadata.size.unwrap_or(Size { prompt: 500, output: 200 })
+    }
+
     /// Returns a pseudorandom number that is the same for each call on one request.
     pub(crate) fn draw(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -12,12 +12,8 @@
     deployment::model::{AdapterName, Instance},
     health::Exchange,
     time::Span,
-    wire::{
-        metadata::Size,
-        sidecar::{
-            PERMIT_PATH, PermitRelease, PermitRequest, RELEASE_PATH, REPLICA_PATH, SpecDigest,
-            Verdict,
-        },
+    wire::sidecar::{
+        PERMIT_PATH, PermitRelease, PermitRequest, RELEASE_PATH, REPLICA_PATH, SpecDigest, Verdict,
     },
 };
 use slog::{info, warn};
@@ -122,7 +118,7 @@
         spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
         priority: job.priority(),
-        size: job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 }),
+        size: job.size(),
         latency_target: job.route.latency_target.saturating_sub(waited),
         max_wait,
         event_gap: job.route.event_gap,
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -10,6 +10,7 @@
     },
     limit::LimitSource,
     time::{Instant, Span},
+    wire::sidecar::EngineCapacity,
 };
 use kingcupbay_platform::{answer::decode_headers, engine as platform};
 use slog::{info, warn};
@@ -29,6 +30,9 @@
 /// knows nothing of it.
 const REPORT_REST_MAX: Span = Span::from_secs(5);
 
+/// Work on the host, in percent of the usual time, from which it is logged as slow.
+const SLOW_WORK_PERCENT: u32 = 150;
+
 /// Fetches reports forever, at the interval that the admission state asks for.
 pub(crate) async fn watch(sidecar: Rc<Sidecar>) {
     let mut misses = 0;
@@ -81,7 +85,10 @@
     let mut report = platform::decode_report(&answer.body).map_err(|error| error.to_string())?;
     report.leaving |= decode_headers(answer.status, &answer.headers).leaving;
     log_report(sidecar, &report);
-    let actions = sidecar.admission.borrow_mut().on_report(clock::now(), report);
+    let now = clock::now();
+    let before = sidecar.admission.borrow().capacity(now);
+    let actions = sidecar.admission.borrow_mut().on_report(now, report);
+    log_pace(sidecar, now, before);
     sidecar.perform(actions);
     Ok(())
 }
@@ -109,6 +116,18 @@
     }
 }
 
+/// Logs when work on the host becomes slow or usual again.
+fn log_pace(sidecar: &Sidecar, now: Instant, before: Option<EngineCapacity>) {
+    let Some(capacity) = sidecar.admission.borrow().capacity(now) else { return };
+    let is_slow = |capacity: EngineCapacity| capacity.work_percent >= SLOW_WORK_PERCENT;
+    if before.is_none_or(|before| is_slow(before) != is_slow(capacity)) {
+        info!(sidecar.node.log, ""; "event" => "engine_pace",
+            "work_percent" => capacity.work_percent, "prefill_per_s" => capacity.prefill_rate,
+            "event_ms" => capacity.event_interval.as_millis(),
+            "sustained_per_s" => capacity.sustained_rate);
+    }
+}
+
 /// Logs the first report after the engine has taken an order. The others only repeat it.
 fn log_report(sidecar: &Sidecar, report: &Report) {
     if report.orders == sidecar.orders.replace(report.orders) {
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -20,6 +20,8 @@
     orders: IntCounterVec,
     requests: IntGaugeVec,
     limit: Gauge,
+    work: Gauge,
+    sustained: Gauge,
 }
 
 impl Metrics {
@@ -62,6 +64,16 @@
                 "kingcupbay_engine_limit",
                 "Requests and orders per second that the engine takes",
             ),
+            work: float_gauge(
+                &registry,
+                "kingcupbay_engine_work_percent",
+                "Time that work takes on the engine's host, in percent of the usual time",
+            ),
+            sustained: float_gauge(
+                &registry,
+                "kingcupbay_engine_sustained_rate",
+                "Prompt tokens per second at which every stream keeps its event gap",
+            ),
             registry,
         }
     }
@@ -89,6 +101,10 @@
     /// load and `limit` as the engine's current limit.
     pub(crate) fn text(&self, now: &EngineLoadReport, limit: Option<f64>) -> String {
         self.limit.set(limit.unwrap_or(f64::INFINITY));
+        if let Some(capacity) = now.capacity {
+            self.work.set(f64::from(capacity.work_percent));
+            self.sustained.set(f64::from(capacity.sustained_rate));
+        }
         self.requests.with_label_values(&["running"]).set(i64::from(now.running));
         self.requests.with_label_values(&["waiting"]).set(i64::from(now.waiting));
         text(&self.registry)
