Let the stand-in engine copy a run's memory to another engine

Faults RefuseMoves and PartialCopies are rules like the others, which apply to the new paths too. Conclusion: tests of transfers can be written.

--- a/kingcupbay_standin/src/fault.rs
+++ b/kingcupbay_standin/src/fault.rs
@@ -65,6 +65,19 @@
     },
     /// Engine: an event is numbered but never shown.
     LoseEvents,
+    /// Upstream engine: a request to copy a run's memory is answered with this status. It
+    /// has no effect, except that with 503 the last request stops the run first.
+    RefuseMoves {
+        /// HTTP status.
+        status: u16,
+        /// Whether requests that stop the run pass.
+        not_last: bool,
+    },
+    /// Upstream engine: a copy lacks a part of the events made so far.
+    PartialCopies {
+        /// Share of the events in the copy.
+        percent: u8,
+    },
 }
 
 /// A fault, and which requests, loads, streams, reports or events it hits.
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -53,6 +53,8 @@
     server::Server,
     service::{CALL_PATH, Execution, ExecutionCounts, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
-    upstream::{BASE_MODEL, OrderIssuer, UpstreamRun, UpstreamServer, UpstreamSettings},
+    upstream::{
+        BASE_MODEL, CopyCounts, OrderIssuer, UpstreamRun, UpstreamServer, UpstreamSettings,
+    },
     weights::{FULL_SPEED_LOADS, LOAD_TIME, SharedBandwidth, TakeRequest, Weights, WeightsRecord},
 };
