Name the new fields of a run in the soak's own tests

Ruled out: a Default for UpstreamRun, which has no sensible start time. Change: the test names both fields.

--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -81,6 +81,8 @@
             headers,
             path: sent.path.clone(),
             body: sent.body.clone().into_bytes(),
+            origin: 0,
+            prefilled: 0,
         });
         self.upstream.runs.last_mut().unwrap()
     }
