Bound what an entry and its kernel keep for slow callers

Cause: the kernel kept up to megabytes of an answer on an entry's connection to the engine and to the caller. With 500 callers that take nothing, all of each answer of 1 MiB was under way, three times an entry's 160 MB in total. Ruled out: reading ahead into a buffer of the entry, which is the same memory with more code; 32 and 48 KiB as set values, doubled by the kernel, with which 500 streams had 92 MB resident and 80 MB of sockets. Change: http/link.rs sets a receive buffer of 24 KiB, server/mod.rs a send buffer of 16 KiB; the kernel doubles both. A caller that takes nothing still keeps its permit until it leaves, and an engine that cuts off its stream counts as failed at its entry: both are decided in gateway/stream.rs, and are listed as not proved.

--- a/kingcupbay_standin/src/engine/mod.rs
+++ b/kingcupbay_standin/src/engine/mod.rs
@@ -193,6 +193,7 @@
                 .boxed_local()
         }),
         restart: Rc::new(move || restarted.state.borrow_mut().restart()),
+        send_buffer: None,
     }
 }
 
--- a/kingcupbay_standin/src/server/mod.rs
+++ b/kingcupbay_standin/src/server/mod.rs
@@ -48,12 +48,14 @@
     pub(crate) faults: Rc<RefCell<FaultRules>>,
     pub(crate) answer: Handler,
     pub(crate) restart: Rc<dyn Fn()>,
+    /// Bytes that the kernel keeps to be sent on a connection; `None` for its choice.
+    pub(crate) send_buffer: Option<u32>,
 }
 
 impl Behaviour {
     /// Creates a behaviour whose state survives a restart.
     pub(crate) fn new(answer: Handler) -> Behaviour {
-        Behaviour { faults: Rc::default(), answer, restart: Rc::new(|| ()) }
+        Behaviour { faults: Rc::default(), answer, restart: Rc::new(|| ()), send_buffer: None }
     }
 }
 
@@ -91,7 +93,7 @@
         });
         let port = reserve_port(address)?;
         let address = port.local_addr()?;
-        let listener = listen(address)?;
+        let listener = listen(address, shared.behaviour.send_buffer)?;
         let accept = actix_rt::spawn(accept_connections(Rc::clone(&shared), address, listener));
         Ok(Server { address, shared, _port: port, accept: vec![accept] })
     }
@@ -214,8 +216,12 @@
 
 /// Listens on the reserved port. Address reuse is set because remains of
 /// earlier connections must not prevent a new listener from binding the port.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, send_buffer: Option<u32>) -> io::Result<TcpListener> {
     let listener = shared_port_socket(address)?;
+    if let Some(bytes) = send_buffer {
+        // Accepted connections inherit it.
+        listener.set_send_buffer_size(bytes)?;
+    }
     listener.set_reuseaddr(true)?;
     listener.bind(address)?;
     listener.listen(MAX_PENDING_CONNECTIONS)
@@ -240,7 +246,7 @@
         if *refuses.borrow_and_update() {
             listener = None;
         } else if listener.is_none() {
-            listener = listen(address).ok();
+            listener = listen(address, shared.behaviour.send_buffer).ok();
         }
         shared.closed.send_replace(listener.is_none());
         tokio::select! {
--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -67,6 +67,12 @@
     pub handle_time: Duration,
     /// Whether events name the run that made them: its number when it was first started.
     pub name_runs: bool,
+    /// Bytes by which each event is padded.
+    pub event_padding: usize,
+    /// Time after which a stream is cut off that could not be written; `None` to wait.
+    pub patience: Option<Duration>,
+    /// Bytes that the kernel keeps to be sent on a connection; `None` for its choice.
+    pub send_buffer: Option<u32>,
 }
 
 impl UpstreamSettings {
@@ -88,6 +94,9 @@
             copy_time: Duration::ZERO,
             handle_time: Duration::from_secs(20),
             name_runs: false,
+            event_padding: 0,
+            patience: None,
+            send_buffer: None,
         }
     }
 
@@ -188,6 +197,7 @@
             copies: Copies::default(),
             restarts: Cell::new(0),
             isolated: Cell::new(false),
+            cut_off: RefCell::default(),
             draining: Cell::new(None),
             adapters: RefCell::default(),
             newest_versions: RefCell::default(),
@@ -204,8 +214,12 @@
         });
         let restarted = Rc::clone(&state);
         let restart = Rc::new(move || restarted.restart());
-        let behaviour =
-            Behaviour { faults: Rc::clone(&state.faults), answer: state::handler(&state), restart };
+        let behaviour = Behaviour {
+            faults: Rc::clone(&state.faults),
+            answer: state::handler(&state),
+            restart,
+            send_buffer: state.settings.send_buffer,
+        };
         let server = Server::start(address, behaviour)?;
         let upstream = UpstreamServer { server, state };
         upstream.add_address(upstream.server.address());
@@ -246,6 +260,18 @@
         self.state.running.borrow().values().map(|run| run.attempt.clone()).collect()
     }
 
+    /// Returns the number of the last event that each running stream has made, by attempt.
+    pub fn events_made(&self) -> BTreeMap<String, u64> {
+        let running = self.state.running.borrow();
+        running.values().map(|run| (run.attempt.clone(), run.events.get())).collect()
+    }
+
+    /// Returns the attempt ids of the streams that it cut off because they could not be
+    /// written.
+    pub fn cut_off(&self) -> Vec<String> {
+        self.state.cut_off.borrow().clone()
+    }
+
     /// Adds an address, such as that of a proxy, at which other engines reach it.
     pub fn add_address(&self, address: SocketAddr) {
         self.state.addresses.borrow_mut().push(address);
--- a/kingcupbay_standin/src/upstream/run.rs
+++ b/kingcupbay_standin/src/upstream/run.rs
@@ -79,6 +79,8 @@
     ended: bool,
     /// Restarts of the engine when the run began.
     restarts: u64,
+    /// When the last event was handed over to be written.
+    handed_over: Instant,
 }
 
 impl EventStream {
@@ -86,7 +88,9 @@
         network::begin(run.origin, run.number);
         let restarts = state.restarts.get();
         let state = Rc::clone(state);
-        EventStream { state, run, prefill, next: last + 1, sent: 0, ended: false, restarts }
+        let handed_over = Instant::now();
+        let next = last + 1;
+        EventStream { state, run, prefill, next, sent: 0, ended: false, restarts, handed_over }
     }
 
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
@@ -94,6 +98,13 @@
             self.ended = true;
             return None;
         }
+        // The connection asks for an event once it could write the one before.
+        let patience = self.state.settings.patience;
+        if patience.is_some_and(|patience| self.handed_over.elapsed() > patience) {
+            self.state.cut_off.borrow_mut().push(self.run.attempt.clone());
+            self.ended = true;
+            return Some(Err(io::Error::other("cut off")));
+        }
         let wait = std::mem::take(&mut self.prefill) + self.state.settings.event_interval;
         let mut phase = self.run.phase.subscribe();
         tokio::select! {
@@ -122,11 +133,16 @@
         }
         self.next += 1;
         self.sent += 1;
+        self.handed_over = Instant::now();
         Some(Ok(text.into()))
     }
 
     fn text(&self) -> String {
         let (event, attempt) = (self.next, &self.run.attempt);
+        let padding = self.state.settings.event_padding;
+        if padding > 0 {
+            return format!("event {event} of {attempt} {}", "x".repeat(padding));
+        }
         if self.state.settings.name_runs {
             return format!("event {event} of {attempt} run {}", self.run.origin);
         }
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -49,6 +49,8 @@
     pub(super) restarts: Cell<u64>,
     /// Whether other engines cannot reach it.
     pub(super) isolated: Cell<bool>,
+    /// Attempts of the streams that it cut off because they could not be written.
+    pub(super) cut_off: RefCell<Vec<String>>,
     pub(super) draining: Cell<Option<Draining>>,
     pub(super) adapters: RefCell<BTreeMap<String, u32>>,
     pub(super) newest_versions: RefCell<BTreeMap<String, u32>>,
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -39,6 +39,11 @@
 /// Bytes read at a time. An engine's events are far smaller.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Bytes of an answer that the kernel keeps until they are read. With its usual limit of
+/// megabytes, the answers of a few hundred slow callers exceed an entry's memory. The kernel
+/// doubles the value for its own structures.
+const RECEIVE_BUFFER_BYTES: usize = 24 << 10;
+
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -336,6 +341,7 @@
 fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -28,6 +28,10 @@
 /// Time for the other side to close the connection after the last byte.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes that the kernel keeps until a caller takes them. It bounds the memory of slow
+/// callers; the kernel doubles it for its own structures.
+const SEND_BUFFER_BYTES: u32 = 16 << 10;
+
 /// Pause after a failed accept. Without it, the loop would spin while the
 /// process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -42,6 +46,8 @@
     // A restarted daemon can bind its address at once.
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
+    // Accepted connections inherit it.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     let listener = socket.listen(BACKLOG)?;
     let bound = listener.local_addr()?;
     Ok((listener, bound))
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -97,6 +97,11 @@
         self.listening[key].parse().unwrap()
     }
 
+    /// Its process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name.
     pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
