Rank requests of one organisation by the priority of their routes

Cause: an organisation's priority replaces that of its routes, and both new customers set it for all organisations. Ruled out: the route's priority alone; the operator's order of organisations goes first. Change: queues rank by the organisation's priority, then by the route's. Kinds of a limit differ by the route's priority, as the organisation is the same for all of them. The test of the limit end to end now gives its organisation a priority, and fails without the change (both kinds get the same).

--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -214,7 +214,7 @@
 
     /// Counts a refused request of `priority` that was within its organisation's limit.
     pub(crate) fn on_refusal_at(&self, priority: u8, code: Code) {
-        let priority = priority.min(9).to_string();
+        let priority = priority.min(99).to_string();
         self.priorities.with_label_values(&[priority.as_str(), code.as_str()]).inc();
     }
 
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -117,7 +117,7 @@
         limit: gateway.limits.borrow().report_of(now, &instance.id, instance.born),
         spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
-        priority: job.priority(),
+        priority: job.rank(),
         size: job.size(),
         latency_target: job.route.latency_target.saturating_sub(waited),
         max_wait,
--- a/kingcupbayd/src/registered/limiters.rs
+++ b/kingcupbayd/src/registered/limiters.rs
@@ -73,7 +73,7 @@
         let acquired = gateway.allowance.borrow_mut().acquire(now, organisation, &request);
         return match acquired {
             Ok(()) => {
-                gateway.metrics.on_acquired(job.priority(), job.cost);
+                gateway.metrics.on_acquired(job.route.priority, job.cost);
                 Ok(())
             }
             Err(over) => Err(over_rate(job, organisation, over)),
@@ -87,7 +87,7 @@
         match ask(gateway, limiter, &acquire_request(job, organisation)).await {
             Some(AcquireVerdict::Acquired) => {
                 gateway.metrics.on_limiter_asked("acquired");
-                gateway.metrics.on_acquired(job.priority(), job.cost);
+                gateway.metrics.on_acquired(job.route.priority, job.cost);
                 job.limiter.set(Some(limiter));
                 return Ok(());
             }
@@ -111,10 +111,10 @@
     let after = (!over.hopeless).then_some(over.retry_after);
     info!(job.gateway.node.log, ""; "event" => "over_rate", "request" => &job.metadata.attempt,
         "organisation" => &organisation.name, "route" => &job.route.name,
-        "priority" => job.priority(), "why" => over.why, "hopeless" => over.hopeless,
+        "priority" => job.route.priority, "why" => over.why, "hopeless" => over.hopeless,
         "level" => job.gateway.allowance.borrow().level(&organisation.name).map(|level| level as i64),
         "cost" => job.cost, "rate" => organisation.rate, "after_ms" => after.map(Span::as_millis));
-    job.gateway.metrics.on_over_rate(job.priority(), job.cost, over.hopeless);
+    job.gateway.metrics.on_over_rate(job.route.priority, job.cost, over.hopeless);
     match after {
         Some(after) => Refusal::retry(Code::OverRate, "over the rate", after),
         None => Refusal::plain(Code::OverRate, "over the rate"),
@@ -125,7 +125,8 @@
 fn kind(job: &Job) -> RequestKind {
     let mut hasher = DefaultHasher::new();
     job.route.target(job.draw()).hash(&mut hasher);
-    RequestKind { service: hasher.finish() as u32, priority: job.priority() }
+    // The organisation is the same for all kinds, so its priority does not tell them apart.
+    RequestKind { service: hasher.finish() as u32, priority: job.route.priority }
 }
 
 fn acquire_request(job: &Job, organisation: &Organisation) -> AcquireRequest {
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -93,7 +93,7 @@
         };
         self.verdicts.with_label_values(&[name]).inc();
         // Priorities above 9 are sent to engines as 9.
-        let priority = priority.min(9).to_string();
+        let priority = priority.min(99).to_string();
         self.priorities.with_label_values(&[priority.as_str(), name]).inc();
         self.wait.with_label_values(&[name]).observe(waited.as_secs_f64());
     }
--- a/kingcupbayd/tests/priorities.rs
+++ b/kingcupbayd/tests/priorities.rs
@@ -76,6 +76,8 @@
     let mut config = config_row(1, &[KEY]);
     config["tenants"][0]["ratePerS"] = json!(1);
     config["tenants"][0]["burst"] = json!(1_000);
+    // The priority of the organisation must not hide those of its routes.
+    config["tenants"][0]["priority"] = json!(1);
     for (route, priority) in [(0, 0), (1, 2)] {
         config["routes"][route]["priority"] = json!(priority);
     }
