Count a request's guaranteed share when its wait is estimated

Cause: the wait of a new request counted every waiting token of more urgent requests, although its priority gets a share of the permits before them. A less urgent request was refused on arrival (Busy) that would have got a permit in time. Ruled out: one bound for all more urgent requests together. Shares are guaranteed level by level, so with three priorities the least urgent one gets a share of a share, and one bound would promise it too short a wait. With two priorities both are the same. The delays of load reports take the next request to be as long as the mean of those that wait. Conclusion: the estimate follows the order of permits in prompt tokens. The waits for a slot, a cold engine and an engine's own limit still count every more urgent request; open.

--- a/kingcupbay_core/src/admission/estimate.rs
+++ b/kingcupbay_core/src/admission/estimate.rs
@@ -43,8 +43,9 @@
 
     /// Returns the expected time until `request` gets a permit.
     pub(super) fn estimate_wait(&self, now: Instant, request: &PermitRequest) -> Span {
+        let own = if request.transferred { 0 } else { request.size.prompt };
         let ahead =
-            self.running.unread_tokens() + self.queue.prompt_tokens_before(request.priority);
+            self.running.unread_tokens() + self.queue.prompt_tokens_before(request.priority, own);
         let prefill = self.prefill_wait(ahead.saturating_sub(self.prefill_limit().burst_tokens()));
         let before = self.queue.len_before(request.priority);
         let full = self.running.len() + before >= self.spec.slots.max(1) as usize;
@@ -67,8 +68,11 @@
         if self.seen_priorities.len() < 2 || self.queue.is_empty() {
             return delays;
         }
+        // The next request is taken to be as long as those that wait.
+        let own = self.queue.prompt_tokens() / self.queue.len() as u64;
         for &priority in &self.seen_priorities {
-            let tokens = self.running.unread_tokens() + self.queue.prompt_tokens_before(priority);
+            let before = self.queue.prompt_tokens_before(priority, own);
+            let tokens = self.running.unread_tokens() + before;
             let requests = self.queue.len_before(priority);
             let delay = self
                 .prefill_wait(tokens)
--- a/kingcupbay_core/src/admission/queue.rs
+++ b/kingcupbay_core/src/admission/queue.rs
@@ -195,14 +195,22 @@
         self.waiters.values().map(Waiter::prefill_tokens).sum()
     }
 
-    /// Returns the prompt tokens that get permits before a new request of this `priority`:
-    /// those of requests at least as urgent, and the share of less urgent ones meanwhile.
-    pub fn prompt_tokens_before(&self, priority: u8) -> u64 {
-        let (before, after): (Vec<&Waiter>, Vec<&Waiter>) =
-            self.waiters.values().partition(|waiter| waiter.request.priority <= priority);
-        let sum = |waiters: &[&Waiter]| waiters.iter().map(|w| w.prefill_tokens()).sum::<u64>();
-        let before = sum(&before);
-        before + sum(&after).min(shares::share_beside(before))
+    /// Returns the prompt tokens that get permits before a new request of this `priority` with
+    /// `tokens` of its own: those of its priority, the more urgent ones that its guaranteed
+    /// share leaves before it, and the share of less urgent ones meanwhile.
+    pub fn prompt_tokens_before(&self, priority: u8, tokens: u64) -> u64 {
+        let mut waiting: BTreeMap<u8, u64> = BTreeMap::new();
+        for waiter in self.waiters.values() {
+            *waiting.entry(waiter.request.priority).or_default() += waiter.prefill_tokens();
+        }
+        let mut before = waiting.get(&priority).copied().unwrap_or_default();
+        // Each priority shares with all less urgent ones together, so the nearest is first.
+        for (_, more_urgent) in waiting.range(..priority).rev() {
+            before += shares::tokens_before_share(before.saturating_add(tokens)).min(*more_urgent);
+        }
+        let less_urgent = waiting.range(priority..).filter(|row| *row.0 > priority);
+        let less_urgent: u64 = less_urgent.map(|(_, tokens)| tokens).sum();
+        before + less_urgent.min(shares::share_beside(before))
     }
 
     /// Returns the number of requests of this `priority` or a more urgent one.
--- a/kingcupbay_core/src/admission/shares.rs
+++ b/kingcupbay_core/src/admission/shares.rs
@@ -28,6 +28,12 @@
     tokens / (SHARE_DIVISOR as u64 - 1)
 }
 
+/// Returns the largest number of more urgent tokens that are granted before `tokens` of less
+/// urgent ones.
+pub(super) fn tokens_before_share(tokens: u64) -> u64 {
+    tokens.saturating_mul(SHARE_DIVISOR as u64 - 1)
+}
+
 /// What less urgent requests are owed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Shares {
--- a/kingcupbay_core/tests/engine_queue.rs
+++ b/kingcupbay_core/tests/engine_queue.rs
@@ -173,6 +173,32 @@
     }
 }
 
+/// Guards against less urgent requests that are refused on arrival, or later as hopeless,
+/// although their share gets them a permit in time.
+#[test]
+fn the_share_of_less_urgent_requests_counts_on_arrival() {
+    let mut engine = engine(report());
+    for id in 0..50 {
+        let patient = PermitRequest { max_wait: Span::from_secs(20), ..request(id, 0, "o") };
+        assert_eq!(refusals(&engine.on_permit_request(at(1), Ticket(id), patient)), []);
+    }
+    let actions = engine.on_permit_request(at(1), Ticket(50), request(50, 1, "o"));
+    assert_eq!(refusals(&actions), []);
+    // The same request of the most urgent priority comes after all of them.
+    let actions = engine.on_permit_request(at(1), Ticket(51), request(51, 0, "o"));
+    assert_eq!(refusals(&actions).len(), 1);
+    // Once others of its priority wait, the share does not suffice for one more.
+    let mut refused = 0;
+    for id in 52..60 {
+        let actions = engine.on_permit_request(at(1), Ticket(id), request(id, 1, "o"));
+        refused += refusals(&actions).len();
+    }
+    assert!(refused > 0);
+    let patient = PermitRequest { max_wait: Span::from_secs(20), ..request(60, 0, "o") };
+    let refused = refusals(&engine.on_permit_request(at(1), Ticket(60), patient));
+    assert!(refused.iter().all(|(id, ..)| *id != 50), "{refused:?}");
+}
+
 /// Guards against load reports that tell urgent callers to wait behind less urgent ones,
 /// and against longer reports where all requests have one priority.
 #[test]
