Bound the debt of a kind, and credit it on refunds

Cause: a refund credited the bucket but not the sub-bucket of the kind, and tokens that other kinds had left were debited from it without bound. A kind was then refused, and its Retry-After grew until the refusal was hopeless although tokens were due. Change: the debt of a kind is at most one second of its part and one request; refund_request credits the kind, and both refunds of the entry use it. Conclusion: a refusal is no longer hopeless because of old debt alone. Tokens that other kinds left are still debited, up to the bound; open.

--- a/kingcupbay_core/src/allowance/kinds.rs
+++ b/kingcupbay_core/src/allowance/kinds.rs
@@ -135,8 +135,7 @@
             kind.updated = now;
         }
         self.kinds.retain(|_, kind| kind.demand >= DEMAND_MIN);
-        let known = self.kinds.len() < KINDS_MAX || self.kinds.contains_key(&request.kind);
-        let key = request.kind.filter(|_| known);
+        let key = self.key(request);
         let new = Kind {
             demand: 0.0,
             part: 0.0,
@@ -149,6 +148,12 @@
         key
     }
 
+    /// Returns the kind under which a request is kept.
+    fn key(&self, request: &TokenRequest) -> Key {
+        let known = self.kinds.len() < KINDS_MAX || self.kinds.contains_key(&request.kind);
+        request.kind.filter(|_| known)
+    }
+
     /// Returns the demand of each kind at `now`.
     pub(super) fn demand(&self, now: Instant) -> Demand {
         let decayed = |kind: &Kind| {
@@ -180,10 +185,20 @@
         }
     }
 
-    /// Takes tokens from the sub-bucket of a kind.
+    /// Takes tokens from the sub-bucket of a kind. The debt is bounded, as a part that has
+    /// become small since would repay it for longer than callers wait.
     pub(super) fn spend(&mut self, key: Key, cost: f64) {
         if let Some(kind) = self.kinds.get_mut(&key) {
-            kind.level -= cost;
+            kind.level = (kind.level - cost).max(-(kind.part * SAVED_SECS + cost));
+        }
+    }
+
+    /// Returns the tokens of a `request` that did not run to the sub-bucket of its kind.
+    pub(super) fn refund(&mut self, request: &TokenRequest) {
+        let key = self.key(request);
+        // It is infinite, and nothing was taken from it, while the rate is not divided.
+        if let Some(kind) = self.kinds.get_mut(&key).filter(|kind| kind.level.is_finite()) {
+            kind.level = (kind.level + request.cost as f64).min(kind.part * SAVED_SECS);
         }
     }
 
--- a/kingcupbay_core/src/allowance/mod.rs
+++ b/kingcupbay_core/src/allowance/mod.rs
@@ -261,16 +261,24 @@
         Err(OverLimit { retry_after, hopeless: false, why: "no tokens left" })
     }
 
-    /// Returns `cost` tokens of a request that did not run.
+    /// Returns `cost` tokens of a request that did not run and names no kind.
     pub fn refund(&mut self, now: Instant, who: &Organisation, cost: u64) {
+        let request = TokenRequest { cost, ..TokenRequest::default() };
+        self.refund_request(now, who, &request);
+    }
+
+    /// Returns the tokens of a `request` that did not run, also to the part of its kind.
+    pub fn refund_request(&mut self, now: Instant, who: &Organisation, request: &TokenRequest) {
         if who.rate == 0 {
             return;
         }
         let share = self.share(who);
         let account = self.account(now, who, share);
-        account.level = (account.level + cost as f64).min(who.burst as f64);
-        account.own_level = (account.own_level + cost as f64).min(who.burst as f64 * share);
-        account.spent -= cost as i64;
+        let cost = request.cost as f64;
+        account.level = (account.level + cost).min(who.burst as f64);
+        account.own_level = (account.own_level + cost).min(who.burst as f64 * share);
+        account.spent -= request.cost as i64;
+        account.kinds.refund(request);
     }
 
     /// Builds the next usage report for the other entries. One in `REPORTS_PER_FULL` is
--- a/kingcupbayd/src/registered/limiters.rs
+++ b/kingcupbayd/src/registered/limiters.rs
@@ -64,12 +64,7 @@
     let gateway = &job.gateway;
     let now = clock::now();
     if gateway.limiters.borrow().is_limiter() || organisation.rate == 0 {
-        let request = TokenRequest {
-            cost: job.cost,
-            kind: Some(kind(job)),
-            remaining: job.remaining(),
-            draw: job.draw(),
-        };
+        let request = token_request(job);
         let acquired = gateway.allowance.borrow_mut().acquire(now, organisation, &request);
         return match acquired {
             Ok(()) => {
@@ -128,6 +123,15 @@
     RequestKind { service: hasher.finish() as u32, priority: job.priority() }
 }
 
+fn token_request(job: &Job) -> TokenRequest {
+    TokenRequest {
+        cost: job.cost,
+        kind: Some(kind(job)),
+        remaining: job.remaining(),
+        draw: job.draw(),
+    }
+}
+
 fn acquire_request(job: &Job, organisation: &Organisation) -> AcquireRequest {
     AcquireRequest {
         organisation: organisation.name.clone(),
@@ -166,7 +170,8 @@
     let Some(organisation) = &job.organisation else { return };
     let gateway = job.gateway.clone();
     let Some(limiter) = job.limiter.take() else {
-        gateway.allowance.borrow_mut().refund(clock::now(), organisation, job.cost);
+        let request = token_request(job);
+        gateway.allowance.borrow_mut().refund_request(clock::now(), organisation, &request);
         return;
     };
     let request = acquire_request(job, organisation);
@@ -231,7 +236,9 @@
     };
     if gateway.limiters.borrow().is_limiter() {
         let organisation = organisation(&gateway, &asked);
-        gateway.allowance.borrow_mut().refund(clock::now(), &organisation, asked.cost);
+        let request =
+            TokenRequest { cost: asked.cost, kind: asked.kind, ..TokenRequest::default() };
+        gateway.allowance.borrow_mut().refund_request(clock::now(), &organisation, &request);
     }
     Response::with_body(StatusCode::NO_CONTENT, BoxBody::new(()))
 }
