Leave out kinds whose demand has ceased

Cause: kinds were dropped only at an organisation's next request. Without one, an entry kept reporting them with a demand near zero. Entries that named a kind because others did, named it for as long as any other one named it, so the reports stayed long for ever. Ruled out: counting only kinds that differ within one report. Two entries with one kind each, which differ, would stop naming them although the rate must still be divided. Change: demand and add_reported leave out kinds below DEMAND_MIN. Kinds named by others count if they differ from each other or from the entry's own. Conclusion: the reports of such an organisation become short again, and its rate is no longer divided.

--- a/kingcupbay_core/src/allowance/kinds.rs
+++ b/kingcupbay_core/src/allowance/kinds.rs
@@ -154,13 +154,15 @@
         request.kind.filter(|_| known)
     }
 
-    /// Returns the demand of each kind at `now`.
+    /// Returns the demand of each kind at `now`. Without requests, nothing else drops the kinds
+    /// whose demand has ceased.
     pub(super) fn demand(&self, now: Instant) -> Demand {
         let decayed = |kind: &Kind| {
             let passed = now.since(kind.updated).as_secs_f64();
             kind.demand * (-passed / DEMAND_WINDOW_SECS).exp()
         };
-        self.kinds.iter().map(|(key, kind)| (*key, decayed(kind))).collect()
+        let demand = self.kinds.iter().map(|(key, kind)| (*key, decayed(kind)));
+        demand.filter(|(_, tokens)| *tokens >= DEMAND_MIN).collect()
     }
 
     /// Refills the sub-buckets for `passed` seconds, each by its `fractions` of its demand.
@@ -245,8 +247,10 @@
     let valid = |tokens: f64| if tokens.is_finite() { tokens.max(0.0) } else { 0.0 };
     let mut named = 0.0;
     for (key, &tokens) in &used.kinds {
-        *demand.entry(Some(*key)).or_default() += valid(tokens);
         named += valid(tokens);
+        if valid(tokens) >= DEMAND_MIN {
+            *demand.entry(Some(*key)).or_default() += valid(tokens);
+        }
     }
     let unnamed = valid(used.demand) - named;
     if unnamed > DEMAND_MIN {
--- a/kingcupbay_core/src/allowance/mod.rs
+++ b/kingcupbay_core/src/allowance/mod.rs
@@ -303,7 +303,7 @@
                 account.reported_demand = demand;
             }
             let kinds = account.kinds.demand(now);
-            let differ = kinds::differ(&kinds) || named_by_others(&self.peers, name);
+            let differ = kinds::differ(&kinds) || named_by_others(&self.peers, name, &kinds);
             let kinds = if differ { kinds::named(&kinds) } else { BTreeMap::new() };
             uses.insert(name.clone(), OrganisationUsage { spent, demand, level, kinds });
         }
@@ -461,8 +461,16 @@
     }
 }
 
-/// Returns whether another entry names the kinds of requests of `organisation`.
-fn named_by_others(peers: &BTreeMap<String, Option<Peer>>, organisation: &str) -> bool {
-    let mut known = peers.values().flatten().filter_map(|peer| peer.uses.get(organisation));
-    known.any(|used| !used.kinds.is_empty())
+/// Returns whether the kinds of requests of `organisation` that other entries name differ, from
+/// each other or from `own`. Entries that name one and the same kind do so only because others
+/// do, and would never stop.
+fn named_by_others(
+    peers: &BTreeMap<String, Option<Peer>>,
+    organisation: &str,
+    own: &Demand,
+) -> bool {
+    let mut known = own.clone();
+    let reports = peers.values().flatten().filter_map(|peer| peer.uses.get(organisation));
+    reports.for_each(|used| kinds::add_reported(&mut known, used));
+    kinds::differ(&known)
 }
--- a/kingcupbay_core/tests/kind_parts.rs
+++ b/kingcupbay_core/tests/kind_parts.rs
@@ -103,3 +103,31 @@
     assert!(!refused.is_empty());
     assert!(refused.iter().all(|over| !over.hopeless), "{refused:?}");
 }
+
+/// Guards against kinds that are known for ever once their demand has ceased. The reports would
+/// stay longer, and the rate would be divided for requests that nobody makes.
+#[test]
+fn kinds_without_demand_are_forgotten() {
+    let who = society(10_000);
+    let hosts = ["entry-0", "entry-1"];
+    let mut entries = hosts.map(|host| {
+        let mut entry = Allowance::new(host, 1, at(0));
+        entry.on_entries(hosts.into_iter());
+        entry
+    });
+    let mut extended = Vec::new();
+    for now in (0..40_000).step_by(100) {
+        if now < 1_000 {
+            entries[0].acquire(at(now), &who, &request(ENGINE, 0, 100)).unwrap();
+            entries[0].acquire(at(now), &who, &request(ENGINE, 1, 100)).unwrap();
+        }
+        entries[1].acquire(at(now), &who, &request(ENGINE, 0, 100)).unwrap();
+        for from in 0..2 {
+            let report = entries[from].usage_report(at(now), Number(1));
+            extended.extend(report.is_extended().then_some((now, from)));
+            entries[1 - from].on_usage_report(at(now), report);
+        }
+    }
+    assert!(extended.contains(&(500, 0)) && extended.contains(&(500, 1)), "{extended:?}");
+    assert!(extended.iter().all(|(now, _)| *now < 20_000), "{:?}", extended.last());
+}
