Grant a kind's requests that cost nothing

Cause: while a rate is divided, a request of cost 0 shows no demand, so its kind got no part and it was refused like a request for tokens ("the rate goes to other kinds"). Ruled out: a smallest demand for such requests, which would take a part from other kinds. Change: a request of cost 0 counts as entitled. Conclusion: as without a division, it is refused only while the bucket is in debt.

--- a/kingcupbay_core/src/allowance/mod.rs
+++ b/kingcupbay_core/src/allowance/mod.rs
@@ -219,7 +219,11 @@
         for (key, demand) in account.kinds.demand(now) {
             *kinds.entry(key).or_default() += demand;
         }
-        let claim = account.divide(now, &kinds, kind);
+        let claim = account.divide(now, &kinds, kind).map(|claim| match request.cost {
+            // It takes nothing from other kinds, and shows no demand that would get a part.
+            0 => Claim::Entitled,
+            _ => claim,
+        });
         let level_min = claim.map_or(0.0, Claim::level_min);
         let burst = who.burst as f64;
         let needed = cost.min(burst * LARGE_REQUEST_LEVEL);
--- a/kingcupbay_core/tests/kind_parts.rs
+++ b/kingcupbay_core/tests/kind_parts.rs
@@ -131,3 +131,16 @@
     assert!(extended.contains(&(500, 0)) && extended.contains(&(500, 1)), "{extended:?}");
     assert!(extended.iter().all(|(now, _)| *now < 20_000), "{:?}", extended.last());
 }
+
+/// Guards against refusals of requests that cost nothing.
+#[test]
+fn a_request_without_cost_is_granted() {
+    let (who, mut entry) = (society(10_000), entry(&["entry-0"]));
+    for _ in 0..30 {
+        let _: Result<(), OverLimit> = entry.acquire(at(0), &who, &request(ENGINE, 0, 600));
+        let _: Result<(), OverLimit> = entry.acquire(at(0), &who, &request(ENGINE, 1, 600));
+    }
+    assert!(entry.acquire(at(0), &who, &request(ENGINE, 1, 600)).is_err());
+    assert_eq!(entry.acquire(at(0), &who, &request(ENGINE, 1, 0)), Ok(()));
+    assert_eq!(entry.acquire(at(0), &who, &request(ENGINE, 2, 0)), Ok(()));
+}
