--- a/kingcupbay_core/src/allowance/mod.rs
+++ b/kingcupbay_core/src/allowance/mod.rs
@@ -223,7 +223,11 @@
         for (key, demand) in account.kinds.demand(now) {
             *kinds.entry(key).or_default() += demand;
         }
-        let claim = account.divide(now, &kinds, kind);
+        let claim = account.divide(now, &kinds, kind).map(|claim| match request.cost {
+            // It takes nothing from other kinds, and shows no demand that would get a part.
+            0 => Claim::Entitled,
+            _ => claim,
+        });
         let level_min = claim.map_or(0.0, Claim::level_min);
         let burst = who.burst as f64;
         let needed = cost.min(burst * LARGE_REQUEST_LEVEL);
@@ -308,7 +312,7 @@
             }
             let total = demand + reported_demand(&self.peers, name);
             let kinds = account.kinds.demand(now);
-            let differ = kinds::differ(&kinds) || named_by_others(&self.peers, name);
+            let differ = kinds::differ(&kinds) || named_by_others(&self.peers, name, &kinds);
             let kinds = match differ && total >= account.rate * NAMED_DEMAND {
                 true => kinds::named(&kinds),
                 false => BTreeMap::new(),
@@ -474,8 +478,16 @@
     known.map(|used| used.demand).sum()
 }
 
-/// Returns whether another entry names the kinds of requests of `organisation`.
-fn named_by_others(peers: &BTreeMap<String, Option<Peer>>, organisation: &str) -> bool {
-    let mut known = peers.values().flatten().filter_map(|peer| peer.uses.get(organisation));
-    known.any(|used| !used.kinds.is_empty())
+/// Returns whether the kinds of requests of `organisation` that other entries name differ, from
+/// each other or from `own`. Entries that name one and the same kind do so only because others
+/// do, and would never stop.
+fn named_by_others(
+    peers: &BTreeMap<String, Option<Peer>>,
+    organisation: &str,
+    own: &Demand,
+) -> bool {
+    let mut known = own.clone();
+    let reports = peers.values().flatten().filter_map(|peer| peer.uses.get(organisation));
+    reports.for_each(|used| kinds::add_reported(&mut known, used));
+    kinds::differ(&known)
 }
