Continue running streams at another engine when theirs leaves

Cause: streams are lost with their engine although engines can copy a run's memory (kv-move) to another one; the product did not use that. Ruled out: continuing at the target as soon as the stream is cut (wrong if the connection broke in one direction: spec mutation CutIsStopped); continuing after the number of events that the source states (loses events in flight: ContinueAfterMade); aborting a copy whose caller left (its answer names the handle to free). Change: core transfer.rs decides which streams move, in which order and what follows each answer; gateway/transfer.rs knows the relayed streams and finds targets, gateway/moving.rs carries steps out, sidecar/transfers.rs asks entries to move streams (/transfer). Engine::transfers is read from `moves` and others; without it the hash of a specification and all behaviour stay. Not run: the other tests of these crates.

--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    fmt,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
@@ -111,7 +112,7 @@
 }
 
 /// Capacity of one model engine.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Default, PartialEq)]
 pub struct Engine {
     /// Requests that run at once.
     pub slots: u32,
@@ -125,6 +126,39 @@
     pub models: BTreeMap<String, Model>,
     /// Loads of base models per second that the weight store allows, over all engines.
     pub load_rate: Option<f64>,
+    /// How engines copy running requests to others. `None` if they do not.
+    pub transfers: Option<EngineTransfers>,
+}
+
+impl fmt::Debug for Engine {
+    /// Formats the engine without `transfers` if it has none: the hash of a specification is
+    /// made of this text and is compared with that of earlier builds.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut text = formatter.debug_struct("Engine");
+        text.field("slots", &self.slots)
+            .field("kv_tokens", &self.kv_tokens)
+            .field("adapter_slots", &self.adapter_slots)
+            .field("weights_mb", &self.weights_mb)
+            .field("models", &self.models)
+            .field("load_rate", &self.load_rate);
+        if let Some(transfers) = &self.transfers {
+            text.field("transfers", transfers);
+        }
+        text.finish()
+    }
+}
+
+/// How an engine copies the memory of running requests to another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineTransfers {
+    /// Bytes of memory for one token.
+    pub token_bytes: u64,
+    /// Speed of the engine's link, in Mbit/s. Zero if unknown.
+    pub link_mbps: f64,
+    /// Time for which an unused copy is kept.
+    pub copy_time: Span,
+    /// Whether the engine also copies requests while they run, for the case that it fails.
+    pub backups: bool,
 }
 
 /// A base model.
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod slot;
 pub mod standing;
 pub mod time;
+pub mod transfer;
 pub mod wire;
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -1,5 +1,7 @@
 //! Metadata of requests and answers, independent of the header names.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{config::model::KeyHash, deployment::model::AdapterName, time::Span};
@@ -54,6 +56,8 @@
     pub priority: Option<u8>,
     /// Event after which the stream resumes.
     pub last_event: Option<u64>,
+    /// The engine that has copied the run's memory, and the handle of the copy.
+    pub copy: Option<(SocketAddr, &'a str)>,
 }
 
 /// Metadata in the head of an upstream's answer.
--- a/kingcupbay_core/tests/engine/mod.rs
+++ b/kingcupbay_core/tests/engine/mod.rs
@@ -251,6 +251,7 @@
         weights_mb: 100.0,
         models: [("base".to_owned(), model)].into(),
         load_rate: None,
+        transfers: None,
     });
     admission.on_fencing(7);
     admission
--- a/kingcupbay_core/tests/evacuated_engine.rs
+++ b/kingcupbay_core/tests/evacuated_engine.rs
@@ -57,6 +57,7 @@
         weights_mb: 100.0,
         models: [("base".to_owned(), model)].into(),
         load_rate: None,
+        transfers: None,
     });
     admission.on_fencing(7);
     admission
--- a/kingcupbay_core/tests/limited_engine.rs
+++ b/kingcupbay_core/tests/limited_engine.rs
@@ -51,6 +51,7 @@
         weights_mb: 100.0,
         models: [("base".to_owned(), Model { weights_mb: 50.0, adapter_mb: 1.0 })].into(),
         load_rate: None,
+        transfers: None,
     });
     admission.on_fencing(7);
     let adapters = adapters.iter().map(|name| ((*name).to_owned(), 1)).collect();
--- a/kingcupbayd/src/config/reader.rs
+++ b/kingcupbayd/src/config/reader.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Returns `true` or `false`, or the default.
+    pub(crate) fn flag(&mut self, section: &'static str, key: &str, default: bool) -> bool {
+        let Some((text, line)) = self.take(section, key) else { return default };
+        text.parse().unwrap_or_else(|_| {
+            self.add_mistake(line, section, key, text, "true or false".to_owned());
+            default
+        })
+    }
+
     /// Returns a decimal within `bounds`, or the default if the key is missing or empty.
     pub(crate) fn decimal(
         &mut self,
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -63,6 +63,8 @@
     /// Permit, released when the stream ends. `None` if the engine's sidecar could not
     /// be reached.
     pub(crate) permit: Option<Permit>,
+    /// Version of the adapter that runs it.
+    pub(crate) version: Option<u32>,
 }
 
 /// The attempts at running a request so far.
@@ -130,11 +132,12 @@
             priority: Some(job.priority().min(9)),
             last_event,
             permitted: permit.is_some(),
+            copy: None,
         };
         tried.sends += 1;
         match run(job, &instance, options).await {
             Ok(answer) if !answer.metadata.not_run => {
-                return Ok(Started { instance, answer, permit });
+                return Ok(Started { instance, answer, permit, version });
             }
             Ok(answer) => on_not_run(job, &instance, answer).await,
             Err(SendError::Held(hold)) => {
@@ -239,7 +242,7 @@
     }
     let verdict = match suspect {
         true => None,
-        false => permits::request_permit(job, instance, name, max_wait).await,
+        false => permits::request_permit(job, instance, name, max_wait, false).await,
     };
     match verdict {
         Some((Verdict::Granted { version }, permit)) => {
@@ -286,7 +289,7 @@
 async fn run(
     job: &Job,
     instance: &Instance,
-    options: SendOptions,
+    options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
     let mut time = job.remaining();
     if job.route.repeat == Repeat::Resumable {
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and latencies of an entry of a registered fleet.
 
-use kingcupbay_core::{time::Span, wire::error::Code};
+use kingcupbay_core::{
+    time::Span,
+    wire::{error::Code, sidecar::TransferReason},
+};
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
 use crate::{
@@ -20,6 +23,8 @@
     gap: HistogramVec,
     resumed: IntCounter,
     broken: IntCounterVec,
+    transfers: IntCounterVec,
+    transfer_pause: HistogramVec,
     evacuated: IntGauge,
     zone_left: IntCounter,
     wait_left: IntCounterVec,
@@ -86,6 +91,19 @@
                 "Streams that ended early",
                 &["route"],
             ),
+            transfers: counters(
+                &registry,
+                "kingcupbay_transfers_total",
+                "Transfers of running streams to other engines, by reason and outcome",
+                &["why", "outcome"],
+            ),
+            transfer_pause: histograms(
+                &registry,
+                "kingcupbay_transfer_pause_seconds",
+                "Time without an event while a stream moved",
+                &["why"],
+                EVENT_GAP_BUCKETS,
+            ),
             evacuated: gauge(
                 &registry,
                 "kingcupbay_evacuated_zones",
@@ -167,6 +185,16 @@
         self.broken.with_label_values(&[route]).inc();
     }
 
+    /// Counts a transfer.
+    pub(crate) fn on_transfer(&self, why: TransferReason, outcome: &str) {
+        self.transfers.with_label_values(&[why.as_str(), outcome]).inc();
+    }
+
+    /// Records the time without an event while a stream moved.
+    pub(crate) fn on_transfer_pause(&self, why: TransferReason, pause: Span) {
+        self.transfer_pause.with_label_values(&[why.as_str()]).observe(pause.as_secs_f64());
+    }
+
     /// Counts a refused request.
     pub(crate) fn on_refusal(&self, code: Code) {
         self.refusals.with_label_values(&[code.as_str()]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! takes its tokens off the organisation's limit. [`plain`] sends the request to a plain
 //! service; [`generate`] sends it to an engine, once the engine's sidecar has granted a
 //! permit ([`permits`]). [`send`] makes one attempt, and [`stream`] forwards events and
-//! resumes the stream at another engine if one fails. [`admit`] decides which requests an
+//! resumes the stream at another engine if one fails; [`transfer`] tells streams to move away
+//! from engines that leave, and [`moving`] carries that out. [`admit`] decides which requests an
 //! upstream gets, by what it says of itself in its answers. [`reply`] builds the entry's own
 //! answers.
 
@@ -12,11 +13,13 @@
 pub(crate) mod generate;
 pub(crate) mod job;
 pub(crate) mod metrics;
+pub(crate) mod moving;
 pub(crate) mod permits;
 pub(crate) mod plain;
 pub(crate) mod reply;
 pub(crate) mod send;
 pub(crate) mod stream;
+pub(crate) mod transfer;
 
 use std::{
     cell::{Cell, RefCell},
@@ -97,6 +100,8 @@
     /// Parts of the request rates that upstreams announce.
     pub(crate) limits: RefCell<LimitShares>,
     pub(crate) releases: permits::Releases,
+    /// Streams that may move to other engines.
+    pub(crate) transfers: transfer::Transfers,
     /// Notified when an upstream has said that it leaves or has asked for rest.
     pub(crate) withdrawn: Notify,
     pub(crate) metrics: Metrics,
@@ -119,6 +124,7 @@
             rests: RefCell::default(),
             limits: RefCell::default(),
             releases: permits::Releases::default(),
+            transfers: transfer::Transfers::default(),
             withdrawn: Notify::new(),
             metrics: Metrics::new(&node.store, &node.control),
             node,
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -95,11 +95,13 @@
 }
 
 /// Requests a permit for the engine `instance`. Returns `None` if the sidecar does not answer.
+/// A `transferred` run has its memory there already: it prefills nothing.
 pub(crate) async fn request_permit(
     job: &Job,
     instance: &Instance,
     name: &AdapterName,
     max_wait: Span,
+    transferred: bool,
 ) -> Option<(Verdict, Permit)> {
     let gateway = &job.gateway;
     let engine = instance.address;
@@ -114,6 +116,7 @@
     };
     let service = job.deployment.services.get(&instance.service);
     let number = job.deployment.number;
+    let size = job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 });
     let request = PermitRequest {
         attempt: job.attempt().to_owned(),
         newest,
@@ -122,13 +125,13 @@
         spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
         priority: job.priority(),
-        size: job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 }),
+        size: if transferred { Size { prompt: 0, output: size.total() } } else { size },
         latency_target: job.route.latency_target.saturating_sub(waited),
         max_wait,
         event_gap: job.route.event_gap,
         entry: gateway.node.peer_address,
         organisation: None,
-        transferred: false,
+        transferred,
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
     gateway.placement.borrow_mut().on_send(now, engine);
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -1,5 +1,7 @@
 //! Sends a request to one upstream.
 
+use std::net::SocketAddr;
+
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use kingcupbay_core::{
@@ -36,7 +38,7 @@
 
 /// What an upstream is sent in addition to the caller's request.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct SendOptions {
+pub(crate) struct SendOptions<'a> {
     /// The only version of the adapter that may run the request.
     pub(crate) version: Option<u32>,
     pub(crate) priority: Option<u8>,
@@ -44,6 +46,9 @@
     pub(crate) last_event: Option<u64>,
     /// Whether the sidecar beside the upstream has granted the request.
     pub(crate) permitted: bool,
+    /// Engine that has copied the memory of the run, and the handle of the copy with which the
+    /// run continues.
+    pub(crate) copy: Option<(SocketAddr, &'a str)>,
 }
 
 /// Why a request has no answer.
@@ -63,9 +68,12 @@
 pub(crate) async fn send(
     job: &Job,
     instance: &Instance,
-    options: SendOptions,
+    options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
-    job.gateway.admit(instance, options.permitted).map_err(SendError::Held)?;
+    // A run that continues counts as the same run, and its source leaves already.
+    if options.copy.is_none() {
+        job.gateway.admit(instance, options.permitted).map_err(SendError::Held)?;
+    }
     let pool = &job.gateway.node.pool;
     let mut link = pool.get(instance.address).await?;
     let request_metadata = UpstreamRequestMetadata {
@@ -75,6 +83,7 @@
         version: options.version,
         priority: options.priority,
         last_event: options.last_event,
+        copy: options.copy,
     };
     let headers = request::encode_headers(&job.headers, &request_metadata);
     let sent = clock::now();
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -1,4 +1,5 @@
-//! Forwards a stream of events and resumes it at another engine if one fails.
+//! Forwards a stream of events, moves it away from an engine that leaves, and resumes it at
+//! another engine if one fails.
 
 use std::{io, rc::Rc};
 
@@ -21,8 +22,10 @@
     gateway::{
         generate::{self, Started, Tried},
         job::Job,
+        moving::{Event, Moving},
         permits::Permit,
         reply,
+        transfer::{Movable, Move},
     },
     http::link::{Link, LinkError},
 };
@@ -30,30 +33,41 @@
 /// Time without an event in the middle of a resumable stream after which an engine is
 /// considered stuck. Engines send an event every 30 ms; a request that was preempted for
 /// lack of memory repeats its prefill within a second.
-const EVENT_TIMEOUT: Span = Span::from_millis(1_500);
+pub(super) const EVENT_TIMEOUT: Span = Span::from_millis(1_500);
 
 /// A stream that is forwarded to its caller.
 pub(crate) struct Relay {
-    job: Rc<Job>,
-    service: String,
-    tried: Tried,
-    instance: Rc<Instance>,
-    /// Invariant: present until the stream has ended.
-    link: Option<Link>,
+    pub(super) job: Rc<Job>,
+    pub(super) service: String,
+    pub(super) tried: Tried,
+    pub(super) instance: Rc<Instance>,
+    /// Invariant: present until the stream has ended, except while it moves.
+    pub(super) link: Option<Link>,
+    /// Version of the adapter that runs it.
+    pub(super) version: Option<u32>,
+    /// Present if the stream may move.
+    pub(super) movable: Option<Movable>,
+    pub(super) moving: Moving,
+    /// Whether the run was continued at another engine.
+    pub(super) moved: bool,
+    /// How the stream of a source was cut, until the run continues.
+    pub(super) cut: Option<LinkError>,
+    /// Time of the first event.
+    pub(super) began: Instant,
     /// Released with the relay, also if the caller disconnects.
-    permit: Option<Permit>,
-    idle: Option<Span>,
+    pub(super) permit: Option<Permit>,
+    pub(super) idle: Option<Span>,
     /// Bytes of an incomplete event.
-    partial: BytesMut,
+    pub(super) partial: BytesMut,
     /// Id of the last event forwarded to the caller.
-    last_event: Option<u64>,
+    pub(super) last_event: Option<u64>,
     /// Time at which the last events were forwarded.
-    forwarded: Instant,
+    pub(super) forwarded: Instant,
     /// Longest time between two events.
-    pause: Span,
+    pub(super) pause: Span,
     /// Whether the body is a series of events.
-    events: bool,
-    ended: bool,
+    pub(super) events: bool,
+    pub(super) ended: bool,
 }
 
 impl Relay {
@@ -64,7 +78,7 @@
         started: Started,
         tried: Tried,
     ) -> Response<BoxBody> {
-        let Started { instance, answer, permit } = started;
+        let Started { instance, answer, permit, version } = started;
         let head = answer.head;
         let kind = head.headers.get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
         let events = head.status.is_success()
@@ -80,6 +94,12 @@
             partial: BytesMut::new(),
             ended: false,
             link: Some(answer.link),
+            version,
+            movable: None,
+            moving: Moving::No,
+            moved: false,
+            cut: None,
+            began: clock::now(),
             job,
             service,
             tried,
@@ -87,6 +107,7 @@
             permit,
             events,
         };
+        let relay = relay.watched();
         let stream = stream::unfold(relay, |mut relay| async {
             let bytes = relay.next().await?;
             Some((bytes, relay))
@@ -105,67 +126,77 @@
             return None;
         }
         loop {
-            let error = match self.read().await {
-                Ok(Some(chunk)) => match self.take_whole_events(chunk) {
-                    Some(bytes) => return Some(Ok(bytes)),
-                    None => continue,
+            let result = match self.next_event().await {
+                Event::Read(Ok(Some(chunk))) => match self.take_whole_events(chunk) {
+                    Ok(Some(bytes)) => return Some(Ok(bytes)),
+                    Ok(None) => continue,
+                    Err(error) => self.on_cut(error).await,
                 },
-                Ok(None) if self.partial.is_empty() => {
-                    self.finish();
+                Event::Read(Ok(None)) if self.partial.is_empty() => {
+                    self.on_whole();
                     return None;
                 }
                 // The stream ended in the middle of an event.
-                Ok(None) => LinkError::Early,
-                Err(error) => error,
+                Event::Read(Ok(None)) => self.on_cut(LinkError::Early).await,
+                Event::Read(Err(error)) => self.on_cut(error).await,
+                Event::Start(notice) => {
+                    self.prepare(notice, Vec::new());
+                    continue;
+                }
+                Event::Prepared(Some(prepared)) => {
+                    let mut work = Move::new(&self.job, self.instance.clone(), prepared);
+                    work.call(false);
+                    self.moving = Moving::Yes(Box::new(work));
+                    continue;
+                }
+                Event::Prepared(None) => {
+                    self.stay();
+                    continue;
+                }
+                Event::Copied(outcome, took) => self.on_copied(outcome, took).await,
             };
-            if let Err(error) = self.resume(error).await {
+            if let Err(error) = result {
                 self.ended = true;
+                self.movable = None;
                 self.permit = None;
                 return Some(Err(io::Error::other(error)));
             }
         }
     }
 
-    /// Reads the next chunk from the engine.
-    async fn read(&mut self) -> Result<Option<Bytes>, LinkError> {
-        let remaining = self.job.remaining();
-        if remaining == Span::ZERO {
-            return Err(LinkError::Silent);
-        }
-        let time = if self.may_resume() { remaining.min(EVENT_TIMEOUT) } else { remaining };
-        let link = self.link.as_mut().expect("there until the stream has ended");
-        match tokio::time::timeout(time.into(), link.chunk()).await {
-            Ok(chunk) => chunk,
-            Err(_) => Err(LinkError::Silent),
-        }
-    }
-
     /// Returns the part of the received bytes that may be forwarded: whole events only,
     /// as an engine may fail in the middle of one, and another resumes after the last
     /// whole one.
-    fn take_whole_events(&mut self, chunk: Bytes) -> Option<Bytes> {
+    fn take_whole_events(&mut self, chunk: Bytes) -> Result<Option<Bytes>, LinkError> {
         if !self.events {
-            return Some(chunk);
+            return Ok(Some(chunk));
         }
         let whole = match (self.partial.is_empty(), events_end(&chunk)) {
             (true, Some(end)) if end == chunk.len() => chunk,
             _ => {
                 self.partial.extend_from_slice(&chunk);
-                let end = events_end(&self.partial)?;
+                let Some(end) = events_end(&self.partial) else { return Ok(None) };
                 self.partial.split_to(end).freeze()
             }
         };
+        let whole = if self.moved { self.skip_repeated(&whole)? } else { whole };
+        if whole.is_empty() {
+            return Ok(None);
+        }
         if let Some(id) = last_id(&whole) {
             self.last_event = Some(id);
         }
         let now = clock::now();
         self.pause = self.pause.max(now.since(self.forwarded));
         self.forwarded = now;
-        Some(whole)
+        if let Some(movable) = &self.movable {
+            movable.set_load(self.load());
+        }
+        Ok(Some(whole))
     }
 
     /// Returns whether another engine may resume the stream.
-    fn may_resume(&self) -> bool {
+    pub(super) fn may_resume(&self) -> bool {
         self.events
             && self.job.route.repeat == Repeat::Resumable
             && self.tried.sends < self.job.route.attempts
@@ -173,7 +204,7 @@
 
     /// Resumes the stream at another engine, after the last whole event, once an engine
     /// has failed with `error`. Returns that error if this is not possible.
-    async fn resume(&mut self, error: LinkError) -> Result<(), LinkError> {
+    pub(super) async fn resume(&mut self, error: LinkError) -> Result<(), LinkError> {
         let now = clock::now();
         let gateway = self.job.gateway.clone();
         let remaining = self.job.remaining();
@@ -190,11 +221,14 @@
             return Err(error);
         }
         self.permit = None;
+        self.movable = None;
         self.partial.clear();
         let started =
             generate::start(&self.job, &self.service, &mut self.tried, self.last_event).await;
         match started {
-            Ok(Started { instance, answer, permit }) if answer.head.status.is_success() => {
+            Ok(Started { instance, answer, permit, version })
+                if answer.head.status.is_success() =>
+            {
                 gateway.metrics.on_resumed();
                 info!(gateway.node.log, ""; "event" => "resumed",
                     "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
@@ -203,6 +237,8 @@
                 self.link = Some(answer.link);
                 self.idle = answer.metadata.idle;
                 self.permit = permit;
+                self.version = version;
+                self.watch();
                 Ok(())
             }
             _ => {
@@ -213,8 +249,9 @@
     }
 
     /// Records that the stream is complete, and releases the permit and the connection.
-    fn finish(&mut self) {
+    pub(super) fn finish(&mut self) {
         self.ended = true;
+        self.movable = None;
         let gateway = &self.job.gateway;
         let now = clock::now();
         gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
@@ -224,7 +261,7 @@
             "pause_ms" => self.pause.as_millis(),
             "ms" => now.since(self.job.arrived).as_millis());
         // A pause during which another engine took over is not this engine's.
-        let alone = self.tried.sends <= 1;
+        let alone = self.tried.sends <= 1 && !self.moved;
         if let Some(permit) = self.permit.as_mut().filter(|_| alone) {
             permit.on_complete(self.pause);
         }
@@ -256,7 +293,7 @@
 }
 
 /// Returns the id of the last event in `bytes` that has one.
-fn last_id(bytes: &[u8]) -> Option<u64> {
+pub(super) fn last_id(bytes: &[u8]) -> Option<u64> {
     let lines = bytes.rsplit(|&byte| byte == b'\n');
     let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -13,7 +13,7 @@
         read_position::Table,
         sidecar::{
             EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH,
-            VERSION_PATH,
+            TRANSFER_PATH, VERSION_PATH,
         },
         usage::{ACQUIRE_PATH, REFUND_PATH, ROWS_PATH, USAGE_PATH},
     },
@@ -23,7 +23,7 @@
 use crate::{
     clock,
     config::{Registry, Settings},
-    gateway::{self, Gateway, permits},
+    gateway::{self, Gateway, permits, transfer},
     http,
     registered::{
         Node, evacuations, follow::follow, limiters, limits, members, message, specs, usage,
@@ -95,6 +95,9 @@
     actix_rt::spawn(members::register(node.clone()));
     actix_rt::spawn(usage::send_reports(gateway.clone()));
     actix_rt::spawn(update_entries(gateway.clone()));
+    if node.registry.transfers {
+        actix_rt::spawn(transfer::watch(gateway.clone()));
+    }
     if let (Some((listener, _)), Some(callers)) = (listeners.callers, &node.settings.callers) {
         let state = gateway.clone();
         let handle = move |request| gateway::handle(state.clone(), request);
@@ -203,6 +206,7 @@
         USAGE_PATH => usage::handle(gateway, request).await,
         LOAD_REPORT_PATH => handle_load_report(gateway, request).await,
         EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
+        TRANSFER_PATH => transfer::handle(gateway, request).await,
         LIMITS_PATH => limits::handle(gateway, request).await,
         ACQUIRE_PATH => limiters::handle_acquire(gateway, request).await,
         REFUND_PATH => limiters::handle_refund(gateway, request).await,
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -14,7 +14,11 @@
 use kingcupbay_platform::{answer::decode_headers, engine as platform};
 use slog::{info, warn};
 
-use crate::{clock, http::pool::Answer, sidecar::Sidecar};
+use crate::{
+    clock,
+    http::pool::Answer,
+    sidecar::{Sidecar, transfers},
+};
 
 /// Timeout of fetching a report. The engine is on the same host and answers at once.
 const REPORT_TIMEOUT: Span = Span::from_millis(400);
@@ -81,6 +85,7 @@
     let mut report = platform::decode_report(&answer.body).map_err(|error| error.to_string())?;
     report.leaving |= decode_headers(answer.status, &answer.headers).leaving;
     log_report(sidecar, &report);
+    transfers::on_report(sidecar, &report);
     let actions = sidecar.admission.borrow_mut().on_report(clock::now(), report);
     sidecar.perform(actions);
     Ok(())
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -3,13 +3,14 @@
 //! Only the sidecar orders the engine to load and unload adapters, and only it grants
 //! permits; streams go straight from the engine to the entries. [`permits`] answers
 //! permit requests of entries, [`engine`] fetches the engine's reports and sends it
-//! orders, and [`load_reports`] reports its load to entries; [`metrics`] counts. All
-//! decisions are made by `kingcupbay_core::admission`.
+//! orders, [`load_reports`] reports its load to entries, and [`transfers`] asks them to move
+//! streams while the engine leaves; [`metrics`] counts. All decisions are made by `kingcupbay_core::admission`.
 
 pub(crate) mod engine;
 pub(crate) mod load_reports;
 pub(crate) mod metrics;
 pub(crate) mod permits;
+pub(crate) mod transfers;
 
 use std::{
     cell::{Cell, RefCell},
@@ -46,6 +47,8 @@
     pub(crate) wake: Notify,
     /// Entries that have recently requested permits, by address.
     pub(crate) entries: RefCell<BTreeMap<SocketAddr, EntryState>>,
+    /// Running requests, to be moved when the engine leaves.
+    pub(crate) transfers: transfers::Transfers,
     pub(crate) metrics: Metrics,
 }
 
@@ -69,6 +72,7 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
+            transfers: transfers::Transfers::default(),
             metrics: Metrics::new(&node.store, &node.control),
             node,
         }
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -63,6 +63,7 @@
     sidecar.answers.borrow_mut().insert(ticket, sender);
     let queued = QueuedRequest { sidecar: sidecar.clone(), ticket };
     let (attempt, name) = (permit.attempt.clone(), permit.name.adapter.clone());
+    let granted = permit.clone();
     let limit = sidecar.admission.borrow().limit(now);
     let actions = sidecar.admission.borrow_mut().on_permit_request(now, ticket, permit);
     engine::log_limit(&sidecar, now, limit, LimitSource::Request);
@@ -71,6 +72,9 @@
     let verdict =
         receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING_RETRY });
     drop(queued);
+    if matches!(verdict, Verdict::Granted { .. }) {
+        sidecar.transfers.on_grant(&granted);
+    }
     let waited = clock::now().since(now);
     sidecar.metrics.on_verdict(&verdict, waited);
     let waited = waited.as_millis();
@@ -100,6 +104,7 @@
         if let Some(pause) = pause {
             sidecar.admission.borrow_mut().on_stream_complete(&attempt, pause);
         }
+        sidecar.transfers.on_release(&attempt);
         let actions = sidecar.admission.borrow_mut().on_request_end(now, &attempt);
         sidecar.perform(actions);
     }
