--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -46,7 +46,7 @@
     objects::{Objects, ObjectsRecord},
     operator::{
         CallerRequest, DeclaredConfig, DeclaredOrganisation, DeclaredRoute, ROUTE_HOST,
-        announcement_row, attempt_and_signature, evacuation_key,
+        allow_transfers, announcement_row, attempt_and_signature, evacuation_key,
     },
     platform::{Platform, PlatformRecord},
     registry::Registry,
--- a/kingcupbay_standin/src/operator.rs
+++ b/kingcupbay_standin/src/operator.rs
@@ -139,3 +139,15 @@
     let text = |name: &str| Some(headers.get(name)?.to_str().ok()?.to_owned());
     (text("x-attempt-id"), text("x-response-stamp"))
 }
+
+/// Changes the configuration `row` so that engines copy running requests to each other.
+pub fn allow_transfers(row: &mut Value) {
+    for service in row["services"].as_array_mut().into_iter().flatten() {
+        if let Some(engine) = service.get_mut("engine") {
+            engine["moves"] = json!(true);
+            engine["kvBytes"] = json!(131_072);
+            engine["linkMbps"] = json!(10_000);
+            engine["handle_s"] = json!(20);
+        }
+    }
+}
