--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::{Deployment, Organisation, Route},
+    retry_after::retry_after,
     time::{Instant, Span},
-    wire::metadata::RequestMetadata,
+    wire::metadata::{RequestMetadata, Size},
 };
 
 use crate::{clock, gateway::Gateway};
@@ -57,6 +58,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Returns the size of the generation, or a usual one if the caller states none.
+    pub(crate) fn size(&self) -> Size {
+        self.metadata.size.unwrap_or(Size { prompt: 500, output: 200 })
+    }
+
     /// Returns a pseudorandom number that is the same for each call on one request.
     pub(crate) fn draw(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
@@ -71,6 +77,14 @@
         after + Span::from_micros(self.draw() % width)
     }
 
+    /// Returns the time after which this request may retry if capacity is expected `after`
+    /// now. Where priorities of the deployment differ, it is spread by priority.
+    pub(crate) fn retry_after(&self, after: Span) -> Span {
+        let routes = self.deployment.routes.iter().map(|route| route.priority);
+        let own = self.deployment.organisations.iter().filter_map(|row| row.priority);
+        retry_after(after, self.priority(), &routes.chain(own).collect(), self.draw())
+    }
+
     /// Returns the attempt id, empty if the caller set none.
     pub(crate) fn attempt(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or_default()
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     answers: IntCounterVec,
     refusals: IntCounterVec,
+    priorities: IntCounterVec,
     sends: IntCounterVec,
     latency: HistogramVec,
     first_event: HistogramVec,
@@ -30,6 +31,8 @@
     wait_left: IntCounterVec,
     limited: IntGauge,
     limiters_asked: IntCounterVec,
+    limit_requests: IntCounterVec,
+    limit_tokens: IntCounterVec,
 }
 
 impl Metrics {
@@ -53,6 +56,12 @@
         Metrics {
             answers,
             refusals,
+            priorities: counters(
+                &registry,
+                "kingcupbay_refusals_by_priority_total",
+                "Admitted requests refused, by priority",
+                &["priority", "code"],
+            ),
             sends: counters(
                 &registry,
                 "kingcupbay_sends_total",
@@ -131,6 +140,18 @@
                 "Requests for tokens of a limit to other entries, by outcome",
                 &["outcome"],
             ),
+            limit_requests: counters(
+                &registry,
+                "kingcupbay_limit_requests_total",
+                "Requests for tokens of organisations' limits, by priority and outcome",
+                &["priority", "outcome"],
+            ),
+            limit_tokens: counters(
+                &registry,
+                "kingcupbay_limit_tokens_total",
+                "Tokens requested of organisations' limits, by priority and outcome",
+                &["priority", "outcome"],
+            ),
             registry,
         }
     }
@@ -180,6 +201,25 @@
         self.limiters_asked.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request whose `tokens` were taken off its organisation's limit.
+    pub(crate) fn on_acquired(&self, priority: u8, tokens: u64) {
+        self.on_limit_request(priority, "acquired", tokens);
+    }
+
+    /// Counts a request that its organisation's limit does not allow. It is `hopeless` if the
+    /// caller is not told to retry.
+    pub(crate) fn on_over_rate(&self, priority: u8, tokens: u64, hopeless: bool) {
+        let outcome = if hopeless { "hopeless" } else { "refused" };
+        self.on_limit_request(priority, outcome, tokens);
+    }
+
+    fn on_limit_request(&self, priority: u8, outcome: &str, tokens: u64) {
+        let priority = priority.to_string();
+        let labels = [priority.as_str(), outcome];
+        self.limit_requests.with_label_values(&labels).inc();
+        self.limit_tokens.with_label_values(&labels).inc_by(tokens);
+    }
+
     /// Counts a stream that ended early.
     pub(crate) fn on_broken(&self, route: &str) {
         self.broken.with_label_values(&[route]).inc();
@@ -200,6 +240,12 @@
         self.refusals.with_label_values(&[code.as_str()]).inc();
     }
 
+    /// Counts a refused request of `priority` that was within its organisation's limit.
+    pub(crate) fn on_refusal_at(&self, priority: u8, code: Code) {
+        let priority = priority.min(9).to_string();
+        self.priorities.with_label_values(&[priority.as_str(), code.as_str()]).inc();
+    }
+
     /// Counts an attempt at an upstream.
     pub(crate) fn on_send(&self, outcome: &str) {
         self.sends.with_label_values(&[outcome]).inc();
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -116,7 +116,7 @@
     };
     let service = job.deployment.services.get(&instance.service);
     let number = job.deployment.number;
-    let size = job.metadata.size.unwrap_or(Size { prompt: 500, output: 200 });
+    let size = job.size();
     let request = PermitRequest {
         attempt: job.attempt().to_owned(),
         newest,
@@ -125,12 +125,15 @@
         spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
         priority: job.priority(),
-        size: if transferred { Size { prompt: 0, output: size.total() } } else { size },
+        size: match transferred {
+            true => Size { prompt: 0, output: size.total() },
+            false => size,
+        },
         latency_target: job.route.latency_target.saturating_sub(waited),
         max_wait,
         event_gap: job.route.event_gap,
         entry: gateway.node.peer_address,
-        organisation: None,
+        organisation: job.organisation.as_ref().map(|organisation| organisation.name.clone()),
         transferred,
     };
     let body = rmp_serde::to_vec_named(&request).expect("a permit request has only plain fields");
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -16,10 +16,13 @@
 pub(crate) struct Metrics {
     registry: Registry,
     verdicts: IntCounterVec,
+    priorities: IntCounterVec,
     wait: HistogramVec,
     orders: IntCounterVec,
     requests: IntGaugeVec,
     limit: Gauge,
+    work: Gauge,
+    sustained: Gauge,
 }
 
 impl Metrics {
@@ -38,6 +41,12 @@
                 "Requests for a place by what became of them",
                 &["verdict"],
             ),
+            priorities: counters(
+                &registry,
+                "kingcupbay_places_by_priority_total",
+                "Requests for a place by priority and what became of them",
+                &["priority", "verdict"],
+            ),
             wait: histograms(
                 &registry,
                 "kingcupbay_place_wait_seconds",
@@ -62,17 +71,30 @@
                 "kingcupbay_engine_limit",
                 "Requests and orders per second that the engine takes",
             ),
+            work: float_gauge(
+                &registry,
+                "kingcupbay_engine_work_percent",
+                "Time that work takes on the engine's host, in percent of the usual time",
+            ),
+            sustained: float_gauge(
+                &registry,
+                "kingcupbay_engine_sustained_rate",
+                "Prompt tokens per second at which every stream keeps its event gap",
+            ),
             registry,
         }
     }
 
-    /// Counts a verdict on a permit request that waited for `waited`.
-    pub(crate) fn on_verdict(&self, verdict: &Verdict, waited: Span) {
+    /// Counts a verdict on a permit request of `priority` that waited for `waited`.
+    pub(crate) fn on_verdict(&self, verdict: &Verdict, priority: u8, waited: Span) {
         let name = match verdict {
             Verdict::Granted { .. } => "granted",
             Verdict::Refused { why, .. } => why.as_str(),
         };
         self.verdicts.with_label_values(&[name]).inc();
+        // Priorities above 9 are sent to engines as 9.
+        let priority = priority.min(9).to_string();
+        self.priorities.with_label_values(&[priority.as_str(), name]).inc();
         self.wait.with_label_values(&[name]).observe(waited.as_secs_f64());
     }
 
@@ -89,6 +111,10 @@
     /// load and `limit` as the engine's current limit.
     pub(crate) fn text(&self, now: &EngineLoadReport, limit: Option<f64>) -> String {
         self.limit.set(limit.unwrap_or(f64::INFINITY));
+        if let Some(capacity) = now.capacity {
+            self.work.set(f64::from(capacity.work_percent));
+            self.sustained.set(f64::from(capacity.sustained_rate));
+        }
         self.requests.with_label_values(&["running"]).set(i64::from(now.running));
         self.requests.with_label_values(&["waiting"]).set(i64::from(now.waiting));
         text(&self.registry)
