Keep permits in a sidecar only while its engine copies runs

Cause: on_grant stored every permit although transfers are off, and only due(), which does not run then, removed those whose end the sidecar was not told. Ruled out: pruning by time alone while transfers are off: the sidecar still copied every permit for nothing. Change: a permit is recorded only if transfers are on. Each report removes what reports no longer show, and everything while transfers are off. The gauge kingcupbay_movable_requests states the number. Conclusion: with transfers off a sidecar keeps nothing.

--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -255,7 +255,11 @@
     match request.path() {
         "/metrics" => {
             let (now, admission) = (clock::now(), sidecar.admission.borrow());
-            let text = sidecar.metrics.text(&admission.load_report(now), admission.limit(now));
+            let text = sidecar.metrics.text(
+                &admission.load_report(now),
+                admission.limit(now),
+                sidecar.transfers.count(),
+            );
             http::reply::text(StatusCode::OK, text)
         }
         "/dump" => http::reply::text(StatusCode::OK, sidecar.admission.borrow().dump(clock::now())),
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -5,10 +5,10 @@
     time::Span,
     wire::sidecar::{EngineLoadReport, Verdict},
 };
-use prometheus::{Gauge, HistogramVec, IntCounterVec, IntGaugeVec, Registry};
+use prometheus::{Gauge, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use crate::{
-    metrics::{LATENCY_BUCKETS, counters, float_gauge, gauges, histograms, text},
+    metrics::{LATENCY_BUCKETS, counters, float_gauge, gauge, gauges, histograms, text},
     registered::{control::ControlMetrics, store::Store},
 };
 
@@ -20,6 +20,7 @@
     wait: HistogramVec,
     orders: IntCounterVec,
     requests: IntGaugeVec,
+    movable: IntGauge,
     limit: Gauge,
     work: Gauge,
     sustained: Gauge,
@@ -66,6 +67,11 @@
                 "Requests that run at the engine or wait for a place there",
                 &["state"],
             ),
+            movable: gauge(
+                &registry,
+                "kingcupbay_movable_requests",
+                "Requests that the sidecar keeps to move them when the engine leaves",
+            ),
             limit: float_gauge(
                 &registry,
                 "kingcupbay_engine_limit",
@@ -108,8 +114,14 @@
     }
 
     /// Returns all metrics in the Prometheus text format, with `now` as the current
-    /// load and `limit` as the engine's current limit.
-    pub(crate) fn text(&self, now: &EngineLoadReport, limit: Option<f64>) -> String {
+    /// load, `limit` as the engine's current limit and `movable` requests kept for transfers.
+    pub(crate) fn text(
+        &self,
+        now: &EngineLoadReport,
+        limit: Option<f64>,
+        movable: usize,
+    ) -> String {
+        self.movable.set(i64::try_from(movable).unwrap_or(i64::MAX));
         self.limit.set(limit.unwrap_or(f64::INFINITY));
         if let Some(capacity) = now.capacity {
             self.work.set(f64::from(capacity.work_percent));
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -17,7 +17,7 @@
     clock, http,
     registered::{message, specs},
     server::drain::Phase,
-    sidecar::{Sidecar, engine},
+    sidecar::{Sidecar, engine, transfers},
 };
 
 /// Time after which to retry at a sidecar that is stopping. Its successor starts soon.
@@ -74,7 +74,7 @@
         receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING_RETRY });
     drop(queued);
     if matches!(verdict, Verdict::Granted { .. }) {
-        sidecar.transfers.on_grant(&granted);
+        transfers::on_grant(&sidecar, &granted);
     }
     let waited = clock::now().since(now);
     sidecar.metrics.on_verdict(&verdict, priority, waited);
--- a/kingcupbayd/src/sidecar/transfers.rs
+++ b/kingcupbayd/src/sidecar/transfers.rs
@@ -47,7 +47,7 @@
 
 impl Transfers {
     /// Records a request that was granted a permit.
-    pub(crate) fn on_grant(&self, request: &PermitRequest) {
+    fn insert(&self, request: &PermitRequest) {
         let run = GrantedRun {
             entry: request.entry,
             priority: request.priority,
@@ -58,6 +58,17 @@
         self.runs.borrow_mut().insert(request.attempt.clone(), run);
     }
 
+    /// Returns the number of recorded requests.
+    pub(crate) fn count(&self) -> usize {
+        self.runs.borrow().len()
+    }
+
+    /// Removes all requests.
+    fn clear(&self) {
+        self.runs.borrow_mut().clear();
+        *self.leaving.borrow_mut() = None;
+    }
+
     /// Removes a request that has ended.
     pub(crate) fn on_release(&self, attempt: &str) {
         self.runs.borrow_mut().remove(attempt);
@@ -112,9 +123,18 @@
     }
 }
 
-/// Handles a report: asks the entries to move the streams that would not end in time.
+/// Records a request that was granted a permit, if it may have to move.
+pub(crate) fn on_grant(sidecar: &Sidecar, request: &PermitRequest) {
+    if engine_transfers(sidecar).is_some() {
+        sidecar.transfers.insert(request);
+    }
+}
+
+/// Handles a report: removes the requests that have ended, and asks the entries to move the
+/// streams that would not end in time.
 pub(crate) fn on_report(sidecar: &Rc<Sidecar>, report: &Report) {
     if engine_transfers(sidecar).is_none() {
+        sidecar.transfers.clear();
         return;
     }
     let evacuated = sidecar.node.is_evacuated().then_some(TransferReason::Evacuated);
--- a/kingcupbayd/tests/transfers.rs
+++ b/kingcupbayd/tests/transfers.rs
@@ -129,6 +129,15 @@
         get_text(&self.fleet.entry, "/metrics").await.contains(line)
     }
 
+    /// Returns how many requests the sidecar of the engine with that index keeps for transfers.
+    async fn movable(&self, index: usize) -> u64 {
+        let sidecar = self.sidecars.borrow_mut()[index].take().unwrap();
+        let text = get_text(&sidecar, "/metrics").await;
+        self.sidecars.borrow_mut()[index] = Some(sidecar);
+        let line = text.lines().find_map(|line| line.strip_prefix("kingcupbay_movable_requests "));
+        line.unwrap().parse().unwrap()
+    }
+
     /// Checks that no run was under way twice and that no copy is kept.
     fn assert_clean(&self) {
         for engine in &self.engines {
@@ -349,6 +358,36 @@
     assert_eq!((source.running_streams().len(), target.runs().len()), (0, 0));
 }
 
+/// A sidecar whose engine does not copy runs keeps every request, and does not remove those that
+/// it kept while the engine did.
+#[actix_rt::test]
+async fn a_sidecar_keeps_requests_only_while_its_engine_copies_runs() {
+    let pair = Pair::start_with(true, "").await;
+    let (got, _) = pair.request_with(async |at| assert_eq!(pair.movable(at).await, 0)).await;
+    assert_whole(&got);
+    let pair = Pair::start(true).await;
+    let (got, _) = pair
+        .request_with(async |at| {
+            assert_eq!(pair.movable(at).await, 1);
+            let mut config = config_row(2, &[KEY]);
+            config["routes"][2]["resumable"] = json!(false);
+            pair.fleet.store.put("op", "config", &config);
+            // A sidecar reads a configuration when a permit request names it.
+            wait_until("no kept request", async || {
+                let brief = async |attempt| {
+                    let _ = tokio::time::timeout(Duration::from_millis(100), pair.request(attempt))
+                        .await;
+                };
+                tokio::join!(brief("b"), brief("c"), brief("d"), brief("e"));
+                (pair.movable(at).await == 0).then_some(())
+            })
+            .await;
+            assert!(!pair.engines[at].running_streams().is_empty());
+        })
+        .await;
+    assert_whole(&got);
+}
+
 /// Guards against a setting that is misread, so that streams move although an operator has not
 /// switched that on.
 #[test]
