--- a/kingcupbay_core/src/admission/shares.rs
+++ b/kingcupbay_core/src/admission/shares.rs
@@ -12,7 +12,7 @@
 
 /// The waiting requests below a priority together get one in this many of the granted
 /// prompt tokens, and the same again among themselves.
-const SHARE_DIVISOR: i64 = 8;
+const SHARE_DIVISOR: i64 = 4;
 
 /// Longest prompt that a share is saved up for. Without a bound, less urgent requests
 /// whose adapters take long to load would save up a share that stalls the urgent ones.
--- a/kingcupbay_core/tests/engine/load_l.rs
+++ b/kingcupbay_core/tests/engine/load_l.rs
@@ -109,6 +109,7 @@
         weights_mb: 100.0,
         models: [("base".to_owned(), Model { weights_mb: 50.0, adapter_mb: 1.0 })].into(),
         load_rate: None,
+        transfers: None,
     });
     admission.on_fencing(7);
     let streams = BTreeMap::new();
--- a/kingcupbayd/src/sidecar/permits.rs
+++ b/kingcupbayd/src/sidecar/permits.rs
@@ -17,7 +17,7 @@
     clock, http,
     registered::{message, specs},
     server::drain::Phase,
-    sidecar::{Sidecar, engine},
+    sidecar::{Sidecar, engine, transfers},
 };
 
 /// Time after which to retry at a sidecar that is stopping. Its successor starts soon.
@@ -63,6 +63,7 @@
     sidecar.answers.borrow_mut().insert(ticket, sender);
     let queued = QueuedRequest { sidecar: sidecar.clone(), ticket };
     let (attempt, name) = (permit.attempt.clone(), permit.name.adapter.clone());
+    let granted = permit.clone();
     let priority = permit.priority;
     let limit = sidecar.admission.borrow().limit(now);
     let actions = sidecar.admission.borrow_mut().on_permit_request(now, ticket, permit);
@@ -72,6 +73,9 @@
     let verdict =
         receiver.await.unwrap_or(Verdict::Refused { why: Refusal::Unready, after: STOPPING_RETRY });
     drop(queued);
+    if matches!(verdict, Verdict::Granted { .. }) {
+        transfers::on_grant(&sidecar, &granted);
+    }
     let waited = clock::now().since(now);
     sidecar.metrics.on_verdict(&verdict, priority, waited);
     let waited = waited.as_millis();
@@ -101,6 +105,7 @@
         if let Some(pause) = pause {
             sidecar.admission.borrow_mut().on_stream_complete(&attempt, pause);
         }
+        sidecar.transfers.on_release(&attempt);
         let actions = sidecar.admission.borrow_mut().on_request_end(now, &attempt);
         sidecar.perform(actions);
     }
