--- a/kingcupbay_core/src/admission/retry.rs
+++ b/kingcupbay_core/src/admission/retry.rs
@@ -1,16 +1,16 @@
 //! When callers that were refused because the base model is not loaded may retry.
 //!
-//! All callers of an engine that restarts are refused at once. If all were told the same
+//! All callers of an engine that restarts are refused at once. If all were given the same
 //! time, they would return together and most would be refused again.
 
 use std::collections::BTreeMap;
 
 use crate::time::{Instant, Span};
 
-/// Retries that refused callers were told to make.
+/// Retries promised to refused callers.
 #[derive(Debug, Default)]
 pub(super) struct PromisedRetries {
-    /// By priority, the time at which the engine has served those told so far.
+    /// By priority, the time at which the engine has served the promised ones.
     served_by: BTreeMap<u8, Instant>,
 }
 
--- a/kingcupbay_core/src/admission/shares.rs
+++ b/kingcupbay_core/src/admission/shares.rs
@@ -1,8 +1,8 @@
 //! Shares of granted prompt tokens: the guaranteed share of less urgent requests, and turns
 //! of organisations within a priority.
 //!
-//! Load L (docs/HARD-LOAD.md): with twice the callers, the most urgent requests were queued
-//! behind less urgent ones with a longer latency target.
+//! Addresses load L (docs/HARD-LOAD.md) with twice the callers: the most urgent requests have the
+//! tightest latency target, and must not wait behind less urgent ones that can still meet theirs.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/kingcupbay_core/src/allowance/account.rs
+++ b/kingcupbay_core/src/allowance/account.rs
@@ -4,7 +4,7 @@
 
 use super::{
     DEMAND_WINDOW_SECS,
-    kinds::{self, Claim, Demand, Key, Kinds},
+    kinds::{self, Claim, Demand, KindKey, Kinds},
 };
 
 /// Bucket and demand of one organisation, as this entry knows them.
@@ -41,7 +41,7 @@
 
     /// Divides the rate between kinds if `demand`, that of all entries, calls for it. Returns
     /// what a request of `kind` may take, or `None` if the rate is not divided.
-    pub(super) fn divide(&mut self, now: Instant, demand: &Demand, kind: Key) -> Option<Claim> {
+    pub(super) fn divide(&mut self, now: Instant, demand: &Demand, kind: KindKey) -> Option<Claim> {
         let Some(fractions) = kinds::divide(demand, self.rate) else {
             if self.divided.take().is_some() {
                 self.kinds.reset(now);
--- a/kingcupbay_core/src/allowance/kinds.rs
+++ b/kingcupbay_core/src/allowance/kinds.rs
@@ -16,10 +16,10 @@
 use super::{DEMAND_WINDOW_SECS, RETRY_AFTER_MAX, RETRY_AFTER_MIN_SECS};
 
 /// A kind of requests. `None` if none is named, which counts as a service of its own.
-pub(super) type Key = Option<RequestKind>;
+pub(super) type KindKey = Option<RequestKind>;
 
 /// Demand in tokens per second by kind.
-pub(super) type Demand = BTreeMap<Key, f64>;
+pub(super) type Demand = BTreeMap<KindKey, f64>;
 
 /// Kinds kept for one organisation. Further ones count as unnamed, which bounds the memory that
 /// a peer with a faulty hash can take.
@@ -123,12 +123,12 @@
 /// The kinds of requests of an organisation at this entry.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Kinds {
-    kinds: BTreeMap<Key, Kind>,
+    kinds: BTreeMap<KindKey, Kind>,
 }
 
 impl Kinds {
     /// Counts the demand of a request. Returns the kind under which it is kept.
-    pub(super) fn on_request(&mut self, now: Instant, request: &TokenRequest) -> Key {
+    pub(super) fn on_request(&mut self, now: Instant, request: &TokenRequest) -> KindKey {
         for kind in self.kinds.values_mut() {
             let passed = now.since(kind.updated).as_secs_f64();
             kind.demand *= (-passed / DEMAND_WINDOW_SECS).exp();
@@ -149,7 +149,7 @@
     }
 
     /// Returns the kind under which a request is kept.
-    fn key(&self, request: &TokenRequest) -> Key {
+    fn key(&self, request: &TokenRequest) -> KindKey {
         let known = self.kinds.len() < KINDS_MAX || self.kinds.contains_key(&request.kind);
         request.kind.filter(|_| known)
     }
@@ -166,7 +166,7 @@
     }
 
     /// Refills the sub-buckets for `passed` seconds, each by its `fractions` of its demand.
-    pub(super) fn refill(&mut self, fractions: &BTreeMap<Key, f64>, passed: f64) {
+    pub(super) fn refill(&mut self, fractions: &BTreeMap<KindKey, f64>, passed: f64) {
         for (key, kind) in &mut self.kinds {
             let part = kind.demand * fractions.get(key).copied().unwrap_or(0.0);
             kind.level = (kind.level + part * passed).min(part * SAVED_SECS);
@@ -176,7 +176,7 @@
 
     /// Returns what a request of kind `key`, which is granted `fraction` of its demand, may
     /// take of the bucket.
-    pub(super) fn claim(&self, key: Key, fraction: f64) -> Claim {
+    pub(super) fn claim(&self, key: KindKey, fraction: f64) -> Claim {
         let has_tokens = self.kinds.get(&key).is_some_and(|kind| kind.level >= 0.0);
         match fraction {
             // The whole demand fits. The sub-bucket only follows its average.
@@ -189,7 +189,7 @@
 
     /// Takes tokens from the sub-bucket of a kind. The debt is bounded, as a part that has
     /// become small since would repay it for longer than callers wait.
-    pub(super) fn spend(&mut self, key: Key, cost: f64) {
+    pub(super) fn spend(&mut self, key: KindKey, cost: f64) {
         if let Some(kind) = self.kinds.get_mut(&key) {
             kind.level = (kind.level - cost).max(-(kind.part * SAVED_SECS + cost));
         }
@@ -216,14 +216,14 @@
     pub(super) fn promise(
         &mut self,
         now: Instant,
-        key: Key,
+        key: KindKey,
         request: &TokenRequest,
     ) -> Option<Span> {
         let kind = self.kinds.get_mut(&key)?;
         let part = kind.part.max(PART_MIN);
         let secs = |tokens: f64| Span::from_micros((tokens / part * 1e6) as u64);
-        let paid = now + secs((-kind.level).max(0.0));
-        let due = kind.promised_until.max(paid) + secs(request.cost as f64);
+        let debt_cleared = now + secs((-kind.level).max(0.0));
+        let due = kind.promised_until.max(debt_cleared) + secs(request.cost as f64);
         let earliest = Span::from_micros((RETRY_AFTER_MIN_SECS * 1e6) as u64);
         let after = due.since(now).max(earliest);
         let width = (after.as_micros() / SPREAD_FRACTION).max(1);
@@ -271,19 +271,19 @@
 
 /// Returns the tokens per second requested by kinds that may come before `kind`: those of other
 /// services, and the more urgent ones of its own.
-pub(super) fn demand_ahead(demand: &Demand, kind: Key) -> f64 {
-    let first = |key: &Key| service(*key) != service(kind) || *key < kind;
+pub(super) fn demand_ahead(demand: &Demand, kind: KindKey) -> f64 {
+    let first = |key: &KindKey| service(*key) != service(kind) || *key < kind;
     demand.iter().filter(|(key, _)| first(key)).map(|(_, tokens)| tokens).sum()
 }
 
-fn service(key: Key) -> Option<u32> {
+fn service(key: KindKey) -> Option<u32> {
     key.map(|key| key.service)
 }
 
 /// Divides `rate` between the kinds in `demand`. Each service gets the smaller of its demand
 /// and its fair share, and within it the most urgent kind is served first. Returns the
 /// granted fraction of the demand of each kind, or `None` if the rate is not divided.
-pub(super) fn divide(demand: &Demand, rate: f64) -> Option<BTreeMap<Key, f64>> {
+pub(super) fn divide(demand: &Demand, rate: f64) -> Option<BTreeMap<KindKey, f64>> {
     if !differ(demand) || demand.values().sum::<f64>() <= rate {
         return None;
     }
@@ -301,7 +301,7 @@
         parts.insert(*of, part);
     }
     // Keys are in order of service, then of priority.
-    let fraction = |(key, tokens): (&Key, &f64)| {
+    let fraction = |(key, tokens): (&KindKey, &f64)| {
         let left = parts.get_mut(&service(*key)).expect("every service has a part");
         let granted = tokens.min(*left);
         *left -= granted;
--- a/kingcupbay_core/src/placement/mod.rs
+++ b/kingcupbay_core/src/placement/mod.rs
@@ -22,7 +22,7 @@
     net::SocketAddr,
 };
 
-pub use self::pace::Want;
+pub use self::pace::RequestNeeds;
 
 use crate::{
     admission::load_report::REPORTED_FOR,
--- a/kingcupbay_core/src/placement/pace.rs
+++ b/kingcupbay_core/src/placement/pace.rs
@@ -48,7 +48,7 @@
 
 /// What a request needs of an engine.
 #[derive(Clone, Copy, Debug)]
-pub struct Want {
+pub struct RequestNeeds {
     /// Tokens of the generation.
     pub size: Size,
     /// Priority; 0 is the most urgent.
@@ -105,7 +105,7 @@
         &self,
         now: Instant,
         name: &AdapterName,
-        want: &Want,
+        want: &RequestNeeds,
         candidates: &[SocketAddr],
         near: &BTreeSet<SocketAddr>,
     ) -> Option<(SocketAddr, Option<Span>)> {
@@ -154,7 +154,7 @@
         &self,
         now: Instant,
         engine: SocketAddr,
-        want: &Want,
+        want: &RequestNeeds,
         absent: bool,
         median: (f64, f64),
     ) -> Expected {
--- a/kingcupbay_core/src/transfer.rs
+++ b/kingcupbay_core/src/transfer.rs
@@ -25,7 +25,7 @@
 /// call is in progress.
 const REPEATS_MAX: u32 = 4;
 
-/// Time for which an engine that leaves without saying how long surely serves on. Engines end
+/// Time for which an engine that leaves without saying how long continues to serve. Engines end
 /// what still runs 2 to 3 s after they begin to leave.
 pub const USUAL_NOTICE: Span = Span::from_millis(2_000);
 
@@ -169,7 +169,7 @@
         self.handle.as_deref().filter(|_| !self.used)
     }
 
-    /// Returns whether the source may have been told to stop the run. No other transfer of the
+    /// Returns whether the source may have been asked to stop the run. No other transfer of the
     /// stream may begin then.
     pub fn may_have_stopped(&self) -> bool {
         !matches!(self.phase, Phase::Copying { .. } | Phase::Stayed)
--- a/kingcupbay_core/src/wire/usage.rs
+++ b/kingcupbay_core/src/wire/usage.rs
@@ -63,8 +63,8 @@
     OverLimit {
         /// Time until it is expected to.
         retry_after: Span,
-        /// Whether it will not allow the request before the caller's deadline, so that a retry
-        /// is in vain.
+        /// Whether it will not allow the request within a third of the time that the caller has
+        /// left, so that the caller would not wait for it.
         #[serde(default)]
         hopeless: bool,
     },
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -4,7 +4,8 @@
 //! permits; streams go straight from the engine to the entries. [`permits`] answers
 //! permit requests of entries, [`engine`] fetches the engine's reports and sends it
 //! orders, [`load_reports`] reports its load to entries, and [`transfers`] asks them to move
-//! streams while the engine leaves; [`metrics`] counts. All decisions are made by `kingcupbay_core::admission`.
+//! streams while the engine leaves; [`metrics`] counts. All decisions are made by
+//! `kingcupbay_core::admission`.
 
 pub(crate) mod engine;
 pub(crate) mod load_reports;
