Order queues by the organisation's priority alone again

Change: permit requests, early refusals of plain services and retries carry the organisation's priority, as before. Limits go on dividing by the priority of routes. Conclusion: the order within an organisation that serves the urgent without making more requests late is open.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -215,7 +215,8 @@
     let all = || untried.iter().map(|row| row.address).collect::<Vec<_>>();
     let zone = gateway.node.settings.daemon.zone.to_string();
     let near = untried.iter().filter(|row| row.zone == zone).map(|row| row.address).collect();
-    let want = RequestNeeds { size: job.size(), priority: job.rank(), remaining: job.remaining() };
+    let want =
+        RequestNeeds { size: job.size(), priority: job.priority(), remaining: job.remaining() };
     let (engine, wait) = match placement.choose_at_pace(now, name, &want, &healthy, &near) {
         Some(chosen) => chosen,
         None => {
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -21,12 +21,6 @@
 /// Longest time over which the returns of refused callers are spread.
 const SPREAD_MAX: Span = Span::from_secs(2);
 
-/// Ranks of one priority: those of its routes.
-const RANK_STEP: u8 = 10;
-
-/// Priority from which all have the same rank but for their routes.
-const RANK_PRIORITY_MAX: u8 = 24;
-
 /// An admitted request, with everything needed to forward it.
 pub(crate) struct Job {
     pub(crate) gateway: Rc<Gateway>,
@@ -64,13 +58,6 @@
         own.unwrap_or(self.route.priority)
     }
 
-    /// Returns the rank in queues: the priority first, and among requests of equal priority that
-    /// of the route. 0 is the most urgent.
-    pub(crate) fn rank(&self) -> u8 {
-        let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
-        rank(own, self.route.priority)
-    }
-
     /// Returns the size of the generation, or a usual one if the caller states none.
     pub(crate) fn size(&self) -> Size {
         self.metadata.size.unwrap_or(Size { prompt: 500, output: 200 })
@@ -93,9 +80,9 @@
     /// Returns the time after which this request may retry if capacity is expected `after`
     /// now. Where priorities of the deployment differ, it is spread by priority.
     pub(crate) fn retry_after(&self, after: Span) -> Span {
-        let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
-        let routes = self.deployment.routes.iter().map(|route| rank(own, route.priority));
-        retry_after(after, self.rank(), &routes.collect(), self.draw())
+        let routes = self.deployment.routes.iter().map(|route| route.priority);
+        let own = self.deployment.organisations.iter().filter_map(|row| row.priority);
+        retry_after(after, self.priority(), &routes.chain(own).collect(), self.draw())
     }
 
     /// Returns the attempt id, empty if the caller set none.
@@ -103,8 +90,3 @@
         self.metadata.attempt.as_deref().unwrap_or_default()
     }
 }
-
-/// Returns the rank of a request whose organisation has the priority `own`, if any.
-fn rank(own: Option<u8>, route: u8) -> u8 {
-    own.unwrap_or(route).min(RANK_PRIORITY_MAX) * RANK_STEP + route.min(RANK_STEP - 1)
-}
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -243,12 +243,12 @@
             }
             let now = clock::now();
             warn!(job.gateway.node.log, ""; "event" => "failed", "request" => &job.metadata.attempt,
-                "route" => &job.route.name, "service" => &service, "priority" => job.rank(),
+                "route" => &job.route.name, "service" => &service, "priority" => job.priority(),
                 "code" => refusal.code.as_str(), "why" => refusal.why,
                 "not_run" => refusal.not_run, "after_ms" => refusal.after.map(Span::as_millis),
                 "configuration" => job.deployment.number.0,
                 "ms" => now.since(job.arrived).as_millis());
-            job.gateway.metrics.on_refusal_at(job.rank(), refusal.code);
+            job.gateway.metrics.on_refusal_at(job.priority(), refusal.code);
             refuse(&job.gateway, &job.metadata, refusal)
         }
     }
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -124,7 +124,7 @@
         limit: gateway.limits.borrow().report_of(now, &instance.id, instance.born),
         spec: service.map(|service| SpecDigest { number, hash: service.spec_hash() }),
         name: name.clone(),
-        priority: job.rank(),
+        priority: job.priority(),
         size: match transferred {
             true => Size { prompt: 0, output: size.total() },
             false => size,
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -162,8 +162,8 @@
     let now = clock::now();
     let target = job.route.latency_target.saturating_sub(now.since(job.arrived));
     let mut backlog = job.gateway.backlog.borrow_mut();
-    backlog.on_request(now, &instance.id, job.rank());
-    let refused = backlog.refuse_by_priority(now, &instance.id, target, job.rank(), job.draw());
+    backlog.on_request(now, &instance.id, job.priority());
+    let refused = backlog.refuse_by_priority(now, &instance.id, target, job.priority(), job.draw());
     refused.map(|after| job.retry_after(after))
 }
 
