--- a/kingcupbay_core/tests/kinds.rs
+++ b/kingcupbay_core/tests/kinds.rs
@@ -321,7 +321,7 @@
         let flood = refused(|_| true, 7.5);
         println!("seed {seed}: refused {before} before, {calm} calm, {flood} in the flood");
         // Its demand exceeds the rate for moments, in which less urgent requests are held back.
-        assert!(calm <= before + 0.005, "seed {seed}: {calm} of {before}");
+        assert!(calm <= before + 0.002, "seed {seed}: {calm} of {before}");
         assert!(flood.total_cmp(&calm).is_eq(), "seed {seed}: {flood} of {calm}");
     }
 }
--- a/kingcupbay_core/tests/shared_host.rs
+++ b/kingcupbay_core/tests/shared_host.rs
@@ -84,7 +84,7 @@
                 println!("{case}");
                 // An engine of half the speed needs 66 ms for an event, 164 ms in slow periods. A
                 // short gap that it cannot keep must not keep prompts back for good.
-                assert!(late < 25.0, "{case}");
+                assert!(late < 20.0, "{case}");
             }
         }
     }
