Decode and log the software of engines and the attempt that is taken up

Ruled out: the version in reports of engines, which do not have it. Change: rows keep the software, entries pass it on with the rows they read (in reports with field names, which earlier builds understand), and `streaming`, `resumed` and `upstream` log it. The stand-in registers with a version of its own. No decision changes.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -258,7 +258,14 @@
     pub fn on_reported_change(&mut self, now: Instant, change: TableChange) {
         let version = change.version;
         match change.kind {
-            ChangeKind::Upstream(row) => {
+            ChangeKind::Upstream(mut row) => {
+                // An entry of an earlier build does not report it.
+                if row.software.is_empty()
+                    && let Some(known) = self.instances.get(&row.id)
+                    && known.born == row.born
+                {
+                    row.software.clone_from(&known.software);
+                }
                 if row.leaving {
                     self.departures.on_report(now, &row.id, version, Some((row.born, row.count)));
                 }
--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -237,6 +237,10 @@
     pub models: Vec<String>,
     /// Version of the store at the time of the write.
     pub version: u64,
+    /// Version of its software, as its row names it. Empty if the row does not, or if the row
+    /// was reported by an entry of an earlier build.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: String,
     /// How much longer it is cold. Reports of other entries do not say it.
     #[serde(skip)]
     pub cold_remaining: Span,
@@ -252,6 +256,7 @@
             || before.leaving
             || self.born != before.born
             || self.slots != before.slots
+            || self.software != before.software
             || location(self) != location(before)
     }
 }
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -39,6 +39,8 @@
     pub size: Option<Size>,
     /// Last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// The caller's attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
 }
 
 /// Metadata sent to an upstream in addition to the caller's own headers.
--- a/kingcupbay_core/src/wire/read_position.rs
+++ b/kingcupbay_core/src/wire/read_position.rs
@@ -59,3 +59,10 @@
     /// The entry on this host is no longer registered.
     EntryGone(String),
 }
+
+impl ChangeKind {
+    /// Whether the change has fields that entries of earlier builds do not send.
+    pub fn is_extended(&self) -> bool {
+        matches!(self, ChangeKind::Upstream(row) if !row.software.is_empty())
+    }
+}
--- a/kingcupbay_core/src/wire/usage.rs
+++ b/kingcupbay_core/src/wire/usage.rs
@@ -101,7 +101,9 @@
     /// is encoded with field names, since earlier builds reject a longer list of values but
     /// ignore names that they do not know.
     pub fn is_extended(&self) -> bool {
+        let mut changes = self.positions.values().flat_map(|position| &position.changes);
         self.uses.values().any(|used| !used.kinds.is_empty())
+            || changes.any(|change| change.kind.is_extended())
     }
 }
 
--- a/kingcupbay_core/tests/evacuations.rs
+++ b/kingcupbay_core/tests/evacuations.rs
@@ -27,6 +27,7 @@
         count: 1,
         models: Vec::new(),
         version: 1,
+        software: String::new(),
         cold_remaining: Span::ZERO,
     }
 }
--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -41,6 +41,8 @@
     pub id: String,
     /// Whether it is a model engine.
     pub engine: bool,
+    /// Version of its software, as its registration names it.
+    pub software: String,
     /// Number of events of each stream.
     pub events: u64,
     /// Time before each event of a stream.
@@ -81,6 +83,7 @@
         UpstreamSettings {
             id: id.to_owned(),
             engine: false,
+            software: "v1".to_owned(),
             events: 0,
             event_interval: Duration::ZERO,
             cut_after: None,
@@ -234,7 +237,7 @@
     /// Returns the row with which the upstream registers.
     pub fn registration(&self, service: &str, state: &str) -> Value {
         json!({"service": service, "address": self.server.address().to_string(),
-            "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
+            "zone": "zone-a", "version": self.state.settings.software, "slots": 8, "state": state,
             "coldRemainingMs": 0, "seq": 0, "born": 1})
     }
 
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -88,7 +88,8 @@
     info!(job.gateway.node.log, ""; "event" => "streaming", "request" => &job.metadata.attempt,
         "route" => &job.route.name, "upstream" => &started.instance.id,
         "status" => started.answer.head.status.as_u16(), "sends" => tried.sends,
-        "ms" => waited.as_millis());
+        "software" => &started.instance.software, "last_event" => job.metadata.last_event,
+        "resumes" => &job.metadata.resumes, "ms" => waited.as_millis());
     Ok(Relay::response(job, service.to_owned(), started, tried))
 }
 
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -232,7 +232,7 @@
                 gateway.metrics.on_resumed();
                 info!(gateway.node.log, ""; "event" => "resumed",
                     "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
-                    "last_event" => self.last_event);
+                    "software" => &instance.software, "last_event" => self.last_event);
                 self.instance = instance;
                 self.link = Some(answer.link);
                 self.idle = answer.metadata.idle;
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -324,7 +324,8 @@
             Ok(instance) => {
                 info!(node.log, ""; "event" => "upstream", "id" => &instance.id,
                     "address" => %instance.address, "leaving" => instance.leaving,
-                    "born" => instance.born, "count" => instance.count,
+                    "software" => &instance.software, "born" => instance.born,
+                    "count" => instance.count,
                     "version" => row.version);
                 let reported = node.catalogue.borrow().needs_report(&instance);
                 let kind = reported.then(|| ChangeKind::Upstream(instance.clone()));
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -66,12 +66,7 @@
     let mut report = gateway.allowance.borrow_mut().usage_report(now, node.number());
     report.left = node.catalogue.borrow_mut().departures_to_report(now, report.whole);
     report.positions = node.own_read_positions(now);
-    // Entries of earlier builds reject a longer list of values.
-    let encoded = match report.is_extended() {
-        true => rmp_serde::to_vec_named(&report),
-        false => rmp_serde::to_vec(&report),
-    };
-    let body = Bytes::from(encoded.expect("a usage report has only plain fields"));
+    let body = encode(&report);
     for &peer in peers {
         drop(actix_rt::spawn(send_report(gateway.clone(), peer, body.clone())));
     }
@@ -90,13 +85,22 @@
         positions: node.read_positions.borrow_mut().relay(now),
         ..UsageReport::default()
     };
-    let body = rmp_serde::to_vec(&report).expect("a usage report has only plain fields");
-    let body = Bytes::from(body);
+    let body = encode(&report);
     for &follower in followers {
         drop(actix_rt::spawn(send_report(gateway.clone(), follower, body.clone())));
     }
 }
 
+/// Encodes a report so that entries of earlier builds, which reject a longer list of values,
+/// understand it.
+fn encode(report: &UsageReport) -> Bytes {
+    let encoded = match report.is_extended() {
+        true => rmp_serde::to_vec_named(report),
+        false => rmp_serde::to_vec(report),
+    };
+    encoded.expect("a usage report has only plain fields").into()
+}
+
 /// Applies another entry's usage report.
 pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
     let mut report = match message::read::<UsageReport>(&gateway.node.log, &mut request).await {
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -1,7 +1,10 @@
 //! Daemons of a registered fleet as separate processes, with stand-ins for the
 //! platform's store, the plain services and the engines.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+};
 
 use kingcupbay_standin::{
     DeclaredConfig, DeclaredOrganisation, DeclaredRoute, Registry, UpstreamServer, UpstreamSettings,
@@ -248,3 +251,30 @@
 pub(crate) fn event_ids(body: &str) -> Vec<u64> {
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
+
+/// Returns the address of a second host, different for each test process. The second
+/// sidecar must listen on the port that the first one got, which another process may use
+/// at a shared address.
+pub(crate) fn second_host() -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (high & 0x7f), low, 2).into()
+}
+
+/// Starts the sidecar of a second engine where the entry expects it: at that engine's
+/// address, on the port of the first sidecar.
+pub(crate) fn second_sidecar(store: &Registry, engine: &UpstreamServer, port: u16) -> Process {
+    let text = settings_text(
+        "upstream",
+        "upstream-2",
+        store.server().address(),
+        &format!("engine = {}\nservice = writer\n", engine.server().address()),
+    );
+    let peers = format!("[peers]\nlisten = {}:{port}", second_host());
+    let text = text.replacen("[peers]\nlisten = 127.0.0.1:0", &peers, 1);
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("second-{port}.ini"));
+    std::fs::write(&file, text).unwrap();
+    let args = ["--config".to_owned(), file.display().to_string()];
+    let process = Process::start("kingcupbayd", &args);
+    std::fs::remove_file(&file).unwrap();
+    process
+}
--- a/kingcupbayd/tests/listen.rs
+++ b/kingcupbayd/tests/listen.rs
@@ -93,6 +93,7 @@
         count: 0,
         models: Vec::new(),
         version,
+        software: "v1".to_owned(),
         cold_remaining: Span::ZERO,
     }
 }
--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -4,18 +4,17 @@
 
 mod common;
 
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
 use common::{
-    EVENT_TIMEOUT, Process, client, get_text,
-    registered::{KEY, STREAM_HEADERS, event_ids, request_tour, settings_text, start_engine_fleet},
+    EVENT_TIMEOUT, client, get_text,
+    registered::{
+        KEY, STREAM_HEADERS, event_ids, request_tour, second_host, second_sidecar,
+        start_engine_fleet,
+    },
     wait_until,
 };
-use kingcupbay_standin::{Registry, UpstreamServer, UpstreamSettings};
+use kingcupbay_standin::{UpstreamServer, UpstreamSettings};
 use serde_json::json;
 
 /// A request names an adapter that is resident on no engine. The sidecar has the engine
@@ -81,33 +80,6 @@
     .await;
 }
 
-/// Returns the address of a second host, different for each test process. The second
-/// sidecar must listen on the port that the first one got, which another process may use
-/// at a shared address.
-fn second_host() -> IpAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 1 + (high & 0x7f), low, 2).into()
-}
-
-/// Starts the sidecar of a second engine where the entry expects it: at that engine's
-/// address, on the port of the first sidecar.
-fn second_sidecar(store: &Registry, engine: &UpstreamServer, port: u16) -> Process {
-    let text = settings_text(
-        "upstream",
-        "upstream-2",
-        store.server().address(),
-        &format!("engine = {}\nservice = writer\n", engine.server().address()),
-    );
-    let peers = format!("[peers]\nlisten = {}:{port}", second_host());
-    let text = text.replacen("[peers]\nlisten = 127.0.0.1:0", &peers, 1);
-    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("second-{port}.ini"));
-    std::fs::write(&file, text).unwrap();
-    let args = ["--config".to_owned(), file.display().to_string()];
-    let process = Process::start("kingcupbayd", &args);
-    std::fs::remove_file(&file).unwrap();
-    process
-}
-
 /// An engine closes the connection in the middle of a stream. Another engine must resume
 /// after the last whole event, and the caller must get each event once.
 #[actix_rt::test]
