Go on with a stream only at the software that began it

Cause: rows' software was not known, and each path that continues a stream (a caller's Last-Event-Id, a stream resumed within one answer, a transfer) picked among all engines of the service. The class: a property of an upstream that binds what is sent to it, which no path looks at. Ruled out: asking the entry that relayed the stream (it is what was killed), the sidecars (600 messages for a resumption, and gone with a release), a software that follows from the attempt (wrong while the set changes); docs/DESIGN.md has the count of each. Change: while a service has had engines of different software within 60 s, the entry that forwards a first event reports its software to two other entries that follow from the stream's id; the one where the caller takes the stream up asks three, and chooses among engines of that software only. Within one answer the relay keeps it. Gateway::admit, which each request to an upstream passes, holds back what would be sent to another software, and SendOptions no longer has a default that leaves it out. What nobody knows is refused at once. A stream whose software has one engine left waits for a permit there as long as its latency target allows, not 350 ms. Why it works: the record outlives the entry that began the stream, and a wrong or missing one ends in a refusal, never in a guess.

--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -10,7 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{cold::ColdLimits, config::model::KeyHash, id::Number, time::Span};
+use crate::{
+    cold::ColdLimits, config::model::KeyHash, id::Number, time::Span, wire::origin::SoftwareId,
+};
 
 /// A complete configuration. A new one replaces it as a whole.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -247,6 +249,11 @@
 }
 
 impl Instance {
+    /// Returns the id of its software.
+    pub fn software_id(&self) -> SoftwareId {
+        SoftwareId::of(&self.software)
+    }
+
     /// Returns whether other entries need a report of this registration if they know
     /// `before`. Changes of the loaded models are not reported: entries learn these from
     /// the engine's sidecar.
--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod id;
 pub mod ini;
 pub mod limit;
+pub mod origin;
 pub mod placement;
 pub mod queue;
 pub mod random;
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! [`metadata`] and [`rows`] hold messages of a platform in decoded form. On such
 //! a platform daemons exchange [`sidecar`], [`usage`], [`read_position`],
-//! [`evacuation`] and [`limit`] messages, as MessagePack over HTTP.
+//! [`evacuation`], [`limit`] and [`origin`] messages, as MessagePack over HTTP.
 //!
 //! [`admin`] is the interface of every daemon for the operators' tool, as JSON.
 
@@ -18,6 +18,7 @@
 pub mod limit;
 pub mod metadata;
 pub mod object;
+pub mod origin;
 pub mod read_position;
 pub mod rows;
 pub mod run;
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -338,3 +338,25 @@
     catalogue.on_instance(at(7), row(6, 5));
     assert_eq!(catalogue.listed("desk").len(), 1);
 }
+
+/// An entry of an earlier build reports a row without the software. What the store has said of
+/// the same process must hold, and not for a process that has started since.
+#[test]
+fn a_report_of_an_earlier_build_keeps_the_software() {
+    let mut catalogue = Catalogue::default();
+    let now = Instant::from_micros(1);
+    let row = |born, version, software: &str| Instance {
+        born,
+        version,
+        count: version,
+        software: software.to_owned(),
+        ..instance("a")
+    };
+    let report =
+        |born, version| TableChange { version, kind: ChangeKind::Upstream(row(born, version, "")) };
+    catalogue.on_instance(now, row(1, 1, "v1"));
+    catalogue.on_reported_change(now, report(1, 2));
+    assert_eq!(catalogue.instance("a").map(|row| row.software.as_str()), Some("v1"));
+    catalogue.on_reported_change(now, report(2, 3));
+    assert_eq!(catalogue.instance("a").map(|row| row.software.as_str()), Some(""));
+}
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -1,7 +1,8 @@
 //! Decides which requests an upstream gets, by what it says of itself in its answers.
 //!
 //! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
-//! daemons. Each holds for the process that has said it, by id and start.
+//! daemons. Each holds for the process that has said it, by id and start. A stream goes on only
+//! at an upstream of the software that began it.
 
 use std::rc::Rc;
 
@@ -10,15 +11,20 @@
     config::model::Role,
     deployment::{catalogue::Catalogue, model::Instance},
     time::{Instant, Span},
-    wire::{limit::LimitReports, metadata::AnswerMetadata},
+    wire::{limit::LimitReports, metadata::AnswerMetadata, origin::SoftwareId},
 };
 use slog::info;
 
-use crate::{clock, gateway::Gateway};
+use crate::{
+    clock,
+    gateway::{Gateway, send::SendOptions},
+};
 
 /// Why a request is not sent to an upstream now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
+    /// The upstream runs another software than the one that began the stream, or was chosen for.
+    Software,
     /// The upstream has said that it leaves.
     Leaving,
     /// The upstream has asked for rest; what is left of that.
@@ -33,7 +39,7 @@
     /// Returns the time until the upstream takes another request, if it does.
     pub(crate) fn after(self) -> Option<Span> {
         match self {
-            Hold::Leaving => None,
+            Hold::Software | Hold::Leaving => None,
             Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
         }
     }
@@ -41,6 +47,7 @@
     /// Returns the reason as written to answers and logs.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Hold::Software => "upstreams run another software",
             Hold::Leaving => "upstreams are leaving",
             Hold::Resting(_) => "upstreams asked for rest",
             Hold::Limited(_) => "upstreams limit their requests",
@@ -78,12 +85,20 @@
 }
 
 impl Gateway {
-    /// Counts a request that this entry may send to `row` now. `permitted` says whether the
-    /// sidecar beside it has granted the request; it keeps the limits of its engine itself.
+    /// Counts a request that this entry may send to `row` now. The sidecar beside an engine
+    /// that has permitted the request keeps the limits of its engine itself.
     ///
     /// Every request to an upstream passes here.
-    pub(crate) fn admit(&self, row: &Instance, permitted: bool) -> Result<(), Hold> {
+    pub(crate) fn admit(&self, row: &Instance, options: &SendOptions<'_>) -> Result<(), Hold> {
         let catalogue = self.node.catalogue.borrow();
+        let replaced = catalogue.instance(&row.id).is_some_and(|now| now.software != row.software);
+        if replaced || !options.eligible.includes(row) {
+            return Err(Hold::Software);
+        }
+        // A run that continues counts as the same run, and its source leaves already.
+        if options.copy.is_some() {
+            return Ok(());
+        }
         if catalogue.has_announced_leaving(row) {
             return Err(Hold::Leaving);
         }
@@ -91,7 +106,7 @@
         if let Some(rest) = self.rests.borrow().remaining(now, &row.id, row.born) {
             return Err(Hold::Resting(rest));
         }
-        if permitted {
+        if options.permitted {
             return Ok(());
         }
         let hosts = || catalogue.of_role(Role::Entry).map(|member| member.host.as_str()).collect();
@@ -113,6 +128,15 @@
         }
     }
 
+    /// Returns the software of the process that answers at `row`, unless another one has started
+    /// under its id since.
+    pub(crate) fn software(&self, row: &Instance) -> Option<SoftwareId> {
+        let catalogue = self.node.catalogue.borrow();
+        let known = catalogue.instance(&row.id);
+        let same = known.is_none_or(|known| known.born == row.born);
+        same.then(|| row.software_id())
+    }
+
     /// Applies what `row` says of itself in its answer to a request sent at `sent`.
     pub(crate) fn on_announcements(&self, row: &Instance, sent: Instant, answer: &AnswerMetadata) {
         let now = clock::now();
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -6,6 +6,7 @@
 use kingcupbay_core::{
     deployment::model::{AdapterName, Instance, Repeat},
     health::Exchange,
+    origin::Eligible,
     placement::RequestNeeds,
     time::Span,
     wire::{
@@ -26,6 +27,7 @@
         stream::Relay,
     },
     http::link::LinkError,
+    registered::origins,
 };
 
 /// Largest number of engines that are asked for a permit before a request is refused.
@@ -57,6 +59,14 @@
 /// Time after which to retry if no engine could be reached.
 const NO_ENGINE_RETRY: Span = Span::from_millis(700);
 
+/// From where on and at which engines a request runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StartPoint {
+    /// Event after which a stream that has begun goes on.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) eligible: Eligible,
+}
+
 /// An engine that runs a request.
 pub(crate) struct Started {
     pub(crate) instance: Rc<Instance>,
@@ -82,7 +92,11 @@
 /// Runs a request on an engine of `service` and forwards its stream.
 pub(crate) async fn serve(job: Rc<Job>, service: &str) -> Result<Response<BoxBody>, Refusal> {
     let mut tried = Tried::default();
-    let started = start(&job, service, &mut tried, job.metadata.last_event).await?;
+    let point = StartPoint {
+        last_event: job.metadata.last_event,
+        eligible: origins::eligible(&job, service).await?,
+    };
+    let started = start(&job, service, &mut tried, point).await?;
     let waited = clock::now().since(job.arrived);
     job.gateway.metrics.on_first_event(&job.route.name, waited);
     info!(job.gateway.node.log, ""; "event" => "streaming", "request" => &job.metadata.attempt,
@@ -93,13 +107,12 @@
     Ok(Relay::response(job, service.to_owned(), started, tried))
 }
 
-/// Finds an engine that runs the request. A stream that has begun resumes after the
-/// event `last_event`.
+/// Finds an engine that runs the request from `point` on.
 pub(crate) async fn start(
     job: &Job,
     service: &str,
     tried: &mut Tried,
-    last_event: Option<u64>,
+    point: StartPoint,
 ) -> Result<Started, Refusal> {
     let name = job.metadata.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
@@ -108,9 +121,12 @@
         if job.remaining() <= PERMIT_WAIT_MIN || !may_send(job, service, tried) {
             break;
         }
-        let Some((instance, wait)) = choose(job, service, &name, &tried.engines) else { break };
+        let Some((instance, wait)) = choose(job, service, &name, &tried.engines, point.eligible)
+        else {
+            break;
+        };
         tried.engines.push(instance.address);
-        let last = attempt + 1 == PERMIT_REQUESTS_MAX;
+        let last = attempt + 1 == PERMIT_REQUESTS_MAX || !has_others(job, service, tried, point);
         let wait = wait.filter(|_| !last);
         let acquired = tokio::select! {
             biased;
@@ -131,9 +147,10 @@
             }
         };
         let options = SendOptions {
+            eligible: point.eligible,
             version,
             priority: Some(job.priority().min(9)),
-            last_event,
+            last_event: point.last_event,
             permitted: permit.is_some(),
             copy: None,
         };
@@ -160,7 +177,16 @@
             }
         }
     }
-    Err(final_refusal(job, service, tried, after))
+    Err(final_refusal(job, service, tried, after, point.eligible))
+}
+
+/// Returns whether engines are left that a request may ask for a permit. Those of one software
+/// may be few.
+fn has_others(job: &Job, service: &str, tried: &Tried, point: StartPoint) -> bool {
+    let catalogue = job.gateway.node.catalogue.borrow();
+    let mut serving = catalogue.serving(service);
+    point.eligible == Eligible::Any
+        || serving.any(|row| point.eligible.includes(row) && !tried.engines.contains(&row.address))
 }
 
 /// Returns whether the request may be sent to one more engine.
@@ -171,7 +197,17 @@
 
 /// Returns the refusal of a request that no engine runs. `after` is the time until an
 /// engine may have a permit.
-fn final_refusal(job: &Job, service: &str, tried: &Tried, after: Option<Span>) -> Refusal {
+fn final_refusal(
+    job: &Job,
+    service: &str,
+    tried: &Tried,
+    after: Option<Span>,
+    eligible: Eligible,
+) -> Refusal {
+    let has_engine = || {
+        let catalogue = job.gateway.node.catalogue.borrow();
+        catalogue.serving(service).any(|row| eligible.includes(row))
+    };
     match (tried.may_have_run, job.remaining() == Span::ZERO, after) {
         (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
@@ -181,6 +217,9 @@
         (false, _, Some(after)) => {
             Refusal::retry(Code::Overloaded, "engines are full", job.retry_after(after))
         }
+        (false, _, None) if eligible != Eligible::Any && !has_engine() => {
+            Refusal::plain(Code::NoUpstream, "no engine of the stream's software")
+        }
         (false, _, None) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no engine", NO_ENGINE_RETRY);
             job.gateway.evacuated_refusal(service).unwrap_or(refusal)
@@ -195,6 +234,7 @@
     service: &str,
     name: &AdapterName,
     tried: &[SocketAddr],
+    eligible: Eligible,
 ) -> Option<(Rc<Instance>, Option<Span>)> {
     let now = clock::now();
     let gateway = &job.gateway;
@@ -203,7 +243,9 @@
     let placement = gateway.placement.borrow();
     let rests = gateway.rests.borrow();
     let is_open = |row: &&Rc<Instance>| {
-        !tried.contains(&row.address) && rests.remaining(now, &row.id, row.born).is_none()
+        eligible.includes(row)
+            && !tried.contains(&row.address)
+            && rests.remaining(now, &row.id, row.born).is_none()
     };
     let untried: Vec<&Rc<Instance>> = catalogue.serving(service).filter(is_open).collect();
     let is_healthy = |row: &&&Rc<Instance>| {
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -13,7 +13,10 @@
     deployment::model::{Deployment, Organisation, Route},
     retry_after::retry_after,
     time::{Instant, Span},
-    wire::metadata::{RequestMetadata, Size},
+    wire::{
+        metadata::{RequestMetadata, Size},
+        origin::StreamId,
+    },
 };
 
 use crate::{clock, gateway::Gateway};
@@ -85,6 +88,28 @@
         retry_after(after, self.priority(), &routes.chain(own).collect(), self.draw())
     }
 
+    /// Returns the stream that the caller takes up, if it names one.
+    pub(crate) fn taken_up(&self) -> Option<StreamId> {
+        let first = self.metadata.resumes.as_deref()?;
+        Some(StreamId::of(self.organisation_name(), first))
+    }
+
+    /// Returns the stream that the request begins or takes up, if its attempt is known.
+    pub(crate) fn stream(&self) -> Option<StreamId> {
+        match self.metadata.last_event {
+            Some(_) => self.taken_up(),
+            None => {
+                let attempt = self.metadata.attempt.as_deref()?;
+                Some(StreamId::of(self.organisation_name(), attempt))
+            }
+        }
+    }
+
+    /// Returns the name of the organisation, if the route needs a key.
+    pub(crate) fn organisation_name(&self) -> Option<&str> {
+        self.organisation.as_ref().map(|organisation| organisation.name.as_str())
+    }
+
     /// Returns the attempt id, empty if the caller set none.
     pub(crate) fn attempt(&self) -> &str {
         self.metadata.attempt.as_deref().unwrap_or_default()
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -33,6 +33,9 @@
     limiters_asked: IntCounterVec,
     limit_requests: IntCounterVec,
     limit_tokens: IntCounterVec,
+    origins: IntCounterVec,
+    known_origins: IntGauge,
+    mixed: IntGauge,
 }
 
 impl Metrics {
@@ -152,6 +155,22 @@
                 "Tokens requested of organisations' limits, by priority and outcome",
                 &["priority", "outcome"],
             ),
+            origins: counters(
+                &registry,
+                "kingcupbay_origins_total",
+                "Streams that callers took up, by what was known of their origin",
+                &["outcome"],
+            ),
+            known_origins: gauge(
+                &registry,
+                "kingcupbay_known_origins",
+                "Streams whose origin this entry keeps",
+            ),
+            mixed: gauge(
+                &registry,
+                "kingcupbay_mixed_services",
+                "Services with upstreams of different software",
+            ),
             registry,
         }
     }
@@ -196,6 +215,18 @@
         self.limited.set(upstreams as i64);
     }
 
+    /// Counts a stream that a caller took up.
+    pub(crate) fn on_origin(&self, outcome: &str) {
+        self.origins.with_label_values(&[outcome]).inc();
+    }
+
+    /// Records the number of services with upstreams of different software, and that of the
+    /// streams whose origin is known.
+    pub(crate) fn set_origins(&self, mixed: usize, known: usize) {
+        self.mixed.set(mixed as i64);
+        self.known_origins.set(known as i64);
+    }
+
     /// Counts a request for tokens to a limiter.
     pub(crate) fn on_limiter_asked(&self, outcome: &str) {
         self.limiters_asked.with_label_values(&[outcome]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -41,6 +41,7 @@
     },
     health::Health,
     limit::LimitShares,
+    origin::Origins,
     placement::Placement,
     repeat::RepeatBudget,
     rest::Rests,
@@ -53,7 +54,7 @@
 
 use crate::{
     clock, http,
-    registered::{Node, limiters},
+    registered::{Node, limiters, origins::PendingOrigins},
     server::drain::Phase,
 };
 
@@ -100,6 +101,9 @@
     /// Parts of the request rates that upstreams announce.
     pub(crate) limits: RefCell<LimitShares>,
     pub(crate) releases: permits::Releases,
+    /// The software that began each stream.
+    pub(crate) origins: RefCell<Origins>,
+    pub(crate) pending_origins: PendingOrigins,
     /// Streams that may move to other engines.
     pub(crate) transfers: transfer::Transfers,
     /// Notified when an upstream has said that it leaves or has asked for rest.
@@ -124,6 +128,8 @@
             rests: RefCell::default(),
             limits: RefCell::default(),
             releases: permits::Releases::default(),
+            origins: RefCell::default(),
+            pending_origins: PendingOrigins::default(),
             transfers: transfer::Transfers::default(),
             withdrawn: Notify::new(),
             metrics: Metrics::new(&node.store, &node.control),
--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use kingcupbay_core::{
+    origin::Eligible,
     time::Span,
     transfer::{
         ContinueOutcome, CopyOutcome, End, EventPlace, Step, StreamEnd, StreamLoad, event_place,
@@ -218,6 +219,8 @@
             End::Source => &work.source,
         };
         let options = SendOptions {
+            // A run continues with the memory of its source.
+            eligible: Eligible::Only(work.source.software_id()),
             version: self.version,
             priority: Some(self.job.priority().min(9)),
             last_event: self.last_event,
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -185,7 +185,7 @@
 /// Sends the request to `instance` and reads the whole answer.
 async fn exchange(job: &Job, instance: &Instance) -> Outcome {
     let began = clock::now();
-    let answer = match send::send(job, instance, SendOptions::default()).await {
+    let answer = match send::send(job, instance, SendOptions::plain()).await {
         Ok(answer) => answer,
         Err(SendError::Held(hold)) => return Outcome::Held(hold),
         Err(SendError::Link(error)) if error.is_unsent() => return Outcome::Unsent(error),
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use kingcupbay_core::{
     deployment::model::Instance,
+    origin::Eligible,
     time::Span,
     wire::metadata::{AnswerMetadata, UpstreamRequestMetadata},
 };
@@ -37,8 +38,10 @@
 }
 
 /// What an upstream is sent in addition to the caller's request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct SendOptions<'a> {
+    /// Which upstreams may run the request.
+    pub(crate) eligible: Eligible,
     /// The only version of the adapter that may run the request.
     pub(crate) version: Option<u32>,
     pub(crate) priority: Option<u8>,
@@ -51,6 +54,20 @@
     pub(crate) copy: Option<(SocketAddr, &'a str)>,
 }
 
+impl SendOptions<'_> {
+    /// Returns the options of a request that any upstream may run.
+    pub(crate) fn plain() -> SendOptions<'static> {
+        SendOptions {
+            eligible: Eligible::Any,
+            version: None,
+            priority: None,
+            last_event: None,
+            permitted: false,
+            copy: None,
+        }
+    }
+}
+
 /// Why a request has no answer.
 #[derive(Debug)]
 #[derive(Error)]
@@ -70,16 +87,13 @@
     instance: &Instance,
     options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
-    // A run that continues counts as the same run, and its source leaves already.
-    if options.copy.is_none() {
-        job.gateway.admit(instance, options.permitted).map_err(SendError::Held)?;
-    }
+    job.gateway.admit(instance, &options).map_err(SendError::Held)?;
     let pool = &job.gateway.node.pool;
     let mut link = pool.get(instance.address).await?;
     let request_metadata = UpstreamRequestMetadata {
         remaining: job.remaining().saturating_sub(DEADLINE_MARGIN).max(Span::from_millis(1)),
         instance: &instance.id,
-        organisation: job.organisation.as_ref().map(|organisation| organisation.name.as_str()),
+        organisation: job.organisation_name(),
         version: options.version,
         priority: options.priority,
         last_event: options.last_event,
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -13,14 +13,16 @@
 use kingcupbay_core::{
     deployment::model::{Instance, Repeat},
     health::Exchange,
+    origin::Eligible,
     time::{Instant, Span},
+    wire::origin::Origin,
 };
 use slog::{info, warn};
 
 use crate::{
     clock,
     gateway::{
-        generate::{self, Started, Tried},
+        generate::{self, StartPoint, Started, Tried},
         job::Job,
         moving::{Event, Moving},
         permits::Permit,
@@ -28,6 +30,7 @@
         transfer::{Movable, Move},
     },
     http::link::{Link, LinkError},
+    registered::origins,
 };
 
 /// Time without an event in the middle of a resumable stream after which an engine is
@@ -61,6 +64,8 @@
     pub(super) partial: BytesMut,
     /// Id of the last event forwarded to the caller.
     pub(super) last_event: Option<u64>,
+    /// The software that made the events which the caller has. Unknown while it has none.
+    pub(super) origin: Origin,
     /// Time at which the last events were forwarded.
     pub(super) forwarded: Instant,
     /// Longest time between two events.
@@ -88,6 +93,7 @@
         let mut builder = reply::head(&job.gateway, head.status, &head.headers);
         let relay = Relay {
             last_event: job.metadata.last_event,
+            origin: Origin::Unknown,
             forwarded: clock::now(),
             pause: Span::ZERO,
             idle: answer.metadata.idle,
@@ -107,7 +113,10 @@
             permit,
             events,
         };
-        let relay = relay.watched();
+        let mut relay = relay.watched();
+        if relay.last_event.is_some() {
+            relay.set_origin();
+        }
         let stream = stream::unfold(relay, |mut relay| async {
             let bytes = relay.next().await?;
             Some((bytes, relay))
@@ -183,6 +192,9 @@
         if whole.is_empty() {
             return Ok(None);
         }
+        if self.origin == Origin::Unknown {
+            self.set_origin();
+        }
         if let Some(id) = last_id(&whole) {
             self.last_event = Some(id);
         }
@@ -195,10 +207,37 @@
         Ok(Some(whole))
     }
 
+    /// Records that the engine of now made the events which the caller has.
+    fn set_origin(&mut self) {
+        let gateway = &self.job.gateway;
+        let software = gateway.software(&self.instance);
+        // Its engine has restarted: nobody knows which process made the event.
+        self.origin = software.map_or(Origin::Contradictory, Origin::Software);
+        if let (Some(software), Some(stream)) = (software, self.job.stream())
+            && self.may_be_taken_up()
+        {
+            origins::on_own(gateway, &self.instance.service, stream, software);
+        }
+    }
+
+    /// Returns whether the caller may take the stream up at another entry.
+    fn may_be_taken_up(&self) -> bool {
+        self.events && self.job.route.repeat == Repeat::Resumable
+    }
+
+    /// Returns at which engines the stream may go on, if at any.
+    fn eligible(&self) -> Option<Eligible> {
+        match self.origin {
+            Origin::Unknown => Some(Eligible::Any),
+            Origin::Software(software) => Some(Eligible::Only(software)),
+            Origin::Contradictory => None,
+        }
+    }
+
     /// Returns whether another engine may resume the stream.
     pub(super) fn may_resume(&self) -> bool {
-        self.events
-            && self.job.route.repeat == Repeat::Resumable
+        self.may_be_taken_up()
+            && self.origin != Origin::Contradictory
             && self.tried.sends < self.job.route.attempts
     }
 
@@ -216,15 +255,17 @@
         warn!(gateway.node.log, ""; "event" => "broke_off", "request" => &self.job.metadata.attempt,
             "upstream" => &self.instance.id, "last_event" => self.last_event,
             "error" => %error, "left_ms" => remaining.as_millis());
-        if !self.may_resume() || remaining == Span::ZERO {
+        let Some(eligible) =
+            self.eligible().filter(|_| self.may_resume() && remaining > Span::ZERO)
+        else {
             gateway.metrics.on_broken(&self.job.route.name);
             return Err(error);
-        }
+        };
         self.permit = None;
         self.movable = None;
         self.partial.clear();
-        let started =
-            generate::start(&self.job, &self.service, &mut self.tried, self.last_event).await;
+        let point = StartPoint { last_event: self.last_event, eligible };
+        let started = generate::start(&self.job, &self.service, &mut self.tried, point).await;
         match started {
             Ok(Started { instance, answer, permit, version })
                 if answer.head.status.is_success() =>
--- a/kingcupbayd/src/gateway/transfer.rs
+++ b/kingcupbayd/src/gateway/transfer.rs
@@ -307,6 +307,7 @@
     let (placement, rests) = (gateway.placement.borrow(), gateway.rests.borrow());
     let is_target = |row: &&Rc<Instance>| {
         row.address != source.address
+            && row.software == source.software
             && !tried.contains(&row.address)
             && rests.remaining(now, &row.id, row.born).is_none()
             && !health.is_suspect(now, &row.id)
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -10,6 +10,7 @@
     wire::{
         evacuation::EVACUATIONS_PATH,
         limit::LIMITS_PATH,
+        origin::{ORIGIN_PATH, ORIGINS_PATH},
         read_position::Table,
         sidecar::{
             EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH,
@@ -26,7 +27,8 @@
     gateway::{self, Gateway, permits, transfer},
     http,
     registered::{
-        Node, evacuations, follow::follow, limiters, limits, members, message, specs, usage,
+        Node, evacuations, follow::follow, limiters, limits, members, message, origins, specs,
+        usage,
     },
     server::{
         self,
@@ -166,6 +168,7 @@
             apply_entries(&gateway);
         }
         drop_unregistered(&gateway);
+        origins::on_instances(&gateway);
         changed.await;
     }
 }
@@ -208,6 +211,8 @@
         EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
         TRANSFER_PATH => transfer::handle(gateway, request).await,
         LIMITS_PATH => limits::handle(gateway, request).await,
+        ORIGINS_PATH => origins::handle_records(gateway, request).await,
+        ORIGIN_PATH => origins::handle_query(gateway, request).await,
         ACQUIRE_PATH => limiters::handle_acquire(gateway, request).await,
         REFUND_PATH => limiters::handle_refund(gateway, request).await,
         ROWS_PATH => {
