Take broken streams up in the soak, at engines of two software versions

Change: engines run v1 and v2 in turn; callers of a broken stream that has events come back to the next entry with Last-Event-Id and Resumes, three times at most; a stream whose runs have different software breaks a promise.

--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -14,7 +14,7 @@
 use crate::{
     fleet::Fleet,
     operator::{CLUB, GUESTS, TIMEOUT_MS, WINERY, guest_key, permanent_key},
-    sent::{Answer, End, Kind, Sent},
+    sent::{Answer, End, Kind, Sent, TakenUp},
 };
 
 /// Adapters that callers name: more than two engines have slots for, so that
@@ -28,6 +28,9 @@
 /// Share of the ordinary requests whose caller leaves early.
 const LEAVERS_PERCENT: u64 = 5;
 
+/// Most requests that take up one broken stream.
+const TAKE_UPS_MAX: usize = 3;
+
 /// Prompt and output tokens of a request of [`CLUB`].
 const CLUB_TOKENS: (u64, u64) = (700, 300);
 
@@ -70,6 +73,8 @@
     pub leave_after: Duration,
     /// Adapter of a stream; drawn at random if `None`.
     pub adapter: Option<&'static str>,
+    /// The broken stream that it takes up.
+    pub takes_up: Option<Sent>,
 }
 
 impl Spec {
@@ -81,6 +86,7 @@
             key: permanent_key(WINERY),
             leave_after: Duration::from_millis(TIMEOUT_MS) + EXTRA_WAIT,
             adapter: None,
+            takes_up: None,
         }
     }
 
@@ -114,9 +120,16 @@
             if self.random.below(100) < LEAVERS_PERCENT {
                 spec.leave_after = Duration::from_millis(5 + self.random.below(150));
             }
-            let sent = self.send(spec).await;
+            let mut sent = self.send(spec).await;
             self.change_entry_after_failure(&sent);
-            self.sleep_between(5, 40).await;
+            for _ in 0..TAKE_UPS_MAX {
+                self.sleep_between(5, 40).await;
+                if sent.kind != Kind::Tour || !sent.is_broken_stream() {
+                    break;
+                }
+                sent = self.send(Spec { takes_up: Some(sent), ..Spec::new(Kind::Tour) }).await;
+                self.change_entry_after_failure(&sent);
+            }
         }
     }
 
@@ -149,9 +162,11 @@
             all.push(sent.clone());
             all.len() - 1
         };
-        let exchange = self.exchange(&sent);
+        let received = Cell::new(sent.received);
+        let exchange = self.exchange(&sent, &received);
         let end = tokio::time::timeout(spec.leave_after, exchange).await.unwrap_or(End::Left);
         let ended = &mut context.sent.borrow_mut()[index];
+        ended.received = received.get();
         ended.newest = context.fleet.operator.number();
         ended.end = Some(end);
         ended.clone()
@@ -183,7 +198,15 @@
                 Kind::Seats | Kind::Guest => String::new(),
                 _ => format!("{} {at}", "x".repeat(self.random.below(6_000) as usize)),
             },
-            adapter: kind.streams().then(|| adapter.to_owned()),
+            adapter: match &spec.takes_up {
+                Some(broken) => broken.adapter.clone(),
+                None => kind.streams().then(|| adapter.to_owned()),
+            },
+            takes_up: spec.takes_up.as_ref().map(|broken| TakenUp {
+                first: broken.first_attempt().to_owned(),
+                last: broken.received,
+            }),
+            received: spec.takes_up.as_ref().map_or(0, |broken| broken.received),
             tokens: prompt + output,
             at: Instant::now(),
             newest: 0,
@@ -191,7 +214,7 @@
         }
     }
 
-    async fn exchange(&mut self, sent: &Sent) -> End {
+    async fn exchange(&mut self, sent: &Sent, received: &Cell<u64>) -> End {
         let kept = self.link.take().filter(Link::is_clean);
         let link = match kept {
             Some(link) => Ok(link),
@@ -201,7 +224,7 @@
             },
         };
         let Ok(mut link) = link else { return End::Unsent };
-        match exchange_whole(&mut link, sent).await {
+        match exchange_whole(&mut link, sent, received).await {
             Ok(answer) => {
                 self.link = Some(link).filter(Link::is_reusable);
                 End::Answered(answer)
@@ -224,13 +247,21 @@
     }
 }
 
-/// Sends one request and reads its whole answer.
-async fn exchange_whole(link: &mut Link, sent: &Sent) -> Result<Answer, LinkError> {
+/// Sends one request and reads its whole answer. Sets `received` to the last whole event of a
+/// stream.
+async fn exchange_whole(
+    link: &mut Link,
+    sent: &Sent,
+    received: &Cell<u64>,
+) -> Result<Answer, LinkError> {
     let body = sent.body.as_bytes();
     let head = link.exchange(sent.kind.method(), &sent.path, headers(sent), body).await?;
     let mut bytes = Vec::new();
     while let Some(chunk) = link.chunk().await? {
         bytes.extend_from_slice(&chunk);
+        if sent.kind.streams() && head.status.is_success() {
+            received.set(last_event(&bytes).unwrap_or(received.get()));
+        }
     }
     let (attempt, signature) = attempt_and_signature(&head.headers);
     Ok(Answer {
@@ -242,6 +273,13 @@
     })
 }
 
+/// Returns the number of the last whole event in `bytes`.
+fn last_event(bytes: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(bytes).ok()?;
+    let (whole, _) = text.rsplit_once("\n\n")?;
+    whole.lines().rev().find_map(|line| line.strip_prefix("id: ")?.parse().ok())
+}
+
 fn headers(sent: &Sent) -> HeaderMap {
     let request = CallerRequest {
         attempt: &sent.attempt,
@@ -249,6 +287,7 @@
         deadline: TIMEOUT_MS,
         tokens: token_counts(sent.organisation),
         adapter: sent.adapter.as_deref(),
+        takes_up: sent.takes_up.as_ref().map(|stream| (stream.first.as_str(), stream.last)),
     };
     request.headers()
 }
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -25,6 +25,9 @@
 /// Adapter slots per engine.
 pub const ENGINE_SLOTS: usize = 3;
 
+/// Versions of software that engines run, in turn.
+const SOFTWARE_VERSIONS: usize = 2;
+
 /// Events per stream.
 pub const STREAM_EVENTS: u64 = 20;
 
@@ -73,6 +76,8 @@
 pub struct Upstream {
     /// Id under which it is registered.
     pub id: String,
+    /// Version of its software.
+    pub software: String,
     /// Service that it belongs to.
     pub service: &'static str,
     /// Its availability zone.
@@ -131,6 +136,7 @@
         let engine = |at: usize| {
             let settings = UpstreamSettings {
                 adapter_slots: ENGINE_SLOTS,
+                software: format!("v{}", 1 + at % SOFTWARE_VERSIONS),
                 event_interval: EVENT_INTERVAL,
                 cold_requests_max: Some(COLD_REQUESTS_MAX),
                 cold_time: Duration::from_secs(COLD_SECS),
@@ -235,12 +241,13 @@
         ip: IpAddr,
         zone: &'static str,
     ) -> io::Result<Upstream> {
-        let id = settings.id.clone();
+        let (id, software) = (settings.id.clone(), settings.software.clone());
         let runner = UpstreamServer::start(any_port(), settings)?;
         let proxy = Proxy::start(SocketAddr::new(ip, 0))?;
         proxy.set_target(runner.server().address());
         Ok(Upstream {
             id,
+            software,
             service,
             zone,
             runner,
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -29,6 +29,8 @@
 pub struct UpstreamRecord {
     /// Id of the upstream.
     pub id: String,
+    /// Version of its software.
+    pub software: String,
     /// Requests that it executed.
     pub runs: Vec<UpstreamRun>,
     /// Orders that it accepted, in the order of their arrival.
@@ -94,6 +96,7 @@
             found.extend(check_not_lost(req, ran));
         }
     }
+    found.extend(check_software(sent, upstreams));
     found.extend(check_configuration_order(sent));
     found.extend(check_unknown_keys(sent, &runs, numbers));
     found.extend(check_rate_limit(sent, &runs));
@@ -169,7 +172,35 @@
 
 fn is_whole_stream(req: &Sent, answer: &Answer) -> bool {
     let event = |id: u64| format!("id: {id}\ndata: event {id} of {}\n\n", req.attempt);
-    answer.body == (1..=STREAM_EVENTS).map(event).collect::<String>()
+    let first = req.takes_up.as_ref().map_or(1, |stream| stream.last + 1);
+    answer.body == (first..=STREAM_EVENTS).map(event).collect::<String>()
+}
+
+/// A stream goes on only at the software that began it, in one answer and over its caller's
+/// tries.
+fn check_software(sent: &[Sent], upstreams: &[UpstreamRecord]) -> Vec<Breach> {
+    let streams: BTreeMap<&str, &str> =
+        sent.iter().map(|req| (req.attempt.as_str(), req.first_attempt())).collect();
+    let mut began: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    let mut went_on: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for upstream in upstreams {
+        for run in &upstream.runs {
+            let Some(stream) = streams.get(run.attempt.as_str()) else { continue };
+            let last = run.headers.get("last-event-id").map(String::as_str);
+            let runs = if last.is_none_or(|last| last == "0") { &mut began } else { &mut went_on };
+            runs.entry(stream).or_default().insert(upstream.software.as_str());
+        }
+    }
+    let is_mixed = |(stream, software): &(&&str, &BTreeSet<&str>)| {
+        let began = began.get(**stream);
+        software.len() > 1 || !began.is_some_and(|began| began.is_superset(software))
+    };
+    let details = |(stream, software): (&&str, &BTreeSet<&str>)| {
+        let details =
+            format!("{stream} began at {:?}, went on at {software:?}", began.get(*stream));
+        breach("a stream keeps its software", details)
+    };
+    went_on.iter().filter(is_mixed).map(details).collect()
 }
 
 /// During planned work alone, a request that reached an upstream receives the
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -268,6 +268,7 @@
         .upstreams()
         .map(|upstream| UpstreamRecord {
             id: upstream.id.clone(),
+            software: upstream.software.clone(),
             runs: upstream.runner.runs(),
             orders: upstream.runner.order_issuers(),
             overloads: upstream.runner.refused_loads(),
--- a/kingcupbay_soak/src/sent.rs
+++ b/kingcupbay_soak/src/sent.rs
@@ -80,6 +80,15 @@
     Left,
 }
 
+/// A stream that broke off, as its caller takes it up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenUp {
+    /// The request that brought its first event.
+    pub first: String,
+    /// Number of the last event that the caller has.
+    pub last: u64,
+}
+
 /// A request of a caller and how it ended.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -103,6 +112,10 @@
     pub body: String,
     /// The adapter that it names.
     pub adapter: Option<String>,
+    /// The stream that it takes up.
+    pub takes_up: Option<TakenUp>,
+    /// Number of the last whole event that arrived, if a stream broke off.
+    pub received: u64,
     /// Tokens that count against its organisation's limit.
     pub tokens: u64,
     /// When it was sent.
@@ -114,6 +127,16 @@
 }
 
 impl Sent {
+    /// Whether it is a stream that ended early, after an event.
+    pub fn is_broken_stream(&self) -> bool {
+        matches!(self.end, Some(End::Broken(_))) && self.received > 0
+    }
+
+    /// The request that brought the first event of its stream.
+    pub fn first_attempt(&self) -> &str {
+        self.takes_up.as_ref().map_or(&self.attempt, |stream| &stream.first)
+    }
+
     /// Status of the answer, if one arrived completely.
     pub fn status(&self) -> Option<u16> {
         match &self.end {
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -11,7 +11,7 @@
 use kingcupbay_soak::{
     operator::{CLUB, GUESTS, WINERY, guest_key},
     promises::{Record, UpstreamRecord, breaches},
-    sent::{Answer, End, Kind, Sent},
+    sent::{Answer, End, Kind, Sent, TakenUp},
 };
 use kingcupbay_standin::{OrderIssuer, UpstreamRun};
 
@@ -28,6 +28,7 @@
     fn new() -> Case {
         let upstream = UpstreamRecord {
             id: "desk-0".to_owned(),
+            software: "v1".to_owned(),
             runs: vec![],
             orders: vec![],
             overloads: 0,
@@ -63,6 +64,8 @@
             path: "/book/1".to_owned(),
             body: "two seats".to_owned(),
             adapter: None,
+            takes_up: None,
+            received: 0,
             tokens: 1_000,
             at: self.start,
             newest: 3,
@@ -112,13 +115,12 @@
     }
 
     fn broken_promises(&self) -> Vec<&'static str> {
-        let upstreams = [self.upstream.clone()];
-        let record = Record {
-            sent: &self.sent,
-            upstreams: &upstreams,
-            planned: &self.planned,
-            numbers: &self.numbers,
-        };
+        self.broken_promises_of(std::slice::from_ref(&self.upstream))
+    }
+
+    fn broken_promises_of(&self, upstreams: &[UpstreamRecord]) -> Vec<&'static str> {
+        let record =
+            Record { sent: &self.sent, upstreams, planned: &self.planned, numbers: &self.numbers };
         breaches(&record).into_iter().map(|breach| breach.promise).collect()
     }
 }
@@ -186,6 +188,22 @@
     assert_eq!(case.broken_promises(), ["a success is whole and its own"]);
 }
 
+#[test]
+fn a_stream_that_goes_on_at_another_software_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Tour, WINERY);
+    case.runs("a");
+    let first = TakenUp { first: "a".to_owned(), last: 3 };
+    case.sends("b", Kind::Tour, WINERY).takes_up = Some(first);
+    case.runs("b").headers.insert("last-event-id".to_owned(), "3".to_owned());
+    assert_eq!(case.broken_promises(), Vec::<&str>::new());
+    let mut other = case.upstream.clone();
+    other.software = "v2".to_owned();
+    other.runs = vec![case.upstream.runs.pop().unwrap()];
+    let upstreams = [case.upstream.clone(), other];
+    assert_eq!(case.broken_promises_of(&upstreams), ["a stream keeps its software"]);
+}
+
 #[test]
 fn a_request_that_planned_work_cuts_is_seen() {
     let mut case = Case::booked();
