Show that a part of prompts crashes engine after engine

Cause: nothing looks at what a request holds; an engine's end counts against the engine alone. Change: the stand-in engine crashes on a part of prompts: all its streams break, it refuses connections for 120 ms and is back empty.

--- a/kingcupbay_standin/src/server/mod.rs
+++ b/kingcupbay_standin/src/server/mod.rs
@@ -134,6 +134,21 @@
         self.shared.add_rule(rule, None)
     }
 
+    /// Returns a closure that resets all connections and refuses new ones, until the closure that
+    /// it returns is called.
+    pub(crate) fn refusal(&self) -> impl Fn() -> Box<dyn FnOnce()> + use<> {
+        let shared = Rc::downgrade(&self.shared);
+        move || {
+            let id = shared.upgrade().map(|shared| shared.add_rule(Rule::new(Fault::Refuse), None));
+            let shared = shared.clone();
+            Box::new(move || {
+                if let (Some(shared), Some(id)) = (shared.upgrade(), id) {
+                    shared.apply(FaultOrder::Clear(id), None);
+                }
+            })
+        }
+    }
+
     /// Carries out an order on faults.
     pub fn apply(&self, order: FaultOrder) {
         self.shared.apply(order, None);
--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -34,6 +34,9 @@
 /// The base model of every engine.
 pub const BASE_MODEL: &str = "base";
 
+/// Time until a crashed engine accepts connections again.
+const CRASH_TIME: Duration = Duration::from_millis(120);
+
 /// Settings of an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamSettings {
@@ -213,6 +216,9 @@
             leaving: Cell::new(false),
             rest: RefCell::default(),
             arrivals: RefCell::default(),
+            fatal_parts: RefCell::default(),
+            crashes: Cell::new(0),
+            crash: RefCell::default(),
             changes: Changes::default(),
         });
         let restarted = Rc::clone(&state);
@@ -224,6 +230,14 @@
             send_buffer: state.settings.send_buffer,
         };
         let server = Server::start(address, behaviour)?;
+        let refuse = server.refusal();
+        *state.crash.borrow_mut() = Some(Box::new(move || {
+            let accept = refuse();
+            actix_rt::spawn(async move {
+                tokio::time::sleep(CRASH_TIME).await;
+                accept();
+            });
+        }));
         let upstream = UpstreamServer { server, state };
         upstream.add_address(upstream.server.address());
         Ok(upstream)
@@ -342,6 +356,22 @@
         *self.state.limit.borrow_mut() = limit.map(str::to_owned);
     }
 
+    /// Makes it crash whenever it begins to answer a request whose prompt holds `part`. It is
+    /// back a little later, started anew.
+    pub fn crash_on(&self, part: &str) {
+        self.state.fatal_parts.borrow_mut().insert(part.to_owned());
+    }
+
+    /// Ends what [`UpstreamServer::crash_on`] began, for all parts.
+    pub fn clear_fatal_parts(&self) {
+        self.state.fatal_parts.borrow_mut().clear();
+    }
+
+    /// Returns how often it has crashed on a part of a prompt.
+    pub fn crashes(&self) -> u32 {
+        self.state.crashes.get()
+    }
+
     /// Sets whether all its answers say that it is leaving.
     pub fn set_leaving(&self, leaving: bool) {
         self.state.leaving.set(leaving);
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -28,6 +28,9 @@
     },
 };
 
+/// Time from the head of an answer to the crash of an engine that crashes on its prompt.
+const CRASH_DELAY: Duration = Duration::from_millis(8);
+
 /// Header with the requests per second that an upstream takes.
 const LIMIT_HEADER: header::HeaderName = header::HeaderName::from_static("server-limit");
 
@@ -69,6 +72,11 @@
     pub(super) rest: RefCell<Option<String>>,
     /// Times of the requests and orders that it got.
     pub(super) arrivals: RefCell<Vec<Instant>>,
+    /// Parts of prompts on which it crashes as it begins to answer.
+    pub(super) fatal_parts: RefCell<BTreeSet<String>>,
+    pub(super) crashes: Cell<u32>,
+    /// Ends the process and starts it again after a while.
+    pub(super) crash: RefCell<Option<Box<dyn Fn()>>>,
     pub(super) changes: Changes,
 }
 
@@ -110,6 +118,33 @@
         }
     }
 
+    /// Returns whether it crashes on the prompt whose parts are `prefix`, as `ID:TOKENS` pairs.
+    fn is_fatal(&self, prefix: &str) -> bool {
+        let fatal = self.fatal_parts.borrow();
+        let mut ids = prefix.split(',').map(|part| part.trim().split(':').next().unwrap_or(part));
+        ids.any(|id| fatal.contains(id))
+    }
+
+    /// Crashes once the head of an answer has been written.
+    fn crash_soon(self: &Rc<Self>) {
+        let state = Rc::clone(self);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(CRASH_DELAY).await;
+            // It may have crashed on another request meanwhile.
+            if state.faults.borrow().refuses() {
+                return;
+            }
+            state.crashes.set(state.crashes.get() + 1);
+            for run in state.running.borrow().values() {
+                run.phase.send_replace(Phase::Ended);
+            }
+            state.restart();
+            if let Some(crash) = state.crash.borrow().as_ref() {
+                crash();
+            }
+        });
+    }
+
     /// Adds what every answer says of the upstream itself.
     fn add_signals(&self, headers: &mut header::HeaderMap) {
         if let Some(limit) = self.limit.borrow().as_deref() {
@@ -253,6 +288,9 @@
             backed_up: Cell::new(None),
         });
         self.running.borrow_mut().insert(number, Rc::clone(&run));
+        if text("x-prompt-prefix").is_some_and(|prefix| self.is_fatal(&prefix)) {
+            self.crash_soon();
+        }
         let share = prefilled as f64 / prompt.max(1) as f64;
         let prefill = self.settings.prefill_time.mul_f64(share);
         let events = EventStream::new(self, run, prefill, last);
