Refuse parts of prompts that crash engine after engine

Cause: no code looked at what a request holds. An engine's end counted against the engine alone, and the request that caused it went to the next one, by the entry or by its caller. The class: a fault that travels with the request, blamed on where it showed. Ruled out: holding suspects to one engine (a crash there takes its 48 streams along, and a suspect is every part of every request that was about to begin); blaming every broken answer (answers break off for other causes: the engine must refuse a new connection); blaming a part by the number of crashes alone (a rack that fails together makes all shared parts suspects). Change: an entry whose engine ends while it was about to answer reports the shared parts of that request to the others (limiters pass it on); a part is quarantined after three crashes at different times without an answer that went on, while answers without it do, after five if answers with it went on before. A crash that a quarantined part explains tells nothing of other parts. Requests with it are refused at once at Gateway::admit, before a permit and while they wait for one. A request whose engine crashed under it goes to another engine only if no part of it is a suspect of an earlier crash. A trial every two minutes, an answer that goes on, or an operator releases it. Why it works: a part that crashes each engine has no answer that goes on anywhere, and a sound one has. Open: which requests of an engine it was about to answer is judged by the first byte of the answer, within 0.5 s.

--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod origin;
 pub mod placement;
+pub mod quarantine;
 pub mod queue;
 pub mod random;
 pub mod repeat;
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::part::PartId;
 use crate::{config::model::KeyHash, deployment::model::AdapterName, time::Span};
 
 /// Size of a generation in tokens.
@@ -41,6 +42,8 @@
     pub last_event: Option<u64>,
     /// The caller's attempt that brought the first event of the stream that it takes up.
     pub resumes: Option<String>,
+    /// Parts of the prompt that other requests may share, in their order: all but the last.
+    pub parts: Vec<PartId>,
 }
 
 /// Metadata sent to an upstream in addition to the caller's own headers.
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -19,6 +19,7 @@
 pub mod metadata;
 pub mod object;
 pub mod origin;
+pub mod part;
 pub mod read_position;
 pub mod rows;
 pub mod run;
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -2,7 +2,8 @@
 //!
 //! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
 //! daemons. Each holds for the process that has said it, by id and start. A stream goes on only
-//! at an upstream of the software that began it.
+//! at an upstream of the software that began it, and a request with a part that engines crash on
+//! goes to none.
 
 use std::rc::Rc;
 
@@ -17,12 +18,15 @@
 
 use crate::{
     clock,
-    gateway::{Gateway, send::SendOptions},
+    gateway::{Gateway, job::Job, send::SendOptions},
+    registered::parts,
 };
 
 /// Why a request is not sent to an upstream now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
+    /// Engines crash on a part of the prompt.
+    Quarantined,
     /// The upstream runs another software than the one that began the stream, or was chosen for.
     Software,
     /// The upstream has said that it leaves.
@@ -39,7 +43,7 @@
     /// Returns the time until the upstream takes another request, if it does.
     pub(crate) fn after(self) -> Option<Span> {
         match self {
-            Hold::Software | Hold::Leaving => None,
+            Hold::Quarantined | Hold::Software | Hold::Leaving => None,
             Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
         }
     }
@@ -47,6 +51,7 @@
     /// Returns the reason as written to answers and logs.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
+            Hold::Quarantined => parts::QUARANTINED,
             Hold::Software => "upstreams run another software",
             Hold::Leaving => "upstreams are leaving",
             Hold::Resting(_) => "upstreams asked for rest",
@@ -71,6 +76,8 @@
     Leaving,
     /// It has asked this entry for rest.
     Resting,
+    /// Engines crash on a part of the prompt.
+    Quarantined,
 }
 
 impl Withdrawal {
@@ -80,16 +87,25 @@
             Withdrawal::Evacuated => "evacuated",
             Withdrawal::Leaving => "leaving",
             Withdrawal::Resting => "resting",
+            Withdrawal::Quarantined => "quarantined",
         }
     }
 }
 
 impl Gateway {
-    /// Counts a request that this entry may send to `row` now. The sidecar beside an engine
+    /// Counts the request of `job`, which this entry may send to `row` now. The sidecar beside an engine
     /// that has permitted the request keeps the limits of its engine itself.
     ///
     /// Every request to an upstream passes here.
-    pub(crate) fn admit(&self, row: &Instance, options: &SendOptions<'_>) -> Result<(), Hold> {
+    pub(crate) fn admit(
+        &self,
+        job: &Job,
+        row: &Instance,
+        options: &SendOptions<'_>,
+    ) -> Result<(), Hold> {
+        if parts::is_quarantined(self, job) {
+            return Err(Hold::Quarantined);
+        }
         let catalogue = self.node.catalogue.borrow();
         let replaced = catalogue.instance(&row.id).is_some_and(|now| now.software != row.software);
         if replaced || !options.eligible.includes(row) {
@@ -186,8 +202,11 @@
         catalogue.serving(service).map(rest).min()?
     }
 
-    /// Returns why no request may be sent to `row`, not even one that waits for it already.
-    fn withdrawal(&self, row: &Instance) -> Option<Withdrawal> {
+    /// Returns why the request of `job` may not be sent to `row`, although it waits for it already.
+    fn withdrawal(&self, job: &Job, row: &Instance) -> Option<Withdrawal> {
+        if parts::is_quarantined(self, job) {
+            return Some(Withdrawal::Quarantined);
+        }
         let catalogue = self.node.catalogue.borrow();
         if catalogue.evacuations().is_evacuated(&row.zone) {
             return Some(Withdrawal::Evacuated);
@@ -199,12 +218,12 @@
         rest.map(|_| Withdrawal::Resting)
     }
 
-    /// Waits until no request may be sent to `row` any more, and returns why.
-    pub(crate) async fn wait_until_withdrawn(&self, row: &Instance) -> Withdrawal {
+    /// Waits until the request of `job` may not be sent to `row` any more, and returns why.
+    pub(crate) async fn wait_until_withdrawn(&self, job: &Job, row: &Instance) -> Withdrawal {
         loop {
             let withdrawn = self.withdrawn.notified();
             let evacuated = self.node.evacuated.notified();
-            if let Some(why) = self.withdrawal(row) {
+            if let Some(why) = self.withdrawal(job, row) {
                 return why;
             }
             tokio::select! {
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -27,7 +27,7 @@
         stream::Relay,
     },
     http::link::LinkError,
-    registered::origins,
+    registered::{origins, parts},
 };
 
 /// Largest number of engines that are asked for a permit before a request is refused.
@@ -91,6 +91,9 @@
 
 /// Runs a request on an engine of `service` and forwards its stream.
 pub(crate) async fn serve(job: Rc<Job>, service: &str) -> Result<Response<BoxBody>, Refusal> {
+    if let Some(refusal) = parts::refusal(&job.gateway, &job) {
+        return Err(refusal);
+    }
     let mut tried = Tried::default();
     let point = StartPoint {
         last_event: job.metadata.last_event,
@@ -130,7 +133,7 @@
         let wait = wait.filter(|_| !last);
         let acquired = tokio::select! {
             biased;
-            why = job.gateway.wait_until_withdrawn(&instance) => {
+            why = job.gateway.wait_until_withdrawn(job, &instance) => {
                 on_withdrawn(job, &instance, why);
                 Err(None)
             }
@@ -171,7 +174,8 @@
                     continue;
                 }
                 tried.may_have_run = true;
-                if job.route.repeat != Repeat::Resumable {
+                let again = parts::on_cut(&job.gateway, job, &instance, &error, None).await;
+                if !again || job.route.repeat != Repeat::Resumable {
                     break;
                 }
             }
@@ -211,6 +215,9 @@
     match (tried.may_have_run, job.remaining() == Span::ZERO, after) {
         (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
+        (false, ..) if parts::is_quarantined(&job.gateway, job) => {
+            Refusal::plain(Code::NoUpstream, parts::QUARANTINED)
+        }
         (false, ..) if let Some(rest) = job.gateway.shortest_rest(service) => {
             Refusal::retry(Code::Overloaded, "engines asked for rest", job.spread(rest))
         }
@@ -342,7 +349,7 @@
     job.gateway.metrics.on_withdrawal(why);
     let event = match why {
         Withdrawal::Evacuated => "zone_left",
-        Withdrawal::Leaving | Withdrawal::Resting => "wait_left",
+        Withdrawal::Leaving | Withdrawal::Resting | Withdrawal::Quarantined => "wait_left",
     };
     info!(job.gateway.node.log, ""; "event" => event, "request" => &job.metadata.attempt,
         "upstream" => &instance.id, "zone" => &instance.zone, "why" => why.as_str());
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -37,6 +37,8 @@
     pub(crate) cost: u64,
     /// The limiter that took them off; `None` if this entry did itself.
     pub(crate) limiter: Cell<Option<SocketAddr>>,
+    /// Whether it is sent although its prompt holds a quarantined part.
+    pub(crate) is_trial: Cell<bool>,
     pub(crate) method: Method,
     /// Path and query.
     pub(crate) path: String,
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -36,6 +36,10 @@
     origins: IntCounterVec,
     known_origins: IntGauge,
     mixed: IntGauge,
+    part_crashes: IntCounter,
+    part_refusals: IntCounter,
+    suspects: IntGauge,
+    quarantined: IntGauge,
 }
 
 impl Metrics {
@@ -171,6 +175,26 @@
                 "kingcupbay_mixed_services",
                 "Services with upstreams of different software",
             ),
+            part_crashes: counter(
+                &registry,
+                "kingcupbay_part_crashes_total",
+                "Requests that an engine was about to answer when it crashed",
+            ),
+            part_refusals: counter(
+                &registry,
+                "kingcupbay_part_refusals_total",
+                "Requests refused for a quarantined part of their prompt",
+            ),
+            suspects: gauge(
+                &registry,
+                "kingcupbay_suspect_parts",
+                "Parts of prompts that engines may have crashed on",
+            ),
+            quarantined: gauge(
+                &registry,
+                "kingcupbay_quarantined_parts",
+                "Parts of prompts that requests are refused for",
+            ),
             registry,
         }
     }
@@ -215,6 +239,22 @@
         self.limited.set(upstreams as i64);
     }
 
+    /// Counts a request that an engine was about to answer when it crashed.
+    pub(crate) fn on_part_crash(&self) {
+        self.part_crashes.inc();
+    }
+
+    /// Counts a request refused for a quarantined part of its prompt.
+    pub(crate) fn on_part_refusal(&self) {
+        self.part_refusals.inc();
+    }
+
+    /// Records the numbers of suspect and of quarantined parts.
+    pub(crate) fn set_parts(&self, suspects: usize, quarantined: usize) {
+        self.suspects.set(suspects as i64);
+        self.quarantined.set(quarantined as i64);
+    }
+
     /// Counts a stream that a caller took up.
     pub(crate) fn on_origin(&self, outcome: &str) {
         self.origins.with_label_values(&[outcome]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -43,6 +43,7 @@
     limit::LimitShares,
     origin::Origins,
     placement::Placement,
+    quarantine::Quarantine,
     repeat::RepeatBudget,
     rest::Rests,
     time::Span,
@@ -104,6 +105,8 @@
     /// The software that began each stream.
     pub(crate) origins: RefCell<Origins>,
     pub(crate) pending_origins: PendingOrigins,
+    /// Parts of prompts that engines crash on.
+    pub(crate) quarantine: RefCell<Quarantine>,
     /// Streams that may move to other engines.
     pub(crate) transfers: transfer::Transfers,
     /// Notified when an upstream has said that it leaves or has asked for rest.
@@ -130,6 +133,7 @@
             releases: permits::Releases::default(),
             origins: RefCell::default(),
             pending_origins: PendingOrigins::default(),
+            quarantine: RefCell::default(),
             transfers: transfer::Transfers::default(),
             withdrawn: Notify::new(),
             metrics: Metrics::new(&node.store, &node.control),
@@ -216,6 +220,7 @@
         metadata,
         cost,
         limiter: Cell::default(),
+        is_trial: Cell::default(),
         body,
         method: request.method().clone(),
         path: path(&request),
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -87,7 +87,7 @@
     instance: &Instance,
     options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
-    job.gateway.admit(instance, &options).map_err(SendError::Held)?;
+    job.gateway.admit(job, instance, &options).map_err(SendError::Held)?;
     let pool = &job.gateway.node.pool;
     let mut link = pool.get(instance.address).await?;
     let request_metadata = UpstreamRequestMetadata {
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -14,6 +14,7 @@
     deployment::model::{Instance, Repeat},
     health::Exchange,
     origin::Eligible,
+    quarantine::BEGIN_TIME,
     time::{Instant, Span},
     wire::origin::Origin,
 };
@@ -30,7 +31,7 @@
         transfer::{Movable, Move},
     },
     http::link::{Link, LinkError},
-    registered::origins,
+    registered::{origins, parts},
 };
 
 /// Time without an event in the middle of a resumable stream after which an engine is
@@ -57,6 +58,10 @@
     pub(super) cut: Option<LinkError>,
     /// Time of the first event.
     pub(super) began: Instant,
+    /// When the engine of now began to answer.
+    answered: Instant,
+    /// Whether its answer has gone on since.
+    went_on: bool,
     /// Released with the relay, also if the caller disconnects.
     pub(super) permit: Option<Permit>,
     pub(super) idle: Option<Span>,
@@ -106,6 +111,8 @@
             moved: false,
             cut: None,
             began: clock::now(),
+            answered: clock::now(),
+            went_on: false,
             job,
             service,
             tried,
@@ -201,6 +208,9 @@
         let now = clock::now();
         self.pause = self.pause.max(now.since(self.forwarded));
         self.forwarded = now;
+        if now.since(self.answered) >= BEGIN_TIME {
+            self.set_went_on();
+        }
         if let Some(movable) = &self.movable {
             movable.set_load(self.load());
         }
@@ -220,6 +230,13 @@
         }
     }
 
+    /// Records that the engine has gone on with its answer.
+    fn set_went_on(&mut self) {
+        if !std::mem::replace(&mut self.went_on, true) {
+            parts::on_answer(&self.job.gateway, &self.job, self.answered);
+        }
+    }
+
     /// Returns whether the caller may take the stream up at another entry.
     fn may_be_taken_up(&self) -> bool {
         self.events && self.job.route.repeat == Repeat::Resumable
@@ -255,9 +272,10 @@
         warn!(gateway.node.log, ""; "event" => "broke_off", "request" => &self.job.metadata.attempt,
             "upstream" => &self.instance.id, "last_event" => self.last_event,
             "error" => %error, "left_ms" => remaining.as_millis());
-        let Some(eligible) =
-            self.eligible().filter(|_| self.may_resume() && remaining > Span::ZERO)
-        else {
+        let began = Some(self.answered);
+        let again = parts::on_cut(&gateway, &self.job, &self.instance, &error, began).await;
+        let may_resume = again && self.may_resume() && remaining > Span::ZERO;
+        let Some(eligible) = self.eligible().filter(|_| may_resume) else {
             gateway.metrics.on_broken(&self.job.route.name);
             return Err(error);
         };
@@ -275,6 +293,7 @@
                     "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
                     "software" => &instance.software, "last_event" => self.last_event);
                 self.instance = instance;
+                (self.answered, self.went_on) = (clock::now(), false);
                 self.link = Some(answer.link);
                 self.idle = answer.metadata.idle;
                 self.permit = permit;
@@ -293,6 +312,7 @@
     pub(super) fn finish(&mut self) {
         self.ended = true;
         self.movable = None;
+        self.set_went_on();
         let gateway = &self.job.gateway;
         let now = clock::now();
         gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -7,7 +7,7 @@
 //! store is not available ([`rows`]). [`read_positions`] decides when an entry relies on
 //! what other entries have read. [`members`] maintains the list of entries in the store,
 //! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
-//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`message`] reads messages of other daemons, and
+//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`parts`] on which parts of prompts engines crash, [`message`] reads messages of other daemons, and
 //! [`control`] calls them and counts that. [`specs`] spares sidecars reads of the operator's
 //! rows.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
@@ -20,6 +20,7 @@
 pub(crate) mod members;
 pub(crate) mod message;
 pub(crate) mod origins;
+pub(crate) mod parts;
 pub(crate) mod read_positions;
 pub(crate) mod rows;
 pub(crate) mod specs;
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -11,6 +11,7 @@
         evacuation::EVACUATIONS_PATH,
         limit::LIMITS_PATH,
         origin::{ORIGIN_PATH, ORIGINS_PATH},
+        part::PARTS_PATH,
         read_position::Table,
         sidecar::{
             EngineLoadReport, LOAD_REPORT_PATH, PERMIT_PATH, RELEASE_PATH, REPLICA_PATH,
@@ -27,8 +28,8 @@
     gateway::{self, Gateway, permits, transfer},
     http,
     registered::{
-        Node, evacuations, follow::follow, limiters, limits, members, message, origins, specs,
-        usage,
+        Node, evacuations, follow::follow, limiters, limits, members, message, origins, parts,
+        specs, usage,
     },
     server::{
         self,
@@ -213,6 +214,7 @@
         LIMITS_PATH => limits::handle(gateway, request).await,
         ORIGINS_PATH => origins::handle_records(gateway, request).await,
         ORIGIN_PATH => origins::handle_query(gateway, request).await,
+        PARTS_PATH => parts::handle(gateway, request).await,
         ACQUIRE_PATH => limiters::handle_acquire(gateway, request).await,
         REFUND_PATH => limiters::handle_refund(gateway, request).await,
         ROWS_PATH => {
@@ -251,6 +253,7 @@
 async fn answer_operator(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
     match request.path() {
         "/metrics" => http::reply::text(StatusCode::OK, gateway.metrics.text()),
+        path if path.starts_with("/quarantine") => parts::answer_operator(&gateway, &request),
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     gateway::Gateway,
-    registered::{Node, evacuations, limits, members, message, origins, rows},
+    registered::{Node, evacuations, limits, members, message, origins, parts, rows},
 };
 
 /// Timeout of a peer's answer. If it is late, the next report replaces this one.
@@ -27,6 +27,9 @@
 /// Pause between two looks at the software of all upstreams.
 const REVIEW_PERIOD: Span = Span::from_secs(1);
 
+/// Pause between two reports of the parts that engines crash on.
+const PARTS_PERIOD: Span = Span::from_millis(100);
+
 /// Pause between two attempts to remove the same entries.
 const REMOVAL_PAUSE: Span = Span::from_secs(5);
 
@@ -35,6 +38,7 @@
     let mut last_removal = clock::now();
     let mut last_relay = last_removal;
     let mut last_review = last_removal;
+    let mut last_parts = last_removal;
     loop {
         let period = gateway.allowance.borrow().report_period();
         tokio::time::sleep(period.into()).await;
@@ -42,6 +46,10 @@
         gateway.node.tick(now);
         gateway.metrics.set_limited(gateway.limits.borrow().limited(now));
         limits::send_reports(&gateway);
+        if now.since(last_parts) >= PARTS_PERIOD {
+            last_parts = now;
+            parts::send_reports(&gateway);
+        }
         if now.since(last_review) >= REVIEW_PERIOD {
             last_review = now;
             origins::on_instances(&gateway);
