Test streams that end with their connection

Cause: answers may come with neither a length nor chunks; the entry reads such bodies to the connection's end, and takes an end inside an event for a cut, which no test showed for streams. Change: the stand-in engine can send unframed streams and end one inside an event; the test has it go on at another engine, each event once, and count as whole at its proper end.

--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -52,6 +52,9 @@
     pub event_interval: Duration,
     /// If set, one stream fails after this many events.
     pub cut_after: Option<u64>,
+    /// Whether its streams have neither a length nor chunks and end with their connection. One
+    /// that fails by `cut_after` then ends inside an event.
+    pub unframed: bool,
     /// Number of adapter slots.
     pub adapter_slots: usize,
     /// Requests in a second that it tolerates while it is cold; `None` for any number.
@@ -90,6 +93,7 @@
             events: 0,
             event_interval: Duration::ZERO,
             cut_after: None,
+            unframed: false,
             adapter_slots: 0,
             cold_requests_max: None,
             cold_time: Duration::ZERO,
--- a/kingcupbay_standin/src/upstream/run.rs
+++ b/kingcupbay_standin/src/upstream/run.rs
@@ -121,6 +121,9 @@
         if self.state.cut.get().is_some_and(|cut| self.sent >= cut) {
             self.state.cut.set(None);
             self.ended = true;
+            if self.state.settings.unframed {
+                return Some(Ok(format!("id: {}\ndata: ev", self.next).into()));
+            }
             return Some(Err(io::Error::other("cut")));
         }
         self.run.events.set(self.run.events.get().max(self.next));
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{Method, Response, StatusCode, body::BodyStream, header};
+use actix_http::{ConnectionType, Method, Response, StatusCode, body::BodyStream, header};
 use futures_util::{FutureExt, stream};
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -298,10 +298,15 @@
             let item = events.next().await?;
             Some((item, events))
         });
-        answer(&attempt)
+        let mut answer = answer(&attempt)
             .insert_header((header::CONTENT_TYPE, "text/event-stream"))
             .body(BodyStream::new(Box::pin(events)))
-            .map_into_boxed_body()
+            .map_into_boxed_body();
+        if self.settings.unframed {
+            answer.head_mut().no_chunking(true);
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        answer
     }
 }
 
--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -7,9 +7,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use common::{
-    EVENT_TIMEOUT, client, get_text,
+    EVENT_TIMEOUT, Process, client, get_text,
     registered::{
-        KEY, STREAM_HEADERS, event_ids, request_tour, second_host, second_sidecar,
+        Fleet, KEY, STREAM_HEADERS, event_ids, request_tour, second_host, second_sidecar,
         start_engine_fleet,
     },
     wait_until,
@@ -80,13 +80,13 @@
     .await;
 }
 
-/// An engine closes the connection in the middle of a stream. Another engine must resume
-/// after the last whole event, and the caller must get each event once.
-#[actix_rt::test]
-async fn a_broken_stream_goes_on_at_another_engine() {
-    let cut = |id| UpstreamSettings { cut_after: Some(3), ..UpstreamSettings::engine(id, 6) };
-    let (mut fleet, first, mut sidecar) = start_engine_fleet(cut("gpu-1")).await;
-    let second = UpstreamServer::start(SocketAddr::new(second_host(), 0), cut("gpu-2")).unwrap();
+/// Starts two engines with `settings` and an entry that knows both.
+async fn start_two_engines(
+    settings: impl Fn(&str) -> UpstreamSettings,
+) -> (Fleet, [UpstreamServer; 2], [Process; 2]) {
+    let (mut fleet, first, mut sidecar) = start_engine_fleet(settings("gpu-1")).await;
+    let second =
+        UpstreamServer::start(SocketAddr::new(second_host(), 0), settings("gpu-2")).unwrap();
     let mut other_sidecar = second_sidecar(&fleet.store, &second, sidecar.address("peers").port());
     fleet.register("gpu-2", "writer", &second);
     wait_until("both engines", async || {
@@ -95,6 +95,15 @@
         (known && reported).then_some(())
     })
     .await;
+    (fleet, [first, second], [sidecar, other_sidecar])
+}
+
+/// An engine closes the connection in the middle of a stream. Another engine must resume
+/// after the last whole event, and the caller must get each event once.
+#[actix_rt::test]
+async fn a_broken_stream_goes_on_at_another_engine() {
+    let cut = |id: &str| UpstreamSettings { cut_after: Some(3), ..UpstreamSettings::engine(id, 6) };
+    let (mut fleet, [first, second], _sidecars) = start_two_engines(cut).await;
     let got = request_tour(&fleet, "a1", None).await;
     let runs: Vec<_> = first.runs().into_iter().chain(second.runs()).collect();
     let begun: Vec<_> =
@@ -109,6 +118,28 @@
     assert_eq!(resumed.collect::<Vec<_>>(), ["3"], "{report}");
 }
 
+/// Engines whose answers have neither a length nor chunks. A stream that ends between two events
+/// is whole; one that ends inside an event has been broken off, and must go on elsewhere.
+#[actix_rt::test]
+async fn an_unframed_stream_that_ends_inside_an_event_goes_on() {
+    let unframed = |id: &str| UpstreamSettings {
+        cut_after: Some(3),
+        unframed: true,
+        ..UpstreamSettings::engine(id, 6)
+    };
+    let (fleet, engines, _sidecars) = start_two_engines(unframed).await;
+    let got = request_tour(&fleet, "a1", None).await;
+    assert_eq!(event_ids(&got.body.unwrap()), [1, 2, 3, 4, 5, 6]);
+    let runs = engines.iter().flat_map(UpstreamServer::runs);
+    let resumed: Vec<_> =
+        runs.filter_map(|run| run.headers.get("last-event-id").cloned()).collect();
+    assert_eq!(resumed, ["3"]);
+    let counts = get_text(&fleet.entry, "/metrics").await;
+    assert!(counts.contains("kingcupbay_resumed_total 1"), "{counts}");
+    let line = "kingcupbay_event_gap_seconds_count{route=\"tour\"} 1";
+    assert!(counts.contains(line), "no {line} in\n{counts}");
+}
+
 /// A caller disconnects in the middle of a stream. The engine must be disconnected at
 /// once, or it goes on generating for nobody.
 #[actix_rt::test]
