Do not take a crash for the end of an unframed answer

What callers would see: where answers end with their connection, engines go on crashing on a part of prompts, and a stream without an event counts as whole. Cause: such an answer ends in the same way when its engine crashes. The entry took it for whole, and the part on which the engine had crashed for one with which answers go on, which clears it. An unframed stream that ends before its first event has been broken off. Answers that are failures no longer clear a part. An answer that another engine continues is judged by its own framing. Why it works: what differs between the two ends is the engine, and that is asked.

--- a/kingcupbay_standin/src/upstream/run.rs
+++ b/kingcupbay_standin/src/upstream/run.rs
@@ -114,6 +114,9 @@
                 // Lets the connection write the events sent so far before it closes.
                 actix_rt::task::yield_now().await;
                 self.ended = true;
+                if self.state.settings.unframed {
+                    return None;
+                }
                 return Some(Err(io::Error::other("stopped")));
             }
             () = tokio::time::sleep(wait) => {}
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -139,6 +139,10 @@
                 run.phase.send_replace(Phase::Ended);
             }
             state.restart();
+            if state.settings.unframed {
+                // The connections end before the port refuses new ones.
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
             if let Some(crash) = state.crash.borrow().as_ref() {
                 crash();
             }
--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -264,8 +264,7 @@
         let why = work.prepared.notice.why;
         let pause = clock::now().since(self.forwarded);
         self.job.gateway.metrics.on_transfer_pause(why, pause);
-        self.link = Some(answer.link);
-        self.idle = answer.metadata.idle;
+        self.set_answer(answer);
         self.cut = None;
         self.moved = true;
         let work = self.end_move(outcome);
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -28,6 +28,7 @@
         moving::{Event, Moving},
         permits::Permit,
         reply,
+        send::PendingAnswer,
         transfer::{Movable, Move},
     },
     http::link::{Link, LinkError},
@@ -77,6 +78,8 @@
     pub(super) pause: Span,
     /// Whether the body is a series of events.
     pub(super) events: bool,
+    /// Whether the engine of now marks the end of the body other than by that of its connection.
+    framed: bool,
     pub(super) ended: bool,
 }
 
@@ -95,6 +98,7 @@
             && kind.is_some_and(|kind| kind.starts_with("text/event-stream"));
         let length = head.headers.get(header::CONTENT_LENGTH);
         let length = length.and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+        let framed = is_framed(&head.headers);
         let mut builder = reply::head(&job.gateway, head.status, &head.headers);
         let relay = Relay {
             last_event: job.metadata.last_event,
@@ -119,6 +123,7 @@
             instance,
             permit,
             events,
+            framed,
         };
         let mut relay = relay.watched();
         if relay.last_event.is_some() {
@@ -148,11 +153,11 @@
                     Ok(None) => continue,
                     Err(error) => self.on_cut(error).await,
                 },
-                Event::Read(Ok(None)) if self.partial.is_empty() => {
+                Event::Read(Ok(None)) if self.is_whole() => {
                     self.on_whole();
                     return None;
                 }
-                // The stream ended in the middle of an event.
+                // The stream ended in the middle of an event, or before the first one.
                 Event::Read(Ok(None)) => self.on_cut(LinkError::Early).await,
                 Event::Read(Err(error)) => self.on_cut(error).await,
                 Event::Start(notice) => {
@@ -230,9 +235,25 @@
         }
     }
 
+    /// Goes on with the answer of another engine.
+    pub(super) fn set_answer(&mut self, answer: PendingAnswer) {
+        self.framed = is_framed(&answer.head.headers);
+        (self.answered, self.went_on) = (clock::now(), false);
+        self.link = Some(answer.link);
+        self.idle = answer.metadata.idle;
+    }
+
+    /// Returns whether the body, which has ended, is whole as far as it shows. An engine that
+    /// fails may end an unframed one, too.
+    fn is_whole(&self) -> bool {
+        let has_begun = self.origin != Origin::Unknown;
+        self.partial.is_empty() && (self.framed || !self.events || has_begun)
+    }
+
     /// Records that the engine has gone on with its answer.
     fn set_went_on(&mut self) {
-        if !std::mem::replace(&mut self.went_on, true) {
+        // An answer that is a failure does not show that the engine can write one.
+        if self.events && !std::mem::replace(&mut self.went_on, true) {
             parts::on_answer(&self.job.gateway, &self.job, self.answered);
         }
     }
@@ -293,9 +314,7 @@
                     "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
                     "software" => &instance.software, "last_event" => self.last_event);
                 self.instance = instance;
-                (self.answered, self.went_on) = (clock::now(), false);
-                self.link = Some(answer.link);
-                self.idle = answer.metadata.idle;
+                self.set_answer(answer);
                 self.permit = permit;
                 self.version = version;
                 self.watch();
@@ -312,7 +331,12 @@
     pub(super) fn finish(&mut self) {
         self.ended = true;
         self.movable = None;
-        self.set_went_on();
+        if self.framed || clock::now().since(self.answered) >= BEGIN_TIME {
+            self.set_went_on();
+        } else if self.events && !self.went_on {
+            let (job, row) = (self.job.clone(), self.instance.clone());
+            drop(actix_rt::spawn(parts::on_short_answer(job, row, self.answered)));
+        }
         let gateway = &self.job.gateway;
         let now = clock::now();
         gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
@@ -347,6 +371,11 @@
     }
 }
 
+/// Returns whether an answer marks its end other than by that of its connection.
+fn is_framed(headers: &header::HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the end of the last whole event in `bytes`.
 fn events_end(bytes: &[u8]) -> Option<usize> {
     let at = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -39,6 +39,9 @@
 /// Time in which an engine whose connection has ended must refuse a new one to count as crashed.
 const PROBE_TIMEOUT: Span = Span::from_millis(150);
 
+/// Pause before a second attempt to find out.
+const PROBE_PAUSE: Span = Span::from_millis(20);
+
 /// Decides on what is known by now, and reports what has changed to other entries.
 pub(crate) fn send_reports(gateway: &Rc<Gateway>) {
     let now = clock::now();
@@ -184,13 +187,28 @@
     error: &LinkError,
     began: Option<Instant>,
 ) -> bool {
-    let parts = &job.metadata.parts;
     let is_end = matches!(error, LinkError::Early | LinkError::Lost(_));
     let is_suspect = began.is_none_or(|began| clock::now().since(began) < BEGIN_TIME);
-    if parts.is_empty() || !is_end || !is_suspect || !has_ended(row).await {
-        return true;
+    let has_parts = !job.metadata.parts.is_empty();
+    !(has_parts && is_end && is_suspect && has_ended(row).await)
+        || on_crash(gateway, job, row, began)
+}
+
+/// Records that `row` has ended the answer to the request of `job`, begun at `began`, with its
+/// connection and within [`BEGIN_TIME`]. The answer is whole, unless the engine has crashed.
+pub(crate) async fn on_short_answer(job: Rc<Job>, row: Rc<Instance>, began: Instant) {
+    if !job.metadata.parts.is_empty() && has_ended(&row).await {
+        on_crash(&job.gateway, &job, &row, Some(began));
+    } else {
+        on_answer(&job.gateway, &job, began);
     }
+}
+
+/// Records that `row` has crashed while it was about to answer the request of `job`. Returns
+/// whether the request may be sent to another engine.
+fn on_crash(gateway: &Gateway, job: &Job, row: &Instance, began: Option<Instant>) -> bool {
     let now = clock::now();
+    let parts = &job.metadata.parts;
     let crash = CrashId::of(&row.id, row.born);
     let found = gateway.quarantine.borrow_mut().on_crash(now, crash, parts);
     on_found(gateway, &found, "own");
@@ -207,6 +225,15 @@
 /// Returns whether the process of `row` has ended: it no longer accepts connections. An engine
 /// that breaks off one answer, or a way that is cut, does not count.
 async fn has_ended(row: &Instance) -> bool {
+    if refuses(row).await {
+        return true;
+    }
+    // Its connections may end a little before its port does.
+    tokio::time::sleep(PROBE_PAUSE.into()).await;
+    refuses(row).await
+}
+
+async fn refuses(row: &Instance) -> bool {
     let opened = tokio::time::timeout(PROBE_TIMEOUT.into(), Link::open(row.address)).await;
     matches!(opened, Ok(Err(LinkError::Unsent(error)))
         if error.kind() == std::io::ErrorKind::ConnectionRefused)
--- a/kingcupbayd/tests/prompt_parts.rs
+++ b/kingcupbayd/tests/prompt_parts.rs
@@ -33,9 +33,10 @@
 }
 
 impl CrashingFleet {
-    async fn start() -> CrashingFleet {
+    async fn start(unframed: bool) -> CrashingFleet {
         let settings = UpstreamSettings {
             event_interval: Duration::from_millis(20),
+            unframed,
             ..UpstreamSettings::engine("gpu-1", 8)
         };
         let (fleet, engine, sidecar) = start_engine_fleet(settings).await;
@@ -104,7 +105,18 @@
 /// refused at once as not run, and those that share their other parts be served.
 #[actix_rt::test]
 async fn a_part_that_crashes_engines_is_refused() {
-    let crashing = CrashingFleet::start().await;
+    assert_refused_after_crashes(false).await;
+}
+
+/// The same at an engine whose answers end with their connection: one that has crashed looks as
+/// if its answer were whole.
+#[actix_rt::test]
+async fn a_part_that_ends_unframed_answers_is_refused() {
+    assert_refused_after_crashes(true).await;
+}
+
+async fn assert_refused_after_crashes(unframed: bool) {
+    let crashing = CrashingFleet::start(unframed).await;
     let entry = &crashing.fleet.entry;
     crashing.serve(entry).await;
     let refusal = loop {
@@ -131,7 +143,7 @@
 /// that starts later must learn of it from them.
 #[actix_rt::test]
 async fn entries_find_a_fatal_part_together() {
-    let crashing = CrashingFleet::start().await;
+    let crashing = CrashingFleet::start(false).await;
     let first = &crashing.fleet.entry;
     let port = crashing._sidecar.address("peers").port();
     let second = start_entry("entry-2", &crashing.fleet.store, port);
