Crash engines on a part of prompts in the soak

Its engines stand behind proxies, which accept a connection and close it when the engine does not take it; the entries did not take that for a crash, and 14 engines ended on each part. A connection that is closed at once counts as refused. Requests that several engines crashed under at the same time are sent to others if their shared parts are known to be answered: in the soak's lines sound requests were not (again=false).

--- a/kingcupbay_core/src/quarantine.rs
+++ b/kingcupbay_core/src/quarantine.rs
@@ -160,16 +160,14 @@
         rows.filter(move |(_, suspect)| suspect.is_quarantined(now)).map(|(part, _)| *part)
     }
 
-    /// Returns whether an engine has crashed on one of `parts` before, without an answer that
-    /// went on since. A request that an engine has just crashed on is not sent to another one
-    /// then.
+    /// Returns whether several engines have crashed on one of `parts`, with which no answer is
+    /// known to have gone on. A request that an engine has just crashed on is not sent to another
+    /// one then.
     pub fn is_repeated(&self, now: Instant, parts: &[PartId]) -> bool {
-        let crashes = |part: &PartId| {
-            self.suspects
-                .get(part)
-                .map_or(0, |suspect| suspect.open_crashes(now, &self.explained).len())
+        let is_repeated = |suspect: &Suspect| {
+            suspect.sound.is_none() && suspect.open_crashes(now, &self.explained).len() > 1
         };
-        parts.iter().any(|part| crashes(part) > 1)
+        parts.iter().filter_map(|part| self.suspects.get(part)).any(is_repeated)
     }
 
     /// Returns whether a request with the quarantined `part` may be sent to see whether engines
--- a/kingcupbay_core/tests/quarantine.rs
+++ b/kingcupbay_core/tests/quarantine.rs
@@ -58,6 +58,20 @@
     assert_eq!(quarantine.find(at(5_000), &[shared]), None);
 }
 
+/// Several engines fail together. Their requests must go on to others, as the parts that they
+/// share have been answered before.
+#[test]
+fn requests_of_engines_that_fail_together_are_repeated() {
+    let mut quarantine = Quarantine::default();
+    quarantine.on_answer(at(0), at(0), &[PartId(7)]);
+    for number in 0..4 {
+        quarantine.on_crash(at(100 + number), crash(number), &[PartId(7), PartId(100 + number)]);
+        assert!(!quarantine.is_repeated(at(200), &[PartId(7), PartId(100 + number)]));
+    }
+    quarantine.on_crash(at(300), crash(9), &[PartId(7), PartId(100)]);
+    assert!(quarantine.is_repeated(at(300), &[PartId(7), PartId(100)]));
+}
+
 /// Engines crash whatever they run, as while they are overloaded. No part explains that.
 #[test]
 fn nothing_is_quarantined_while_no_answer_goes_on() {
--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -75,6 +75,8 @@
     pub adapter: Option<&'static str>,
     /// The broken stream that it takes up.
     pub takes_up: Option<Sent>,
+    /// A further part of the prompt of a stream.
+    pub part: Option<String>,
 }
 
 impl Spec {
@@ -87,6 +89,7 @@
             leave_after: Duration::from_millis(TIMEOUT_MS) + EXTRA_WAIT,
             adapter: None,
             takes_up: None,
+            part: None,
         }
     }
 
@@ -206,6 +209,7 @@
                 first: broken.first_attempt().to_owned(),
                 last: broken.received,
             }),
+            prompt: kind.streams().then(|| prompt_parts(spec.part.as_deref(), at)),
             received: spec.takes_up.as_ref().map_or(0, |broken| broken.received),
             tokens: prompt + output,
             at: Instant::now(),
@@ -273,6 +277,13 @@
     })
 }
 
+/// Returns the parts of the prompt of request `at`: a shared one, `part` if there is one, and its
+/// own.
+fn prompt_parts(part: Option<&str>, at: usize) -> String {
+    let part = part.map(|part| format!("{part}:20,")).unwrap_or_default();
+    format!("5c1e07a2:20,{part}{at:x}ff:20")
+}
+
 /// Returns the number of the last whole event in `bytes`.
 fn last_event(bytes: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(bytes).ok()?;
@@ -287,6 +298,7 @@
         deadline: TIMEOUT_MS,
         tokens: token_counts(sent.organisation),
         adapter: sent.adapter.as_deref(),
+        prompt: sent.prompt.as_deref(),
         takes_up: sent.takes_up.as_ref().map(|stream| (stream.first.as_str(), stream.last)),
     };
     request.headers()
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -90,6 +90,8 @@
     pub leaving: Cell<bool>,
     /// Number of times that it has registered.
     pub writes: Cell<u64>,
+    /// Crashes on parts of prompts after which it has registered.
+    pub crashes: Cell<u32>,
     /// When it started, as its registration says.
     pub born: Cell<u64>,
 }
@@ -254,6 +256,7 @@
             proxy,
             leaving: Cell::new(false),
             writes: Cell::new(0),
+            crashes: Cell::new(0),
             born: Cell::new(1),
         })
     }
--- a/kingcupbay_soak/src/lib.rs
+++ b/kingcupbay_soak/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod operator;
+mod parts;
 pub mod promises;
 pub mod proxy;
 pub mod run;
--- /dev/null
+++ b/kingcupbay_soak/src/parts.rs
@@ -0,0 +1,72 @@
+//! Checks that a part of prompts on which engines crash is found and refused.
+
+use std::{rc::Rc, time::Duration};
+
+use kingcupbay_core::random::Random;
+
+use crate::{
+    callers::{Caller, Context, Spec},
+    promises::Breach,
+    sent::Kind,
+};
+
+/// Crashes on one part that requests sent one after the other may cause.
+const CRASHES_MAX: u32 = 12;
+
+/// Time in which entries decide on the crashes that they know, and tell each other.
+const DECISION_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time in which every entry must refuse the part.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const PROMISE: &str = "a part that crashes engines is refused";
+
+/// Makes engines crash on a new part, and sends requests with it to all entries in turn until
+/// each refuses it. Sound requests go on beside it.
+pub(crate) async fn check(context: &Rc<Context>, random: &mut Random) -> Option<Breach> {
+    let engines = &context.fleet.engines;
+    let part = format!("{:x}", random.draw() | 1);
+    engines.iter().for_each(|engine| engine.runner.crash_on(&part));
+    let crashes = || engines.iter().map(|engine| engine.runner.crashes()).sum::<u32>();
+    let before = crashes();
+    let refused = async {
+        loop {
+            let mut refusing = 0;
+            for entry in 0..context.fleet.entries.len() {
+                let known = crashes();
+                let name = format!("fatal-{}", random.draw());
+                let mut caller = Caller::new(context, &name, entry, random.draw());
+                let spec = Spec { part: Some(part.clone()), ..Spec::new(Kind::Tour) };
+                let sent = caller.send(spec).await;
+                // It waits for the end of an answer, and so for the crash.
+                refusing += usize::from(sent.status() == Some(503) && crashes() == known);
+                register_crashed(context);
+                if crashes() - before >= 3 {
+                    tokio::time::sleep(DECISION_TIME).await;
+                }
+                if crashes() - before > CRASHES_MAX {
+                    return;
+                }
+            }
+            if refusing == context.fleet.entries.len() && crashes() - before >= 3 {
+                return;
+            }
+        }
+    };
+    let in_time = tokio::time::timeout(LIMIT, refused).await.is_ok();
+    engines.iter().for_each(|engine| engine.runner.clear_fatal_parts());
+    let ended = crashes() - before;
+    let details = format!("{ended} crashes on {part}, all entries refuse it: {in_time}");
+    (ended > CRASHES_MAX || !in_time).then_some(Breach { promise: PROMISE, details })
+}
+
+/// Registers engines that have crashed since as started anew.
+fn register_crashed(context: &Context) {
+    for engine in &context.fleet.engines {
+        let crashes = engine.runner.crashes();
+        if engine.crashes.replace(crashes) != crashes {
+            engine.born.set(engine.born.get() + 1);
+            context.fleet.register(engine, engine.leaving.get());
+        }
+    }
+}
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -17,6 +17,7 @@
     callers::{ADAPTERS, Caller, Context, Spec},
     daemon::DaemonFiles,
     fleet::{Fleet, Size, ZONES},
+    parts,
     promises::{self, Breach, Record, UpstreamRecord},
     sent::{Kind, Sent},
     trouble::{self, Timed},
@@ -113,6 +114,7 @@
         let callers = plan.callers + OTHER_CALLERS;
         let breach = announcements::check(&context.fleet, &mut announced, callers).await;
         outcome.breaches.extend(breach);
+        outcome.breaches.extend(parts::check(&context, &mut announced).await);
     }
     context.finished.set(true);
     for caller in callers {
--- a/kingcupbay_soak/src/sent.rs
+++ b/kingcupbay_soak/src/sent.rs
@@ -112,6 +112,8 @@
     pub body: String,
     /// The adapter that it names.
     pub adapter: Option<String>,
+    /// Parts of its prompt, as `ID:TOKENS` pairs.
+    pub prompt: Option<String>,
     /// The stream that it takes up.
     pub takes_up: Option<TakenUp>,
     /// Number of the last whole event that arrived, if a stream broke off.
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -64,6 +64,7 @@
             path: "/book/1".to_owned(),
             body: "two seats".to_owned(),
             adapter: None,
+            prompt: None,
             takes_up: None,
             received: 0,
             tokens: 1_000,
--- a/kingcupbay_standin/src/operator.rs
+++ b/kingcupbay_standin/src/operator.rs
@@ -110,6 +110,8 @@
     pub tokens: (u64, u64),
     /// The requested adapter.
     pub adapter: Option<&'a str>,
+    /// Parts of the prompt, as `ID:TOKENS` pairs.
+    pub prompt: Option<&'a str>,
     /// The attempt that brought the first event of a stream, and the last event that the caller
     /// has, if it takes the stream up.
     pub takes_up: Option<(&'a str, u64)>,
@@ -132,6 +134,9 @@
         if let Some(adapter) = self.adapter {
             insert("x-model", &format!("{BASE_MODEL}/{adapter}"));
         }
+        if let Some(prompt) = self.prompt {
+            insert("x-prompt-prefix", prompt);
+        }
         if let Some((first, last)) = self.takes_up {
             insert("resumes", first);
             insert("last-event-id", &last.to_string());
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -222,20 +222,27 @@
     again
 }
 
-/// Returns whether the process of `row` has ended: it no longer accepts connections. An engine
-/// that breaks off one answer, or a way that is cut, does not count.
+/// Returns whether the process of `row` has ended: it refuses a new connection, or a proxy before
+/// it closes one at once. An engine that breaks off one answer, or a way that is cut, does not
+/// count.
 async fn has_ended(row: &Instance) -> bool {
-    if refuses(row).await {
-        return true;
-    }
+    let opened = tokio::time::timeout(PROBE_TIMEOUT.into(), Link::open(row.address)).await;
+    let link = match opened {
+        Ok(Ok(link)) => link,
+        Ok(Err(error)) => return is_refusal(&error),
+        Err(_) => return false,
+    };
     // Its connections may end a little before its port does.
     tokio::time::sleep(PROBE_PAUSE.into()).await;
-    refuses(row).await
+    if !link.is_clean() {
+        return true;
+    }
+    let opened = tokio::time::timeout(PROBE_TIMEOUT.into(), Link::open(row.address)).await;
+    matches!(opened, Ok(Err(error)) if is_refusal(&error))
 }
 
-async fn refuses(row: &Instance) -> bool {
-    let opened = tokio::time::timeout(PROBE_TIMEOUT.into(), Link::open(row.address)).await;
-    matches!(opened, Ok(Err(LinkError::Unsent(error)))
+fn is_refusal(error: &LinkError) -> bool {
+    matches!(error, LinkError::Unsent(error)
         if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
