--- a/kingcupbay_core/src/quarantine.rs
+++ b/kingcupbay_core/src/quarantine.rs
@@ -60,7 +60,7 @@
 
 /// Pause between two reports of an unchanged quarantine, from which entries that have started
 /// since learn of it.
-const REFRESH_PERIOD: Span = Span::from_secs(1);
+const REFRESH_PERIOD: Span = Span::from_secs(2);
 
 /// Crashes remembered of one part.
 const CRASHES_MAX: usize = 32;
