Let stand-in servers fall silent for a while

Cause: a stand-in could be frozen for good or delay single requests, but no server fell silent on all its connections and went on, as a sound one may. Change: Server::pause returns a guard; until it is dropped nothing is read or written, on new connections too, and connections stay open.

--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -50,7 +50,7 @@
     },
     platform::{Platform, PlatformRecord},
     registry::Registry,
-    server::Server,
+    server::{Pause, Server},
     service::{CALL_PATH, Execution, ExecutionCounts, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
     upstream::{
--- a/kingcupbay_standin/src/server/conn.rs
+++ b/kingcupbay_standin/src/server/conn.rs
@@ -73,6 +73,25 @@
     /// Streams of frozen connections whose task has ended. They stay open:
     /// a close would notify the peer, which must detect the failure itself.
     frozen_streams: RefCell<Vec<TcpStream>>,
+    /// Number of pauses under way. Reads and writes of all connections stay pending.
+    pauses: Cell<u32>,
+    /// Wakers of the reads and writes that wait for the end of the pauses.
+    paused: RefCell<Vec<Waker>>,
+}
+
+/// A time in which a server neither reads nor writes. It goes on when this is dropped.
+pub struct Pause {
+    connections: Rc<Connections>,
+}
+
+impl Drop for Pause {
+    fn drop(&mut self) {
+        let Connections { pauses, paused, .. } = &*self.connections;
+        pauses.set(pauses.get() - 1);
+        if pauses.get() == 0 {
+            paused.take().into_iter().for_each(Waker::wake);
+        }
+    }
 }
 
 impl Connections {
@@ -112,6 +131,12 @@
         self.affected(except).for_each(|conn| conn.frozen.set(true));
     }
 
+    /// Makes the server silent, on new connections too, until the returned value is dropped.
+    pub(crate) fn pause(self: &Rc<Self>) -> Pause {
+        self.pauses.set(self.pauses.get() + 1);
+        Pause { connections: Rc::clone(self) }
+    }
+
     /// Resets every connection open now except `except` and control connections.
     pub(crate) fn reset_all(&self, except: Option<ConnId>) {
         self.affected(except).for_each(|conn| conn.reset());
@@ -162,6 +187,17 @@
     fn stream(&mut self) -> Pin<&mut TcpStream> {
         Pin::new(self.stream.as_mut().expect("only drop takes it"))
     }
+
+    /// Returns an error if the connection was reset, and `Pending` while it is frozen or the
+    /// server paused.
+    fn check_switches(&self, cx: &Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.conn.check_switches())?;
+        if self.connections.pauses.get() > 0 && !self.conn.control {
+            self.connections.paused.borrow_mut().push(cx.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl Drop for Socket {
@@ -179,7 +215,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.conn.waker.replace(Some(cx.waker().clone()));
-        std::task::ready!(self.conn.check_switches())?;
+        std::task::ready!(self.check_switches(cx))?;
         let start = buf.filled().len();
         std::task::ready!(self.stream().poll_read(cx, buf))?;
         self.connections.record_received(self.conn.id, &buf.filled()[start..]);
@@ -193,17 +229,17 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        std::task::ready!(self.conn.check_switches())?;
+        std::task::ready!(self.check_switches(cx))?;
         self.stream().poll_write(cx, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.conn.check_switches())?;
+        std::task::ready!(self.check_switches(cx))?;
         self.stream().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.conn.check_switches())?;
+        std::task::ready!(self.check_switches(cx))?;
         self.stream().poll_shutdown(cx)
     }
 }
--- a/kingcupbay_standin/src/server/mod.rs
+++ b/kingcupbay_standin/src/server/mod.rs
@@ -23,6 +23,7 @@
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::watch;
 
+pub use self::conn::Pause;
 use self::{
     call::{Answer, Call},
     conn::{ConnId, Connections, Socket},
@@ -154,6 +155,12 @@
         self.shared.apply(order, None);
     }
 
+    /// Makes it silent while its connections stay open: nothing is read or written, on new
+    /// connections too, until the returned value is dropped.
+    pub fn pause(&self) -> Pause {
+        self.shared.connections.pause()
+    }
+
     /// Waits until a rule has hit at least this often.
     pub async fn wait_for_hits(&self, id: RuleId, hits: u32) {
         self.shared.wait_for_hits(id, hits).await;
