--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -230,6 +230,24 @@
     (fleet, engine, sidecar)
 }
 
+/// Starts two engines with `settings` and an entry that knows both.
+pub(crate) async fn start_two_engines(
+    settings: impl Fn(&str) -> UpstreamSettings,
+) -> (Fleet, [UpstreamServer; 2], [Process; 2]) {
+    let (mut fleet, first, mut sidecar) = start_engine_fleet(settings("gpu-1")).await;
+    let second =
+        UpstreamServer::start(SocketAddr::new(second_host(), 0), settings("gpu-2")).unwrap();
+    let mut other_sidecar = second_sidecar(&fleet.store, &second, sidecar.address("peers").port());
+    fleet.register("gpu-2", "writer", &second);
+    wait_until("both engines", async || {
+        let known = fleet.entry.has_line("id=gpu-2");
+        let reported = sidecar.has_line("event=report") && other_sidecar.has_line("event=report");
+        (known && reported).then_some(())
+    })
+    .await;
+    (fleet, [first, second], [sidecar, other_sidecar])
+}
+
 /// Requests a stream until the sidecar has received the engine's first load
 /// report; until then the answer is 503 and the request is repeated as a new
 /// attempt.
--- a/kingcupbayd/tests/streams.rs
+++ b/kingcupbayd/tests/streams.rs
@@ -4,13 +4,12 @@
 
 mod common;
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use common::{
-    EVENT_TIMEOUT, Process, client, get_text,
+    EVENT_TIMEOUT, client, get_text,
     registered::{
-        Fleet, KEY, STREAM_HEADERS, event_ids, request_tour, second_host, second_sidecar,
-        start_engine_fleet,
+        KEY, STREAM_HEADERS, event_ids, request_tour, start_engine_fleet, start_two_engines,
     },
     wait_until,
 };
@@ -80,24 +79,6 @@
     .await;
 }
 
-/// Starts two engines with `settings` and an entry that knows both.
-async fn start_two_engines(
-    settings: impl Fn(&str) -> UpstreamSettings,
-) -> (Fleet, [UpstreamServer; 2], [Process; 2]) {
-    let (mut fleet, first, mut sidecar) = start_engine_fleet(settings("gpu-1")).await;
-    let second =
-        UpstreamServer::start(SocketAddr::new(second_host(), 0), settings("gpu-2")).unwrap();
-    let mut other_sidecar = second_sidecar(&fleet.store, &second, sidecar.address("peers").port());
-    fleet.register("gpu-2", "writer", &second);
-    wait_until("both engines", async || {
-        let known = fleet.entry.has_line("id=gpu-2");
-        let reported = sidecar.has_line("event=report") && other_sidecar.has_line("event=report");
-        (known && reported).then_some(())
-    })
-    .await;
-    (fleet, [first, second], [sidecar, other_sidecar])
-}
-
 /// An engine closes the connection in the middle of a stream. Another engine must resume
 /// after the last whole event, and the caller must get each event once.
 #[actix_rt::test]
