Log why a stream finds no other engine

Cause: of 112 streams that were given up in a silence, 36 show no line after it; the lines did not tell the budget of repeats from the attempts of the route, a missing engine or time that is over. Change: a search for an engine keeps why it ended; 'not_resumed' and kingcupbay_not_resumed_total name it.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -87,6 +87,40 @@
     pub(crate) sends: u32,
     /// Whether an engine may have run the request.
     pub(crate) may_have_run: bool,
+    /// Why no further engine was asked.
+    pub(crate) end: SearchEnd,
+}
+
+/// Why a search for an engine ended without one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum SearchEnd {
+    /// As many engines as may be asked refused, or failed.
+    #[default]
+    Refused,
+    /// No engine is left.
+    NoEngine,
+    /// The time for permits is over.
+    Waited,
+    /// The time of the request is over.
+    NoTime,
+    /// The route allows no further attempt.
+    Attempts,
+    /// The service has no repeat left.
+    Budget,
+}
+
+impl SearchEnd {
+    /// Returns the reason as written to logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            SearchEnd::Refused => "refused",
+            SearchEnd::NoEngine => "no_engine",
+            SearchEnd::Waited => "waited",
+            SearchEnd::NoTime => "no_time",
+            SearchEnd::Attempts => "attempts",
+            SearchEnd::Budget => "budget",
+        }
+    }
 }
 
 /// Runs a request on an engine of `service` and forwards its stream.
@@ -120,12 +154,15 @@
     let name = job.metadata.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
     let began = clock::now();
+    tried.end = SearchEnd::Refused;
     for attempt in 0..PERMIT_REQUESTS_MAX {
-        if job.remaining() <= PERMIT_WAIT_MIN || !may_send(job, service, tried) {
+        if let Err(end) = may_send(job, service, tried) {
+            tried.end = end;
             break;
         }
         let Some((instance, wait)) = choose(job, service, &name, &tried.engines, point.eligible)
         else {
+            tried.end = SearchEnd::NoEngine;
             break;
         };
         tried.engines.push(instance.address);
@@ -144,6 +181,7 @@
             Err(wait) => {
                 after = after.min(wait).or(wait).or(after);
                 if clock::now().since(began) >= FAILED_WAIT_MAX {
+                    tried.end = SearchEnd::Waited;
                     break;
                 }
                 continue;
@@ -193,10 +231,18 @@
         || serving.any(|row| point.eligible.includes(row) && !tried.engines.contains(&row.address))
 }
 
-/// Returns whether the request may be sent to one more engine.
-fn may_send(job: &Job, service: &str, tried: &Tried) -> bool {
+/// Returns why the request may not be sent to one more engine, if so.
+fn may_send(job: &Job, service: &str, tried: &Tried) -> Result<(), SearchEnd> {
     let again = tried.sends > 0;
-    !again || (tried.sends < job.route.attempts && job.gateway.may_repeat(service))
+    if job.remaining() <= PERMIT_WAIT_MIN {
+        Err(SearchEnd::NoTime)
+    } else if again && tried.sends >= job.route.attempts {
+        Err(SearchEnd::Attempts)
+    } else if again && !job.gateway.may_repeat(service) {
+        Err(SearchEnd::Budget)
+    } else {
+        Ok(())
+    }
 }
 
 /// Returns the refusal of a request that no engine runs. `after` is the time until an
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     gap: HistogramVec,
     resumed: IntCounter,
     broken: IntCounterVec,
+    not_resumed: IntCounterVec,
     transfers: IntCounterVec,
     transfer_pause: HistogramVec,
     evacuated: IntGauge,
@@ -107,6 +108,12 @@
                 "Streams that ended early",
                 &["route"],
             ),
+            not_resumed: counters(
+                &registry,
+                "kingcupbay_not_resumed_total",
+                "Searches for another engine that ended without one, by reason",
+                &["why"],
+            ),
             transfers: counters(
                 &registry,
                 "kingcupbay_transfers_total",
@@ -296,6 +303,11 @@
         self.broken.with_label_values(&[route]).inc();
     }
 
+    /// Counts a stream that no other engine took.
+    pub(crate) fn on_not_resumed(&self, why: &str) {
+        self.not_resumed.with_label_values(&[why]).inc();
+    }
+
     /// Counts a transfer.
     pub(crate) fn on_transfer(&self, why: TransferReason, outcome: &str) {
         self.transfers.with_label_values(&[why.as_str(), outcome]).inc();
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -320,8 +320,14 @@
                 self.watch();
                 Ok(())
             }
-            _ => {
+            started => {
+                let status = started.as_ref().ok().map(|row| row.answer.head.status.as_u16());
+                let why = self.tried.end.as_str();
+                warn!(gateway.node.log, ""; "event" => "not_resumed",
+                    "request" => &self.job.metadata.attempt, "status" => status, "why" => why,
+                    "sends" => self.tried.sends);
                 gateway.metrics.on_broken(&self.job.route.name);
+                gateway.metrics.on_not_resumed(why);
                 Err(error)
             }
         }
