Keep the connection of a silent engine open while another is looked for

What callers saw: a stream ended in its middle 1.5 s after its last event, or a request for one got a 502 after twice its latency target, though its engine went on a moment later and seconds were left. Cause: silence counted as loss. A resumable stream without an event, and a request without its first one, gave its engine up and closed the connection; only then was another engine looked for. If none was found, the caller's answer ended. Ruled out: a longer timeout alone. Below the silences that a sound engine may have it loses streams, above them a caller waits for an engine that is gone. Ending the answer so that the caller takes the stream up: it has one try, at an entry that knows no more. Change: the connection of the silent engine stays open during the search. The stream goes on at the engine that writes first, and the other connection is reset. Bytes of the silent engine end the search, also while a permit is waited for. A search that finds nothing is made again after 0.5 s; only engines in good health are asked while one still holds the request. An answer ends when its time is over, or when its connection has failed and no other engine takes it. The same for the first event: an attempt that is silent stays open beside the next one. Permits that were refused for one search no longer exclude an engine from the next. 'silent' and 'went_on' name the silence and its end; kingcupbay_silences_total counts them. Open: transfers of running streams still give a silent source up.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -1,27 +1,29 @@
 //! Forwards requests to model engines.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use actix_http::{Response, body::BoxBody};
 use kingcupbay_core::{
-    deployment::model::{AdapterName, Instance, Repeat},
+    deployment::model::{Instance, Repeat},
     health::Exchange,
     origin::Eligible,
-    placement::RequestNeeds,
-    time::Span,
-    wire::{
-        error::Code,
-        sidecar::{Refusal as PermitRefusal, Verdict},
-    },
+    time::{Instant, Span},
+    wire::error::Code,
 };
 use slog::{debug, info, warn};
 
 use crate::{
     clock,
     gateway::{
-        admit::Withdrawal,
+        RepeatTicket,
+        choice::{self, PERMIT_WAIT_MIN},
         job::Job,
-        permits::{self, Permit},
+        open_attempts::OpenAttempts,
+        permits::Permit,
         reply::Refusal,
         send::{self, PendingAnswer, SendError, SendOptions},
         stream::Relay,
@@ -34,28 +36,18 @@
 /// Engines with the shortest queues are asked first; a further one would refuse as well.
 const PERMIT_REQUESTS_MAX: usize = 4;
 
-/// Maximum wait for a permit, as a multiple of the latency target. A caller leaves after
-/// four times the target without an event, and prefill and the first event take part of
-/// the rest.
-const PERMIT_WAIT_FACTOR: u64 = 2;
-
 /// Time spent waiting for permits in vain after which no further engine is tried. The
 /// request has no time left to wait there, so the engine would load its adapter for
 /// nothing.
 const FAILED_WAIT_MAX: Span = Span::from_millis(500);
 
-/// Maximum wait for a permit while the fleet is mostly idle and further engines can be asked.
-/// Another engine loads the adapter in this time.
-const IDLE_FLEET_WAIT_MAX: Span = Span::from_millis(350);
-
-/// Shortest maximum wait for which a permit is requested.
-const PERMIT_WAIT_MIN: Span = Span::from_millis(60);
-
-/// Time within which an engine that has granted a permit must send the first event of a
-/// resumable stream, as a multiple of the latency target. After that, the engine is
-/// considered stuck.
+/// Time without the first event of a resumable stream, as a multiple of the latency target,
+/// after which another engine is tried as well.
 const FIRST_EVENT_FACTOR: u64 = 2;
 
+/// Pause between two searches for another engine while one is silent.
+pub(super) const SEARCH_PAUSE: Span = Span::from_millis(500);
+
 /// Time after which to retry if no engine could be reached.
 const NO_ENGINE_RETRY: Span = Span::from_millis(700);
 
@@ -65,6 +57,11 @@
     /// Event after which a stream that has begun goes on.
     pub(crate) last_event: Option<u64>,
     pub(crate) eligible: Eligible,
+    /// Since when the caller waits for the next event.
+    pub(crate) since: Instant,
+    /// Whether a silent engine may still go on with the stream. Then only engines in good
+    /// health are tried.
+    pub(crate) is_held: bool,
 }
 
 /// An engine that runs a request.
@@ -79,16 +76,28 @@
 }
 
 /// The attempts at running a request so far.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Tried {
-    /// Engines that are not tried again.
-    pub(crate) engines: Vec<SocketAddr>,
+    /// Engines that the request was sent to. They are not tried again.
+    pub(crate) engines: RefCell<Vec<SocketAddr>>,
     /// Number of engines that the request was sent to.
-    pub(crate) sends: u32,
+    pub(crate) sends: Cell<u32>,
     /// Whether an engine may have run the request.
-    pub(crate) may_have_run: bool,
+    pub(crate) may_have_run: Cell<bool>,
     /// Why no further engine was asked.
-    pub(crate) end: SearchEnd,
+    pub(crate) end: Cell<SearchEnd>,
+}
+
+impl Tried {
+    fn on_send(&self, engine: SocketAddr) {
+        self.engines.borrow_mut().push(engine);
+        self.sends.set(self.sends.get() + 1);
+    }
+
+    /// Records that the request was not sent after all.
+    fn on_unsent(&self) {
+        self.sends.set(self.sends.get() - 1);
+    }
 }
 
 /// Why a search for an engine ended without one.
@@ -128,60 +137,161 @@
     if let Some(refusal) = parts::refusal(&job.gateway, &job) {
         return Err(refusal);
     }
-    let mut tried = Tried::default();
+    let tried = Rc::new(Tried::default());
     let point = StartPoint {
         last_event: job.metadata.last_event,
         eligible: origins::eligible(&job, service).await?,
+        since: job.arrived,
+        is_held: false,
     };
-    let started = start(&job, service, &mut tried, point).await?;
+    let started = start(&job, service, &tried, point).await?;
     let waited = clock::now().since(job.arrived);
     job.gateway.metrics.on_first_event(&job.route.name, waited);
     info!(job.gateway.node.log, ""; "event" => "streaming", "request" => &job.metadata.attempt,
         "route" => &job.route.name, "upstream" => &started.instance.id,
-        "status" => started.answer.head.status.as_u16(), "sends" => tried.sends,
+        "status" => started.answer.head.status.as_u16(), "sends" => tried.sends.get(),
         "software" => &started.instance.software, "last_event" => job.metadata.last_event,
         "resumes" => &job.metadata.resumes, "ms" => waited.as_millis());
     Ok(Relay::response(job, service.to_owned(), started, tried))
 }
 
-/// Finds an engine that runs the request from `point` on.
+/// An attempt that has ended.
+struct Attempt {
+    instance: Rc<Instance>,
+    permit: Option<Permit>,
+    version: Option<u32>,
+    result: Result<PendingAnswer, SendError>,
+}
+
+/// What follows from an attempt.
+enum Outcome {
+    Started(Box<Started>),
+    /// Another engine may run the request. The time until the engine may take it, if known.
+    Next(Option<Span>),
+    /// No other engine may run it.
+    Last,
+}
+
+/// Why a search ended without an engine.
+struct Unplaced {
+    /// Time until an engine may have a permit.
+    after: Option<Span>,
+    /// Whether no other engine may run the request.
+    is_final: bool,
+}
+
+/// Finds an engine that runs the request from `point` on. One that is silent may still answer
+/// while another is looked for: whichever answers first runs it.
 pub(crate) async fn start(
-    job: &Job,
+    job: &Rc<Job>,
     service: &str,
-    tried: &mut Tried,
+    tried: &Tried,
     point: StartPoint,
 ) -> Result<Started, Refusal> {
+    let open = OpenAttempts::new();
+    let mut after: Option<Span> = None;
+    loop {
+        let is_final = {
+            let mut search = std::pin::pin!(search(job, service, tried, point, &open));
+            loop {
+                tokio::select! {
+                    biased;
+                    ended = open.next() => match conclude(job, tried, ended).await {
+                        Outcome::Started(started) => return Ok(*started),
+                        Outcome::Next(_) => {}
+                        Outcome::Last => break true,
+                    },
+                    found = &mut search => match found {
+                        Ok(started) => return Ok(started),
+                        Err(unplaced) => {
+                            after = after.min(unplaced.after).or(unplaced.after).or(after);
+                            break unplaced.is_final;
+                        }
+                    },
+                }
+            }
+        };
+        match wait_for_open(job, tried, &open, is_final).await {
+            Some(Outcome::Started(started)) => return Ok(*started),
+            Some(Outcome::Next(_)) => {}
+            Some(Outcome::Last) | None => {
+                return Err(final_refusal(job, service, tried, after, point.eligible));
+            }
+        }
+    }
+}
+
+/// Waits for the attempts in `open` after a search: until all have ended if it `is_final`, else
+/// until another search is due. Returns `None` if none is left that may end with an answer.
+async fn wait_for_open(
+    job: &Rc<Job>,
+    tried: &Tried,
+    open: &OpenAttempts<'_, Attempt>,
+    mut is_final: bool,
+) -> Option<Outcome> {
+    let until = clock::now() + SEARCH_PAUSE;
+    while !open.is_empty() {
+        let rest = if is_final { job.remaining() } else { until.since(clock::now()) };
+        let Ok(ended) = tokio::time::timeout(rest.into(), open.next()).await else {
+            return (!is_final).then_some(Outcome::Next(None));
+        };
+        match conclude(job, tried, ended).await {
+            Outcome::Last => is_final = true,
+            Outcome::Next(_) if is_final => {}
+            outcome => return Some(outcome),
+        }
+    }
+    None
+}
+
+/// Asks engines for permits and sends the request to the first that grants one. Attempts at
+/// engines that are silent stay in `open`.
+async fn search<'a>(
+    job: &'a Rc<Job>,
+    service: &str,
+    tried: &Tried,
+    point: StartPoint,
+    open: &OpenAttempts<'a, Attempt>,
+) -> Result<Started, Unplaced> {
     let name = job.metadata.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
     let began = clock::now();
-    tried.end = SearchEnd::Refused;
+    let mut asked = tried.engines.borrow().clone();
+    tried.end.set(SearchEnd::Refused);
     for attempt in 0..PERMIT_REQUESTS_MAX {
-        if let Err(end) = may_send(job, service, tried) {
-            tried.end = end;
-            break;
-        }
-        let Some((instance, wait)) = choose(job, service, &name, &tried.engines, point.eligible)
+        let ticket = match may_send(job, service, tried) {
+            Ok(ticket) => ticket,
+            Err(end) => {
+                tried.end.set(end);
+                let is_final = matches!(end, SearchEnd::NoTime | SearchEnd::Attempts);
+                return Err(Unplaced { after, is_final });
+            }
+        };
+        let is_held = point.is_held || !open.is_empty();
+        let Some((instance, wait)) =
+            choice::choose(job, service, &name, &asked, point.eligible, is_held)
         else {
-            tried.end = SearchEnd::NoEngine;
+            tried.end.set(SearchEnd::NoEngine);
             break;
         };
-        tried.engines.push(instance.address);
-        let last = attempt + 1 == PERMIT_REQUESTS_MAX || !has_others(job, service, tried, point);
+        asked.push(instance.address);
+        let last =
+            attempt + 1 == PERMIT_REQUESTS_MAX || !choice::has_others(job, service, &asked, point);
         let wait = wait.filter(|_| !last);
         let acquired = tokio::select! {
             biased;
             why = job.gateway.wait_until_withdrawn(job, &instance) => {
-                on_withdrawn(job, &instance, why);
+                choice::on_withdrawn(job, &instance, why);
                 Err(None)
             }
-            acquired = acquire_permit(job, &instance, &name, last, wait) => acquired,
+            acquired = choice::acquire_permit(job, &instance, &name, point.since, last, wait) => acquired,
         };
         let (version, permit) = match acquired {
             Ok(acquired) => acquired,
             Err(wait) => {
                 after = after.min(wait).or(wait).or(after);
                 if clock::now().since(began) >= FAILED_WAIT_MAX {
-                    tried.end = SearchEnd::Waited;
+                    tried.end.set(SearchEnd::Waited);
                     break;
                 }
                 continue;
@@ -195,53 +305,91 @@
             permitted: permit.is_some(),
             copy: None,
         };
-        tried.sends += 1;
-        match run(job, &instance, options).await {
-            Ok(answer) if !answer.metadata.not_run => {
-                return Ok(Started { instance, answer, permit, version });
-            }
-            Ok(answer) => on_not_run(job, &instance, answer).await,
-            Err(SendError::Held(hold)) => {
-                tried.sends -= 1;
-                after = after.min(hold.after()).or(hold.after()).or(after);
+        if let Some(ticket) = ticket {
+            ticket.on_send();
+        }
+        tried.on_send(instance.address);
+        let row = instance.clone();
+        let run = Box::pin(async move {
+            let result = run(job, &row, options).await;
+            Attempt { instance: row, permit, version, result }
+        });
+        let Some(ended) = open.try_finish(run, patience(job)).await else {
+            on_silence(job, &instance);
+            continue;
+        };
+        match conclude(job, tried, ended).await {
+            Outcome::Started(started) => return Ok(*started),
+            Outcome::Next(wait) => after = after.min(wait).or(wait).or(after),
+            Outcome::Last => return Err(Unplaced { after, is_final: true }),
+        }
+    }
+    Err(Unplaced { after, is_final: false })
+}
+
+/// Records how an attempt has ended.
+async fn conclude(job: &Rc<Job>, tried: &Tried, ended: Attempt) -> Outcome {
+    let Attempt { instance, permit, version, result } = ended;
+    match result {
+        Ok(answer) if !answer.metadata.not_run => {
+            Outcome::Started(Box::new(Started { instance, answer, permit, version }))
+        }
+        Ok(answer) => {
+            on_not_run(job, &instance, answer).await;
+            Outcome::Next(None)
+        }
+        Err(SendError::Held(hold)) => {
+            tried.on_unsent();
+            Outcome::Next(hold.after())
+        }
+        Err(SendError::Link(error)) => {
+            on_error(job, &instance, &error);
+            if error.is_unsent() {
+                tried.on_unsent();
+                return Outcome::Next(None);
             }
-            Err(SendError::Link(error)) => {
-                on_error(job, &instance, &error);
-                if error.is_unsent() {
-                    tried.sends -= 1;
-                    continue;
-                }
-                tried.may_have_run = true;
-                let again = parts::on_cut(&job.gateway, job, &instance, &error, None).await;
-                if !again || job.route.repeat != Repeat::Resumable {
-                    break;
-                }
+            tried.may_have_run.set(true);
+            let again = parts::on_cut(&job.gateway, job, &instance, &error, None).await;
+            match again && job.route.repeat == Repeat::Resumable {
+                true => Outcome::Next(None),
+                false => Outcome::Last,
             }
         }
     }
-    Err(final_refusal(job, service, tried, after, point.eligible))
 }
 
-/// Returns whether engines are left that a request may ask for a permit. Those of one software
-/// may be few.
-fn has_others(job: &Job, service: &str, tried: &Tried, point: StartPoint) -> bool {
-    let catalogue = job.gateway.node.catalogue.borrow();
-    let mut serving = catalogue.serving(service);
-    point.eligible == Eligible::Any
-        || serving.any(|row| point.eligible.includes(row) && !tried.engines.contains(&row.address))
+/// Returns how long an engine may be silent before another one is tried as well.
+fn patience(job: &Job) -> Span {
+    match job.route.repeat {
+        Repeat::Resumable => {
+            Span::from_micros(job.route.latency_target.as_micros() * FIRST_EVENT_FACTOR)
+        }
+        _ => job.remaining(),
+    }
 }
 
-/// Returns why the request may not be sent to one more engine, if so.
-fn may_send(job: &Job, service: &str, tried: &Tried) -> Result<(), SearchEnd> {
-    let again = tried.sends > 0;
+/// Records that an engine has not begun to answer in time.
+fn on_silence(job: &Job, instance: &Instance) {
+    let now = clock::now();
+    let gateway = &job.gateway;
+    gateway.health.borrow_mut().on_exchange(now, &instance.id, Exchange::Unreachable);
+    gateway.metrics.on_silence("no_head");
+    warn!(gateway.node.log, ""; "event" => "silent", "request" => &job.metadata.attempt,
+        "upstream" => &instance.id, "left_ms" => job.remaining().as_millis());
+}
+
+/// Returns the ticket with which the request may be sent to one more engine, if it needs one, or
+/// why it may not be sent.
+fn may_send(job: &Job, service: &str, tried: &Tried) -> Result<Option<RepeatTicket>, SearchEnd> {
+    let sends = tried.sends.get();
     if job.remaining() <= PERMIT_WAIT_MIN {
         Err(SearchEnd::NoTime)
-    } else if again && tried.sends >= job.route.attempts {
+    } else if sends == 0 {
+        Ok(None)
+    } else if sends >= job.route.attempts {
         Err(SearchEnd::Attempts)
-    } else if again && !job.gateway.may_repeat(service) {
-        Err(SearchEnd::Budget)
     } else {
-        Ok(())
+        job.gateway.try_repeat(service).map(Some).ok_or(SearchEnd::Budget)
     }
 }
 
@@ -258,7 +406,7 @@
         let catalogue = job.gateway.node.catalogue.borrow();
         catalogue.serving(service).any(|row| eligible.includes(row))
     };
-    match (tried.may_have_run, job.remaining() == Span::ZERO, after) {
+    match (tried.may_have_run.get(), job.remaining() == Span::ZERO, after) {
         (true, true, _) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false, _) => Refusal::unknown(Code::UpstreamFailed, "the engine failed"),
         (false, ..) if parts::is_quarantined(&job.gateway, job) => {
@@ -280,127 +428,6 @@
     }
 }
 
-/// Returns the engine to try next, and how long to wait there until another one would start
-/// the request sooner, where the speeds of engines differ.
-fn choose(
-    job: &Job,
-    service: &str,
-    name: &AdapterName,
-    tried: &[SocketAddr],
-    eligible: Eligible,
-) -> Option<(Rc<Instance>, Option<Span>)> {
-    let now = clock::now();
-    let gateway = &job.gateway;
-    let catalogue = gateway.node.catalogue.borrow();
-    let health = gateway.health.borrow();
-    let placement = gateway.placement.borrow();
-    let rests = gateway.rests.borrow();
-    let is_open = |row: &&Rc<Instance>| {
-        eligible.includes(row)
-            && !tried.contains(&row.address)
-            && rests.remaining(now, &row.id, row.born).is_none()
-    };
-    let untried: Vec<&Rc<Instance>> = catalogue.serving(service).filter(is_open).collect();
-    let is_healthy = |row: &&&Rc<Instance>| {
-        !health.is_suspect(now, &row.id)
-            && !health.is_suspect(now, &permits::sidecar_id(row.address))
-            && !placement.is_silent(now, row.address)
-    };
-    let healthy: Vec<SocketAddr> =
-        untried.iter().filter(is_healthy).map(|row| row.address).collect();
-    let all = || untried.iter().map(|row| row.address).collect::<Vec<_>>();
-    let zone = gateway.node.settings.daemon.zone.to_string();
-    let near = untried.iter().filter(|row| row.zone == zone).map(|row| row.address).collect();
-    let want =
-        RequestNeeds { size: job.size(), priority: job.priority(), remaining: job.remaining() };
-    let (engine, wait) = match placement.choose_at_pace(now, name, &want, &healthy, &near) {
-        Some(chosen) => chosen,
-        None => {
-            let engine = placement
-                .choose_spread(now, name, &healthy, job.draw())
-                .or_else(|| placement.choose(now, name, &healthy))
-                .or_else(|| placement.choose(now, name, &all()))?;
-            (engine, None)
-        }
-    };
-    drop(placement);
-    if let Some(at) = gateway.placement.borrow_mut().choose_replica(now, name, &healthy) {
-        drop(actix_rt::spawn(permits::request_replica(gateway.clone(), at, name.clone())));
-    }
-    untried.into_iter().find(|row| row.address == engine).cloned().map(|row| (row, wait))
-}
-
-/// Acquires a permit for an engine. Returns it with the version of the adapter that may
-/// run the request. If the sidecar does not answer, the engine is used without a permit,
-/// provided that the adapter is known to be resident. An error is the time until a
-/// permit may be available, if known. `last` says whether no other engine is asked after this
-/// one, `wait` how long to wait at most, if another one would start the request sooner.
-async fn acquire_permit(
-    job: &Job,
-    instance: &Instance,
-    name: &AdapterName,
-    last: bool,
-    wait: Option<Span>,
-) -> Result<(Option<u32>, Option<Permit>), Option<Span>> {
-    let engine = instance.address;
-    let gateway = &job.gateway;
-    let now = clock::now();
-    let suspect = gateway.health.borrow().is_suspect(now, &permits::sidecar_id(engine));
-    let waited = now.since(job.arrived);
-    let target = Span::from_micros(job.route.latency_target.as_micros() * PERMIT_WAIT_FACTOR);
-    let mut max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
-    if let Some(wait) = wait {
-        max_wait = max_wait.min(wait).max(PERMIT_WAIT_MIN);
-    } else if !last && gateway.placement.borrow().is_fleet_idle(now) {
-        max_wait = max_wait.min(IDLE_FLEET_WAIT_MAX);
-    }
-    let verdict = match suspect {
-        true => None,
-        false => {
-            gateway.placement.borrow_mut().on_send_prompt(engine, job.size().prompt);
-            permits::request_permit(job, instance, name, max_wait, false).await
-        }
-    };
-    match verdict {
-        Some((Verdict::Granted { version }, permit)) => {
-            debug!(gateway.node.log, ""; "event" => "placed", "request" => &job.metadata.attempt,
-                "upstream" => &instance.id, "version" => version);
-            Ok((version, Some(permit)))
-        }
-        Some((Verdict::Refused { why, after }, _)) => {
-            let mut placement = gateway.placement.borrow_mut();
-            placement.on_refusal(engine);
-            if why == PermitRefusal::Busy {
-                let engines = gateway.node.catalogue.borrow().serving(&instance.service).count();
-                placement.on_busy(now, name, engines);
-            }
-            info!(gateway.node.log, ""; "event" => "no_place", "request" => &job.metadata.attempt,
-                "upstream" => &instance.id, "why" => why.as_str(),
-                "after_ms" => after.as_millis());
-            Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
-        }
-        None => {
-            let resident = gateway.placement.borrow().resident_version(engine, name);
-            let newest = gateway.node.catalogue.borrow().version(name);
-            match resident {
-                Some(resident) => Ok((Some(newest.unwrap_or(resident)), None)),
-                None => Err(None),
-            }
-        }
-    }
-}
-
-/// Records that a request no longer waits for a permit, as `why` says.
-fn on_withdrawn(job: &Job, instance: &Instance, why: Withdrawal) {
-    job.gateway.metrics.on_withdrawal(why);
-    let event = match why {
-        Withdrawal::Evacuated => "zone_left",
-        Withdrawal::Leaving | Withdrawal::Resting | Withdrawal::Quarantined => "wait_left",
-    };
-    info!(job.gateway.node.log, ""; "event" => event, "request" => &job.metadata.attempt,
-        "upstream" => &instance.id, "zone" => &instance.zone, "why" => why.as_str());
-}
-
 /// Sends the request and waits for the head of the answer, which arrives with the first
 /// event.
 async fn run(
@@ -408,11 +435,7 @@
     instance: &Instance,
     options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
-    let mut time = job.remaining();
-    if job.route.repeat == Repeat::Resumable {
-        time =
-            time.min(Span::from_micros(job.route.latency_target.as_micros() * FIRST_EVENT_FACTOR));
-    }
+    let time = job.remaining();
     match tokio::time::timeout(time.into(), send::send(job, instance, options)).await {
         Ok(answer) => answer,
         Err(_) => Err(LinkError::Silent.into()),
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     resumed: IntCounter,
     broken: IntCounterVec,
     not_resumed: IntCounterVec,
+    silences: IntCounterVec,
     transfers: IntCounterVec,
     transfer_pause: HistogramVec,
     evacuated: IntGauge,
@@ -114,6 +115,12 @@
                 "Searches for another engine that ended without one, by reason",
                 &["why"],
             ),
+            silences: counters(
+                &registry,
+                "kingcupbay_silences_total",
+                "Silences of upstreams that hold a request, by what was silent or ended them",
+                &["what"],
+            ),
             transfers: counters(
                 &registry,
                 "kingcupbay_transfers_total",
@@ -308,6 +315,11 @@
         self.not_resumed.with_label_values(&[why]).inc();
     }
 
+    /// Counts a silence, or its end.
+    pub(crate) fn on_silence(&self, what: &str) {
+        self.silences.with_label_values(&[what]).inc();
+    }
+
     /// Counts a transfer.
     pub(crate) fn on_transfer(&self, why: TransferReason, outcome: &str) {
         self.transfers.with_label_values(&[why.as_str(), outcome]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -10,10 +10,12 @@
 //! answers.
 
 pub(crate) mod admit;
+pub(crate) mod choice;
 pub(crate) mod generate;
 pub(crate) mod job;
 pub(crate) mod metrics;
 pub(crate) mod moving;
+pub(crate) mod open_attempts;
 pub(crate) mod permits;
 pub(crate) mod plain;
 pub(crate) mod reply;
@@ -114,6 +116,14 @@
     pub(crate) metrics: Metrics,
 }
 
+/// A repeat that counts against the budget of its service.
+pub(crate) struct RepeatTicket;
+
+impl RepeatTicket {
+    /// Records that the request is sent now.
+    pub(crate) fn on_send(self) {}
+}
+
 impl Gateway {
     /// Creates the state of an entry that has served nothing yet.
     pub(crate) fn new(node: Rc<Node>) -> Gateway {
@@ -153,13 +163,12 @@
         self.node.entries.get().max(1)
     }
 
-    /// Returns whether a request of `service` may be sent to one more upstream, and
-    /// counts it if so.
-    pub(crate) fn may_repeat(&self, service: &str) -> bool {
-        let entries = self.entries();
+    /// Counts a repeat of a request of `service`, if it may be sent to one more upstream.
+    pub(crate) fn try_repeat(self: &Rc<Self>, service: &str) -> Option<RepeatTicket> {
+        let (now, entries) = (clock::now(), self.entries());
         let mut repeats = self.repeats.borrow_mut();
-        let repeats = repeats.entry(service.to_owned()).or_default();
-        repeats.try_repeat(clock::now(), &self.node.registry.repeats, entries)
+        let budget = repeats.entry(service.to_owned()).or_default();
+        budget.try_repeat(now, &self.node.registry.repeats, entries).then_some(RepeatTicket)
     }
 
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -15,6 +15,8 @@
 use crate::{
     clock,
     gateway::{
+        generate::Started,
+        reply::Refusal,
         send::{self, PendingAnswer, SendError, SendOptions},
         stream::{EVENT_TIMEOUT, Relay, last_id},
         transfer::{self, Movable, Move, Notice, Prepared},
@@ -39,6 +41,10 @@
 /// What happens to a stream next.
 pub(super) enum Event {
     Read(Result<Option<Bytes>, LinkError>),
+    /// The engine is silent, so another one should be looked for.
+    Silent,
+    /// The search for another engine has ended.
+    Found(Result<Box<Started>, Refusal>),
     /// It has to move.
     Start(Notice),
     /// A target was found, or none.
@@ -97,23 +103,35 @@
             return Event::Read(Err(LinkError::Silent));
         }
         let draining = matches!(&self.moving, Moving::Yes(work) if work.transfer.is_draining());
-        let time = match self.may_resume() {
-            _ if draining => remaining.min(DRAIN_SILENCE),
-            true => remaining.min(EVENT_TIMEOUT),
-            false => remaining,
+        let (time, is_end) = match (&self.moving, self.may_resume()) {
+            _ if draining => (remaining.min(DRAIN_SILENCE), true),
+            (Moving::Yes(_), true) => (remaining.min(EVENT_TIMEOUT), true),
+            (_, true) if self.search.is_none() => {
+                let rest = self.search_at.since(clock::now());
+                (remaining.min(rest), remaining <= rest)
+            }
+            _ => (remaining, true),
         };
-        let Relay { link, moving, movable, .. } = self;
+        let Relay { link, moving, movable, search, .. } = self;
         let read = async {
             let Some(link) = link else { return std::future::pending().await };
             match tokio::time::timeout(time.into(), link.chunk()).await {
-                Ok(chunk) => chunk,
-                Err(_) => Err(LinkError::Silent),
+                Ok(chunk) => Event::Read(chunk),
+                Err(_) if is_end => Event::Read(Err(LinkError::Silent)),
+                Err(_) => Event::Silent,
+            }
+        };
+        let found = async {
+            match search {
+                Some(search) => Event::Found(search.await.map(Box::new)),
+                None => std::future::pending().await,
             }
         };
         tokio::select! {
             biased;
             event = moving.next(movable.as_ref()) => event,
-            chunk = read => Event::Read(chunk),
+            event = read => event,
+            event = found => event,
         }
     }
 
@@ -271,7 +289,7 @@
         match (at, work) {
             (End::Target, Some(work)) => {
                 let (instance, permit) = work.into_target();
-                self.tried.engines.push(instance.address);
+                self.tried.engines.borrow_mut().push(instance.address);
                 self.instance = instance;
                 self.permit = permit;
                 self.watch();
--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -11,7 +11,7 @@
 use kingcupbay_core::{
     deployment::model::{AdapterName, Instance},
     health::Exchange,
-    time::Span,
+    time::{Instant, Span},
     wire::{
         metadata::Size,
         sidecar::{
@@ -95,11 +95,12 @@
 }
 
 /// Requests a permit for the engine `instance`. Returns `None` if the sidecar does not answer.
-/// A `transferred` run has its memory there already: it prefills nothing.
+/// The caller waits since `since`. A `transferred` run has its memory there already: it prefills nothing.
 pub(crate) async fn request_permit(
     job: &Job,
     instance: &Instance,
     name: &AdapterName,
+    since: Instant,
     max_wait: Span,
     transferred: bool,
 ) -> Option<(Verdict, Permit)> {
@@ -109,7 +110,7 @@
     let release = PermitRelease { attempt: job.attempt().to_owned(), pause: None };
     let permit = Permit { gateway: gateway.clone(), sidecar, release };
     let now = clock::now();
-    let waited = now.since(job.arrived);
+    let waited = now.since(since);
     let (newest, cold) = {
         let catalogue = gateway.node.catalogue.borrow();
         (catalogue.version(name), catalogue.cold_remaining(now, &instance.id))
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -78,7 +78,7 @@
     while job.remaining() > Span::ZERO {
         let Some(instance) = choose(&job, service, &tried) else { break };
         let again = sends > 0;
-        if again && (sends >= job.route.attempts || !job.gateway.may_repeat(service)) {
+        if again && (sends >= job.route.attempts || job.gateway.try_repeat(service).is_none()) {
             break;
         }
         if let Some(after) = tried.is_empty().then(|| check_backlog(&job, &instance)).flatten() {
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -9,7 +9,7 @@
     header,
 };
 use bytes::{Bytes, BytesMut};
-use futures_util::stream;
+use futures_util::{future::LocalBoxFuture, stream};
 use kingcupbay_core::{
     deployment::model::{Instance, Repeat},
     health::Exchange,
@@ -27,7 +27,7 @@
         job::Job,
         moving::{Event, Moving},
         permits::Permit,
-        reply,
+        reply::{self, Refusal},
         send::PendingAnswer,
         transfer::{Movable, Move},
     },
@@ -35,8 +35,8 @@
     registered::{origins, parts},
 };
 
-/// Time without an event in the middle of a resumable stream after which an engine is
-/// considered stuck. Engines send an event every 30 ms; a request that was preempted for
+/// Time without an event in the middle of a resumable stream after which another engine is
+/// looked for. Engines send an event every 30 ms; a request that was preempted for
 /// lack of memory repeats its prefill within a second.
 pub(super) const EVENT_TIMEOUT: Span = Span::from_millis(1_500);
 
@@ -44,10 +44,18 @@
 pub(crate) struct Relay {
     pub(super) job: Rc<Job>,
     pub(super) service: String,
-    pub(super) tried: Tried,
+    pub(super) tried: Rc<Tried>,
     pub(super) instance: Rc<Instance>,
-    /// Invariant: present until the stream has ended, except while it moves.
+    /// Invariant: present until the stream has ended, except while it moves, or while another
+    /// engine is looked for once this one has failed.
     pub(super) link: Option<Link>,
+    /// The search for another engine, while this one is silent or has failed.
+    pub(super) search: Option<LocalBoxFuture<'static, Result<Started, Refusal>>>,
+    /// When another engine is looked for unless this one goes on.
+    pub(super) search_at: Instant,
+    /// Whether the engine has been silent since the last bytes for so long that another one was
+    /// looked for.
+    pub(super) is_silent: bool,
     /// Version of the adapter that runs it.
     pub(super) version: Option<u32>,
     /// Present if the stream may move.
@@ -55,7 +63,7 @@
     pub(super) moving: Moving,
     /// Whether the run was continued at another engine.
     pub(super) moved: bool,
-    /// How the stream of a source was cut, until the run continues.
+    /// How the stream was cut, until it goes on at another engine.
     pub(super) cut: Option<LinkError>,
     /// Time of the first event.
     pub(super) began: Instant,
@@ -89,7 +97,7 @@
         job: Rc<Job>,
         service: String,
         started: Started,
-        tried: Tried,
+        tried: Rc<Tried>,
     ) -> Response<BoxBody> {
         let Started { instance, answer, permit, version } = started;
         let head = answer.head;
@@ -109,6 +117,9 @@
             partial: BytesMut::new(),
             ended: false,
             link: Some(answer.link),
+            search: None,
+            search_at: clock::now(),
+            is_silent: false,
             version,
             movable: None,
             moving: Moving::No,
@@ -146,13 +157,17 @@
         if self.ended {
             return None;
         }
+        self.search_at = clock::now() + EVENT_TIMEOUT;
         loop {
             let result = match self.next_event().await {
-                Event::Read(Ok(Some(chunk))) => match self.take_whole_events(chunk) {
-                    Ok(Some(bytes)) => return Some(Ok(bytes)),
-                    Ok(None) => continue,
-                    Err(error) => self.on_cut(error).await,
-                },
+                Event::Read(Ok(Some(chunk))) => {
+                    self.on_bytes();
+                    match self.take_whole_events(chunk) {
+                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Ok(None) => continue,
+                        Err(error) => self.on_cut(error).await,
+                    }
+                }
                 Event::Read(Ok(None)) if self.is_whole() => {
                     self.on_whole();
                     return None;
@@ -160,6 +175,11 @@
                 // The stream ended in the middle of an event, or before the first one.
                 Event::Read(Ok(None)) => self.on_cut(LinkError::Early).await,
                 Event::Read(Err(error)) => self.on_cut(error).await,
+                Event::Silent => {
+                    self.on_silence();
+                    continue;
+                }
+                Event::Found(found) => self.on_found(found),
                 Event::Start(notice) => {
                     self.prepare(notice, Vec::new());
                     continue;
@@ -180,6 +200,7 @@
                 self.ended = true;
                 self.movable = None;
                 self.permit = None;
+                self.search = None;
                 return Some(Err(io::Error::other(error)));
             }
         }
@@ -276,43 +297,101 @@
     pub(super) fn may_resume(&self) -> bool {
         self.may_be_taken_up()
             && self.origin != Origin::Contradictory
-            && self.tried.sends < self.job.route.attempts
+            && self.tried.sends.get() < self.job.route.attempts
     }
 
-    /// Resumes the stream at another engine, after the last whole event, once an engine
-    /// has failed with `error`. Returns that error if this is not possible.
+    /// Looks for another engine that resumes the stream after the last whole event, once an
+    /// engine has failed with `error`. Returns that error if this is not possible.
     pub(super) async fn resume(&mut self, error: LinkError) -> Result<(), LinkError> {
         let now = clock::now();
         let gateway = self.job.gateway.clone();
         let remaining = self.job.remaining();
-        let exchange = match error {
-            LinkError::Silent if remaining > Span::ZERO => Exchange::Unreachable,
-            _ => Exchange::Failed,
-        };
-        gateway.health.borrow_mut().on_exchange(now, &self.instance.id, exchange);
+        gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Failed);
         warn!(gateway.node.log, ""; "event" => "broke_off", "request" => &self.job.metadata.attempt,
             "upstream" => &self.instance.id, "last_event" => self.last_event,
             "error" => %error, "left_ms" => remaining.as_millis());
+        self.link = None;
+        self.permit = None;
+        self.partial.clear();
         let began = Some(self.answered);
-        let again = parts::on_cut(&gateway, &self.job, &self.instance, &error, began).await;
-        let may_resume = again && self.may_resume() && remaining > Span::ZERO;
-        let Some(eligible) = self.eligible().filter(|_| may_resume) else {
+        let may_go_on = self.search.is_some()
+            || (parts::on_cut(&gateway, &self.job, &self.instance, &error, began).await
+                && self.begin_search());
+        if !may_go_on || remaining == Span::ZERO {
             gateway.metrics.on_broken(&self.job.route.name);
             return Err(error);
+        }
+        self.cut = Some(error);
+        Ok(())
+    }
+
+    /// Looks for another engine while the one of now is silent. Its connection stays open: the
+    /// stream goes on at the engine that writes first.
+    fn on_silence(&mut self) {
+        let gateway = self.job.gateway.clone();
+        self.search_at = clock::now() + generate::SEARCH_PAUSE;
+        if !std::mem::replace(&mut self.is_silent, true) {
+            let id = &self.instance.id;
+            gateway.health.borrow_mut().on_exchange(clock::now(), id, Exchange::Unreachable);
+            gateway.metrics.on_silence("stream");
+            warn!(gateway.node.log, ""; "event" => "silent",
+                "request" => &self.job.metadata.attempt, "upstream" => id,
+                "last_event" => self.last_event, "left_ms" => self.job.remaining().as_millis());
+        }
+        self.begin_search();
+    }
+
+    /// Looks for another engine that resumes the stream. Returns whether one may.
+    fn begin_search(&mut self) -> bool {
+        let Some(eligible) = self.eligible().filter(|_| self.may_resume()) else { return false };
+        let point = StartPoint {
+            last_event: self.last_event,
+            eligible,
+            since: self.job.arrived,
+            is_held: self.link.is_some(),
         };
-        self.permit = None;
-        self.movable = None;
-        self.partial.clear();
-        let point = StartPoint { last_event: self.last_event, eligible };
-        let started = generate::start(&self.job, &self.service, &mut self.tried, point).await;
-        match started {
-            Ok(Started { instance, answer, permit, version })
-                if answer.head.status.is_success() =>
-            {
+        let (job, service) = (self.job.clone(), self.service.clone());
+        let tried = self.tried.clone();
+        (self.movable, self.moving) = (None, Moving::No);
+        let search = async move { generate::start(&job, &service, &tried, point).await };
+        self.search = Some(Box::pin(search));
+        true
+    }
+
+    /// Ends the search for another engine, as the one of now has sent bytes.
+    fn on_bytes(&mut self) {
+        self.search_at = clock::now() + EVENT_TIMEOUT;
+        if !std::mem::take(&mut self.is_silent) {
+            return;
+        }
+        self.search = None;
+        let gateway = self.job.gateway.clone();
+        let now = clock::now();
+        gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
+        gateway.metrics.on_silence("went_on");
+        info!(gateway.node.log, ""; "event" => "went_on",
+            "request" => &self.job.metadata.attempt, "upstream" => &self.instance.id,
+            "last_event" => self.last_event, "ms" => now.since(self.forwarded).as_millis());
+        self.watch();
+    }
+
+    /// Goes on at the engine that was found. If none was, waits for the one of now, and fails if
+    /// that has failed.
+    fn on_found(&mut self, found: Result<Box<Started>, Refusal>) -> Result<(), LinkError> {
+        self.search = None;
+        let gateway = self.job.gateway.clone();
+        match found {
+            Ok(started) if started.answer.head.status.is_success() => {
+                let Started { instance, answer, permit, version } = *started;
                 gateway.metrics.on_resumed();
                 info!(gateway.node.log, ""; "event" => "resumed",
                     "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
                     "software" => &instance.software, "last_event" => self.last_event);
+                if std::mem::take(&mut self.is_silent) && self.cut.is_none() {
+                    gateway.metrics.on_silence("replaced");
+                }
+                self.cut = None;
+                self.partial.clear();
                 self.instance = instance;
                 self.set_answer(answer);
                 self.permit = permit;
@@ -320,14 +399,16 @@
                 self.watch();
                 Ok(())
             }
-            started => {
-                let status = started.as_ref().ok().map(|row| row.answer.head.status.as_u16());
-                let why = self.tried.end.as_str();
+            found => {
+                let status = found.as_ref().ok().map(|row| row.answer.head.status.as_u16());
+                let why = self.tried.end.get().as_str();
+                gateway.metrics.on_not_resumed(why);
+                self.search_at = clock::now() + generate::SEARCH_PAUSE;
+                let Some(error) = self.cut.take() else { return Ok(()) };
                 warn!(gateway.node.log, ""; "event" => "not_resumed",
                     "request" => &self.job.metadata.attempt, "status" => status, "why" => why,
-                    "sends" => self.tried.sends);
+                    "sends" => self.tried.sends.get());
                 gateway.metrics.on_broken(&self.job.route.name);
-                gateway.metrics.on_not_resumed(why);
                 Err(error)
             }
         }
@@ -352,7 +433,7 @@
             "pause_ms" => self.pause.as_millis(),
             "ms" => now.since(self.job.arrived).as_millis());
         // A pause during which another engine took over is not this engine's.
-        let alone = self.tried.sends <= 1 && !self.moved;
+        let alone = self.tried.sends.get() <= 1 && !self.moved;
         if let Some(permit) = self.permit.as_mut().filter(|_| alone) {
             permit.on_complete(self.pause);
         }
--- a/kingcupbayd/src/gateway/transfer.rs
+++ b/kingcupbayd/src/gateway/transfer.rs
@@ -274,7 +274,7 @@
         let instance = choose(&job, &source, version, &tried)?;
         tried.push(instance.address);
         let wait = notice.until.since(clock::now()).min(PERMIT_WAIT_MAX).min(job.remaining());
-        match permits::request_permit(&job, &instance, &name, wait, true).await {
+        match permits::request_permit(&job, &instance, &name, job.arrived, wait, true).await {
             Some((Verdict::Granted { version: granted }, permit)) if granted == version => {
                 return Some(Prepared { instance, permit: Some(permit), notice, tried });
             }
