Count the wait for a permit from the break of the stream

Cause: the wait for a permit and its latency target were counted from the arrival of the request. A stream that has run for seconds had 60 ms left, less than its adapter takes to load, and stood behind all requests in time; the sidecar refused it at once as busy. Change: a search for another engine counts from the moment at which it begins. Measured: silence.rs::a_silent_engine_stops_once_another_goes_on failed before (the idle second engine refused after 0 ms of waiting) and passes. Conclusion: applies to streams that an engine's crash has cut, too.

--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -347,7 +347,7 @@
         let point = StartPoint {
             last_event: self.last_event,
             eligible,
-            since: self.job.arrived,
+            since: clock::now(),
             is_held: self.link.is_some(),
         };
         let (job, service) = (self.job.clone(), self.service.clone());
