Keep the connection of a silent plain service open while another is tried

What callers saw: an idempotent request got a 502 ('the upstream failed') after three times its latency target, though its upstream answered a moment later and the request had time left. Cause: silence counted as loss, as for streams: the attempt was dropped and, where no other upstream, no repeat or no attempt was left, the request failed. Change: attempts stay open beside each other, and the first whole answer wins; the others are reset. Without a repeat in the budget the request waits for one, and for the open attempts, until its time is over. Measured: silence.rs::a_plain_request_outlasts_the_silence_of_its_only_upstream failed before (502) and passes.

--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -15,20 +15,24 @@
 use crate::{
     clock,
     gateway::{
-        Gateway,
+        Gateway, RepeatTicket,
         admit::Hold,
         job::Job,
+        open_attempts::OpenAttempts,
         reply::{self, Refusal},
         send::{self, SendError, SendOptions},
     },
     http::link::LinkError,
 };
 
-/// Time without an answer, as a multiple of the route's latency target, after which an
-/// upstream is considered stuck if the request may be sent to another. Services answer
+/// Time without an answer, as a multiple of the route's latency target, after which a request
+/// that may be repeated is sent to another upstream as well. Services answer
 /// within half of their target; their slowest hundredth takes five times as long.
 const ANSWER_TIME_FACTOR: u64 = 3;
 
+/// Pause before a repeat is tried again that the budget did not allow.
+const REPEAT_PAUSE: Span = Span::from_millis(100);
+
 /// Time after which to retry if every upstream was full.
 const FULL_RETRY: Span = Span::from_millis(300);
 
@@ -68,73 +72,142 @@
     }
 }
 
-/// Sends a request to upstreams of `service` until one answers.
+/// The attempts at a request so far.
+#[derive(Default)]
+struct Tried {
+    /// Ids of the upstreams that were chosen.
+    upstreams: Vec<String>,
+    /// Number of upstreams that the request was sent to.
+    sends: u32,
+    may_have_run: bool,
+    /// The last answer that reports a failure.
+    failure: Option<(Rc<Instance>, ResponseHead, Bytes)>,
+    held: Option<Hold>,
+}
+
+/// What may be done next for a request.
+enum Next {
+    Send(Rc<Instance>, Option<RepeatTicket>),
+    /// No further upstream may be tried now, but later.
+    Pause,
+    /// No further upstream may be tried.
+    Nothing,
+}
+
+/// Sends a request to upstreams of `service` until one answers. An upstream that is silent may
+/// still answer while another is tried.
 pub(crate) async fn serve(job: Rc<Job>, service: &str) -> Result<Response<BoxBody>, Refusal> {
-    let mut tried: Vec<String> = Vec::new();
-    let mut sends = 0;
-    let mut may_have_run = false;
-    let mut failure = None;
-    let mut held = None;
+    let mut tried = Tried::default();
+    let open = OpenAttempts::new();
     while job.remaining() > Span::ZERO {
-        let Some(instance) = choose(&job, service, &tried) else { break };
-        let again = sends > 0;
-        if again && (sends >= job.route.attempts || job.gateway.try_repeat(service).is_none()) {
-            break;
-        }
-        if let Some(after) = tried.is_empty().then(|| check_backlog(&job, &instance)).flatten() {
-            return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
-        }
-        tried.push(instance.id.clone());
-        let last = sends + 1 >= job.route.attempts;
-        let outcome = attempt(&job, &instance, last).await;
-        if let Outcome::Held(hold) = outcome {
-            held = Some(hold.earlier(held));
-            continue;
-        }
+        let next = choose_next(&job, service, &tried);
+        let newest = match &next {
+            Next::Send(instance, _) => Some(instance.clone()),
+            Next::Pause | Next::Nothing if open.is_empty() => break,
+            Next::Pause | Next::Nothing => None,
+        };
+        let patience = match next {
+            Next::Send(instance, ticket) => {
+                let first = tried.upstreams.is_empty();
+                if let Some(after) = first.then(|| check_backlog(&job, &instance)).flatten() {
+                    return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
+                }
+                if let Some(ticket) = ticket {
+                    ticket.on_send();
+                }
+                tried.upstreams.push(instance.id.clone());
+                tried.sends += 1;
+                open.push(Box::pin(attempt(&job, instance)));
+                patience(&job, tried.sends)
+            }
+            Next::Pause => REPEAT_PAUSE.min(job.remaining()),
+            Next::Nothing => job.remaining(),
+        };
+        let ended = match tokio::time::timeout(patience.into(), open.next()).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                if let Some(instance) = newest {
+                    on_silence(&job, &instance);
+                }
+                continue;
+            }
+        };
+        let (instance, outcome) = ended;
         record(&job, &instance, &outcome);
-        sends += u32::from(!matches!(outcome, Outcome::Unsent(_)));
         match outcome {
-            Outcome::Answer(head, body) if !head.status.is_server_error() => {
+            Outcome::Answer(head, body)
+                if !head.status.is_server_error() || !job.route.repeat.repeatable() =>
+            {
                 return Ok(deliver(&job, &instance, &head, body));
             }
-            Outcome::Answer(head, body) if !job.route.repeat.repeatable() => {
-                return Ok(deliver(&job, &instance, &head, body));
+            Outcome::Answer(head, body) => tried.failure = Some((instance, head, body)),
+            Outcome::NotRun => {}
+            Outcome::Held(hold) => {
+                tried.sends -= 1;
+                tried.held = Some(hold.earlier(tried.held));
             }
-            Outcome::Answer(head, body) => failure = Some((instance, head, body)),
-            Outcome::NotRun | Outcome::Unsent(_) | Outcome::Held(_) => {}
+            Outcome::Unsent(_) => tried.sends -= 1,
             Outcome::Unknown(_) => {
-                may_have_run = true;
+                tried.may_have_run = true;
                 if !job.route.repeat.repeatable() {
                     break;
                 }
             }
         }
     }
-    if let Some((instance, head, body)) = failure {
+    // The attempts that are still open have used up the time of the request.
+    tried.may_have_run |= !open.is_empty();
+    if let Some((instance, head, body)) = tried.failure {
         return Ok(deliver(&job, &instance, &head, body));
     }
-    Err(final_refusal(&job, service, sends, may_have_run, held))
+    Err(final_refusal(&job, service, &tried))
 }
 
-/// Returns the refusal of a request that no upstream answers. `held` says why it was held
-/// back, if it was.
-fn final_refusal(
-    job: &Job,
-    service: &str,
-    sends: u32,
-    may_have_run: bool,
-    held: Option<Hold>,
-) -> Refusal {
-    match (may_have_run, job.remaining() == Span::ZERO) {
+/// Returns what to do next for a request that has been tried as `tried` says.
+fn choose_next(job: &Job, service: &str, tried: &Tried) -> Next {
+    let Some(instance) = choose(job, service, &tried.upstreams) else { return Next::Nothing };
+    match tried.sends {
+        0 => Next::Send(instance, None),
+        sends if sends >= job.route.attempts => Next::Nothing,
+        _ => match job.gateway.try_repeat(service) {
+            Some(ticket) => Next::Send(instance, Some(ticket)),
+            None => Next::Pause,
+        },
+    }
+}
+
+/// Returns how long an upstream may be silent before another one is tried as well.
+fn patience(job: &Job, sends: u32) -> Span {
+    match job.route.repeat == Repeat::Idempotent && sends < job.route.attempts {
+        true => Span::from_micros(job.route.latency_target.as_micros() * ANSWER_TIME_FACTOR)
+            .min(job.remaining()),
+        false => job.remaining(),
+    }
+}
+
+/// Records that an upstream has not answered in time.
+fn on_silence(job: &Job, instance: &Instance) {
+    let gateway = &job.gateway;
+    let now = clock::now();
+    gateway.health.borrow_mut().on_exchange(now, &instance.id, Exchange::Unreachable);
+    gateway.node.pool.forget(instance.address);
+    gateway.metrics.on_silence("no_answer");
+    warn!(gateway.node.log, ""; "event" => "silent", "request" => &job.metadata.attempt,
+        "upstream" => &instance.id, "left_ms" => job.remaining().as_millis());
+}
+
+/// Returns the refusal of a request that no upstream answers.
+fn final_refusal(job: &Job, service: &str, tried: &Tried) -> Refusal {
+    match (tried.may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
         (false, _) if let Some(rest) = job.gateway.shortest_rest(service) => {
             Refusal::retry(Code::Overloaded, "upstreams asked for rest", job.spread(rest))
         }
-        (false, _) if sends > 0 => {
+        (false, _) if tried.sends > 0 => {
             Refusal::retry(Code::Overloaded, "upstreams are full", job.retry_after(FULL_RETRY))
         }
-        (false, _) if let Some(held) = held => {
+        (false, _) if let Some(held) = tried.held => {
             let after = held.after().map_or(NO_UPSTREAM_RETRY, |after| job.spread(after));
             Refusal::retry(Code::Overloaded, held.as_str(), after)
         }
@@ -167,19 +240,15 @@
     refused.map(|after| job.retry_after(after))
 }
 
-/// Makes one attempt at `instance`. `last` says whether no other upstream may be tried
-/// afterwards.
-async fn attempt(job: &Job, instance: &Instance, last: bool) -> Outcome {
-    let _open = OpenRequest::new(&job.gateway, &instance.id);
-    let mut time = job.remaining();
-    if job.route.repeat == Repeat::Idempotent && !last {
-        time =
-            time.min(Span::from_micros(job.route.latency_target.as_micros() * ANSWER_TIME_FACTOR));
-    }
-    match tokio::time::timeout(time.into(), exchange(job, instance)).await {
-        Ok(outcome) => outcome,
-        Err(_) => Outcome::Unknown(LinkError::Silent),
-    }
+/// Makes one attempt at `instance`.
+async fn attempt(job: &Job, instance: Rc<Instance>) -> (Rc<Instance>, Outcome) {
+    let outcome = {
+        let _open = OpenRequest::new(&job.gateway, &instance.id);
+        let exchange = exchange(job, &instance);
+        let ended = tokio::time::timeout(job.remaining().into(), exchange).await;
+        ended.unwrap_or(Outcome::Unknown(LinkError::Silent))
+    };
+    (instance, outcome)
 }
 
 /// Sends the request to `instance` and reads the whole answer.
