Take repeats back that were not sent

What callers saw: of 112 streams that lost their engine's events at one moment, 71 asked no further engine, or stopped after some, as the service's budget of repeats was spent ('not_resumed' with why=budget), although 4 requests were sent again. Cause: a repeat was counted before a permit was asked for, once for each engine asked. Change: a repeat is a ticket, counted when the request is sent; one that is dropped unsent is taken back. While permits are asked for, tickets still bound how many requests look for a second engine at once. In placement.rs, repeats_that_are_not_sent_are_taken_back tests the count.

--- a/kingcupbay_core/src/repeat.rs
+++ b/kingcupbay_core/src/repeat.rs
@@ -48,4 +48,17 @@
         }
         fits
     }
+
+    /// Records that the repeat counted at `at` is sent only now.
+    pub fn on_send(&mut self, now: Instant, at: Instant) {
+        self.on_unused(at);
+        self.repeats.push_back(now);
+    }
+
+    /// Takes back the repeat counted at `at`: nothing was sent.
+    pub fn on_unused(&mut self, at: Instant) {
+        if let Some(index) = self.repeats.iter().rposition(|&counted| counted == at) {
+            self.repeats.remove(index);
+        }
+    }
 }
--- a/kingcupbay_core/tests/placement.rs
+++ b/kingcupbay_core/tests/placement.rs
@@ -271,3 +271,17 @@
     assert!(sent <= 200 + 12, "{sent}");
     assert!(sent >= 100, "{sent}");
 }
+
+/// Guards against a budget that is spent by requests which were not sent.
+#[test]
+fn repeats_that_are_not_sent_are_taken_back() {
+    let limits = RepeatLimits { ratio: 0.0, slack: 2.0, window: Span::from_secs(10) };
+    let mut repeats = RepeatBudget::default();
+    for millis in 0..20 {
+        assert!(repeats.try_repeat(at(millis), &limits, 1), "{millis}");
+        repeats.on_unused(at(millis));
+    }
+    assert!(repeats.try_repeat(at(20), &limits, 1));
+    repeats.on_send(at(5_000), at(20));
+    assert!(!repeats.try_repeat(at(14_000), &limits, 1), "counted from when it was sent");
+}
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -48,7 +48,7 @@
     quarantine::Quarantine,
     repeat::RepeatBudget,
     rest::Rests,
-    time::Span,
+    time::{Instant, Span},
     wire::{error::Code, metadata::RequestMetadata, sidecar::EngineLoadReport},
 };
 use kingcupbay_platform::request;
@@ -116,12 +116,35 @@
     pub(crate) metrics: Metrics,
 }
 
-/// A repeat that counts against the budget of its service.
-pub(crate) struct RepeatTicket;
+/// A repeat that counts against the budget of its service. One that was not sent is taken back
+/// on drop.
+pub(crate) struct RepeatTicket {
+    gateway: Rc<Gateway>,
+    service: String,
+    at: Instant,
+    is_sent: bool,
+}
 
 impl RepeatTicket {
     /// Records that the request is sent now.
-    pub(crate) fn on_send(self) {}
+    pub(crate) fn on_send(mut self) {
+        self.is_sent = true;
+        self.with_budget(|budget, at| budget.on_send(clock::now(), at));
+    }
+
+    fn with_budget(&self, change: impl FnOnce(&mut RepeatBudget, Instant)) {
+        if let Some(budget) = self.gateway.repeats.borrow_mut().get_mut(&self.service) {
+            change(budget, self.at);
+        }
+    }
+}
+
+impl Drop for RepeatTicket {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            self.with_budget(RepeatBudget::on_unused);
+        }
+    }
 }
 
 impl Gateway {
@@ -168,7 +191,12 @@
         let (now, entries) = (clock::now(), self.entries());
         let mut repeats = self.repeats.borrow_mut();
         let budget = repeats.entry(service.to_owned()).or_default();
-        budget.try_repeat(now, &self.node.registry.repeats, entries).then_some(RepeatTicket)
+        budget.try_repeat(now, &self.node.registry.repeats, entries).then(|| RepeatTicket {
+            gateway: self.clone(),
+            service: service.to_owned(),
+            at: now,
+            is_sent: false,
+        })
     }
 
     /// Returns the refusal of a request if all upstreams of `service` are in evacuated
--- a/kingcupbayd/tests/silence.rs
+++ b/kingcupbayd/tests/silence.rs
@@ -9,11 +9,12 @@
 use common::{
     EVENT_TIMEOUT,
     registered::{
-        Fleet, KEY, event_ids, request_tour, send_to, start_engine_fleet, start_two_engines,
+        ANY_PORT, Fleet, KEY, config_row, event_ids, request_tour, second_host, second_sidecar,
+        send_to, start_daemon, start_engine_fleet, start_sidecar, start_two_engines,
     },
     wait_until,
 };
-use kingcupbay_standin::{UpstreamServer, UpstreamSettings};
+use kingcupbay_standin::{Registry, UpstreamServer, UpstreamSettings};
 
 /// Events of each stream.
 const EVENTS: u64 = 300;
@@ -121,3 +122,34 @@
     let runs = [&first, &second].into_iter().flat_map(UpstreamServer::runs);
     assert_eq!(runs.count(), 2);
 }
+
+/// Guards against repeats that are counted although no engine granted a permit for them.
+#[actix_rt::test]
+async fn a_refused_permit_uses_no_repeat() {
+    let store = Registry::start(ANY_PORT).unwrap();
+    store.put("op", "config", &config_row(1, &[KEY]));
+    let first = UpstreamServer::start(ANY_PORT, slow_engine("gpu-1")).unwrap();
+    let second = UpstreamServer::start((second_host(), 0).into(), slow_engine("gpu-2")).unwrap();
+    let sidecar = start_sidecar("upstream-1", &store, &first);
+    let port = sidecar.address("peers").port();
+    // One repeat in ten seconds.
+    let settings =
+        format!("ready = 127.0.0.1:0\nsidecars = {port}\nrepeat_percent = 0\nrepeat_slack = 2\n");
+    let entry = start_daemon("entry", "entry-1", &store, &settings);
+    let fleet = Fleet { store, entry };
+    fleet.register("gpu-1", "writer", &first);
+    fleet.wait_until_ready().await;
+    fleet.register("gpu-2", "writer", &second);
+    let silence = async {
+        wait_for_events(&[&first]).await;
+        let pause = first.server().pause();
+        // The entry asks in vain for a permit of the second engine meanwhile.
+        tokio::time::sleep(SILENCE).await;
+        let sidecar = second_sidecar(&fleet.store, &second, port);
+        let started = tokio::time::timeout(EVENT_TIMEOUT, second.wait_for_runs(1)).await;
+        drop(pause);
+        (sidecar, started)
+    };
+    let (ids, (_sidecar, started)) = tokio::join!(stream(&fleet), silence);
+    assert_eq!((ids, started), (Ok((1..=EVENTS).collect()), Ok(())));
+}
