Send no release for a permit that was refused

What callers see: nothing directly. An entry now asks an engine again that has refused it; the release of the refused permit, collected for 4 ms, could arrive after the second request was granted, and the sidecar would count a running stream as ended. Cause: releases are keyed by attempt, and every permit sent one on drop. Change: none is sent for a permit that the sidecar has refused. Found by a review, read in the code; not brought about by a test.

--- a/kingcupbayd/src/gateway/permits.rs
+++ b/kingcupbayd/src/gateway/permits.rs
@@ -53,6 +53,8 @@
     gateway: Rc<Gateway>,
     sidecar: SocketAddr,
     release: PermitRelease,
+    /// Whether the sidecar has refused it. A release could revoke the permit of a later request.
+    is_refused: bool,
 }
 
 impl Permit {
@@ -65,6 +67,9 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        if self.is_refused {
+            return;
+        }
         let empty = PermitRelease { attempt: String::new(), pause: None };
         let release = std::mem::replace(&mut self.release, empty);
         let releases = &self.gateway.releases;
@@ -95,7 +100,8 @@
 }
 
 /// Requests a permit for the engine `instance`. Returns `None` if the sidecar does not answer.
-/// The caller waits since `since`. A `transferred` run has its memory there already: it prefills nothing.
+/// Its wait counts from `since` on. A `transferred` run has its memory there already: it prefills
+/// nothing.
 pub(crate) async fn request_permit(
     job: &Job,
     instance: &Instance,
@@ -108,7 +114,7 @@
     let engine = instance.address;
     let sidecar = sidecar_address(gateway, engine);
     let release = PermitRelease { attempt: job.attempt().to_owned(), pause: None };
-    let permit = Permit { gateway: gateway.clone(), sidecar, release };
+    let mut permit = Permit { gateway: gateway.clone(), sidecar, release, is_refused: false };
     let now = clock::now();
     let waited = now.since(since);
     let (newest, cold) = {
@@ -150,7 +156,10 @@
         Err(error) => Err(error.to_string()),
     };
     match answer {
-        Ok(verdict) => Some((verdict, permit)),
+        Ok(verdict) => {
+            permit.is_refused = matches!(verdict, Verdict::Refused { .. });
+            Some((verdict, permit))
+        }
         Err(error) => {
             let now = clock::now();
             gateway.health.borrow_mut().on_exchange(
