Bound what searches for another engine take, and mend their ends

The body of a refusal is read for 0.2 s at most. - 'May have run' no longer rests on which of two timers fires first. The gateway's search, resumption and attempts stand in files of their own. Open: transfers of running streams, as before.

--- a/kingcupbay_core/src/health.rs
+++ b/kingcupbay_core/src/health.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Records that `id` is silent. Requests that notice the same silence count once.
+    pub fn on_silence(&mut self, now: Instant, id: &str) {
+        if !self.is_suspect(now, id) {
+            self.on_exchange(now, id, Exchange::Unreachable);
+        }
+    }
+
     /// Records the load that `id` reported.
     pub fn on_load(&mut self, now: Instant, id: &str, load: Load) {
         let record = self.records.entry(id.to_owned()).or_default();
--- a/kingcupbay_core/src/repeat.rs
+++ b/kingcupbay_core/src/repeat.rs
@@ -19,6 +19,10 @@
 /// other's repeats, and their windows end at different times.
 const USED_FRACTION: f64 = 0.7;
 
+/// Fraction of these that requests may use which a silent upstream may still answer. The rest
+/// is kept for those that nobody holds any more.
+const SPECULATIVE_FRACTION: f64 = 0.5;
+
 /// First and repeated requests of one service in the last window.
 #[derive(Debug, Default)]
 pub struct RepeatBudget {
@@ -33,15 +37,23 @@
     }
 
     /// Returns whether this entry, one of `entries`, may send a request once more, and
-    /// counts the repeat if so.
-    pub fn try_repeat(&mut self, now: Instant, limits: &RepeatLimits, entries: usize) -> bool {
+    /// counts the repeat if so. `is_speculative` says whether a silent upstream may still
+    /// answer the request.
+    pub fn try_repeat(
+        &mut self,
+        now: Instant,
+        limits: &RepeatLimits,
+        entries: usize,
+        is_speculative: bool,
+    ) -> bool {
         for sends in [&mut self.firsts, &mut self.repeats] {
             while sends.front().is_some_and(|&at| now.since(at) > limits.window) {
                 sends.pop_front();
             }
         }
         let own = limits.ratio * self.firsts.len() as f64;
-        let allowed = USED_FRACTION * (own + limits.slack / entries.max(1) as f64);
+        let fraction = if is_speculative { SPECULATIVE_FRACTION } else { 1.0 };
+        let allowed = USED_FRACTION * (own + limits.slack / entries.max(1) as f64) * fraction;
         let fits = (self.repeats.len() as f64) + 1.0 <= allowed;
         if fits {
             self.repeats.push_back(now);
--- a/kingcupbayd/src/gateway/choice.rs
+++ b/kingcupbayd/src/gateway/choice.rs
@@ -6,7 +6,7 @@
     deployment::model::{AdapterName, Instance},
     origin::Eligible,
     placement::RequestNeeds,
-    time::{Instant, Span},
+    time::Span,
     wire::sidecar::{Refusal as PermitRefusal, Verdict},
 };
 use slog::{debug, info};
@@ -49,14 +49,13 @@
 
 /// Returns the engine to try next, and how long to wait there until another one would start
 /// the request sooner, where the speeds of engines differ. Only engines in good health are
-/// tried if `is_held`.
+/// tried for a speculative request.
 pub(super) fn choose(
     job: &Job,
     service: &str,
     name: &AdapterName,
     asked: &[SocketAddr],
-    eligible: Eligible,
-    is_held: bool,
+    point: StartPoint,
 ) -> Option<(Rc<Instance>, Option<Span>)> {
     let now = clock::now();
     let gateway = &job.gateway;
@@ -65,7 +64,7 @@
     let placement = gateway.placement.borrow();
     let rests = gateway.rests.borrow();
     let is_open = |row: &&Rc<Instance>| {
-        eligible.includes(row)
+        point.eligible.includes(row)
             && !asked.contains(&row.address)
             && rests.remaining(now, &row.id, row.born).is_none()
     };
@@ -88,7 +87,9 @@
             let engine = placement
                 .choose_spread(now, name, &healthy, job.draw())
                 .or_else(|| placement.choose(now, name, &healthy))
-                .or_else(|| placement.choose(now, name, &all()).filter(|_| !is_held))?;
+                .or_else(|| {
+                    placement.choose(now, name, &all()).filter(|_| !point.is_speculative)
+                })?;
             (engine, None)
         }
     };
@@ -102,13 +103,13 @@
 /// Acquires a permit for an engine. Returns it with the version of the adapter that may
 /// run the request. If the sidecar does not answer, the engine is used without a permit,
 /// provided that the adapter is known to be resident. An error is the time until a
-/// permit may be available, if known. The caller waits since `since`. `last` says whether no other engine is asked after this
+/// permit may be available, if known. `last` says whether no other engine is asked after this
 /// one, `wait` how long to wait at most, if another one would start the request sooner.
 pub(super) async fn acquire_permit(
     job: &Job,
     instance: &Instance,
     name: &AdapterName,
-    since: Instant,
+    point: StartPoint,
     last: bool,
     wait: Option<Span>,
 ) -> Result<(Option<u32>, Option<Permit>), Option<Span>> {
@@ -116,7 +117,7 @@
     let gateway = &job.gateway;
     let now = clock::now();
     let suspect = gateway.health.borrow().is_suspect(now, &permits::sidecar_id(engine));
-    let waited = now.since(since);
+    let waited = now.since(point.since);
     let target = Span::from_micros(job.route.latency_target.as_micros() * PERMIT_WAIT_FACTOR);
     let mut max_wait = target.saturating_sub(waited).max(PERMIT_WAIT_MIN).min(job.remaining());
     if let Some(wait) = wait {
@@ -128,7 +129,7 @@
         true => None,
         false => {
             gateway.placement.borrow_mut().on_send_prompt(engine, job.size().prompt);
-            permits::request_permit(job, instance, name, since, max_wait, false).await
+            permits::request_permit(job, instance, name, point.since, max_wait, false).await
         }
     };
     match verdict {
@@ -140,7 +141,8 @@
         Some((Verdict::Refused { why, after }, _)) => {
             let mut placement = gateway.placement.borrow_mut();
             placement.on_refusal(engine);
-            if why == PermitRefusal::Busy {
+            // A silence is no demand for the adapter.
+            if why == PermitRefusal::Busy && !point.is_speculative {
                 let engines = gateway.node.catalogue.borrow().serving(&instance.service).count();
                 placement.on_busy(now, name, engines);
             }
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -1,10 +1,6 @@
 //! Forwards requests to model engines.
 
-use std::{
-    cell::{Cell, RefCell},
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::rc::Rc;
 
 use actix_http::{Response, body::BoxBody};
 use kingcupbay_core::{
@@ -19,14 +15,14 @@
 use crate::{
     clock,
     gateway::{
-        RepeatTicket,
-        choice::{self, PERMIT_WAIT_MIN},
+        RepeatTicket, choice,
         job::Job,
         open_attempts::OpenAttempts,
         permits::Permit,
         reply::Refusal,
         send::{self, PendingAnswer, SendError, SendOptions},
         stream::Relay,
+        tried::{SearchEnd, Tried, may_send},
     },
     http::link::LinkError,
     registered::{origins, parts},
@@ -48,6 +44,9 @@
 /// Pause between two searches for another engine while one is silent.
 pub(super) const SEARCH_PAUSE: Span = Span::from_millis(500);
 
+/// Time in which the body of a refusal must end for its connection to be used again.
+const REFUSAL_TIME: Span = Span::from_millis(200);
+
 /// Time after which to retry if no engine could be reached.
 const NO_ENGINE_RETRY: Span = Span::from_millis(700);
 
@@ -57,11 +56,11 @@
     /// Event after which a stream that has begun goes on.
     pub(crate) last_event: Option<u64>,
     pub(crate) eligible: Eligible,
-    /// Since when the caller waits for the next event.
+    /// From when on its wait for a permit counts.
     pub(crate) since: Instant,
     /// Whether a silent engine may still go on with the stream. Then only engines in good
     /// health are tried.
-    pub(crate) is_held: bool,
+    pub(crate) is_speculative: bool,
 }
 
 /// An engine that runs a request.
@@ -75,60 +74,9 @@
     pub(crate) version: Option<u32>,
 }
 
-/// The attempts at running a request so far.
-#[derive(Debug, Default)]
-pub(crate) struct Tried {
-    /// Engines that the request was sent to. They are not tried again.
-    pub(crate) engines: RefCell<Vec<SocketAddr>>,
-    /// Number of engines that the request was sent to.
-    pub(crate) sends: Cell<u32>,
-    /// Whether an engine may have run the request.
-    pub(crate) may_have_run: Cell<bool>,
-    /// Why no further engine was asked.
-    pub(crate) end: Cell<SearchEnd>,
-}
-
-impl Tried {
-    fn on_send(&self, engine: SocketAddr) {
-        self.engines.borrow_mut().push(engine);
-        self.sends.set(self.sends.get() + 1);
-    }
-
-    /// Records that the request was not sent after all.
-    fn on_unsent(&self) {
-        self.sends.set(self.sends.get() - 1);
-    }
-}
-
-/// Why a search for an engine ended without one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum SearchEnd {
-    /// As many engines as may be asked refused, or failed.
-    #[default]
-    Refused,
-    /// No engine is left.
-    NoEngine,
-    /// The time for permits is over.
-    Waited,
-    /// The time of the request is over.
-    NoTime,
-    /// The route allows no further attempt.
-    Attempts,
-    /// The service has no repeat left.
-    Budget,
-}
-
-impl SearchEnd {
-    /// Returns the reason as written to logs and metrics.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            SearchEnd::Refused => "refused",
-            SearchEnd::NoEngine => "no_engine",
-            SearchEnd::Waited => "waited",
-            SearchEnd::NoTime => "no_time",
-            SearchEnd::Attempts => "attempts",
-            SearchEnd::Budget => "budget",
-        }
+impl Started {
+    pub(super) fn is_success(&self) -> bool {
+        self.answer.head.status.is_success()
     }
 }
 
@@ -142,7 +90,7 @@
         last_event: job.metadata.last_event,
         eligible: origins::eligible(&job, service).await?,
         since: job.arrived,
-        is_held: false,
+        is_speculative: false,
     };
     let started = start(&job, service, &tried, point).await?;
     let waited = clock::now().since(job.arrived);
@@ -160,6 +108,8 @@
     instance: Rc<Instance>,
     permit: Option<Permit>,
     version: Option<u32>,
+    /// Present unless it is the first one.
+    ticket: Option<RepeatTicket>,
     result: Result<PendingAnswer, SendError>,
 }
 
@@ -182,6 +132,9 @@
 
 /// Finds an engine that runs the request from `point` on. One that is silent may still answer
 /// while another is looked for: whichever answers first runs it.
+///
+/// Searches alternate with pauses as long as attempts are open. Once no other engine may run the
+/// request, only the open attempts are waited for.
 pub(crate) async fn start(
     job: &Rc<Job>,
     service: &str,
@@ -190,58 +143,60 @@
 ) -> Result<Started, Refusal> {
     let open = OpenAttempts::new();
     let mut after: Option<Span> = None;
+    let mut pause = SEARCH_PAUSE;
+    let mut failure = None;
     loop {
-        let is_final = {
+        let mut is_final = {
             let mut search = std::pin::pin!(search(job, service, tried, point, &open));
             loop {
-                tokio::select! {
+                let outcome = tokio::select! {
                     biased;
-                    ended = open.next() => match conclude(job, tried, ended).await {
-                        Outcome::Started(started) => return Ok(*started),
-                        Outcome::Next(_) => {}
-                        Outcome::Last => break true,
-                    },
+                    ended = open.next() => conclude_silent(job, tried, ended).await,
                     found = &mut search => match found {
-                        Ok(started) => return Ok(started),
+                        Ok(started) => Outcome::Started(started),
                         Err(unplaced) => {
                             after = after.min(unplaced.after).or(unplaced.after).or(after);
                             break unplaced.is_final;
                         }
                     },
+                };
+                match outcome {
+                    Outcome::Started(started) if started.is_success() || open.is_empty() => {
+                        return Ok(*started);
+                    }
+                    Outcome::Started(started) => {
+                        failure = Some(started);
+                        break true;
+                    }
+                    Outcome::Next(_) => {}
+                    Outcome::Last => break true,
                 }
             }
         };
-        match wait_for_open(job, tried, &open, is_final).await {
-            Some(Outcome::Started(started)) => return Ok(*started),
-            Some(Outcome::Next(_)) => {}
-            Some(Outcome::Last) | None => {
-                return Err(final_refusal(job, service, tried, after, point.eligible));
+        let has_open = !open.is_empty();
+        let until = clock::now() + pause;
+        pause = pause + pause;
+        while !open.is_empty() {
+            let rest = match (&failure, is_final) {
+                (Some(_), _) => patience(job).min(job.remaining()),
+                (None, true) => job.remaining(),
+                (None, false) => until.since(clock::now()),
+            };
+            let Ok(ended) = tokio::time::timeout(rest.into(), open.next()).await else { break };
+            match conclude_silent(job, tried, ended).await {
+                Outcome::Started(started) if started.is_success() => return Ok(*started),
+                Outcome::Started(started) => (failure, is_final) = (Some(started), true),
+                Outcome::Next(_) if is_final => {}
+                Outcome::Next(_) => break,
+                Outcome::Last => is_final = true,
             }
         }
-    }
-}
-
-/// Waits for the attempts in `open` after a search: until all have ended if it `is_final`, else
-/// until another search is due. Returns `None` if none is left that may end with an answer.
-async fn wait_for_open(
-    job: &Rc<Job>,
-    tried: &Tried,
-    open: &OpenAttempts<'_, Attempt>,
-    mut is_final: bool,
-) -> Option<Outcome> {
-    let until = clock::now() + SEARCH_PAUSE;
-    while !open.is_empty() {
-        let rest = if is_final { job.remaining() } else { until.since(clock::now()) };
-        let Ok(ended) = tokio::time::timeout(rest.into(), open.next()).await else {
-            return (!is_final).then_some(Outcome::Next(None));
-        };
-        match conclude(job, tried, ended).await {
-            Outcome::Last => is_final = true,
-            Outcome::Next(_) if is_final => {}
-            outcome => return Some(outcome),
+        if is_final || !has_open {
+            tried.may_have_run.set(tried.may_have_run.get() || !open.is_empty());
+            let refusal = || final_refusal(job, service, tried, after, point.eligible);
+            return failure.map(|started| *started).ok_or_else(refusal);
         }
     }
-    None
 }
 
 /// Asks engines for permits and sends the request to the first that grants one. Attempts at
@@ -252,14 +207,16 @@
     tried: &Tried,
     point: StartPoint,
     open: &OpenAttempts<'a, Attempt>,
-) -> Result<Started, Unplaced> {
+) -> Result<Box<Started>, Unplaced> {
     let name = job.metadata.model.clone().expect("only requests that name a model come here");
     let mut after: Option<Span> = None;
     let began = clock::now();
     let mut asked = tried.engines.borrow().clone();
     tried.end.set(SearchEnd::Refused);
     for attempt in 0..PERMIT_REQUESTS_MAX {
-        let ticket = match may_send(job, service, tried) {
+        let is_speculative = point.is_speculative || !open.is_empty();
+        let point = StartPoint { is_speculative, ..point };
+        let mut ticket = match may_send(job, service, tried, is_speculative) {
             Ok(ticket) => ticket,
             Err(end) => {
                 tried.end.set(end);
@@ -267,10 +224,7 @@
                 return Err(Unplaced { after, is_final });
             }
         };
-        let is_held = point.is_held || !open.is_empty();
-        let Some((instance, wait)) =
-            choice::choose(job, service, &name, &asked, point.eligible, is_held)
-        else {
+        let Some((instance, wait)) = choice::choose(job, service, &name, &asked, point) else {
             tried.end.set(SearchEnd::NoEngine);
             break;
         };
@@ -284,7 +238,9 @@
                 choice::on_withdrawn(job, &instance, why);
                 Err(None)
             }
-            acquired = choice::acquire_permit(job, &instance, &name, point.since, last, wait) => acquired,
+            acquired = choice::acquire_permit(job, &instance, &name, point, last, wait) => {
+                acquired
+            }
         };
         let (version, permit) = match acquired {
             Ok(acquired) => acquired,
@@ -305,21 +261,21 @@
             permitted: permit.is_some(),
             copy: None,
         };
-        if let Some(ticket) = ticket {
+        if let Some(ticket) = &mut ticket {
             ticket.on_send();
         }
         tried.on_send(instance.address);
         let row = instance.clone();
         let run = Box::pin(async move {
             let result = run(job, &row, options).await;
-            Attempt { instance: row, permit, version, result }
+            Attempt { instance: row, permit, version, ticket, result }
         });
         let Some(ended) = open.try_finish(run, patience(job)).await else {
             on_silence(job, &instance);
             continue;
         };
         match conclude(job, tried, ended).await {
-            Outcome::Started(started) => return Ok(*started),
+            Outcome::Started(started) => return Ok(started),
             Outcome::Next(wait) => after = after.min(wait).or(wait).or(after),
             Outcome::Last => return Err(Unplaced { after, is_final: true }),
         }
@@ -327,9 +283,23 @@
     Err(Unplaced { after, is_final: false })
 }
 
+/// Records how an attempt has ended at an engine that was silent.
+async fn conclude_silent(job: &Rc<Job>, tried: &Tried, ended: Attempt) -> Outcome {
+    let outcome = conclude(job, tried, ended).await;
+    if let Outcome::Started(started) = &outcome {
+        let gateway = &job.gateway;
+        let id = &started.instance.id;
+        gateway.health.borrow_mut().on_exchange(clock::now(), id, Exchange::Succeeded);
+        gateway.metrics.on_silence("went_on");
+        info!(gateway.node.log, ""; "event" => "went_on", "request" => &job.metadata.attempt,
+            "upstream" => id, "ms" => clock::now().since(job.arrived).as_millis());
+    }
+    outcome
+}
+
 /// Records how an attempt has ended.
 async fn conclude(job: &Rc<Job>, tried: &Tried, ended: Attempt) -> Outcome {
-    let Attempt { instance, permit, version, result } = ended;
+    let Attempt { instance, permit, version, ticket, result } = ended;
     match result {
         Ok(answer) if !answer.metadata.not_run => {
             Outcome::Started(Box::new(Started { instance, answer, permit, version }))
@@ -339,13 +309,13 @@
             Outcome::Next(None)
         }
         Err(SendError::Held(hold)) => {
-            tried.on_unsent();
+            tried.on_unsent(ticket);
             Outcome::Next(hold.after())
         }
         Err(SendError::Link(error)) => {
             on_error(job, &instance, &error);
             if error.is_unsent() {
-                tried.on_unsent();
+                tried.on_unsent(ticket);
                 return Outcome::Next(None);
             }
             tried.may_have_run.set(true);
@@ -372,27 +342,12 @@
 fn on_silence(job: &Job, instance: &Instance) {
     let now = clock::now();
     let gateway = &job.gateway;
-    gateway.health.borrow_mut().on_exchange(now, &instance.id, Exchange::Unreachable);
+    gateway.health.borrow_mut().on_silence(now, &instance.id);
     gateway.metrics.on_silence("no_head");
     warn!(gateway.node.log, ""; "event" => "silent", "request" => &job.metadata.attempt,
         "upstream" => &instance.id, "left_ms" => job.remaining().as_millis());
 }
 
-/// Returns the ticket with which the request may be sent to one more engine, if it needs one, or
-/// why it may not be sent.
-fn may_send(job: &Job, service: &str, tried: &Tried) -> Result<Option<RepeatTicket>, SearchEnd> {
-    let sends = tried.sends.get();
-    if job.remaining() <= PERMIT_WAIT_MIN {
-        Err(SearchEnd::NoTime)
-    } else if sends == 0 {
-        Ok(None)
-    } else if sends >= job.route.attempts {
-        Err(SearchEnd::Attempts)
-    } else {
-        job.gateway.try_repeat(service).map(Some).ok_or(SearchEnd::Budget)
-    }
-}
-
 /// Returns the refusal of a request that no engine runs. `after` is the time until an
 /// engine may have a permit.
 fn final_refusal(
@@ -448,7 +403,13 @@
     job.gateway.metrics.on_send("not_run");
     warn!(job.gateway.node.log, ""; "event" => "attempt", "request" => &job.metadata.attempt,
         "upstream" => &instance.id, "outcome" => "not_run", "status" => status);
-    if let Err(error) = send::read_body(job, instance, answer).await {
+    let time = REFUSAL_TIME.min(job.remaining());
+    let read = tokio::time::timeout(time.into(), send::read_body(job, instance, answer));
+    let error = match read.await {
+        Ok(read) => read.err(),
+        Err(_) => Some(LinkError::Silent),
+    };
+    if let Some(error) = error {
         debug!(job.gateway.node.log, ""; "event" => "refusal_cut", "error" => %error);
     }
 }
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -3,9 +3,10 @@
 //! [`handle`] finds the route and the organisation of a request, reads its body and
 //! takes its tokens off the organisation's limit. [`plain`] sends the request to a plain
 //! service; [`generate`] sends it to an engine, once the engine's sidecar has granted a
-//! permit ([`permits`]). [`send`] makes one attempt, and [`stream`] forwards events and
-//! resumes the stream at another engine if one fails; [`transfer`] tells streams to move away
-//! from engines that leave, and [`moving`] carries that out. [`admit`] decides which requests an
+//! permit ([`choice`], [`permits`]). [`send`] makes one attempt, and [`open_attempts`] keeps those
+//! at silent upstreams while another is tried. [`stream`] forwards events, and [`resuming`] goes
+//! on at another engine if one is silent or fails; [`transfer`] tells streams to move away from
+//! engines that leave, and [`moving`] carries that out. [`admit`] decides which requests an
 //! upstream gets, by what it says of itself in its answers. [`reply`] builds the entry's own
 //! answers.
 
@@ -19,9 +20,11 @@
 pub(crate) mod permits;
 pub(crate) mod plain;
 pub(crate) mod reply;
+pub(crate) mod resuming;
 pub(crate) mod send;
 pub(crate) mod stream;
 pub(crate) mod transfer;
+pub(crate) mod tried;
 
 use std::{
     cell::{Cell, RefCell},
@@ -127,9 +130,15 @@
 
 impl RepeatTicket {
     /// Records that the request is sent now.
-    pub(crate) fn on_send(mut self) {
-        self.is_sent = true;
-        self.with_budget(|budget, at| budget.on_send(clock::now(), at));
+    pub(crate) fn on_send(&mut self) {
+        let now = clock::now();
+        self.with_budget(|budget, at| budget.on_send(now, at));
+        (self.at, self.is_sent) = (now, true);
+    }
+
+    /// Takes the repeat back: the request was not sent after all.
+    pub(crate) fn on_unsent(mut self) {
+        self.is_sent = false;
     }
 
     fn with_budget(&self, change: impl FnOnce(&mut RepeatBudget, Instant)) {
@@ -187,11 +196,17 @@
     }
 
     /// Counts a repeat of a request of `service`, if it may be sent to one more upstream.
-    pub(crate) fn try_repeat(self: &Rc<Self>, service: &str) -> Option<RepeatTicket> {
+    /// `is_speculative` says whether a silent upstream may still answer it.
+    pub(crate) fn try_repeat(
+        self: &Rc<Self>,
+        service: &str,
+        is_speculative: bool,
+    ) -> Option<RepeatTicket> {
         let (now, entries) = (clock::now(), self.entries());
         let mut repeats = self.repeats.borrow_mut();
         let budget = repeats.entry(service.to_owned()).or_default();
-        budget.try_repeat(now, &self.node.registry.repeats, entries).then(|| RepeatTicket {
+        let limits = &self.node.registry.repeats;
+        budget.try_repeat(now, limits, entries, is_speculative).then(|| RepeatTicket {
             gateway: self.clone(),
             service: service.to_owned(),
             at: now,
--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -103,22 +103,30 @@
             return Event::Read(Err(LinkError::Silent));
         }
         let draining = matches!(&self.moving, Moving::Yes(work) if work.transfer.is_draining());
-        let (time, is_end) = match (&self.moving, self.may_resume()) {
+        let rest = self.search_at.since(clock::now());
+        let may_search = self.search.is_none() && self.may_resume();
+        let (time, is_end) = match &self.moving {
             _ if draining => (remaining.min(DRAIN_SILENCE), true),
-            (Moving::Yes(_), true) => (remaining.min(EVENT_TIMEOUT), true),
-            (_, true) if self.search.is_none() => {
-                let rest = self.search_at.since(clock::now());
-                (remaining.min(rest), remaining <= rest)
-            }
-            _ => (remaining, true),
+            Moving::Yes(_) if self.may_resume() => (remaining.min(EVENT_TIMEOUT), true),
+            Moving::No if may_search => (remaining.min(rest), remaining <= rest),
+            Moving::Yes(_) | Moving::Preparing(_) | Moving::No => (remaining, true),
         };
+        let is_moving = !matches!(self.moving, Moving::No);
         let Relay { link, moving, movable, search, .. } = self;
         let read = async {
-            let Some(link) = link else { return std::future::pending().await };
-            match tokio::time::timeout(time.into(), link.chunk()).await {
-                Ok(chunk) => Event::Read(chunk),
-                Err(_) if is_end => Event::Read(Err(LinkError::Silent)),
-                Err(_) => Event::Silent,
+            let chunk = match link {
+                Some(link) => tokio::time::timeout(time.into(), link.chunk()).await.ok(),
+                // A transfer has time limits of its own.
+                None if is_moving => std::future::pending().await,
+                None => {
+                    tokio::time::sleep(time.into()).await;
+                    None
+                }
+            };
+            match chunk {
+                Some(chunk) => Event::Read(chunk),
+                None if is_end => Event::Read(Err(LinkError::Silent)),
+                None => Event::Silent,
             }
         };
         let found = async {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -85,6 +85,16 @@
     held: Option<Hold>,
 }
 
+impl Tried {
+    /// Records that the request was not sent after all.
+    fn on_unsent(&mut self, ticket: Option<RepeatTicket>) {
+        self.sends -= 1;
+        if let Some(ticket) = ticket {
+            ticket.on_unsent();
+        }
+    }
+}
+
 /// What may be done next for a request.
 enum Next {
     Send(Rc<Instance>, Option<RepeatTicket>),
@@ -100,7 +110,7 @@
     let mut tried = Tried::default();
     let open = OpenAttempts::new();
     while job.remaining() > Span::ZERO {
-        let next = choose_next(&job, service, &tried);
+        let next = choose_next(&job, service, &tried, !open.is_empty());
         let newest = match &next {
             Next::Send(instance, _) => Some(instance.clone()),
             Next::Pause | Next::Nothing if open.is_empty() => break,
@@ -112,27 +122,27 @@
                 if let Some(after) = first.then(|| check_backlog(&job, &instance)).flatten() {
                     return Err(Refusal::retry(Code::Overloaded, "upstreams are behind", after));
                 }
-                if let Some(ticket) = ticket {
-                    ticket.on_send();
-                }
                 tried.upstreams.push(instance.id.clone());
                 tried.sends += 1;
-                open.push(Box::pin(attempt(&job, instance)));
+                open.push(Box::pin(attempt(&job, instance, ticket)));
                 patience(&job, tried.sends)
             }
+            Next::Pause | Next::Nothing if tried.failure.is_some() => answer_time(&job),
             Next::Pause => REPEAT_PAUSE.min(job.remaining()),
             Next::Nothing => job.remaining(),
         };
         let ended = match tokio::time::timeout(patience.into(), open.next()).await {
             Ok(ended) => ended,
-            Err(_) => {
-                if let Some(instance) = newest {
+            Err(_) => match newest {
+                Some(instance) => {
                     on_silence(&job, &instance);
+                    continue;
                 }
-                continue;
-            }
+                None if tried.failure.is_some() => break,
+                None => continue,
+            },
         };
-        let (instance, outcome) = ended;
+        let (instance, ticket, outcome) = ended;
         record(&job, &instance, &outcome);
         match outcome {
             Outcome::Answer(head, body)
@@ -143,10 +153,10 @@
             Outcome::Answer(head, body) => tried.failure = Some((instance, head, body)),
             Outcome::NotRun => {}
             Outcome::Held(hold) => {
-                tried.sends -= 1;
+                tried.on_unsent(ticket);
                 tried.held = Some(hold.earlier(tried.held));
             }
-            Outcome::Unsent(_) => tried.sends -= 1,
+            Outcome::Unsent(_) => tried.on_unsent(ticket),
             Outcome::Unknown(_) => {
                 tried.may_have_run = true;
                 if !job.route.repeat.repeatable() {
@@ -163,13 +173,15 @@
     Err(final_refusal(&job, service, &tried))
 }
 
-/// Returns what to do next for a request that has been tried as `tried` says.
-fn choose_next(job: &Job, service: &str, tried: &Tried) -> Next {
+/// Returns what to do next for a request that has been tried as `tried` says. `has_open` says
+/// whether a silent upstream may still answer it.
+fn choose_next(job: &Job, service: &str, tried: &Tried, has_open: bool) -> Next {
     let Some(instance) = choose(job, service, &tried.upstreams) else { return Next::Nothing };
     match tried.sends {
+        _ if has_open && !job.route.repeat.repeatable() => Next::Nothing,
         0 => Next::Send(instance, None),
         sends if sends >= job.route.attempts => Next::Nothing,
-        _ => match job.gateway.try_repeat(service) {
+        _ => match job.gateway.try_repeat(service, has_open) {
             Some(ticket) => Next::Send(instance, Some(ticket)),
             None => Next::Pause,
         },
@@ -179,17 +191,22 @@
 /// Returns how long an upstream may be silent before another one is tried as well.
 fn patience(job: &Job, sends: u32) -> Span {
     match job.route.repeat == Repeat::Idempotent && sends < job.route.attempts {
-        true => Span::from_micros(job.route.latency_target.as_micros() * ANSWER_TIME_FACTOR)
-            .min(job.remaining()),
+        true => answer_time(job),
         false => job.remaining(),
     }
 }
 
+/// Returns the time in which an upstream usually answers, at most what is left.
+fn answer_time(job: &Job) -> Span {
+    let target = job.route.latency_target.as_micros();
+    Span::from_micros(target * ANSWER_TIME_FACTOR).min(job.remaining())
+}
+
 /// Records that an upstream has not answered in time.
 fn on_silence(job: &Job, instance: &Instance) {
     let gateway = &job.gateway;
     let now = clock::now();
-    gateway.health.borrow_mut().on_exchange(now, &instance.id, Exchange::Unreachable);
+    gateway.health.borrow_mut().on_silence(now, &instance.id);
     gateway.node.pool.forget(instance.address);
     gateway.metrics.on_silence("no_answer");
     warn!(gateway.node.log, ""; "event" => "silent", "request" => &job.metadata.attempt,
@@ -240,15 +257,22 @@
     refused.map(|after| job.retry_after(after))
 }
 
-/// Makes one attempt at `instance`.
-async fn attempt(job: &Job, instance: Rc<Instance>) -> (Rc<Instance>, Outcome) {
+/// Makes one attempt at `instance`. `ticket` is present unless it is the first one.
+async fn attempt(
+    job: &Job,
+    instance: Rc<Instance>,
+    mut ticket: Option<RepeatTicket>,
+) -> (Rc<Instance>, Option<RepeatTicket>, Outcome) {
+    if let Some(ticket) = &mut ticket {
+        ticket.on_send();
+    }
     let outcome = {
         let _open = OpenRequest::new(&job.gateway, &instance.id);
         let exchange = exchange(job, &instance);
         let ended = tokio::time::timeout(job.remaining().into(), exchange).await;
         ended.unwrap_or(Outcome::Unknown(LinkError::Silent))
     };
-    (instance, outcome)
+    (instance, ticket, outcome)
 }
 
 /// Sends the request to `instance` and reads the whole answer.
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -18,18 +18,19 @@
     time::{Instant, Span},
     wire::origin::Origin,
 };
-use slog::{info, warn};
+use slog::info;
 
 use crate::{
     clock,
     gateway::{
-        generate::{self, StartPoint, Started, Tried},
+        generate::{self, Started},
         job::Job,
         moving::{Event, Moving},
         permits::Permit,
         reply::{self, Refusal},
         send::PendingAnswer,
         transfer::{Movable, Move},
+        tried::Tried,
     },
     http::link::{Link, LinkError},
     registered::{origins, parts},
@@ -53,9 +54,10 @@
     pub(super) search: Option<LocalBoxFuture<'static, Result<Started, Refusal>>>,
     /// When another engine is looked for unless this one goes on.
     pub(super) search_at: Instant,
-    /// Whether the engine has been silent since the last bytes for so long that another one was
-    /// looked for.
-    pub(super) is_silent: bool,
+    /// Pause before the next search if one finds no engine.
+    pub(super) search_pause: Span,
+    /// Since when the stream waits for another engine, as this one is silent or has failed.
+    pub(super) waiting: Option<Instant>,
     /// Version of the adapter that runs it.
     pub(super) version: Option<u32>,
     /// Present if the stream may move.
@@ -68,7 +70,7 @@
     /// Time of the first event.
     pub(super) began: Instant,
     /// When the engine of now began to answer.
-    answered: Instant,
+    pub(super) answered: Instant,
     /// Whether its answer has gone on since.
     went_on: bool,
     /// Released with the relay, also if the caller disconnects.
@@ -119,7 +121,8 @@
             link: Some(answer.link),
             search: None,
             search_at: clock::now(),
-            is_silent: false,
+            search_pause: generate::SEARCH_PAUSE,
+            waiting: None,
             version,
             movable: None,
             moving: Moving::No,
@@ -260,6 +263,7 @@
     pub(super) fn set_answer(&mut self, answer: PendingAnswer) {
         self.framed = is_framed(&answer.head.headers);
         (self.answered, self.went_on) = (clock::now(), false);
+        self.search_at = self.answered + EVENT_TIMEOUT;
         self.link = Some(answer.link);
         self.idle = answer.metadata.idle;
     }
@@ -285,7 +289,7 @@
     }
 
     /// Returns at which engines the stream may go on, if at any.
-    fn eligible(&self) -> Option<Eligible> {
+    pub(super) fn eligible(&self) -> Option<Eligible> {
         match self.origin {
             Origin::Unknown => Some(Eligible::Any),
             Origin::Software(software) => Some(Eligible::Only(software)),
@@ -300,120 +304,6 @@
             && self.tried.sends.get() < self.job.route.attempts
     }
 
-    /// Looks for another engine that resumes the stream after the last whole event, once an
-    /// engine has failed with `error`. Returns that error if this is not possible.
-    pub(super) async fn resume(&mut self, error: LinkError) -> Result<(), LinkError> {
-        let now = clock::now();
-        let gateway = self.job.gateway.clone();
-        let remaining = self.job.remaining();
-        gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Failed);
-        warn!(gateway.node.log, ""; "event" => "broke_off", "request" => &self.job.metadata.attempt,
-            "upstream" => &self.instance.id, "last_event" => self.last_event,
-            "error" => %error, "left_ms" => remaining.as_millis());
-        self.link = None;
-        self.permit = None;
-        self.partial.clear();
-        let began = Some(self.answered);
-        let may_go_on = self.search.is_some()
-            || (parts::on_cut(&gateway, &self.job, &self.instance, &error, began).await
-                && self.begin_search());
-        if !may_go_on || remaining == Span::ZERO {
-            gateway.metrics.on_broken(&self.job.route.name);
-            return Err(error);
-        }
-        self.cut = Some(error);
-        Ok(())
-    }
-
-    /// Looks for another engine while the one of now is silent. Its connection stays open: the
-    /// stream goes on at the engine that writes first.
-    fn on_silence(&mut self) {
-        let gateway = self.job.gateway.clone();
-        self.search_at = clock::now() + generate::SEARCH_PAUSE;
-        if !std::mem::replace(&mut self.is_silent, true) {
-            let id = &self.instance.id;
-            gateway.health.borrow_mut().on_exchange(clock::now(), id, Exchange::Unreachable);
-            gateway.metrics.on_silence("stream");
-            warn!(gateway.node.log, ""; "event" => "silent",
-                "request" => &self.job.metadata.attempt, "upstream" => id,
-                "last_event" => self.last_event, "left_ms" => self.job.remaining().as_millis());
-        }
-        self.begin_search();
-    }
-
-    /// Looks for another engine that resumes the stream. Returns whether one may.
-    fn begin_search(&mut self) -> bool {
-        let Some(eligible) = self.eligible().filter(|_| self.may_resume()) else { return false };
-        let point = StartPoint {
-            last_event: self.last_event,
-            eligible,
-            since: clock::now(),
-            is_held: self.link.is_some(),
-        };
-        let (job, service) = (self.job.clone(), self.service.clone());
-        let tried = self.tried.clone();
-        (self.movable, self.moving) = (None, Moving::No);
-        let search = async move { generate::start(&job, &service, &tried, point).await };
-        self.search = Some(Box::pin(search));
-        true
-    }
-
-    /// Ends the search for another engine, as the one of now has sent bytes.
-    fn on_bytes(&mut self) {
-        self.search_at = clock::now() + EVENT_TIMEOUT;
-        if !std::mem::take(&mut self.is_silent) {
-            return;
-        }
-        self.search = None;
-        let gateway = self.job.gateway.clone();
-        let now = clock::now();
-        gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
-        gateway.metrics.on_silence("went_on");
-        info!(gateway.node.log, ""; "event" => "went_on",
-            "request" => &self.job.metadata.attempt, "upstream" => &self.instance.id,
-            "last_event" => self.last_event, "ms" => now.since(self.forwarded).as_millis());
-        self.watch();
-    }
-
-    /// Goes on at the engine that was found. If none was, waits for the one of now, and fails if
-    /// that has failed.
-    fn on_found(&mut self, found: Result<Box<Started>, Refusal>) -> Result<(), LinkError> {
-        self.search = None;
-        let gateway = self.job.gateway.clone();
-        match found {
-            Ok(started) if started.answer.head.status.is_success() => {
-                let Started { instance, answer, permit, version } = *started;
-                gateway.metrics.on_resumed();
-                info!(gateway.node.log, ""; "event" => "resumed",
-                    "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
-                    "software" => &instance.software, "last_event" => self.last_event);
-                if std::mem::take(&mut self.is_silent) && self.cut.is_none() {
-                    gateway.metrics.on_silence("replaced");
-                }
-                self.cut = None;
-                self.partial.clear();
-                self.instance = instance;
-                self.set_answer(answer);
-                self.permit = permit;
-                self.version = version;
-                self.watch();
-                Ok(())
-            }
-            found => {
-                let status = found.as_ref().ok().map(|row| row.answer.head.status.as_u16());
-                let why = self.tried.end.get().as_str();
-                gateway.metrics.on_not_resumed(why);
-                self.search_at = clock::now() + generate::SEARCH_PAUSE;
-                let Some(error) = self.cut.take() else { return Ok(()) };
-                warn!(gateway.node.log, ""; "event" => "not_resumed",
-                    "request" => &self.job.metadata.attempt, "status" => status, "why" => why,
-                    "sends" => self.tried.sends.get());
-                gateway.metrics.on_broken(&self.job.route.name);
-                Err(error)
-            }
-        }
-    }
-
     /// Records that the stream is complete, and releases the permit and the connection.
     pub(super) fn finish(&mut self) {
         self.ended = true;
