Close unused connections before descriptors run out

Cause: an entry kept each caller's connection for 30 s after its last request, with no bound on their number. If most new connections of a zone reach one entry, those that nobody uses take all its descriptors. The accept loop then failed and tried again every 20 ms: callers waited in the backlog until an idle connection timed out, and the entry opened no connection to upstreams and other entries either ("Too many open files" to its peers), so running requests failed with it.

Ruled out: a shorter idle timeout (150 connections a second still hold 4,100 descriptors after 27 s; callers that use theirs seldom lose them in quiet times); a pause of the accept loop until connections end (nobody ends them); closing all idle connections at a mark (a thousand ends at one moment on a fifth of a core); a bound alone (turns callers away for 30 s).

Change: server/crowd.rs. Connections of callers are bounded by fewer than half of the process's descriptors, as each request needs a connection to its upstream too. Beyond three quarters of that, each new connection makes the oldest close as soon as it carries no request; at the bound a new one is closed unread, so that its caller tries another entry at once. If descriptors run out all the same, the 64 oldest are told to close.

Measured: crowded_entry.rs. Without the guards unused_connections_do_not_keep_new_ones_out gets no answer to request 236 of 512 within 3 s with 256 descriptors, and an_entry_that_gets_all_new_connections_serves_them, then with 1,024 descriptors, holds 924 in wave 4; with them both pass, seven runs of seven.

Conclusion: an entry out of descriptors takes new connections and serves them. Idle connections to upstreams, up to 24 for each address, are bounded by address only: open.

--- a/kingcupbayd/src/config/callers.rs
+++ b/kingcupbayd/src/config/callers.rs
@@ -24,6 +24,8 @@
     pub deadline: Span,
     /// Default limit of generated tokens.
     pub max_tokens: u32,
+    /// Most descriptors that the process may open, if the system allows as many.
+    pub descriptors: usize,
 }
 
 impl Callers {
@@ -41,6 +43,7 @@
             body_timeout: reader.millis(section, "body_timeout_ms", 100..=60_000, 10_000),
             deadline: reader.millis(section, "deadline_ms", 0..=3_600_000, 0),
             max_tokens: reader.number(section, "max_tokens", 1..=1_000_000, 256),
+            descriptors: reader.decimal(section, "descriptors", 64.0..=1e9, 1e9) as usize,
         }
     }
 }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -33,6 +33,7 @@
     },
     server::{
         self,
+        crowd::ConnectionLimits,
         drain::{Drain, Phase},
     },
     sidecar::{self, Sidecar, engine, load_reports},
@@ -104,18 +105,21 @@
     if let (Some((listener, _)), Some(callers)) = (listeners.callers, &node.settings.callers) {
         let state = gateway.clone();
         let handle = move |request| gateway::handle(state.clone(), request);
-        listen(listener, callers.head_timeout, node.drain.clone(), handle);
+        let limits = ConnectionLimits::new(callers.descriptors);
+        let serving =
+            server::serve(listener, callers.head_timeout, limits, node.drain.clone(), handle);
+        drop(actix_rt::spawn(serving));
     }
     if let Some((listener, _)) = listeners.ready {
         let state = gateway.clone();
         let handle = move |request| answer_ready(state.clone(), request);
-        listen(listener, HEAD_TIMEOUT, Drain::new(), handle);
+        listen(listener, handle);
     }
     let state = gateway.clone();
     let handle = move |request| handle_entry_peer(state.clone(), request);
-    listen(listeners.peers.0, HEAD_TIMEOUT, Drain::new(), handle);
+    listen(listeners.peers.0, handle);
     let handle = move |request| answer_operator(gateway.clone(), request);
-    listen(listeners.operators.0, HEAD_TIMEOUT, Drain::new(), handle);
+    listen(listeners.operators.0, handle);
 }
 
 /// Starts the tasks and servers of a sidecar.
@@ -128,18 +132,19 @@
     actix_rt::spawn(load_reports::follow_catalogue(sidecar.clone()));
     let state = sidecar.clone();
     let handle = move |request| handle_sidecar_peer(state.clone(), request);
-    listen(listeners.peers.0, HEAD_TIMEOUT, Drain::new(), handle);
+    listen(listeners.peers.0, handle);
     let handle = move |request| answer_sidecar_operator(sidecar.clone(), request);
-    listen(listeners.operators.0, HEAD_TIMEOUT, Drain::new(), handle);
+    listen(listeners.operators.0, handle);
 }
 
-/// Starts a server on `listener`.
-fn listen<F, Fut>(listener: TcpListener, head: Span, drain: Drain, handle: F)
+/// Starts a server for other daemons or operators on `listener`.
+fn listen<F, Fut>(listener: TcpListener, handle: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    drop(actix_rt::spawn(server::serve(listener, head, drain, handle)));
+    let limits = ConnectionLimits::unlimited();
+    drop(actix_rt::spawn(server::serve(listener, HEAD_TIMEOUT, limits, Drain::new(), handle)));
 }
 
 /// Stops as planned: readiness fails first, then running requests finish.
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -3,6 +3,7 @@
 //! The accept loop spawns a task for each connection. [`drain`] counts the
 //! connections and holds the phase of a planned stop, which closes the
 //! listener, lets every connection finish its request, and closes idle ones.
+//! [`crowd`] bounds the number of connections.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -11,8 +12,10 @@
 use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
 use kingcupbay_core::time::Span;
 
+pub(crate) mod crowd;
 pub(crate) mod drain;
 
+use crowd::{ConnectionLimits, Crowd};
 use drain::Drain;
 
 /// Connections that may wait to be accepted. With the usual 128, a burst of
@@ -55,17 +58,19 @@
 
 /// Serves requests on `listener` with `handle` until `drain` is closing, and
 /// returns when every connection has ended. `head_timeout` is the time for the
-/// head of a request.
+/// head of a request, and `limits` bounds the connections that `drain` counts.
 pub(crate) async fn serve<F, Fut>(
     listener: TcpListener,
     head_timeout: Span,
+    limits: ConnectionLimits,
     drain: Drain,
     handle: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let closing = drain.clone();
+    let (closing, crowd) = (drain.clone(), Crowd::default());
+    let members = crowd.clone();
     let handle = fn_service(move |request: Request| {
         let answer = handle(request);
         async move { Ok::<_, Response<BoxBody>>(answer.await) }
@@ -76,7 +81,16 @@
         .client_disconnect_timeout(CLOSE_TIMEOUT)
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
-        .graceful_shutdown_signal(move || closing.clone().wait_until_closing())
+        .graceful_shutdown_signal(move || {
+            let (closing, shed) =
+                (closing.clone().wait_until_closing(), members.clone().wait_until_shed());
+            async move {
+                tokio::select! {
+                    () = closing => {}
+                    () = shed => {}
+                }
+            }
+        })
         .finish(handle.into_factory())
         .tcp();
     let Ok(service) = factory.new_service(()).await else {
@@ -89,7 +103,17 @@
             () = drain.clone().wait_until_closing() => break,
         };
         match accepted {
+            // Callers reach other entries instead.
+            Ok((stream, _)) if !limits.admits(drain.open_connections()) => {
+                crowd.shed_some();
+                drop(stream);
+            }
             Ok((stream, _)) => {
+                if limits.is_crowded(drain.open_connections()) {
+                    crowd.shed_oldest();
+                    // It closes before the next one is accepted.
+                    tokio::task::yield_now().await;
+                }
                 let guard = drain.track_connection();
                 let service = service.clone();
                 actix_rt::spawn(async move {
@@ -98,7 +122,10 @@
                     drop(guard);
                 });
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => {
+                crowd.shed_some();
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
     drop(listener);
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -21,6 +21,7 @@
     metrics::Metrics,
     server::{
         self,
+        crowd::ConnectionLimits,
         drain::{Drain, Phase},
     },
     share::{self, Shares},
@@ -73,20 +74,25 @@
         }
     }
     let mut servers = Vec::new();
+    let unlimited = ConnectionLimits::unlimited();
     if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
         let entry = entry.clone();
         let head = settings.callers.as_ref().map_or(HEAD_TIMEOUT, |callers| callers.head_timeout);
+        let descriptors = settings.callers.as_ref().map(|callers| callers.descriptors);
+        let limits = descriptors.map_or(unlimited, ConnectionLimits::new);
         let handle = move |request| entry::handle(entry.clone(), request);
-        servers.push(actix_rt::spawn(server::serve(listener, head, daemon.drain.clone(), handle)));
+        let serving = server::serve(listener, head, limits, daemon.drain.clone(), handle);
+        servers.push(actix_rt::spawn(serving));
     }
     let state = daemon.clone();
     let handle = move |request| handle_peer(state.clone(), request);
-    servers.push(actix_rt::spawn(server::serve(peers, HEAD_TIMEOUT, daemon.drain.clone(), handle)));
+    let serving = server::serve(peers, HEAD_TIMEOUT, unlimited, daemon.drain.clone(), handle);
+    servers.push(actix_rt::spawn(serving));
     // The operators' port stays open until the stop is complete, so it has a
     // drain of its own, which nothing waits for.
     let state = daemon.clone();
     let handle = move |request| admin::handle(state.clone(), request);
-    actix_rt::spawn(server::serve(operators, HEAD_TIMEOUT, Drain::new(), handle));
+    actix_rt::spawn(server::serve(operators, HEAD_TIMEOUT, unlimited, Drain::new(), handle));
     info!(daemon.log, ""; "event" => "listening", "role" => ?daemon.settings.daemon.role,
         "callers" => addresses.callers.map(|at| at.to_string()),
         "peers" => %addresses.peers, "operators" => %addresses.operators);
