Test that a limit follows callers to a single entry

Cause: nothing showed what becomes of an organisation's limit while most new connections reach one entry.

Change: a play with 4, 23 and 32 entries whose callers all move to one, or those of one zone in three, at 0.9 and 4 times the rate.

Measured: no request is refused within the rate.

Conclusion: organisations' limits need no change.

--- a/kingcupbay_core/tests/allowance.rs
+++ b/kingcupbay_core/tests/allowance.rs
@@ -327,3 +327,34 @@
     entry.refund(at(0), &winery(), RATE);
     assert!(entry.try_acquire(at(0), &winery(), 500).is_ok());
 }
+
+/// All callers move to one entry, or those of one zone to one entry there. Within the rate, none is
+/// refused; an organisation that exceeds its rate can use most of it.
+#[test]
+fn a_limit_follows_callers_to_a_single_entry() {
+    // Larger fleets have 32 entries that keep limits.
+    for (count, zones) in [(4, 1), (4, 3), (23, 1), (23, 3), (32, 1), (32, 3)] {
+        let even = |times: f64| move |_: usize| times * RATE as f64 / count as f64;
+        let moved = |times: f64| {
+            let there = (0..count).filter(|at: &usize| at.is_multiple_of(zones)).count();
+            move |at: usize| match (at, at.is_multiple_of(zones)) {
+                (0, _) => even(times)(at) * there as f64,
+                (_, true) => 0.0,
+                (_, false) => even(times)(at),
+            }
+        };
+        let mut calm = Fleet::new(count);
+        calm.run(0, 8_000, 500, even(0.9));
+        calm.run(8_000, 16_000, 500, moved(0.9));
+        let refused = calm.refused_fraction();
+        assert!(refused < 0.002, "{count} entries in {zones} zones: {refused}");
+        let mut flood = Fleet::new(count);
+        flood.run(0, 8_000, 1_500, even(4.0));
+        flood.run(8_000, 16_000, 1_500, moved(4.0));
+        let worst = flood.worst_window();
+        assert!(worst <= BOUND, "{count} entries in {zones} zones: {worst}");
+        let after = (8_000 / STEP_MS) as usize;
+        let two: u64 = flood.admitted[after..after + (2_000 / STEP_MS) as usize].iter().sum();
+        assert!(two >= 2 * RATE * 3 / 4, "{count} entries in {zones} zones: {two}");
+    }
+}
