Show that one entry with all callers leaves a limit unused

Cause: the entries divide the limit that a plain service's upstream announces into equal parts with turns, whoever has callers. While most new connections reach one entry, the parts of the others are not used.

Ruled out: organisations' limits, whose parts follow demand (allowance.rs::a_limit_follows_callers_to_a_single_entry).

Change: a play with 4 and 30 entries whose callers all move to one for 8 s; it must use three quarters of what all used before.

Conclusion: open. Shares of cold rates are divided in the same way (0.7 of the rate by the number of entries, worked out, not played). A way that was not built: an entry without callers of an upstream promises the others, with the reports of limits, to send it nothing for a second, and the parts are those of the others until then.

--- a/kingcupbay_core/tests/limit.rs
+++ b/kingcupbay_core/tests/limit.rs
@@ -320,3 +320,25 @@
     assert!(other.on_report(at(320), "plain-1", direct.reports(at(310), |_| true)["plain-1"]));
     assert_eq!(other.rate(at(320), "plain-1", 1), None);
 }
+
+/// All callers move to one entry. It must use the limit at least three quarters as well as all
+/// entries did before.
+#[test]
+fn one_entry_with_all_callers_uses_the_limit() {
+    for (count, rate) in [(4, 1.0), (4, 9.0), (30, 9.0)] {
+        for seed in 1..=3 {
+            let total = 40.0_f64.max(rate * 4.0);
+            let mut fleet = entries(count, total, true);
+            let change = |now: u64, fleet: &mut Vec<Entry>| {
+                if now == 16_000 {
+                    fleet.iter_mut().for_each(|entry| entry.load = 0.0);
+                    fleet[0].load = total;
+                }
+            };
+            let times = play(&mut fleet, rate, 24_000, seed, change);
+            let before = times.iter().filter(|at| (8_000..16_000).contains(*at)).count();
+            let during = times.iter().filter(|at| **at >= 16_000).count();
+            assert!(during * 4 >= before * 3, "{count} {rate} {seed}: {during} after {before}");
+        }
+    }
+}
