Close callers' idle connections after the configured time

A caller that reused a connection after more than 30 s of idleness met an entry that was closing it, and its request was lost: the configuration allowed a longer time, and callers go by four fifths of that.

Cause: KEEP_ALIVE, 30 s, was the idle timeout of every server. idleTimeoutMs was decoded and read by nobody. Ruled out: a stream below the HTTP library that looks at the newest value at each read would let connections that are open already follow a change, too. It would be on the path of all bytes, and need a count of the requests of each connection; the present connections age out. Change: the service behind a listener is built anew when the idle timeout has changed, as the library takes it only then. Callers' connections take it from the configuration in force. A stand-in's configuration names its own. Conclusion: a connection that was opened under a shorter timeout, or before the entry knew a configuration, keeps that one.

--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -181,8 +181,8 @@
     pub body: usize,
     /// Longest time until a request's head has arrived.
     pub head_timeout: Span,
-    /// Time after which an idle connection may be closed.
-    pub idle_timeout: Span,
+    /// Time after which a caller's idle connection may be closed, if there is one.
+    pub idle_timeout: Option<Span>,
 }
 
 impl Default for Limits {
@@ -192,7 +192,7 @@
             head: 16 << 10,
             body: 4 << 20,
             head_timeout: Span::from_secs(5),
-            idle_timeout: Span::from_secs(15),
+            idle_timeout: None,
         }
     }
 }
--- a/kingcupbay_soak/src/operator.rs
+++ b/kingcupbay_soak/src/operator.rs
@@ -32,6 +32,9 @@
 /// How long an engine is cold after it has started.
 pub const COLD_SECS: u64 = 2;
 
+/// Idle timeout of callers' connections.
+pub const IDLE_TIMEOUT_MS: u64 = 15_000;
+
 /// Deadline of a request.
 pub const TIMEOUT_MS: u64 = 8_000;
 
@@ -157,5 +160,6 @@
         adapter_slots: ENGINE_SLOTS,
         cold_rate: COLD_RATE,
         cold_secs: COLD_SECS,
+        idle_timeout: IDLE_TIMEOUT_MS,
     }
 }
--- a/kingcupbay_standin/src/operator.rs
+++ b/kingcupbay_standin/src/operator.rs
@@ -56,6 +56,8 @@
     pub cold_rate: u64,
     /// How long an engine is cold after it has started, in seconds.
     pub cold_secs: u64,
+    /// Idle timeout of callers' connections, in milliseconds.
+    pub idle_timeout: u64,
 }
 
 impl DeclaredConfig {
@@ -81,7 +83,7 @@
                     "weightsMb": 100.0, "models": [{"name": BASE_MODEL, "weightsMb": 50.0,
                         "loadS": 1.0, "adapters": 10}]}}],
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
-                "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+                "headerTimeoutMs": 3_000, "idleTimeoutMs": self.idle_timeout},
             "tenants": self.organisations.iter().map(organisation).collect::<Vec<_>>()})
     }
 }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -32,7 +32,7 @@
         specs, usage,
     },
     server::{
-        self,
+        self, KEEP_ALIVE,
         drain::{Drain, Phase},
     },
     sidecar::{self, Sidecar, engine, load_reports},
@@ -104,7 +104,14 @@
     if let (Some((listener, _)), Some(callers)) = (listeners.callers, &node.settings.callers) {
         let state = gateway.clone();
         let handle = move |request| gateway::handle(state.clone(), request);
-        listen(listener, callers.head_timeout, node.drain.clone(), handle);
+        let deployed = node.clone();
+        let idle = move || {
+            let configured = deployed.deployment().and_then(|now| now.limits.idle_timeout);
+            configured.unwrap_or(KEEP_ALIVE)
+        };
+        let serving =
+            server::serve(listener, callers.head_timeout, idle, node.drain.clone(), handle);
+        actix_rt::spawn(serving);
     }
     if let Some((listener, _)) = listeners.ready {
         let state = gateway.clone();
@@ -139,7 +146,7 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    drop(actix_rt::spawn(server::serve(listener, head, drain, handle)));
+    drop(actix_rt::spawn(server::serve(listener, head, || KEEP_ALIVE, drain, handle)));
 }
 
 /// Stops as planned: readiness fails first, then running requests finish.
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -20,10 +20,10 @@
 /// second: callers wait that second, and daemons run into their connect timeout.
 const BACKLOG: u32 = 4_096;
 
-/// Idle timeout of a connection. It exceeds that of the daemons' clients, so
-/// that the client closes first and sends no request on a connection that the
-/// server is closing.
-const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Idle timeout of a connection where no configuration sets one. It exceeds that of the
+/// daemons' clients, so that the client closes first and sends no request on a
+/// connection that the server is closing.
+pub(crate) const KEEP_ALIVE: Span = Span::from_secs(30);
 
 /// Time for the other side to close the connection after the last byte.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -55,34 +55,39 @@
 
 /// Serves requests on `listener` with `handle` until `drain` is closing, and
 /// returns when every connection has ended. `head_timeout` is the time for the
-/// head of a request.
+/// head of a request, `idle_timeout` returns the idle timeout of a new connection.
 pub(crate) async fn serve<F, Fut>(
     listener: TcpListener,
     head_timeout: Span,
+    idle_timeout: impl Fn() -> Span,
     drain: Drain,
     handle: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let closing = drain.clone();
-    let handle = fn_service(move |request: Request| {
-        let answer = handle(request);
-        async move { Ok::<_, Response<BoxBody>>(answer.await) }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(head_timeout.into())
-        .client_disconnect_timeout(CLOSE_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
-        .graceful_shutdown_signal(move || closing.clone().wait_until_closing())
-        .finish(handle.into_factory())
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
-        unreachable!("the service's factory has no failing part")
+    let build = async |idle: Span| {
+        let (closing, handle) = (drain.clone(), handle.clone());
+        let handle = fn_service(move |request: Request| {
+            let answer = handle(request);
+            async move { Ok::<_, Response<BoxBody>>(answer.await) }
+        });
+        let factory = HttpService::build()
+            .keep_alive(Duration::from(idle))
+            .client_request_timeout(head_timeout.into())
+            .client_disconnect_timeout(CLOSE_TIMEOUT)
+            .h1_allow_half_closed(false)
+            .tcp_nodelay(true)
+            .graceful_shutdown_signal(move || closing.clone().wait_until_closing())
+            .finish(handle.into_factory())
+            .tcp();
+        let Ok(service) = factory.new_service(()).await else {
+            unreachable!("the service's factory has no failing part")
+        };
+        Rc::new(service)
     };
-    let service = Rc::new(service);
+    let mut idle = idle_timeout();
+    let mut service = build(idle).await;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -90,6 +95,11 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                // The library takes the timeout only when the service is built.
+                if idle_timeout() != idle {
+                    idle = idle_timeout();
+                    service = build(idle).await;
+                }
                 let guard = drain.track_connection();
                 let service = service.clone();
                 actix_rt::spawn(async move {
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -20,7 +20,7 @@
     http::client::Clients,
     metrics::Metrics,
     server::{
-        self,
+        self, KEEP_ALIVE,
         drain::{Drain, Phase},
     },
     share::{self, Shares},
@@ -77,16 +77,28 @@
         let entry = entry.clone();
         let head = settings.callers.as_ref().map_or(HEAD_TIMEOUT, |callers| callers.head_timeout);
         let handle = move |request| entry::handle(entry.clone(), request);
-        servers.push(actix_rt::spawn(server::serve(listener, head, daemon.drain.clone(), handle)));
+        servers.push(actix_rt::spawn(server::serve(
+            listener,
+            head,
+            || KEEP_ALIVE,
+            daemon.drain.clone(),
+            handle,
+        )));
     }
     let state = daemon.clone();
     let handle = move |request| handle_peer(state.clone(), request);
-    servers.push(actix_rt::spawn(server::serve(peers, HEAD_TIMEOUT, daemon.drain.clone(), handle)));
+    servers.push(actix_rt::spawn(server::serve(
+        peers,
+        HEAD_TIMEOUT,
+        || KEEP_ALIVE,
+        daemon.drain.clone(),
+        handle,
+    )));
     // The operators' port stays open until the stop is complete, so it has a
     // drain of its own, which nothing waits for.
     let state = daemon.clone();
     let handle = move |request| admin::handle(state.clone(), request);
-    actix_rt::spawn(server::serve(operators, HEAD_TIMEOUT, Drain::new(), handle));
+    actix_rt::spawn(server::serve(operators, HEAD_TIMEOUT, || KEEP_ALIVE, Drain::new(), handle));
     info!(daemon.log, ""; "event" => "listening", "role" => ?daemon.settings.daemon.role,
         "callers" => addresses.callers.map(|at| at.to_string()),
         "peers" => %addresses.peers, "operators" => %addresses.operators);
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -58,6 +58,7 @@
         adapter_slots: 2,
         cold_rate: 0,
         cold_secs: 0,
+        idle_timeout: 15_000,
     };
     declared.row()
 }
