Let long requests outlast a server that reads nothing for a while

A caller that booked with a long body got 502 after 2.4 s, although its upstream, which read nothing for 2.7 s, would have gone on and had 7 s left.

Cause: the kernel counts a peer whose window is full as one that does not acknowledge, so ACK_TIMEOUT (2 s) ended the connection as it ends one whose path is cut. Ruled out: a longer timeout for all requests, which notices a cut path as late for the many short ones. No timeout while nothing is outstanding does not help, as the bytes of a long body are. Telling a full window from a cut path by the kernel's own counts needs unsafe code or a new dependency. A larger send buffer only moves the silence to bytes that the kernel holds. Change: a request of over 16 KiB, which may not fit into the peer's buffer, gets 5 s until the head of its answer has come; then it is 2 s again. Shorter requests keep 2 s. Measured: silence_elsewhere.rs::a_long_request_outlasts_an_upstream_that_does_not_read, 16 MiB, failed before (ms=2363, "the answer ended early", 502) and passes now, in 2.8 s. The tests of silent and broken connections pass: failure.rs 19, registered.rs 16, streams.rs 8, upstream_rest.rs 4, truncated.rs 1. Conclusion: a path that drops packets one way is not played by any test of a long body: there it is noticed after 5 s and no longer after 2 s.

--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -28,6 +28,13 @@
 /// Time after which unacknowledged bytes end the connection.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// The same while a long request is sent. The kernel also counts the time in which a sound
+/// server that is silent for a while leaves no room for more bytes.
+const LONG_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bytes that any server's kernel takes although the server reads nothing.
+const SHORT_REQUEST_BYTES: usize = 16 << 10;
+
 /// Silence before the kernel's first keep-alive probe, and the pause between
 /// probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -147,6 +154,10 @@
         self.request_written = false;
         self.reusable = false;
         self.unfinished = true;
+        let is_long = output.len() > SHORT_REQUEST_BYTES;
+        if is_long {
+            self.set_ack_timeout(LONG_REQUEST_TIMEOUT).map_err(LinkError::Unsent)?;
+        }
         let (mut reader, mut writer) = self.stream.split();
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             unreachable!("a connection carries one request at a time");
@@ -174,6 +185,10 @@
                 }
             }
         };
+        if is_long {
+            // If this fails, a dead connection is noticed later.
+            let _ = self.set_ack_timeout(ACK_TIMEOUT);
+        }
         self.used = true;
         self.reusable = self.request_written && codec.keep_alive() && head.keep_alive();
         self.parser = Some(body_parser(codec, &head));
@@ -243,6 +258,10 @@
         done && self.reusable && self.input.is_empty()
     }
 
+    fn set_ack_timeout(&self, timeout: Duration) -> io::Result<()> {
+        socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
+    }
+
     fn on_end(&mut self) -> Result<Option<Bytes>, LinkError> {
         self.reusable = false;
         match self.parser.take() {
