Read what arrived during a pause of the daemon before a call times out

An entry that stood still for 2.7 s (a stopped process, a host without a free core) went on with "store_lost" and "feed_lost" for all three tables, although the answers lay in its own kernel. It then takes the store for away: streams that callers take up may be refused, and the upstreams are listed anew. Permits, limiters and origins that it had asked for count as lost the same way.

Cause: the wait for events of the kernel ends with an interruption when a stopped process goes on, without any event. The timers that have passed meanwhile fire next, so a call times out before its connection is read. Ruled out: counting only the time in which this process ran needs a tick of its own. Yielding once after the timer reads one piece only, while the other side may need to be acknowledged. Change: clock::timeout reads for another 100 ms if the timer is late by 50 ms or more, and for 1 ms if not, as it may have passed just before the process went on. Calls of other daemons, of the store and of the engine beside a sidecar, connecting and reading a request's body use it. Conclusion: moving.rs, plain.rs and generate.rs still use the plain timeout.

--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -12,6 +12,8 @@
 use serde::de::IgnoredAny;
 use thiserror::Error;
 
+use crate::clock;
+
 /// Why an answer's body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Error)]
@@ -65,9 +67,9 @@
 /// A stalled body would keep its connection and memory for ever. `timeout`
 /// covers the whole body, so a slow trickle of bytes does not extend it.
 pub(crate) async fn read(payload: Payload, limit: usize, timeout: Span) -> Result<Bytes, Failure> {
-    match tokio::time::timeout(timeout.into(), collect(payload, limit)).await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::not_run(Code::BodyTimeout, "the body did not arrive in time")),
+    match clock::timeout(timeout, collect(payload, limit)).await {
+        Some(result) => result,
+        None => Err(Failure::not_run(Code::BodyTimeout, "the body did not arrive in time")),
     }
 }
 
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -16,14 +16,16 @@
 };
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
-use kingcupbay_core::time::Instant;
+use kingcupbay_core::time::{Instant, Span};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::clock;
+
 /// Time to connect. Within a region a connection takes a few milliseconds; the
 /// kernel retransmits a lost SYN only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Span = Span::from_millis(600);
 
 /// Time after which unacknowledged bytes end the connection.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -112,9 +114,9 @@
     /// Opens a connection to `address`. Fails with [`LinkError::Unsent`].
     pub async fn open(address: SocketAddr) -> Result<Link, LinkError> {
         let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(stream) => stream.map_err(LinkError::Unsent)?,
-            Err(_) => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
+        let stream = match clock::timeout(CONNECT_TIMEOUT, connecting).await {
+            Some(stream) => stream.map_err(LinkError::Unsent)?,
+            None => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
         };
         configure_socket(&stream).map_err(LinkError::Unsent)?;
         Ok(Link {
--- a/kingcupbayd/src/http/pool.rs
+++ b/kingcupbayd/src/http/pool.rs
@@ -99,10 +99,7 @@
         timeout: Span,
     ) -> Result<Answer, LinkError> {
         let exchange = self.exchange(address, method, path, body);
-        let answer = match tokio::time::timeout(timeout.into(), exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(LinkError::Silent),
-        };
+        let answer = clock::timeout(timeout, exchange).await.unwrap_or(Err(LinkError::Silent));
         if answer.is_err() {
             self.forget(address);
         }
--- a/kingcupbayd/tests/silence_elsewhere.rs
+++ b/kingcupbayd/tests/silence_elsewhere.rs
@@ -9,6 +9,7 @@
 use common::{
     client,
     registered::{Fleet, KEY, config_row},
+    wait_until,
 };
 
 /// A silence that ends before callers give up.
@@ -42,3 +43,21 @@
     let (answer, ()) = tokio::join!(request.send_body(vec![b'a'; LONG_BODY_BYTES]), silence);
     assert_eq!(answer.unwrap().status(), 200);
 }
+
+/// Guards against an entry that takes its own pause for silence of the store.
+#[actix_rt::test]
+async fn an_entry_that_stood_still_does_not_count_the_store_as_lost() {
+    let mut fleet = Fleet::start(1).await;
+    let desk = fleet.start_plain("desk-1");
+    fleet.wait_until_ready().await;
+    fleet.request_until(&desk, "first").await;
+    fleet.entry.signal("-STOP");
+    tokio::time::sleep(SILENCE).await;
+    fleet.entry.signal("-CONT");
+    fleet.store.put("op", "config", &config_row(2, &[KEY]));
+    wait_until("the configuration", async || {
+        fleet.entry.has_line("number=2 event=configuration").then_some(())
+    })
+    .await;
+    assert!(!fleet.entry.has_line("event=store_lost"), "{}", fleet.entry.seen.join("\n"));
+}
