Show what silences of engines end while a stream moves

With transfers switched on (they are off by default), a caller's stream ends in the middle when the engine that is to continue it is silent for more than 2 s, although its source could have continued it as well, and the target would have.

Cause: CONTINUE_TIMEOUT. After it nobody knows whether the target runs, so the source may not be asked, and the route of the test is not resumable. Ruled out: the source. Silent for 2.7 s once it has copied the memory, across COPY_TIMEOUT, STOP_TIMEOUT and DRAIN_SILENCE, it loses nothing: calls are repeated, and what it did not send is made again by the target. Conclusion: a stopped run has nobody else to go to, so its target is worth the time that is left.

--- a/kingcupbayd/tests/transfers.rs
+++ b/kingcupbayd/tests/transfers.rs
@@ -31,6 +31,9 @@
 /// A request for the base model, which both engines hold, whose stream may take some seconds.
 const HEADERS: &[(&str, &str)] = &[("x-model", "base"), ("x-token-usage", "10,1200")];
 
+/// A silence that ends before callers give up.
+const SILENCE: Duration = Duration::from_millis(2_700);
+
 /// A time that no test reaches.
 const LONG: Duration = Duration::from_secs(60);
 
@@ -334,6 +337,48 @@
     pair.assert_clean();
 }
 
+/// Makes `engine` silent for a while.
+async fn silence(engine: &UpstreamServer) {
+    let pause = engine.server().pause();
+    tokio::time::sleep(SILENCE).await;
+    drop(pause);
+}
+
+/// Guards against losing a stream because its engine is silent once it has copied the memory.
+#[actix_rt::test]
+async fn a_stream_that_moves_outlasts_a_silence_of_its_source() {
+    let pair = Pair::start(true).await;
+    let (got, _) = pair
+        .request_with(async |source| {
+            let engine = &pair.engines[source];
+            engine.drain(LONG, LONG, false);
+            engine.wait_for_copies(|copies| copies.made >= 1).await;
+            silence(engine).await;
+        })
+        .await;
+    assert_whole(&got);
+    pair.assert_clean();
+}
+
+/// Guards against losing a stream, or running it twice, because the engine that is to continue it
+/// is silent.
+#[actix_rt::test]
+async fn a_stream_that_moves_outlasts_a_silence_of_its_target() {
+    let pair = Pair::start(true).await;
+    let (got, _) = pair
+        .request_with(async |source| {
+            let engine = &pair.engines[source];
+            let late = Rule::new(Fault::LateAnswer { millis: 300 }).path(&copy_path()).times(2);
+            engine.server().add_rule(late);
+            engine.drain(LONG, LONG, false);
+            engine.wait_for_copies(|copies| copies.stopped >= 1).await;
+            silence(&pair.engines[1 - source]).await;
+        })
+        .await;
+    assert_whole(&got);
+    pair.assert_clean();
+}
+
 /// A caller disconnects while its stream moves: no run goes on and no copy is kept.
 #[actix_rt::test]
 async fn a_caller_that_leaves_during_a_transfer_leaves_nothing() {
