Show that an answer outlasts a pause of its only upstream daemon

Where the configuration is kept in patches, an entry counts an upstream daemon as lost after 2 s without a message, and an engine after 5 s.

Cause: none found. A daemon that was stopped for 2.7 s is asked again, and goes on. Change: a test of the pause with one upstream daemon, beside that with two. Measured: failure.rs::an_answer_outlasts_a_pause_of_its_only_upstream_daemon passes, three runs of three. It has not been seen to fail: there is no guard for it alone. Conclusion: the silence limits of that mode lose no answer by a silence of up to 2.7 s.

--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -132,6 +132,20 @@
     assert_whole(&answer);
 }
 
+/// Guards against losing an answer because its only upstream daemon stands still for a while.
+#[actix_rt::test]
+async fn an_answer_outlasts_a_pause_of_its_only_upstream_daemon() {
+    let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "50"], "").await;
+    let paused = async {
+        running_at(&fleet).await;
+        fleet.upstreams[0].signal("-STOP");
+        tokio::time::sleep(std::time::Duration::from_millis(2_700)).await;
+        fleet.upstreams[0].signal("-CONT");
+    };
+    let (answer, ()) = tokio::join!(answer(&fleet), paused);
+    assert_whole(&answer);
+}
+
 /// All open connections to an engine go silent, as when a NAT gateway drops its
 /// state, while new ones work. A request has three attempts and the pool eight
 /// dead connections, so all of them must be removed together.
