--- a/kingcupbayd/tests/silence_elsewhere.rs
+++ b/kingcupbayd/tests/silence_elsewhere.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::net::{TcpSocket, TcpStream};
 use common::{
@@ -26,6 +26,9 @@
 /// Events of each stream.
 const EVENTS: u64 = 300;
 
+/// Events of a stream of which only the end is in the entry after a moment.
+const SHORT_EVENTS: u64 = 16;
+
 fn slow_engine(id: &str) -> UpstreamSettings {
     UpstreamSettings {
         event_interval: Duration::from_millis(15),
@@ -67,30 +70,84 @@
     assert_eq!(answer.unwrap().status(), 200);
 }
 
-/// Guards against ending an answer because its caller reads nothing for a while.
-#[actix_rt::test]
-async fn a_stream_outlasts_a_caller_that_does_not_read() {
-    let settings = UpstreamSettings { event_padding: 4 << 10, ..slow_engine("gpu-1") };
-    let (fleet, engine, _sidecar) = start_engine_fleet(settings).await;
-    assert_eq!(request_tour(&fleet, "a0", None).await.status, 200);
+/// Requests a stream, reads nothing for [`SILENCE`] and then what there is until the connection
+/// ends. `close` says whether the connection is to end after the answer.
+async fn read_late(entry: SocketAddr, attempt: &str, close: bool) -> String {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4 << 10).unwrap();
-    let mut stream = socket.connect(fleet.entry.address("callers")).await.unwrap();
+    let mut stream = socket.connect(entry).await.unwrap();
+    let connection = if close { "close" } else { "keep-alive" };
     let head = format!(
-        "POST /tour/day HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: a1\r\n\
+        "POST /tour/day HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {attempt}\r\n\
          x-deadline-ms: 20000\r\nauthorization: Bearer {KEY}\r\nx-model: base/roses\r\n\
-         x-token-usage: 100,50\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+         x-token-usage: 100,50\r\nconnection: {connection}\r\ncontent-length: 0\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await.unwrap();
-    wait_for_events(&engine, "a1").await;
     tokio::time::sleep(SILENCE).await;
-    let mut body = String::new();
-    stream.read_to_string(&mut body).await.unwrap();
-    assert!(body.ends_with("\r\n0\r\n\r\n"), "{}", &body[body.len().saturating_sub(200)..]);
+    let mut body = Vec::new();
+    while !body.ends_with(b"\r\n0\r\n\r\n") {
+        match stream.read_buf(&mut body).await {
+            Ok(1..) => {}
+            end => return format!("{end:?} after {}", String::from_utf8_lossy(&body)),
+        }
+    }
+    String::from_utf8(body).unwrap()
+}
+
+/// Guards against ending an answer because its caller reads nothing for a while, in the middle of
+/// the answer.
+#[actix_rt::test]
+async fn a_stream_outlasts_a_caller_that_does_not_read() {
+    let settings = UpstreamSettings { event_padding: 4 << 10, ..slow_engine("gpu-1") };
+    let (fleet, engine, _sidecar) = start_engine_fleet(settings).await;
+    assert_eq!(request_tour(&fleet, "a0", None).await.status, 200);
+    let body = read_late(fleet.entry.address("callers"), "a1", false).await;
     assert_eq!(event_ids(&body), (1..=EVENTS).collect::<Vec<_>>());
     assert_eq!(engine.runs().len(), 2);
 }
 
+/// Guards against cutting the end of an answer off because its caller reads nothing for a while,
+/// and the connection is to end after it.
+#[actix_rt::test]
+async fn the_end_of_an_answer_outlasts_a_caller_that_does_not_read() {
+    let settings = UpstreamSettings {
+        event_interval: Duration::from_millis(1),
+        event_padding: 4 << 10,
+        ..UpstreamSettings::engine("gpu-1", SHORT_EVENTS)
+    };
+    let (fleet, _engine, _sidecar) = start_engine_fleet(settings).await;
+    assert_eq!(request_tour(&fleet, "a0", None).await.status, 200);
+    let entry = fleet.entry.address("callers");
+    for close in [false, true] {
+        let body = read_late(entry, &format!("close-{close}"), close).await;
+        let ids = event_ids(&body);
+        assert!(body.ends_with("\r\n0\r\n\r\n"), "close {close}: only {ids:?}");
+        assert_eq!(ids, (1..=SHORT_EVENTS).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against cutting the end of an answer off because its caller reads nothing for longer
+/// than a connection may be idle.
+#[actix_rt::test]
+async fn the_end_of_an_answer_outlasts_the_idle_timeout() {
+    let settings = UpstreamSettings {
+        event_interval: Duration::from_millis(1),
+        event_padding: 4 << 10,
+        ..UpstreamSettings::engine("gpu-1", SHORT_EVENTS)
+    };
+    let (mut fleet, _engine, _sidecar) = start_engine_fleet(settings).await;
+    let mut config = config_row(2, &[KEY]);
+    config["limits"]["idleTimeoutMs"] = 1_000.into();
+    fleet.store.put("op", "config", &config);
+    wait_until("the configuration", async || {
+        fleet.entry.has_line("number=2 event=configuration").then_some(())
+    })
+    .await;
+    assert_eq!(request_tour(&fleet, "a0", None).await.status, 200);
+    let body = read_late(fleet.entry.address("callers"), "a1", false).await;
+    assert_eq!(event_ids(&body), (1..=SHORT_EVENTS).collect::<Vec<_>>(), "{}", &body[..40]);
+}
+
 /// Guards against giving a request up whose caller pauses inside of its body.
 #[actix_rt::test]
 async fn a_request_outlasts_a_pause_inside_of_its_body() {
@@ -138,6 +195,22 @@
     }
 }
 
+/// Guards against a request that runs although it was refused as its engine was silent.
+#[actix_rt::test]
+async fn a_refusal_at_a_silent_engine_is_true() {
+    let (fleet, engine, mut sidecar) = start_engine_fleet(slow_engine("gpu-1")).await;
+    assert_eq!(request_tour(&fleet, "a0", None).await.status, 200);
+    let pause = engine.server().pause();
+    wait_until("a lost engine", async || sidecar.has_line("event=engine_lost").then_some(())).await;
+    let refused = fleet.send_with("POST", "/tour/day", "a1", KEY, STREAM_HEADERS).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.retry_after.is_some(), "{refused:?}");
+    drop(pause);
+    wait_until("the engine", async || sidecar.has_line("event=engine_back").then_some(())).await;
+    assert_eq!(request_tour(&fleet, "a2", None).await.status, 200);
+    assert!(engine.runs().iter().all(|run| run.attempt != "a1"));
+}
+
 /// Guards against ending what is under way, or refusing what is new, because the store is silent
 /// for a while.
 #[actix_rt::test]
