--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -16,18 +16,27 @@
 };
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
-use kingcupbay_core::time::Instant;
+use kingcupbay_core::time::{Instant, Span};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::clock;
+
 /// Time to connect. Within a region a connection takes a few milliseconds; the
 /// kernel retransmits a lost SYN only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Span = Span::from_millis(600);
 
 /// Time after which unacknowledged bytes end the connection.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// The same while a long request is sent. The kernel also counts the time in which a sound
+/// server that is silent for a while leaves no room for more bytes.
+const LONG_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bytes that any server's kernel takes although the server reads nothing.
+const SHORT_REQUEST_BYTES: usize = 16 << 10;
+
 /// Silence before the kernel's first keep-alive probe, and the pause between
 /// probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -105,9 +114,9 @@
     /// Opens a connection to `address`. Fails with [`LinkError::Unsent`].
     pub async fn open(address: SocketAddr) -> Result<Link, LinkError> {
         let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(stream) => stream.map_err(LinkError::Unsent)?,
-            Err(_) => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
+        let stream = match clock::timeout(CONNECT_TIMEOUT, connecting).await {
+            Some(stream) => stream.map_err(LinkError::Unsent)?,
+            None => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
         };
         configure_socket(&stream).map_err(LinkError::Unsent)?;
         Ok(Link {
@@ -147,6 +156,10 @@
         self.request_written = false;
         self.reusable = false;
         self.unfinished = true;
+        let is_long = output.len() > SHORT_REQUEST_BYTES;
+        if is_long {
+            self.set_ack_timeout(LONG_REQUEST_TIMEOUT).map_err(LinkError::Unsent)?;
+        }
         let (mut reader, mut writer) = self.stream.split();
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             unreachable!("a connection carries one request at a time");
@@ -174,6 +187,10 @@
                 }
             }
         };
+        if is_long {
+            // If this fails, a dead connection is noticed later.
+            let _ = self.set_ack_timeout(ACK_TIMEOUT);
+        }
         self.used = true;
         self.reusable = self.request_written && codec.keep_alive() && head.keep_alive();
         self.parser = Some(body_parser(codec, &head));
@@ -243,6 +260,10 @@
         done && self.reusable && self.input.is_empty()
     }
 
+    fn set_ack_timeout(&self, timeout: Duration) -> io::Result<()> {
+        socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
+    }
+
     fn on_end(&mut self) -> Result<Option<Bytes>, LinkError> {
         self.reusable = false;
         match self.parser.take() {
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -32,7 +32,7 @@
         specs, usage,
     },
     server::{
-        self,
+        self, KEEP_ALIVE, ServerLimits,
         crowd::ConnectionLimits,
         drain::{Drain, Phase},
     },
@@ -105,10 +105,17 @@
     if let (Some((listener, _)), Some(callers)) = (listeners.callers, &node.settings.callers) {
         let state = gateway.clone();
         let handle = move |request| gateway::handle(state.clone(), request);
-        let limits = ConnectionLimits::new(callers.descriptors);
-        let serving =
-            server::serve(listener, callers.head_timeout, limits, node.drain.clone(), handle);
-        drop(actix_rt::spawn(serving));
+        let deployed = node.clone();
+        let idle_timeout = move || {
+            let configured = deployed.deployment().and_then(|now| now.limits.idle_timeout);
+            configured.unwrap_or(KEEP_ALIVE)
+        };
+        let limits = ServerLimits {
+            head_timeout: callers.head_timeout,
+            idle_timeout: Box::new(idle_timeout),
+            connections: ConnectionLimits::new(callers.descriptors),
+        };
+        drop(actix_rt::spawn(server::serve(listener, limits, node.drain.clone(), handle)));
     }
     if let Some((listener, _)) = listeners.ready {
         let state = gateway.clone();
@@ -143,8 +150,8 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let limits = ConnectionLimits::unlimited();
-    drop(actix_rt::spawn(server::serve(listener, HEAD_TIMEOUT, limits, Drain::new(), handle)));
+    let limits = ServerLimits::new(HEAD_TIMEOUT);
+    drop(actix_rt::spawn(server::serve(listener, limits, Drain::new(), handle)));
 }
 
 /// Stops as planned: readiness fails first, then running requests finish.
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -23,10 +23,10 @@
 /// second: callers wait that second, and daemons run into their connect timeout.
 const BACKLOG: u32 = 4_096;
 
-/// Idle timeout of a connection. It exceeds that of the daemons' clients, so
-/// that the client closes first and sends no request on a connection that the
-/// server is closing.
-const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Idle timeout of a connection where no configuration sets one. It exceeds that of the
+/// daemons' clients, so that the client closes first and sends no request on a
+/// connection that the server is closing.
+pub(crate) const KEEP_ALIVE: Span = Span::from_secs(30);
 
 /// Time for the other side to close the connection after the last byte.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,47 +56,71 @@
     Ok((listener, bound))
 }
 
+/// Limits of a server and its connections.
+pub(crate) struct ServerLimits {
+    /// Time for the head of a request.
+    pub(crate) head_timeout: Span,
+    /// Returns the idle timeout of a new connection.
+    pub(crate) idle_timeout: Box<dyn Fn() -> Span>,
+    /// Bounds of the number of connections.
+    pub(crate) connections: ConnectionLimits,
+}
+
+impl ServerLimits {
+    /// Returns limits that differ in the time for the head of a request only.
+    pub(crate) fn new(head_timeout: Span) -> ServerLimits {
+        ServerLimits {
+            head_timeout,
+            idle_timeout: Box::new(|| KEEP_ALIVE),
+            connections: ConnectionLimits::unlimited(),
+        }
+    }
+}
+
 /// Serves requests on `listener` with `handle` until `drain` is closing, and
-/// returns when every connection has ended. `head_timeout` is the time for the
-/// head of a request, and `limits` bounds the connections that `drain` counts.
+/// returns when every connection has ended. `drain` counts the connections.
 pub(crate) async fn serve<F, Fut>(
     listener: TcpListener,
-    head_timeout: Span,
-    limits: ConnectionLimits,
+    limits: ServerLimits,
     drain: Drain,
     handle: F,
 ) where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let (closing, crowd) = (drain.clone(), Crowd::default());
-    let members = crowd.clone();
-    let handle = fn_service(move |request: Request| {
-        let answer = handle(request);
-        async move { Ok::<_, Response<BoxBody>>(answer.await) }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(head_timeout.into())
-        .client_disconnect_timeout(CLOSE_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
-        .graceful_shutdown_signal(move || {
-            let (closing, shed) =
-                (closing.clone().wait_until_closing(), members.clone().wait_until_shed());
-            async move {
-                tokio::select! {
-                    () = closing => {}
-                    () = shed => {}
+    let ServerLimits { head_timeout, idle_timeout, connections } = limits;
+    let crowd = Crowd::default();
+    let build = async |idle: Span| {
+        let (closing, members, handle) = (drain.clone(), crowd.clone(), handle.clone());
+        let handle = fn_service(move |request: Request| {
+            let answer = handle(request);
+            async move { Ok::<_, Response<BoxBody>>(answer.await) }
+        });
+        let factory = HttpService::build()
+            .keep_alive(Duration::from(idle))
+            .client_request_timeout(head_timeout.into())
+            .client_disconnect_timeout(CLOSE_TIMEOUT)
+            .h1_allow_half_closed(false)
+            .tcp_nodelay(true)
+            .graceful_shutdown_signal(move || {
+                let (closing, shed) =
+                    (closing.clone().wait_until_closing(), members.clone().wait_until_shed());
+                async move {
+                    tokio::select! {
+                        () = closing => {}
+                        () = shed => {}
+                    }
                 }
-            }
-        })
-        .finish(handle.into_factory())
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
-        unreachable!("the service's factory has no failing part")
+            })
+            .finish(handle.into_factory())
+            .tcp();
+        let Ok(service) = factory.new_service(()).await else {
+            unreachable!("the service's factory has no failing part")
+        };
+        Rc::new(service)
     };
-    let service = Rc::new(service);
+    let mut idle = idle_timeout();
+    let mut service = build(idle).await;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -104,16 +128,21 @@
         };
         match accepted {
             // Callers reach other entries instead.
-            Ok((stream, _)) if !limits.admits(drain.open_connections()) => {
+            Ok((stream, _)) if !connections.admits(drain.open_connections()) => {
                 crowd.shed_some();
                 drop(stream);
             }
             Ok((stream, _)) => {
-                if limits.is_crowded(drain.open_connections()) {
+                if connections.is_crowded(drain.open_connections()) {
                     crowd.shed_oldest();
                     // It closes before the next one is accepted.
                     tokio::task::yield_now().await;
                 }
+                // The library takes the timeout only when the service is built.
+                if idle_timeout() != idle {
+                    idle = idle_timeout();
+                    service = build(idle).await;
+                }
                 let guard = drain.track_connection();
                 let service = service.clone();
                 actix_rt::spawn(async move {
