Let sound upstreams fall silent in the soak

The check of rounds with planned work did not see a request whose connection was closed before any upstream got it, nor one that nobody answered at all. Ruled out: more events per stream: at any moment most callers wait for a stream, so a silence falls in the middle of some; with 8 s, requests have four left after the longest series of silences. Engines that stop making events meanwhile: the entry cannot tell them from those that write them at the end. Change: up to three silences a round, of one upstream, half of the engines, all engines or all plain services, for 0.8 to 2.6 s, one after the other and overlapping each other and the other troubles. They excuse no loss. In rounds with only planned work and silences a connection that is closed without a word, at an entry that was not asked to stop, is a breach now, and so is a request that its caller leaves only after the deadline. The promise has a new name, as it is no longer one of planned work alone; what it covered is covered still.

--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -170,6 +170,7 @@
         let end = tokio::time::timeout(spec.leave_after, exchange).await.unwrap_or(End::Left);
         let ended = &mut context.sent.borrow_mut()[index];
         ended.received = received.get();
+        ended.lasted = ended.at.elapsed();
         ended.newest = context.fleet.operator.number();
         ended.end = Some(end);
         ended.clone()
@@ -213,6 +214,7 @@
             received: spec.takes_up.as_ref().map_or(0, |broken| broken.received),
             tokens: prompt + output,
             at: Instant::now(),
+            lasted: Duration::ZERO,
             newest: 0,
             end: None,
         }
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -1,7 +1,7 @@
 //! Checks of the promises against what callers received and upstreams recorded.
 //!
-//! No check measures how long something took, so a slow machine causes no
-//! breaches.
+//! No check measures how long something took, but for whether a request has ended before its
+//! deadline, so a slow machine causes no breaches.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,7 +13,7 @@
 
 use crate::{
     fleet::STREAM_EVENTS,
-    operator::{CLUB, CLUB_RATE, guest_key_number},
+    operator::{CLUB, CLUB_RATE, TIMEOUT_MS, guest_key_number},
     sent::{Answer, End, Kind, Sent},
 };
 
@@ -48,8 +48,9 @@
     pub sent: &'a [Sent],
     /// Records of all upstreams.
     pub upstreams: &'a [UpstreamRecord],
-    /// Rounds with only planned work, in which no request may be lost.
-    pub planned: &'a BTreeSet<u32>,
+    /// Rounds with only planned work and silences, in which no request may be lost, with the
+    /// entries that were asked to stop in them.
+    pub sound: &'a BTreeMap<u32, BTreeSet<usize>>,
     /// Numbers of all configurations that were written.
     pub numbers: &'a BTreeSet<u64>,
 }
@@ -78,7 +79,7 @@
 
 /// Returns all broken promises.
 pub fn breaches(record: &Record<'_>) -> Vec<Breach> {
-    let Record { sent, upstreams, planned, numbers } = *record;
+    let Record { sent, upstreams, sound, numbers } = *record;
     let mut runs: Runs<'_> = BTreeMap::new();
     for upstream in upstreams {
         for run in &upstream.runs {
@@ -92,8 +93,8 @@
         found.extend(check_run_count(req, ran));
         found.extend(check_refusal(req, ran));
         found.extend(check_success(req, ran));
-        if planned.contains(&req.round) {
-            found.extend(check_not_lost(req, ran));
+        if let Some(stopped) = sound.get(&req.round) {
+            found.extend(check_not_lost(req, ran, stopped));
         }
     }
     found.extend(check_software(sent, upstreams));
@@ -203,17 +204,28 @@
     went_on.iter().filter(is_mixed).map(details).collect()
 }
 
-/// During planned work alone, a request that reached an upstream receives the
-/// answer of that upstream.
-fn check_not_lost(req: &Sent, ran: &[(&str, &UpstreamRun)]) -> Option<Breach> {
+/// While all upstreams are sound, a request receives the whole answer of its upstream or a
+/// refusal, however long the upstream is silent. `stopped` are the entries that were asked to
+/// stop: these close connections on which a request may be on its way.
+fn check_not_lost(
+    req: &Sent,
+    ran: &[(&str, &UpstreamRun)],
+    stopped: &BTreeSet<usize>,
+) -> Option<Breach> {
     let lost = match &req.end {
-        Some(End::Broken(_)) => !ran.is_empty(),
+        Some(End::Broken(_)) => !ran.is_empty() || !stopped.contains(&req.entry),
         Some(End::Answered(answer)) => matches!(answer.status, 500 | 502 | 504),
+        Some(End::Left) => req.lasted >= Duration::from_millis(TIMEOUT_MS),
         _ => false,
     };
     lost.then(|| {
-        let details = format!("{} {:?} at {}: {:?}", req.attempt, req.kind, req.entry, req.end);
-        breach("planned work loses nothing", details)
+        let Sent { attempt, kind, entry, received, lasted, end, .. } = req;
+        let at: Vec<&str> = ran.iter().map(|(id, _)| *id).collect();
+        let details = format!(
+            "{attempt} {kind:?} at {entry}, ran at {at:?}: after event {received} and {} ms {end:?}",
+            lasted.as_millis()
+        );
+        breach("sound upstreams lose nothing", details)
     })
 }
 
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -20,7 +20,7 @@
     parts,
     promises::{self, Breach, Record, UpstreamRecord},
     sent::{Kind, Sent},
-    trouble::{self, Timed},
+    trouble::{self, Signal, Timed, Trouble},
 };
 
 /// Longest recovery after the last trouble of a round. It only ends a run that
@@ -36,6 +36,9 @@
 /// Separates the seed of what upstreams say from that of the other troubles.
 const ANNOUNCEMENTS_SEED: u64 = 0x616e_6e6f;
 
+/// Separates the seed of silences from that of the other troubles.
+const SILENCES_SEED: u64 = 0x7369_6c65;
+
 /// Callers per entry besides the ordinary ones: a guest and two of the club.
 const OTHER_CALLERS: usize = 3;
 
@@ -89,17 +92,19 @@
     let mut random = Random::new(plan.seed);
     // Seeds that are kept for their other troubles draw these as before.
     let mut announced = Random::new(plan.seed ^ ANNOUNCEMENTS_SEED);
+    let mut silent = Random::new(plan.seed ^ SILENCES_SEED);
     let mut outcome = Outcome::default();
-    let mut planned = BTreeSet::new();
+    let mut sound = BTreeMap::new();
     outcome.breaches.extend(wait_for_recovery(&context, &mut random).await);
     let callers = start_callers(&context, plan, &mut random);
     for round in 1..=plan.rounds {
         let only_planned = random.below(100) < PLANNED_ROUNDS_PERCENT;
         let mut troubles = trouble::draw_round(&mut random, &context.fleet, only_planned);
         troubles.extend(trouble::draw_announcements(&mut announced, &context.fleet));
+        troubles.extend(trouble::draw_silences(&mut silent, &context.fleet));
         context.round.set(round);
-        if troubles.iter().all(|timed| timed.trouble.is_planned()) {
-            planned.insert(round);
+        if !troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
+            sound.insert(round, stopped_entries(&troubles));
         }
         try_join_all(troubles.iter().map(|&timed| trouble::apply(&context.fleet, timed))).await?;
         outcome.troubles.push(troubles);
@@ -121,10 +126,19 @@
         // A panic of a caller is a fault of the soak itself.
         caller.await.map_err(io::Error::other)?;
     }
-    check_promises(&context, &planned, &mut outcome);
+    check_promises(&context, &sound, &mut outcome);
     Ok(outcome)
 }
 
+/// Returns the entries that are asked to stop.
+fn stopped_entries(troubles: &[Timed]) -> BTreeSet<usize> {
+    let stopped = |timed: &Timed| match timed.trouble {
+        Trouble::Entry(entry, Signal::Terminate) => Some(entry),
+        _ => None,
+    };
+    troubles.iter().filter_map(stopped).collect()
+}
+
 fn start_callers(
     context: &Rc<Context>,
     plan: &Plan,
@@ -263,7 +277,11 @@
     }
 }
 
-fn check_promises(context: &Context, planned: &BTreeSet<u32>, outcome: &mut Outcome) {
+fn check_promises(
+    context: &Context,
+    sound: &BTreeMap<u32, BTreeSet<usize>>,
+    outcome: &mut Outcome,
+) {
     let sent = context.sent.borrow();
     let upstreams: Vec<UpstreamRecord> = context
         .fleet
@@ -278,7 +296,7 @@
         })
         .collect();
     let numbers = context.fleet.operator.numbers();
-    let record = Record { sent: &sent, upstreams: &upstreams, planned, numbers: &numbers };
+    let record = Record { sent: &sent, upstreams: &upstreams, sound, numbers: &numbers };
     outcome.breaches.extend(promises::breaches(&record));
     outcome.sent = sent.len();
     outcome.served = sent.iter().filter(|req| req.status() == Some(200)).count();
--- a/kingcupbay_soak/src/sent.rs
+++ b/kingcupbay_soak/src/sent.rs
@@ -1,6 +1,6 @@
 //! Requests of callers and how they ended.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::Method;
 
@@ -122,6 +122,8 @@
     pub tokens: u64,
     /// When it was sent.
     pub at: Instant,
+    /// Time from its sending to its end.
+    pub lasted: Duration,
     /// Number of the newest configuration when it ended.
     pub newest: u64,
     /// `None` while it runs.
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -41,7 +41,31 @@
     Silence,
 }
 
-/// A fault or planned work.
+/// Sound upstreams that fall silent together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// An upstream, engines counted first.
+    One(usize),
+    /// Every other engine: those with even or with odd indices.
+    HalfOfEngines(usize),
+    /// All engines.
+    Engines,
+    /// All plain services.
+    Services,
+}
+
+impl Group {
+    fn contains(self, at: usize, engines: usize) -> bool {
+        match self {
+            Group::One(one) => at == one,
+            Group::HalfOfEngines(first) => at < engines && at % 2 == first,
+            Group::Engines => at < engines,
+            Group::Services => at >= engines,
+        }
+    }
+}
+
+/// A fault, planned work or a silence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
     /// Signal to an entry.
@@ -80,10 +104,17 @@
     /// An availability zone is evacuated and, at the end, restored. Its engines are cold
     /// then.
     Evacuate(usize),
+    /// Sound upstreams neither read nor write for a while, and go on.
+    FallSilent(Group),
 }
 
 impl Trouble {
-    /// Whether this is planned work, during which no request may be lost.
+    /// Whether requests may be lost during it: it is neither planned work nor a silence.
+    pub fn excuses_loss(self) -> bool {
+        !self.is_planned() && !matches!(self, Trouble::FallSilent(_))
+    }
+
+    /// Whether this is planned work.
     pub fn is_planned(self) -> bool {
         matches!(
             self,
@@ -144,6 +175,24 @@
     (0..count).map(announcement).collect()
 }
 
+/// Draws silences of upstreams during a round, to overlap its other troubles and each other.
+pub fn draw_silences(random: &mut Random, fleet: &Fleet) -> Vec<Timed> {
+    let count = random.below(4);
+    let silence = |_| {
+        let upstream = random.below(fleet.upstreams().count() as u64) as usize;
+        let group = match random.below(5) {
+            0 | 1 => Group::One(upstream),
+            2 => Group::HalfOfEngines(upstream % 2),
+            3 => Group::Engines,
+            _ => Group::Services,
+        };
+        let at = Duration::from_millis(random.below(1_500));
+        let lasts = Duration::from_millis(800 + random.below(1_801));
+        Timed { at, lasts, trouble: Trouble::FallSilent(group) }
+    };
+    (0..count).map(silence).collect()
+}
+
 fn draw(random: &mut Random, fleet: &Fleet) -> Trouble {
     let mut one_of = |count: usize| random.below(count as u64) as usize;
     let entry = one_of(fleet.entries.len());
@@ -219,6 +268,7 @@
         }
         Trouble::Rewind(versions) => rewind_and_write_again(fleet, versions, lasts).await,
         Trouble::Evacuate(at) => evacuate_and_restore(fleet, ZONES[at], lasts).await,
+        Trouble::FallSilent(group) => pause(fleet, group, lasts).await,
     }
     Ok(())
 }
@@ -280,6 +330,14 @@
     fleet.operator.evacuate(&fleet.store, zone, false);
 }
 
+async fn pause(fleet: &Fleet, group: Group, lasts: Duration) {
+    let upstreams = fleet.upstreams().enumerate();
+    let silent = upstreams.filter(|&(at, _)| group.contains(at, fleet.engines.len()));
+    let pauses: Vec<_> = silent.map(|(_, upstream)| upstream.runner.server().pause()).collect();
+    tokio::time::sleep(lasts).await;
+    drop(pauses);
+}
+
 async fn leave_and_return(fleet: &Fleet, upstream: &Upstream, lasts: Duration) {
     fleet.register(upstream, true);
     tokio::time::sleep(lasts).await;
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -9,7 +9,7 @@
 
 use actix_http::Method;
 use kingcupbay_soak::{
-    operator::{CLUB, GUESTS, WINERY, guest_key},
+    operator::{CLUB, GUESTS, TIMEOUT_MS, WINERY, guest_key},
     promises::{Record, UpstreamRecord, breaches},
     sent::{Answer, End, Kind, Sent, TakenUp},
 };
@@ -19,7 +19,7 @@
 struct Case {
     sent: Vec<Sent>,
     upstream: UpstreamRecord,
-    planned: BTreeSet<u32>,
+    sound: BTreeMap<u32, BTreeSet<usize>>,
     numbers: BTreeSet<u64>,
     start: Instant,
 }
@@ -37,7 +37,7 @@
         Case {
             sent: vec![],
             upstream,
-            planned: BTreeSet::from([1]),
+            sound: BTreeMap::from([(1, BTreeSet::new())]),
             numbers: BTreeSet::from([1, 2, 3]),
             start: Instant::now(),
         }
@@ -69,6 +69,7 @@
             received: 0,
             tokens: 1_000,
             at: self.start,
+            lasted: Duration::from_millis(20),
             newest: 3,
             end: None,
         });
@@ -121,7 +122,7 @@
 
     fn broken_promises_of(&self, upstreams: &[UpstreamRecord]) -> Vec<&'static str> {
         let record =
-            Record { sent: &self.sent, upstreams, planned: &self.planned, numbers: &self.numbers };
+            Record { sent: &self.sent, upstreams, sound: &self.sound, numbers: &self.numbers };
         breaches(&record).into_iter().map(|breach| breach.promise).collect()
     }
 }
@@ -205,15 +206,58 @@
     assert_eq!(case.broken_promises_of(&upstreams), ["a stream keeps its software"]);
 }
 
+/// Guards against an answer that is cut although no upstream failed.
 #[test]
-fn a_request_that_planned_work_cuts_is_seen() {
+fn a_request_that_is_cut_while_upstreams_are_sound_is_seen() {
     let mut case = Case::booked();
     case.sent[0].end = Some(End::Broken("early".to_owned()));
-    assert_eq!(case.broken_promises(), ["planned work loses nothing"]);
+    assert_eq!(case.broken_promises(), ["sound upstreams lose nothing"]);
     case.sent[0].round = 2;
     assert_eq!(case.broken_promises(), Vec::<&str>::new());
 }
 
+/// Guards against a stream that is ended in a silence of its engine.
+#[test]
+fn a_stream_that_ends_in_a_silence_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Tour, WINERY).received = 5;
+    case.runs("a");
+    case.sent[0].end = Some(End::Broken("early".to_owned()));
+    assert_eq!(case.broken_promises(), ["sound upstreams lose nothing"]);
+}
+
+/// Guards against a failure in place of the answer of a silent upstream.
+#[test]
+fn a_failure_while_upstreams_are_sound_is_seen() {
+    for (status, lost) in [(500, true), (502, true), (503, false), (504, true)] {
+        let mut case = Case::new();
+        case.sends("a", Kind::Seats, WINERY);
+        case.answers("a", status);
+        assert_eq!(!case.broken_promises().is_empty(), lost, "{status}");
+    }
+}
+
+/// Guards against a connection that is closed in place of an answer or a refusal, where the
+/// entry does not stop.
+#[test]
+fn a_request_that_gets_no_word_from_a_running_entry_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Seats, WINERY).end = Some(End::Broken("closed".to_owned()));
+    assert_eq!(case.broken_promises(), ["sound upstreams lose nothing"]);
+    case.sound.insert(1, BTreeSet::from([0]));
+    assert_eq!(case.broken_promises(), Vec::<&str>::new());
+}
+
+/// Guards against a request that nobody answers, not even at its deadline.
+#[test]
+fn a_request_without_an_answer_at_its_deadline_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Seats, WINERY).end = Some(End::Left);
+    assert_eq!(case.broken_promises(), Vec::<&str>::new());
+    case.sent[0].lasted = Duration::from_millis(TIMEOUT_MS);
+    assert_eq!(case.broken_promises(), ["sound upstreams lose nothing"]);
+}
+
 #[test]
 fn a_configuration_that_goes_back_is_seen() {
     let mut case = Case::new();
