--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -1,4 +1,4 @@
-//! Faults and planned work, drawn from a seed and applied from outside.
+//! Faults, planned work and silences, drawn from a seed and applied from outside.
 
 use std::{io, rc::Rc, time::Duration};
 
