Read what arrived during a pause of the entry before an upstream counts as silent

What callers saw: an entry that stood still for 2.7 s ended the streams it forwards, or looked for other engines for all of them, although their engines had gone on. Cause: after a pause timers fire before sockets are read, so every upstream seemed silent. Change: the gateway's waits for upstreams use clock::timeout, which reads first. Measured: silence_elsewhere.rs::requests_outlast_a_pause_of_their_entry, red before.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -182,7 +182,7 @@
                 (None, true) => job.remaining(),
                 (None, false) => until.since(clock::now()),
             };
-            let Ok(ended) = tokio::time::timeout(rest.into(), open.next()).await else { break };
+            let Some(ended) = clock::timeout(rest, open.next()).await else { break };
             match conclude_silent(job, tried, ended).await {
                 Outcome::Started(started) if started.is_success() => return Ok(*started),
                 Outcome::Started(started) => (failure, is_final) = (Some(started), true),
@@ -391,9 +391,9 @@
     options: SendOptions<'_>,
 ) -> Result<PendingAnswer, SendError> {
     let time = job.remaining();
-    match tokio::time::timeout(time.into(), send::send(job, instance, options)).await {
-        Ok(answer) => answer,
-        Err(_) => Err(LinkError::Silent.into()),
+    match clock::timeout(time, send::send(job, instance, options)).await {
+        Some(answer) => answer,
+        None => Err(LinkError::Silent.into()),
     }
 }
 
--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -115,7 +115,7 @@
         let Relay { link, moving, movable, search, .. } = self;
         let read = async {
             let chunk = match link {
-                Some(link) => tokio::time::timeout(time.into(), link.chunk()).await.ok(),
+                Some(link) => clock::timeout(time, link.chunk()).await,
                 // A transfer has time limits of its own.
                 None if is_moving => std::future::pending().await,
                 None => {
--- a/kingcupbayd/src/gateway/open_attempts.rs
+++ b/kingcupbayd/src/gateway/open_attempts.rs
@@ -12,6 +12,8 @@
 use futures_util::future::LocalBoxFuture;
 use kingcupbay_core::time::Span;
 
+use crate::clock;
+
 /// Attempts that end with a `T`. They make progress while one waits for [`OpenAttempts::next`].
 pub(crate) struct OpenAttempts<'a, T> {
     attempts: RefCell<Vec<LocalBoxFuture<'a, T>>>,
@@ -36,7 +38,7 @@
         mut attempt: LocalBoxFuture<'a, T>,
         patience: Span,
     ) -> Option<T> {
-        let ended = tokio::time::timeout(patience.into(), &mut attempt).await.ok();
+        let ended = clock::timeout(patience, &mut attempt).await;
         if ended.is_none() {
             self.push(attempt);
         }
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -131,9 +131,9 @@
             Next::Pause => REPEAT_PAUSE.min(job.remaining()),
             Next::Nothing => job.remaining(),
         };
-        let ended = match tokio::time::timeout(patience.into(), open.next()).await {
-            Ok(ended) => ended,
-            Err(_) => match newest {
+        let ended = match clock::timeout(patience, open.next()).await {
+            Some(ended) => ended,
+            None => match newest {
                 Some(instance) => {
                     on_silence(&job, &instance);
                     continue;
@@ -269,7 +269,7 @@
     let outcome = {
         let _open = OpenRequest::new(&job.gateway, &instance.id);
         let exchange = exchange(job, &instance);
-        let ended = tokio::time::timeout(job.remaining().into(), exchange).await;
+        let ended = clock::timeout(job.remaining(), exchange).await;
         ended.unwrap_or(Outcome::Unknown(LinkError::Silent))
     };
     (instance, ticket, outcome)
