Wait for a continued run as long as its request has time if nobody else may resume it

What callers saw: a stream that moved ended after 2 s without an event from the engine that continued it, although that engine was sound and only silent. Cause: CONTINUE_TIMEOUT ends the wait whether or not another engine may go on. Change: it bounds the wait of streams that may be resumed only. Measured: transfers.rs::a_stream_that_moves_outlasts_a_silence_of_its_target, red before; transfers.rs 14 passed.

--- a/kingcupbayd/src/gateway/moving.rs
+++ b/kingcupbayd/src/gateway/moving.rs
@@ -27,7 +27,8 @@
 /// Silence of a stream whose run has stopped after which its end is no longer waited for.
 const DRAIN_SILENCE: Span = Span::from_millis(200);
 
-/// Longest wait for the first event of a run that continues at another engine.
+/// Longest wait for the first event of a run that continues at another engine, if others may
+/// resume the stream.
 const CONTINUE_TIMEOUT: Span = Span::from_millis(2_000);
 
 /// How far a stream has moved to another engine.
@@ -253,25 +254,27 @@
             permitted: true,
             copy: work.transfer.handle().map(|handle| (work.source.address, handle)),
         };
-        let time = self.job.remaining().min(CONTINUE_TIMEOUT);
-        let sent = tokio::time::timeout(time.into(), send::send(&self.job, instance, options));
+        let remaining = self.job.remaining();
+        // Nobody else can go on with a stream that may not be resumed.
+        let time = if self.may_resume() { remaining.min(CONTINUE_TIMEOUT) } else { remaining };
+        let sent = clock::timeout(time, send::send(&self.job, instance, options));
         let (outcome, error) = match sent.await {
-            Ok(Ok(answer)) if answer.head.status.is_success() && !answer.metadata.not_run => {
+            Some(Ok(answer)) if answer.head.status.is_success() && !answer.metadata.not_run => {
                 return (ContinueOutcome::Runs, Some(answer));
             }
-            Ok(Ok(answer)) => {
+            Some(Ok(answer)) => {
                 let status = answer.head.status.as_u16();
                 let not_run = answer.metadata.not_run || status == 503;
                 let outcome =
                     if not_run { ContinueOutcome::NotRun } else { ContinueOutcome::Unknown };
                 (outcome, format!("status {status}"))
             }
-            Ok(Err(SendError::Held(hold))) => (ContinueOutcome::NotRun, hold.as_str().to_owned()),
-            Ok(Err(SendError::Link(error))) if error.is_unsent() => {
+            Some(Err(SendError::Held(hold))) => (ContinueOutcome::NotRun, hold.as_str().to_owned()),
+            Some(Err(SendError::Link(error))) if error.is_unsent() => {
                 (ContinueOutcome::NotRun, error.to_string())
             }
-            Ok(Err(error)) => (ContinueOutcome::Unknown, error.to_string()),
-            Err(_) => (ContinueOutcome::Unknown, "no answer in time".to_owned()),
+            Some(Err(error)) => (ContinueOutcome::Unknown, error.to_string()),
+            None => (ContinueOutcome::Unknown, "no answer in time".to_owned()),
         };
         warn!(self.job.gateway.node.log, ""; "event" => "transfer_failed",
             "request" => &self.job.metadata.attempt, "upstream" => &instance.id,
