Look for another engine each second of a silence at least

What callers saw: a_refused_permit_uses_no_repeat failed once, in a run of the whole test suite at a load average of 25: the second engine took the stream 7.6 s after the silence began, and the stream's time ended before its last event. Cause: traced by its lines. Pauses between searches doubled without a bound: 0.5, 1, 2 and 4 s; the fourth search met a sidecar that had refused connections before and still ranked as lost. Change: the pause doubles up to a second.

--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -41,9 +41,18 @@
 /// after which another engine is tried as well.
 const FIRST_EVENT_FACTOR: u64 = 2;
 
-/// Pause between two searches for another engine while one is silent.
+/// Pause between two searches for another engine while one is silent. It doubles up to
+/// [`SEARCH_PAUSE_MAX`].
 pub(super) const SEARCH_PAUSE: Span = Span::from_millis(500);
 
+/// Longest pause between two searches.
+const SEARCH_PAUSE_MAX: Span = Span::from_secs(1);
+
+/// Returns the pause after the next search, if it is `pause` before it.
+pub(super) fn next_pause(pause: Span) -> Span {
+    (pause + pause).min(SEARCH_PAUSE_MAX)
+}
+
 /// Time in which the body of a refusal must end for its connection to be used again.
 const REFUSAL_TIME: Span = Span::from_millis(200);
 
@@ -175,7 +184,7 @@
         };
         let has_open = !open.is_empty();
         let until = clock::now() + pause;
-        pause = pause + pause;
+        pause = next_pause(pause);
         while !open.is_empty() {
             let rest = match (&failure, is_final) {
                 (Some(_), _) => patience(job).min(job.remaining()),
--- a/kingcupbayd/src/gateway/resuming.rs
+++ b/kingcupbayd/src/gateway/resuming.rs
@@ -138,7 +138,7 @@
         if self.cut.is_none() || (may_search && waited < self.resume_time()) {
             let pause = if self.cut.is_none() { self.search_pause } else { RESUME_PAUSE };
             self.search_at = now + pause;
-            self.search_pause = self.search_pause + self.search_pause;
+            self.search_pause = generate::next_pause(self.search_pause);
             return Ok(());
         }
         warn!(gateway.node.log, ""; "event" => "not_resumed",
