--- a/kingcupbayd/src/clock.rs
+++ b/kingcupbayd/src/clock.rs
@@ -5,10 +5,10 @@
 use kingcupbay_core::time::{Instant, Span};
 use rustix::time::{ClockId, clock_gettime};
 
-/// Lateness of a timer from which this process counts as having stood still.
+/// Lateness of a timer from which this process counts as having been paused.
 const LATE_MIN: Span = Span::from_millis(50);
 
-/// Time to read what arrived while this process stood still, and what follows at once.
+/// Time to read what arrived while this process was paused, and what follows at once.
 const CATCH_UP_TIME: Span = Span::from_millis(100);
 
 /// The same if the timer is hardly late: it may have passed just before the process went on.
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -26,8 +26,8 @@
 };
 
 /// Time without an answer, as a multiple of the route's latency target, after which a request
-/// that may be repeated is sent to another upstream as well. Services answer
-/// within half of their target; their slowest hundredth takes five times as long.
+/// that may be repeated is sent to another upstream as well. Services answer within half of their
+/// target; their slowest hundredth takes five times as long.
 const ANSWER_TIME_FACTOR: u64 = 3;
 
 /// Pause before a repeat is tried again that the budget did not allow.
--- a/kingcupbayd/src/server/crowd.rs
+++ b/kingcupbayd/src/server/crowd.rs
@@ -17,7 +17,7 @@
 /// Largest number of descriptors kept for files, listeners and idle connections to others.
 const RESERVED_MAX: usize = 512;
 
-/// Connections that are told to close when no descriptor is left.
+/// Connections that are asked to close when no descriptor is left.
 const SHED_AT_ONCE: usize = 64;
 
 /// Numbers of open connections at which a server begins to close some.
--- a/kingcupbayd/tests/failure.rs
+++ b/kingcupbayd/tests/failure.rs
@@ -132,7 +132,7 @@
     assert_whole(&answer);
 }
 
-/// Guards against losing an answer because its only upstream daemon stands still for a while.
+/// Guards against losing an answer because its only upstream daemon is paused.
 #[actix_rt::test]
 async fn an_answer_outlasts_a_pause_of_its_only_upstream_daemon() {
     let fleet = Fleet::start(1, 1, &["--first", "1", "--gap", "50"], "").await;
--- a/kingcupbayd/tests/resumptions.rs
+++ b/kingcupbayd/tests/resumptions.rs
@@ -25,10 +25,10 @@
 /// Fleets that are played, unless `KINGCUPBAY_SEEDS` names others, as `10..30`.
 const SEEDS: std::ops::Range<u64> = 0..3;
 
-/// Fewest broken streams of a fleet that tell a share.
+/// Fewest broken streams of a fleet that give a share.
 const COUNTED_MIN: usize = 12;
 
-/// Times that a caller returns if it is told to.
+/// Times that a caller returns if it is asked to.
 const RETRIES: usize = 1;
 
 /// Events of each stream.
--- a/kingcupbayd/tests/silence_elsewhere.rs
+++ b/kingcupbayd/tests/silence_elsewhere.rs
@@ -258,7 +258,7 @@
     assert!(ok && lines.contains("cut=0"), "{lines}");
 }
 
-/// Guards against losing what is under way because its own entry stands still for a while.
+/// Guards against losing what is under way because its own entry is paused.
 #[actix_rt::test]
 async fn requests_outlast_a_pause_of_their_entry() {
     let (fleet, engine, _sidecar) = start_engine_fleet(slow_engine("gpu-1")).await;
