review: a late check-in brings back a runner that has left

Cause: catalogue.rs compares the count of a check-in with that of a removed row only across eras. Change: the third case of the review, a script.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case-3 ] && [ -x target/release/kingcupbayd ] || exit 2
+exec target/review/case-3 review/3
--- a/review/standin/desk.rs
+++ b/review/standin/desk.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
@@ -45,6 +45,8 @@
     work: (u64, u64),
     load: Mutex<Load>,
     freed: Condvar,
+    /// Open connections; `None` once the runner has exited.
+    connections: Mutex<Option<Vec<TcpStream>>>,
 }
 
 #[derive(Default)]
@@ -70,13 +72,26 @@
         let load = Load { random: u64::from(host) * 7919 + 1, ..Load::default() };
         let id = id.to_owned();
         let (load, freed, disrupted) = (Mutex::new(load), Condvar::new(), Mutex::default());
-        let desk = Arc::new(Desk { id, address, extra, disrupted, work, load, freed });
+        let connections = Mutex::new(Some(Vec::new()));
+        let desk = Arc::new(Desk { id, address, extra, disrupted, work, load, freed, connections });
         let (served, case, attempts) = (desk.clone(), case.clone(), attempts.clone());
         serve(listener, move |conn| served.handle(conn, &case, &attempts));
         desk
     }
 
+    /// Exits: all connections end, and new ones end at once.
+    pub fn exit(&self) {
+        for connection in self.connections.lock().unwrap().take().unwrap_or_default() {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     fn handle(&self, mut conn: Conn, case: &Case, attempts: &Attempts) {
+        let copy = conn.stream.try_clone().expect("a second handle");
+        match self.connections.lock().unwrap().as_mut() {
+            Some(open) => open.push(copy),
+            None => return,
+        }
         // The answer that is sent a second time where the next one is expected.
         let mut late: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = conn.read_request() {
