review: streams without a proof are passed on as successes

Cause: generate.rs and stream.rs do not look at the proof that plain.rs checks. Change: the third case of the review.

--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -51,6 +51,11 @@
     unanswered: Option<Instant>,
     overfilled: u64,
     cut: u64,
+    /// One in this many answers lacks its proof, until then.
+    spoiled: Option<(u64, Instant)>,
+    /// Answers during that time, and those that lacked their proof.
+    answers: u64,
+    unproven: u64,
 }
 
 pub struct Engine {
@@ -136,6 +141,17 @@
         });
     }
 
+    /// Leaves the proof out of one in `every` answers, for `time`.
+    pub fn spoil(&self, every: u64, time: Duration) {
+        self.state.lock().unwrap().spoiled = Some((every, Instant::now() + time));
+    }
+
+    /// Returns the numbers of answers while they are spoiled, and of those without a proof.
+    pub fn answers(&self) -> (u64, u64) {
+        let state = self.state.lock().unwrap();
+        (state.answers, state.unproven)
+    }
+
     /// Leaves the first load unanswered that comes at `orders` orders or later.
     pub fn leave_unanswered(&self, orders: u64) {
         self.state.lock().unwrap().unanswered_from = Some(orders);
@@ -350,11 +366,21 @@
         }
         state.runs.insert(id.clone(), (adapter, 0));
         let boot = state.boot;
+        let mut proof = format!("X-Response-Stamp: 3e1b.{boot}\r\n");
+        if let Some((every, _)) = state.spoiled.filter(|(_, until)| now < *until) {
+            state.answers += 1;
+            if state.answers % every == 0 {
+                state.unproven += 1;
+                proof = proof.replacen("Stamp", "Svamp", 1);
+                self.case
+                    .note(&format!("{} answers {id} with a wrong byte in its head", self.name));
+            }
+        }
         drop(state);
         let count = text("x-token-usage").split_once(',').and_then(|(_, out)| out.parse().ok());
         let count: u64 = count.unwrap_or(4);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Stamp: 3e1b.{boot}\r\n\
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n{proof}\
              X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         );
