review: after the loss of all entries streams go on at another software version

Cause: origins.rs lets a stream of unknown origin go on anywhere if the entry has seen one version only.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,5 +1,5 @@
-//! A runner leaves a load unanswered and carries it out late, after it has crashed and started
-//! again. It then gets one adapter more than it has places for, and crashes.
+//! The runners of a service are replaced by ones of another software version. Then all entries are
+//! killed. Clients take their streams up, and these go on at the other version.
 
 #[path = "../standin/engine.rs"]
 mod engine;
@@ -15,131 +15,193 @@
 mod store;
 
 use std::{
-    hash::{DefaultHasher, Hash, Hasher},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::{Arc, Mutex, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
 
-use engine::{ADAPTER_SLOTS, MODEL};
+use engine::MODEL;
 use fleet::{BROKEN, Case, HELD, NOT_RUN};
-use guests::Clients;
+use guests::{Clients, Fleet, Plan, adapters_of};
+use http::{Conn, header};
 
-/// Four runners, of which one is disrupted: the share of 0.25 that the pages allow.
-const RUNNERS: u8 = 4;
+/// Runners at the start. Most have been replaced before; the last two are of the first version, a
+/// share of 0.125.
+const OLD: usize = 2;
+const NEW: usize = 14;
 
-/// Time from the request whose order stays unanswered to the next request for another adapter. By
-/// then the daemon has given up waiting.
-const NEXT_DELAY: Duration = Duration::from_millis(1_000);
+/// Runners that replace the last two, one after the other.
+const REPLACING: usize = 2;
 
-/// Time from that request to the crash, and how long the runner is down.
-const CRASH_DELAY: Duration = Duration::from_millis(1_600);
-const DOWN: Duration = Duration::from_millis(500);
+const CLIENTS: usize = 24;
 
-/// Time from that order until clients ask for other adapters.
-const SHIFT_DELAY: Duration = Duration::from_millis(3_500);
+/// Adapters of each old runner that clients ask for.
+const ADAPTERS: usize = 3;
 
-/// Returns the adapters whose requests an entry sends to `engine` first, to have traffic for it.
-fn adapters_of(engine: SocketAddr, engines: &[SocketAddr]) -> Vec<String> {
-    let score = |name: &String, at: &SocketAddr| {
-        let mut hasher = DefaultHasher::new();
-        MODEL.to_owned().hash(&mut hasher);
-        Some(name.clone()).hash(&mut hasher);
-        at.hash(&mut hasher);
-        hasher.finish()
-    };
-    let first = |name: &String| engines.iter().min_by_key(|at| score(name, at)) == Some(&engine);
-    (1..=3_000).map(|number| format!("a{number}")).filter(first).collect()
+/// Events of each stream. It takes 20 ms to make one.
+const EVENTS: u64 = 300;
+
+/// Time limit of a client's request, and its tries within it.
+const TIME_LIMIT: Duration = Duration::from_secs(15);
+const TRIES: u32 = 5;
+
+/// Bound of the rule: more streams than this break it.
+const STREAMS_MAX: usize = 2;
+
+/// Times from the start of the streams: when the first replacing runner starts, how much later the
+/// old one leaves, the pause between two replacements, and when all entries are killed.
+const START: Duration = Duration::from_millis(500);
+const LEAVE_AFTER: Duration = Duration::from_millis(1_000);
+const GAP: Duration = Duration::from_millis(1_000);
+const KILL: Duration = Duration::from_millis(4_000);
+
+/// How long the entries are down.
+const DOWN: Duration = Duration::from_secs(1);
+
+/// What a client has got of one stream.
+#[derive(Clone, Default)]
+struct Stream {
+    /// Events with the versions of the software that made them.
+    versions: BTreeSet<String>,
+    last: u64,
+    tries: Vec<String>,
+    is_whole: bool,
+}
+
+/// Asks for a stream and takes it up where it breaks off.
+fn follow(case: &Case, entries: &[SocketAddr], adapter: &str, number: usize) -> Stream {
+    let began = Instant::now();
+    let mut stream = Stream::default();
+    let (model, first) = (format!("{MODEL}/{adapter}"), format!("c{number}"));
+    let (tokens, mut resumes) = (format!("200,{EVENTS}"), String::new());
+    for at in 0..TRIES {
+        let rest = TIME_LIMIT.saturating_sub(began.elapsed());
+        let id = if at == 0 { first.clone() } else { format!("{first}-{at}") };
+        let (millis, last) = (rest.as_millis().to_string(), stream.last.to_string());
+        let mut headers = vec![
+            ("Host", "desk.example"),
+            ("X-Attempt-Id", id.as_str()),
+            ("X-Model", model.as_str()),
+            ("X-Token-Usage", tokens.as_str()),
+            ("X-Deadline-Ms", millis.as_str()),
+            ("Authorization", "Bearer key-of-the-winery"),
+        ];
+        if stream.last > 0 {
+            headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", resumes.as_str())]);
+        }
+        let entry = entries[(number + at as usize) % entries.len()];
+        let conn = Conn::open(entry, rest + Duration::from_millis(1));
+        let answer = conn.and_then(|mut conn| conn.call("POST", "/pairing/one", &headers, b"wine"));
+        let mut pause = Duration::from_millis(700);
+        let end = match &answer {
+            Ok(answer) if answer.status == 200 => {
+                let before = stream.last;
+                for line in String::from_utf8_lossy(&answer.body).lines() {
+                    if let Some(event) = line.strip_prefix("id: ") {
+                        stream.last = event.parse().unwrap_or(stream.last);
+                    } else if let Some((version, _)) =
+                        line.strip_prefix("data: ").and_then(|data| data.split_once(' '))
+                    {
+                        stream.versions.insert(version.to_owned());
+                    }
+                }
+                if before == 0 && stream.last > 0 {
+                    resumes = id.clone();
+                }
+                stream.is_whole = answer.is_whole;
+                let end = if answer.is_whole { "whole" } else { "cut" };
+                format!("200, events {} to {}, {end}", before + 1, stream.last)
+            }
+            Ok(answer) => {
+                let after = header(&answer.headers, "retry-after");
+                let after = after.and_then(|text| text.parse().ok()).unwrap_or(0.7);
+                pause = Duration::from_secs_f64(after);
+                answer.status.to_string()
+            }
+            Err(error) => error.to_string(),
+        };
+        case.note(&format!("request {id} to {entry}: {end}"));
+        stream.tries.push(format!("{id}: {end}"));
+        if stream.is_whole {
+            break;
+        }
+        thread::sleep(pause);
+    }
+    stream
 }
 
 fn main() {
     let case = Case::start();
-    let (engines, entry) = guests::start(&case, RUNNERS);
-    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
-    let target = engines[0].clone();
-    let adapters = adapters_of(target.address, &addresses);
-    let clients = Clients::new(&case, entry);
-    case.note(&format!("{} gets the requests for {} adapters first", target.name, adapters.len()));
-
-    // Clients ask for adapters of the first runner until all of its places are taken.
-    let mut rest = adapters.iter();
-    while target.loaded() < ADAPTER_SLOTS && case.now() < 40_000 {
-        let Some(adapter) = rest.next() else { break };
-        clients.request(adapter, 3);
+    let mut runners = vec![("v1", false); OLD];
+    runners.extend([("v2", false); NEW]);
+    runners.extend([("v2", true); REPLACING]);
+    let plan = Plan { entries: 2, runners: &runners, is_resumable: true };
+    let fleet = Fleet::start(&case, &plan);
+    let (old, later) = (&fleet.engines[..OLD], &fleet.engines[OLD + NEW..]);
+    // Clients ask for adapters that the old runners hold.
+    let addresses: Vec<SocketAddr> =
+        fleet.engines[..OLD + NEW].iter().map(|engine| engine.address).collect();
+    let adapters = old
+        .iter()
+        .flat_map(|engine| adapters_of(engine.address, &addresses).into_iter().take(ADAPTERS));
+    let adapters: Vec<String> = adapters.collect();
+    for adapter in &adapters {
+        Clients::new(&case, fleet.entries[0]).request(adapter, 1);
     }
-    case.note(&format!(
-        "{} holds {} adapters after {} orders",
-        target.name,
-        target.loaded(),
-        target.orders()
-    ));
-    if target.loaded() < ADAPTER_SLOTS {
-        case.end(NOT_RUN);
-    }
-    if case.trouble {
-        target.leave_unanswered(target.orders());
-    }
-    // One client asks for another one, for which an adapter has to make way.
-    let rare = rest.next().expect("thousands of adapters").clone();
+    let streams: Arc<Mutex<BTreeMap<usize, Stream>>> = Arc::default();
     let began = Instant::now();
-    {
-        let (clients, rare) = (clients.clone(), rare.clone());
-        thread::spawn(move || clients.request(&rare, 3));
-    }
-    if case.trouble {
-        while target.unanswered().is_none() && began.elapsed() < Duration::from_secs(5) {
-            thread::sleep(Duration::from_millis(5));
-        }
-        if target.unanswered().is_none() {
-            case.note("no order came");
-            case.end(NOT_RUN);
-        }
+    let threads = (0..CLIENTS).map(|number| {
+        let (case, entries, streams) = (case.clone(), fleet.entries.clone(), streams.clone());
+        let adapter = adapters[number % adapters.len()].clone();
+        thread::spawn(move || {
+            let stream = follow(&case, &entries, &adapter, number);
+            streams.lock().unwrap().insert(number, stream);
+        })
+    });
+    let threads: Vec<_> = threads.collect();
+    let wait_until = |at: Duration| thread::sleep(at.saturating_sub(began.elapsed()));
+    for (number, (old, later)) in old.iter().zip(later).enumerate() {
+        let start = START + GAP * number as u32;
+        wait_until(start);
+        later.is_listed.store(true, Ordering::Relaxed);
+        case.note(&format!("{} of {} starts", later.name, later.version));
+        wait_until(start + LEAVE_AFTER);
+        old.is_listed.store(false, Ordering::Relaxed);
+        case.note(&format!("the row of {} is removed; it serves on for a while", old.name));
     }
-    // A second client asks for one more a little later.
-    thread::sleep(NEXT_DELAY.saturating_sub(began.elapsed()));
-    clients.request(rest.next().expect("thousands of adapters"), 3);
+    wait_until(KILL);
     if case.trouble {
-        thread::sleep(CRASH_DELAY.saturating_sub(began.elapsed()));
-        target.crash(DOWN);
+        fleet.kill_entries();
+        case.note("all entries are killed");
+        thread::sleep(DOWN);
+        fleet.start_entries();
+        fleet.wait_until_ready();
     }
-    thread::sleep(SHIFT_DELAY.saturating_sub(began.elapsed()));
-
-    // Then clients ask for others of its adapters, each a few times.
-    let end = began + Duration::from_secs(14);
-    let mut asked: Vec<String> = Vec::new();
-    while Instant::now() < end && (asked.len() < ADAPTER_SLOTS || target.loaded() < ADAPTER_SLOTS) {
-        let Some(adapter) = rest.next() else { break };
-        if clients.request(adapter, 1).is_some() {
-            asked.push(adapter.clone());
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let streams = streams.lock().unwrap();
+    let (mut mixed, mut whole) = (0, 0);
+    for (number, stream) in streams.iter() {
+        whole += usize::from(stream.is_whole);
+        if stream.versions.len() > 1 {
+            mixed += 1;
+            case.note(&format!(
+                "stream {number} holds events of {:?}: {}",
+                stream.versions,
+                stream.tries.join("; ")
+            ));
         }
     }
-    case.note(&format!(
-        "{} holds {} adapters after {} orders",
-        target.name,
-        target.loaded(),
-        target.orders()
-    ));
-    let held: Vec<String> = asked.into_iter().filter(|name| target.holds(name)).collect();
-    let streams = held.iter().map(|name| {
-        let (clients, name) = (clients.clone(), name.clone());
-        thread::spawn(move || drop(clients.request(&name, 100)))
-    });
-    let streams: Vec<_> = streams.collect();
-    streams.into_iter().for_each(|stream| drop(stream.join()));
-    thread::sleep(end.saturating_duration_since(Instant::now()));
-    let (mut overfilled, mut cut) = (0, 0);
-    for engine in &engines {
-        let losses = engine.losses();
-        (overfilled, cut) = (overfilled + losses.0, cut + losses.1);
-    }
-    let ends = clients.ends.lock().unwrap();
     let summary = format!(
-        "ends of requests {ends:?}; LIMIT broken by {overfilled}, {cut} streams cut by crashes"
+        "{whole} of {CLIENTS} streams are whole; {mixed} hold events of two versions, allowed \
+         {STREAMS_MAX}"
     );
     case.note(&summary);
     println!("{summary}");
-    case.end(match overfilled {
-        0 => HELD,
-        _ => BROKEN,
+    case.end(match (mixed > STREAMS_MAX, whole) {
+        (true, _) => BROKEN,
+        (false, 0) if !case.trouble => NOT_RUN,
+        (false, _) => HELD,
     });
 }
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -60,6 +63,10 @@
 
 pub struct Engine {
     pub name: String,
+    /// Version of its software.
+    pub version: &'static str,
+    /// Whether its row is in the store.
+    pub is_listed: AtomicBool,
     pub address: SocketAddr,
     case: Case,
     state: Mutex<State>,
@@ -72,17 +79,20 @@
 }
 
 impl Engine {
-    pub fn start(case: &Case, name: &str, address: SocketAddr) -> Arc<Engine> {
-        let state = State {
-            up: true,
-            boot: 1,
-            born: 1_000,
-            // Busy models are on the runners at the start.
-            model: Some(Instant::now()),
-            ..State::default()
-        };
+    /// Starts a runner, which is listed once that is said. Busy models are on the runners at the
+    /// start of traffic; one that starts later is empty.
+    pub fn start(
+        case: &Case,
+        name: &str,
+        address: SocketAddr,
+        version: &'static str,
+        is_empty: bool,
+    ) -> Arc<Engine> {
+        let model = (!is_empty).then(Instant::now);
+        let state = State { up: true, boot: 1, born: 1_000, model, ..State::default() };
+        let is_listed = AtomicBool::new(false);
         let (name, case, state) = (name.to_owned(), case.clone(), Mutex::new(state));
-        let engine = Arc::new(Engine { name, address, case, state });
+        let engine = Arc::new(Engine { name, version, is_listed, address, case, state });
         let served = engine.clone();
         thread::spawn(move || {
             loop {
@@ -194,12 +204,13 @@
     pub fn check_in(&self, service: &str, seq: u64) -> Option<(String, String)> {
         let state = self.state.lock().unwrap();
         let (id, at, born) = (self.id(&state), self.address, state.born);
+        let version = self.version;
         let row = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{at}\",\"zone\":\"zone-a\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{at}\",\"zone\":\"zone-a\",\"version\":\"{version}\",\
              \"slots\":48,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{seq},\"born\":{born},\
              \"models\":[]}}"
         );
-        state.up.then_some((id, row))
+        (state.up && self.is_listed.load(Ordering::Relaxed)).then_some((id, row))
     }
 
     fn handle(self: &Arc<Self>, mut conn: Conn) {
@@ -378,13 +389,14 @@
         }
         drop(state);
         let count = text("x-token-usage").split_once(',').and_then(|(_, out)| out.parse().ok());
-        let count: u64 = count.unwrap_or(4);
+        let last: u64 = text("last-event-id").parse().unwrap_or(0);
+        let numbers = last + 1..=count.unwrap_or(4);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n{proof}\
              X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         );
-        let result = self.write_events(conn, &id, boot, head, count);
+        let result = self.write_events(conn, &id, boot, head, numbers);
         let mut state = self.state.lock().unwrap();
         if state.boot == boot {
             state.runs.remove(&id);
@@ -398,11 +410,11 @@
         id: &str,
         boot: u64,
         head: String,
-        count: u64,
+        numbers: std::ops::RangeInclusive<u64>,
     ) -> std::io::Result<()> {
         use std::io::Write;
         let mut bytes = head.into_bytes();
-        for number in 1..=count {
+        for number in numbers {
             thread::sleep(EVENT_PERIOD);
             let mut state = self.state.lock().unwrap();
             if !state.up || state.boot != boot {
@@ -412,7 +424,7 @@
                 *events = number;
             }
             drop(state);
-            let event = format!("id: {number}\ndata: word {number}\n\n");
+            let event = format!("id: {number}\ndata: {} word {number}\n\n", self.version);
             bytes.extend(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
             conn.stream.write_all(&std::mem::take(&mut bytes))?;
         }
--- a/review/standin/guests.rs
+++ b/review/standin/guests.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -23,12 +24,13 @@
 /// Time without a check-in after which a row is removed.
 const SILENCE_MAX: Duration = Duration::from_millis(3_600);
 
-fn config() -> String {
+fn config(is_resumable: bool) -> String {
+    let attempts = if is_resumable { 2 } else { 1 };
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-pairing\",\"host\":\"desk.example\",\
          \"pathPrefix\":\"/pairing/\",\"kind\":\"stream\",\"timeoutMs\":25000,\
-         \"targetLatencyMs\":1000,\"priority\":1,\"service\":\"sommelier\",\"maxAttempts\":1,\
-         \"allowAnonymous\":false,\"sessionAffinity\":true,\"resumable\":false,\
+         \"targetLatencyMs\":1000,\"priority\":1,\"service\":\"sommelier\",\"maxAttempts\":{attempts},\
+         \"allowAnonymous\":false,\"sessionAffinity\":true,\"resumable\":{is_resumable},\
          \"targetGapMs\":300}}],\"services\":[{{\"name\":\"sommelier\",\"healthPath\":\"/healthz\",\
          \"maxConns\":300,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":48,\
          \"kvCacheTokens\":118381,\"kvBytes\":163840,\"linkMbps\":130000.0,\"moves\":true,\
@@ -41,6 +43,19 @@
     )
 }
 
+/// Returns the adapters whose requests an entry sends to `engine` first, to have traffic for it.
+pub fn adapters_of(engine: SocketAddr, engines: &[SocketAddr]) -> Vec<String> {
+    let score = |name: &String, at: &SocketAddr| {
+        let mut hasher = DefaultHasher::new();
+        MODEL.to_owned().hash(&mut hasher);
+        Some(name.clone()).hash(&mut hasher);
+        at.hash(&mut hasher);
+        hasher.finish()
+    };
+    let first = |name: &String| engines.iter().min_by_key(|at| score(name, at)) == Some(&engine);
+    (1..=3_000).map(|number| format!("a{number}")).filter(first).collect()
+}
+
 /// Clients of one entry.
 #[derive(Clone)]
 pub struct Clients {
@@ -82,80 +97,138 @@
     }
 }
 
-/// Starts a store, an entry, `runners` runners and the daemons beside them. Returns the runners
-/// and where clients connect.
-pub fn start(case: &Case, runners: u8) -> (Vec<Arc<Engine>>, SocketAddr) {
-    let (store, store_at) = Store::start(SocketAddr::new(case.ip(1), 0));
-    store.put("op", "config", &config());
-    let hosts: Vec<u8> = (1..=runners).map(|number| 20 + number).collect();
-    let (app, peers, operators) =
-        (case.free_port(&hosts), case.free_port(&hosts), case.free_port(&hosts));
-    let at = |host: u8, port| SocketAddr::new(case.ip(host), port);
-    let (entry, ready) = {
-        let ports: Vec<u16> = (0..4).map(|_| case.free_port(&[11])).collect();
-        let fields = [
-            ("node", "front-a-1".to_owned()),
+/// A store, entries, runners and the daemons beside them.
+pub struct Fleet {
+    case: Case,
+    pub engines: Vec<Arc<Engine>>,
+    /// Where clients connect to each entry.
+    pub entries: Vec<SocketAddr>,
+    ready: Vec<SocketAddr>,
+    /// Host and settings of each entry.
+    settings: Vec<(String, Vec<(&'static str, String)>)>,
+}
+
+/// What a fleet is to consist of.
+pub struct Plan<'a> {
+    pub entries: u8,
+    /// Version of the software of each runner, and whether it starts empty and is listed later.
+    pub runners: &'a [(&'static str, bool)],
+    /// Whether streams may be resumed.
+    pub is_resumable: bool,
+}
+
+impl Fleet {
+    pub fn start(case: &Case, plan: &Plan) -> Fleet {
+        let (store, store_at) = Store::start(SocketAddr::new(case.ip(1), 0));
+        store.put("op", "config", &config(plan.is_resumable));
+        let at = |host: u8, port| SocketAddr::new(case.ip(host), port);
+        let sides: Vec<u8> = (0..plan.runners.len()).map(|number| 21 + number as u8).collect();
+        let fronts: Vec<u8> = (0..plan.entries).map(|number| 11 + number).collect();
+        let ports = |hosts: &[u8], count: usize| {
+            let mut ports: Vec<u16> = Vec::new();
+            while ports.len() < count {
+                let port = case.free_port(hosts);
+                if !ports.contains(&port) {
+                    ports.push(port);
+                }
+            }
+            ports
+        };
+        let (side, front) = (ports(&sides, 3), ports(&fronts, 4));
+        let (app, peers, operators) = (side[0], side[1], side[2]);
+        let seeds: Vec<String> =
+            fronts.iter().map(|&host| at(host, front[2]).to_string()).collect();
+        let common = [
             ("zone", "zone-a".to_owned()),
-            ("listen.front", at(11, ports[0]).to_string()),
-            ("listen.ready", at(11, ports[1]).to_string()),
-            ("listen.control", at(11, ports[2]).to_string()),
-            ("limits.maxFds", "4200".to_owned()),
-            ("ip", case.ip(11).to_string()),
-            ("internalPorts.0", peers.to_string()),
-            ("internalPorts.1", ports[3].to_string()),
             ("platform.address", store_at.to_string()),
-            ("seeds", at(11, ports[2]).to_string()),
-            ("bounds.budgetSlack", "54".to_owned()),
-            ("bounds.graceS", "8".to_owned()),
-        ];
-        case.start_daemon("front-a-1", "deploy/entry.ini", &fields);
-        (at(11, ports[0]), at(11, ports[1]))
-    };
-    let mut engines = Vec::new();
-    for &host in &hosts {
-        engines.push(Engine::start(&case, &format!("r{host}"), at(host, app)));
-        let fields = [
-            ("node", format!("side-a-{host}")),
-            ("zone", "zone-a".to_owned()),
-            ("ip", case.ip(host).to_string()),
+            ("seeds", seeds.join(",")),
             ("internalPorts.0", peers.to_string()),
-            ("internalPorts.1", operators.to_string()),
-            ("platform.address", store_at.to_string()),
-            ("app", at(host, app).to_string()),
-            ("service", "sommelier".to_owned()),
-            ("seeds", at(11, ready.port()).to_string()),
             ("bounds.budgetSlack", "54".to_owned()),
             ("bounds.graceS", "8".to_owned()),
         ];
-        case.start_daemon(&format!("side-a-{host}"), "deploy/upstream.ini", &fields);
+        let mut fleet = Fleet {
+            case: case.clone(),
+            engines: Vec::new(),
+            entries: fronts.iter().map(|&host| at(host, front[0])).collect(),
+            ready: fronts.iter().map(|&host| at(host, front[1])).collect(),
+            settings: Vec::new(),
+        };
+        for (&host, &(version, is_later)) in sides.iter().zip(plan.runners) {
+            let engine = Engine::start(case, &format!("r{host}"), at(host, app), version, is_later);
+            engine.is_listed.store(!is_later, Ordering::Relaxed);
+            fleet.engines.push(engine);
+            let mut fields = common.to_vec();
+            fields.extend([
+                ("node", format!("side-a-{host}")),
+                ("ip", case.ip(host).to_string()),
+                ("internalPorts.1", operators.to_string()),
+                ("app", at(host, app).to_string()),
+                ("service", "sommelier".to_owned()),
+            ]);
+            case.start_daemon(&format!("side-a-{host}"), "deploy/upstream.ini", &fields);
+        }
+        for &host in &fronts {
+            let mut fields = common.to_vec();
+            fields.extend([
+                ("node", format!("front-a-{host}")),
+                ("ip", case.ip(host).to_string()),
+                ("listen.front", at(host, front[0]).to_string()),
+                ("listen.ready", at(host, front[1]).to_string()),
+                ("listen.control", at(host, front[2]).to_string()),
+                ("limits.maxFds", "4200".to_owned()),
+                ("internalPorts.1", front[3].to_string()),
+            ]);
+            fleet.settings.push((format!("front-a-{host}"), fields));
+        }
+        fleet.start_entries();
+        fleet.keep_rows(store);
+        fleet.wait_until_ready();
+        thread::sleep(Duration::from_secs(1));
+        fleet
+    }
+
+    pub fn start_entries(&self) {
+        for (host, fields) in &self.settings {
+            self.case.start_daemon(host, "deploy/entry.ini", fields);
+        }
+    }
+
+    pub fn kill_entries(&self) {
+        self.settings.iter().for_each(|(host, _)| self.case.processes.kill(host));
     }
-    {
-        let (store, engines) = (store.clone(), engines.clone());
+
+    pub fn wait_until_ready(&self) {
+        self.ready.iter().for_each(|&ready| self.case.wait_until_ready(ready));
+    }
+
+    /// Writes the rows of the runners. A row is removed when its runner is no longer listed, or has
+    /// been silent.
+    fn keep_rows(&self, store: Arc<Store>) {
+        let engines = self.engines.clone();
         thread::spawn(move || {
-            let mut seen: BTreeMap<String, (Instant, Instant)> = BTreeMap::new();
+            let mut rows: BTreeMap<String, (Arc<Engine>, Instant, Instant)> = BTreeMap::new();
             for seq in 1.. {
                 for engine in &engines {
                     let Some((id, row)) = engine.check_in("sommelier", seq) else { continue };
                     let now = Instant::now();
-                    let (last, written) = seen.entry(id.clone()).or_insert((now, now - HEARTBEAT));
-                    *last = now;
-                    if written.elapsed() >= HEARTBEAT {
-                        *written = now;
+                    let known = rows.entry(id.clone());
+                    let known = known.or_insert((engine.clone(), now, now - HEARTBEAT));
+                    known.1 = now;
+                    if known.2.elapsed() >= HEARTBEAT {
+                        known.2 = now;
                         store.put("servers", &id, &row);
                     }
                 }
-                seen.retain(|id, (last, _)| {
-                    let alive = last.elapsed() < SILENCE_MAX;
-                    if !alive {
+                rows.retain(|id, (engine, last, _)| {
+                    let is_listed = engine.is_listed.load(Ordering::Relaxed);
+                    let stays = is_listed && last.elapsed() < SILENCE_MAX;
+                    if !stays {
                         store.remove("servers", id);
                     }
-                    alive
+                    stays
                 });
-                thread::sleep(Duration::from_millis(100));
+                thread::sleep(Duration::from_millis(50));
             }
         });
     }
-    case.wait_until_ready(ready);
-    thread::sleep(Duration::from_secs(1));
-    (engines, entry)
 }
