--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -69,7 +69,7 @@
         fs::create_dir_all(&temporary).expect("a temporary folder");
         let record = File::create(folder.join("record.txt")).expect("the record");
         let case = Case {
-            trouble: std::env::var("TROUBLE").is_ok_and(|value| value == "0") == false,
+            trouble: !std::env::var("TROUBLE").is_ok_and(|value| value == "0"),
             processes: Processes::default(),
             started: Instant::now(),
             root,
