Deny a request only by a configuration that is confirmed

Callers saw: a 404 or 401 for a route or key that had been acknowledged, for as long as the entry heard nothing of the change. Cause: an entry denied by the configuration that it had, whatever its age. It asked callers to retry only if another entry had named a newer number. With its feed dead or unanswered and no such report it could not tell, and nothing named the age. Ruled out: shorter waits of the feeds, which cost calls of the store all the time and leave the class; a limit on the age alone, which refuses callers that one call of 4 ms would serve. Change: a denial by a configuration that the store has not confirmed to this entry for a second, or that another entry has overtaken, asks the store first, one call for all that wait, with a timeout of 0.3 s. If the store does not answer, other entries' read positions confirm it, and else the caller is asked to retry. The line of a denial names who confirmed the configuration and how long ago; kingcupbay_denials_total counts that, kingcupbay_configuration_age_ms shows the age; feed_deaf says whether another entry knew of the change already. The sums of the waits are tested at 27 to 700 entries, and a reader's recovery from any series of failed calls. A request that is run by an older configuration is not denied and is not helped by this: that its change is known in time rests on the sums.

--- a/kingcupbay_core/src/deployment/read_positions.rs
+++ b/kingcupbay_core/src/deployment/read_positions.rs
@@ -166,6 +166,18 @@
         Some(changes)
     }
 
+    /// Returns how long ago the store last answered this entry itself with all changes of `table`
+    /// until then. `None` if it has not.
+    pub fn own_age(&self, now: Instant, table: Table) -> Option<Span> {
+        let (_, at) = self.tables.get(&table)?.own?;
+        Some(now.since(at))
+    }
+
+    /// Returns whether another entry has reported changes of `table` that are missing here.
+    pub fn is_behind(&self, table: Table) -> bool {
+        self.tables.get(&table).is_some_and(|progress| progress.unreported > progress.known)
+    }
+
     /// Returns for how long other entries' read positions of `table` remain valid.
     /// `None` if they have expired, or show that changes are missing here.
     pub fn remaining(&self, now: Instant, table: Table) -> Option<Span> {
--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -124,6 +124,16 @@
 /// already has, before it is fetched from that entry.
 pub const OWN_FEED_DELAY: Span = Span::from_millis(400);
 
+/// Age of the store's last answer up to which an entry denies a request by its configuration
+/// without asking the store again.
+pub const DENIAL_AGE_MAX: Span = Span::from_millis(1_000);
+
+/// Timeout of asking the store whether the configuration is the newest. A caller waits for it.
+pub const CONFIRM_TIMEOUT: Span = Span::from_millis(300);
+
+/// Pause after such a call has failed.
+pub const CONFIRM_PAUSE: Span = Span::from_millis(250);
+
 /// Timeout of fetching rows from another entry. 100 KB take a tenth of a second over
 /// the slowest hosts' links of 10 Mbit/s, and several entries may fetch at once.
 pub const FETCH_TIMEOUT: Span = Span::from_millis(800);
--- a/kingcupbay_core/tests/read_positions.rs
+++ b/kingcupbay_core/tests/read_positions.rs
@@ -282,3 +282,24 @@
     let position = report(&mut reader, at(300));
     assert_eq!(position.age, Span::from_millis(300));
 }
+
+/// A denied request names the age of the configuration that decided. What other entries report
+/// does not renew it, nor does an answer that is older than what is known.
+#[test]
+fn the_own_age_counts_from_the_last_answer_of_the_store() {
+    let mut positions = ReadPositions::default();
+    let age = |positions: &ReadPositions, now| positions.own_age(at(now), Table::Operator);
+    assert_eq!(age(&positions, 0), None);
+    positions.on_list(at(100), Table::Operator, 7);
+    assert_eq!(age(&positions, 300), Some(Span::from_millis(200)));
+    let position = ReadPosition { version: 9, age: Span::ZERO, since: 7, changes: Vec::new() };
+    assert!(positions.on_position(at(400), Table::Operator, position).is_some());
+    positions.on_page(at(500), Table::Operator, 8, []);
+    assert_eq!(age(&positions, 500), Some(Span::from_millis(400)));
+    positions.on_page(at(600), Table::Operator, 9, []);
+    assert_eq!(age(&positions, 600), Some(Span::ZERO));
+    assert!(!positions.is_behind(Table::Operator));
+    let ahead = ReadPosition { version: 12, age: Span::ZERO, since: 11, changes: Vec::new() };
+    assert!(positions.on_position(at(700), Table::Operator, ahead).is_none());
+    assert!(positions.is_behind(Table::Operator));
+}
--- a/kingcupbay_core/tests/waits.rs
+++ b/kingcupbay_core/tests/waits.rs
@@ -5,10 +5,11 @@
     deployment::{
         limiters::LIMITERS_MAX,
         waits::{
-            ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT, EVACUATION_MAX, FETCH_PAUSE_MIN, FETCH_TIMEOUT,
-            FOLLOWED_FEED_WAIT, FOLLOWER_OPERATOR_AGE_MAX, OPERATOR_AGE_MAX, OPERATOR_FEED_PAUSE,
-            OPERATOR_FEED_WAIT, OTHER_FEED_PAUSE, OWN_FEED_DELAY, OWN_UPSTREAMS_FEED_PAUSE,
-            PROPAGATION_MAX, RECOVERY_MAX, RELAY_PERIOD, RELAYED_FOR, RETRY_PAUSE_MIN,
+            CONFIRM_PAUSE, CONFIRM_TIMEOUT, DENIAL_AGE_MAX, ENTRIES_AGE_MAX, ENTRIES_FEED_WAIT,
+            EVACUATION_MAX, FETCH_PAUSE_MIN, FETCH_TIMEOUT, FOLLOWED_FEED_WAIT,
+            FOLLOWER_OPERATOR_AGE_MAX, OPERATOR_AGE_MAX, OPERATOR_FEED_PAUSE, OPERATOR_FEED_WAIT,
+            OTHER_FEED_PAUSE, OWN_FEED_DELAY, OWN_UPSTREAMS_FEED_PAUSE, PROPAGATION_MAX,
+            RECOVERY_MAX, RELAY_PERIOD, RELAYED_FOR, RETRY_PAUSE_MAX, RETRY_PAUSE_MIN,
             STORE_ANSWER_MAX, STORE_CALL_TIMEOUT, UPSTREAMS_AGE_MAX, UPSTREAMS_FEED_WAIT,
         },
     },
@@ -162,3 +163,95 @@
     assert!(silent <= PROPAGATION_MAX, "{silent:?}");
     assert!(RELAYED_FOR >= sum(&[RELAY_PERIOD, RELAY_PERIOD, RELAY_PERIOD]));
 }
+
+/// A request is denied by a configuration that another one has replaced for longer than the
+/// bound. Whoever confirms it, its age when the caller gets the answer must stay below it.
+#[test]
+fn a_denial_is_by_a_configuration_of_known_age() {
+    let feed = sum(&[STORE_ANSWER_MAX, DENIAL_AGE_MAX]);
+    assert!(feed <= PROPAGATION_MAX, "by the feed: {feed:?}");
+    let store = sum(&[DENIAL_AGE_MAX, CONFIRM_TIMEOUT]);
+    assert!(store <= PROPAGATION_MAX, "by the store: {store:?}");
+    // The store does not answer this entry.
+    let entries = sum(&[STORE_ANSWER_MAX, OPERATOR_AGE_MAX, CONFIRM_TIMEOUT]);
+    assert!(entries <= RECOVERY_MAX, "by other entries: {entries:?}");
+    // The pause between two calls must end before the feed's answer is too old.
+    assert!(CONFIRM_PAUSE <= DENIAL_AGE_MAX);
+}
+
+/// A change takes longer than the bound of a larger fleet: 3 s up to 32 entries, 4 s up to 72 and
+/// 5 s beyond.
+#[test]
+fn a_change_is_known_in_time_in_large_fleets() {
+    let deployed = [
+        (27, Span::from_secs(2)),
+        (29, Span::from_secs(3)),
+        (72, Span::from_secs(4)),
+        (340, Span::from_secs(5)),
+        (700, Span::from_secs(5)),
+    ];
+    for (entries, bound) in deployed {
+        let reporters = entries.min(LIMITERS_MAX);
+        let report = report_period(reporters);
+        let reader = sum(&[OPERATOR_FEED_PAUSE, STORE_ANSWER_MAX]);
+        // One report is lost, and the reading of what it names takes the longest.
+        let told = sum(&[reader, report, report, STORE_ANSWER_MAX, STORE_CALL_TIMEOUT]);
+        let fetched = sum(&[
+            reader,
+            report_period(entries),
+            OWN_FEED_DELAY,
+            FETCH_TIMEOUT,
+            FETCH_PAUSE_MIN,
+            FETCH_USUAL,
+        ]);
+        let relayed = sum(&[reader, report, RELAY_PERIOD, RELAY_PERIOD, STORE_CALL_TIMEOUT]);
+        for (path, time) in [("told", told), ("fetched", fetched), ("relayed", relayed)] {
+            assert!(time <= bound, "{entries} entries, {path}: {time:?} of {bound:?}");
+        }
+    }
+}
+
+/// Returns the time from the end of the store's trouble until a reader of the operator's rows
+/// knows a change of that moment. `calls` says how its calls fail until then: they are refused,
+/// unanswered, or answered when their wait ends.
+fn recovery_time(calls: &[u8], trouble: Span) -> Span {
+    let (mut now, mut pause, mut is_feed) = (Span::ZERO, RETRY_PAUSE_MIN, true);
+    for call in calls.iter().cycle() {
+        let wait = if is_feed { OPERATOR_FEED_WAIT } else { Span::ZERO };
+        let began = now;
+        let is_sound = began >= trouble;
+        let failed = match call % 3 {
+            _ if is_sound => None,
+            0 => Some(STORE_ANSWER_MAX),
+            1 => Some(wait + STORE_CALL_TIMEOUT),
+            _ => None,
+        };
+        now = now
+            + match failed {
+                Some(time) => time,
+                None if is_sound => STORE_ANSWER_MAX,
+                None => wait + STORE_ANSWER_MAX,
+            };
+        // An answer shows the change if it is given afterwards.
+        if failed.is_none() && now > trouble {
+            return now.saturating_sub(trouble);
+        }
+        if failed.is_some() {
+            now = now + pause;
+            pause = (pause + pause).min(RETRY_PAUSE_MAX);
+        } else {
+            pause = RETRY_PAUSE_MIN;
+        }
+        is_feed = failed.is_none();
+    }
+    Span::ZERO
+}
+
+quickcheck::quickcheck! {
+    /// A series of failed calls keeps a reader from a change for longer than the bounds allow
+    /// after the store's trouble.
+    fn any_series_of_failed_calls_ends_in_time(calls: Vec<u8>, trouble: u16) -> bool {
+        let trouble = Span::from_millis(u64::from(trouble % 8_000));
+        calls.is_empty() || recovery_time(&calls, trouble) <= RECOVERY_MAX
+    }
+}
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -17,6 +17,8 @@
     registry: Registry,
     answers: IntCounterVec,
     refusals: IntCounterVec,
+    denials: IntCounterVec,
+    configuration_age: IntGauge,
     priorities: IntCounterVec,
     sends: IntCounterVec,
     latency: HistogramVec,
@@ -65,6 +67,17 @@
         Metrics {
             answers,
             refusals,
+            denials: counters(
+                &registry,
+                "kingcupbay_denials_total",
+                "Requests whose route or key is unknown, by who confirmed the configuration",
+                &["confirmed"],
+            ),
+            configuration_age: gauge(
+                &registry,
+                "kingcupbay_configuration_age_ms",
+                "Time since the store last confirmed the configuration to this entry",
+            ),
             priorities: counters(
                 &registry,
                 "kingcupbay_refusals_by_priority_total",
@@ -330,6 +343,16 @@
         self.transfer_pause.with_label_values(&[why.as_str()]).observe(pause.as_secs_f64());
     }
 
+    /// Counts a request whose route or key is unknown.
+    pub(crate) fn on_denial(&self, confirmed: &str) {
+        self.denials.with_label_values(&[confirmed]).inc();
+    }
+
+    /// Records how long ago the store last confirmed the configuration, if it ever has.
+    pub(crate) fn set_configuration_age(&self, age: Option<Span>) {
+        self.configuration_age.set(age.map_or(-1, |age| age.as_millis() as i64));
+    }
+
     /// Counts a refused request.
     pub(crate) fn on_refusal(&self, code: Code) {
         self.refusals.with_label_values(&[code.as_str()]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -60,7 +60,12 @@
 
 use crate::{
     clock, http,
-    registered::{Node, limiters, origins::PendingOrigins},
+    registered::{
+        Node,
+        confirm::{self, ConfirmedBy},
+        limiters,
+        origins::PendingOrigins,
+    },
     server::drain::Phase,
 };
 
@@ -234,23 +239,9 @@
 pub(crate) async fn handle(gateway: Rc<Gateway>, mut request: Request) -> Response<BoxBody> {
     let arrived = clock::now();
     let metadata = request::decode_headers(request.headers());
-    let Some(deployment) = gateway.node.deployment() else {
-        return refuse(
-            &gateway,
-            &metadata,
-            Refusal::retry(Code::NoStanding, "no configuration", UNREADY_RETRY),
-        );
-    };
-    let (route, organisation) = match admit(&deployment, &request, &metadata) {
+    let (deployment, (route, organisation)) = match admit(&gateway, &request, &metadata).await {
         Ok(admitted) => admitted,
-        Err(refusal) => {
-            let refusal = unless_behind(&gateway, &deployment, refusal);
-            warn!(gateway.node.log, ""; "event" => "refused", "request" => &metadata.attempt,
-                "code" => refusal.code.as_str(), "configuration" => deployment.number.0,
-                "newest" => gateway.catch_up.borrow().newest().0, "path" => request.path(),
-                "why" => refusal.why);
-            return refuse(&gateway, &metadata, refusal);
-        }
+        Err(refusal) => return refuse(&gateway, &metadata, refusal),
     };
     let limits = deployment.limits;
     let payload = request.take_payload();
@@ -317,12 +308,53 @@
     }
 }
 
+/// The route of a request, and its organisation unless it is anonymous.
+type Admitted = (Rc<Route>, Option<Rc<Organisation>>);
+
+/// Finds the route and the organisation of a request in the configuration in force. It is denied
+/// only by a configuration that is confirmed.
+async fn admit(
+    gateway: &Gateway,
+    request: &Request,
+    metadata: &RequestMetadata,
+) -> Result<(Rc<Deployment>, Admitted), Refusal> {
+    let node = &gateway.node;
+    let unready = || Refusal::retry(Code::NoStanding, "no configuration", UNREADY_RETRY);
+    let deployment = node.deployment().ok_or_else(unready)?;
+    if let Ok(admitted) = find_route(&deployment, request, metadata) {
+        return Ok((deployment, admitted));
+    }
+    let newest = || gateway.catch_up.borrow().newest();
+    let confirmed = confirm::confirm(node, newest() > deployment.number).await;
+    // The store may have answered with a newer one.
+    let deployment = node.deployment().ok_or_else(unready)?;
+    let denial = match find_route(&deployment, request, metadata) {
+        Ok(admitted) => return Ok((deployment, admitted)),
+        Err(denial) => denial,
+    };
+    gateway.metrics.on_denial(confirmed.as_str());
+    // A caller that is denied would not retry.
+    let refusal = if newest() > deployment.number {
+        Refusal::retry(Code::NoStanding, "a newer configuration is on its way", BEHIND_RETRY)
+    } else if confirmed == ConfirmedBy::Nobody {
+        Refusal::retry(Code::NoStanding, "the configuration is not confirmed now", BEHIND_RETRY)
+    } else {
+        denial
+    };
+    warn!(node.log, ""; "event" => "refused", "request" => &metadata.attempt,
+        "code" => refusal.code.as_str(), "configuration" => deployment.number.0,
+        "newest" => newest().0, "confirmed" => confirmed.as_str(),
+        "age_ms" => confirm::age(node).map(Span::as_millis), "path" => request.path(),
+        "why" => refusal.why);
+    Err(refusal)
+}
+
 /// Returns the route of a request, and its organisation unless it is anonymous.
-fn admit(
+fn find_route(
     deployment: &Deployment,
     request: &Request,
     metadata: &RequestMetadata,
-) -> Result<(Rc<Route>, Option<Rc<Organisation>>), Refusal> {
+) -> Result<Admitted, Refusal> {
     let named = request.headers().get("host").and_then(|host| host.to_str().ok());
     let named = named.or_else(|| request.uri().host()).unwrap_or_default();
     let host = named.rsplit_once(':').map_or(named, |(host, _)| host);
@@ -336,18 +368,6 @@
     }
 }
 
-/// Replaces `refusal`, of a request whose route or key is not in `deployment`, by one to
-/// retry if other entries have a newer configuration. That one may hold the route or the
-/// key, and a caller that is told that there is none would not retry.
-fn unless_behind(gateway: &Gateway, deployment: &Deployment, refusal: Refusal) -> Refusal {
-    match gateway.catch_up.borrow().newest() > deployment.number {
-        true => {
-            Refusal::retry(Code::NoStanding, "a newer configuration is on its way", BEHIND_RETRY)
-        }
-        false => refusal,
-    }
-}
-
 /// Returns the number of tokens, or requests, that a request counts as.
 fn cost(organisation: &Organisation, metadata: &RequestMetadata) -> u64 {
     match (organisation.counts_tokens, metadata.size) {
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -196,8 +196,9 @@
                     // A change ends the wait early, unless the store missed it for this
                     // feed.
                     warn!(node.log, ""; "event" => "feed_deaf", "table" => table_name(table),
-                        "ms" => took.as_millis(), "rows" => page.rows.len(),
-                        "version" => page.version);
+                        "ms" => took.as_millis(), "wait_ms" => wait.as_millis(),
+                        "rows" => page.rows.len(), "version" => page.version,
+                        "reported" => node.read_positions.borrow().is_behind(table));
                 }
                 apply_page(node, table, page);
                 node.spec_confirmed.set(Some(clock::now()));
@@ -211,7 +212,7 @@
 }
 
 /// Applies a page of a feed.
-fn apply_page(node: &Rc<Node>, table: Table, page: RowPage) {
+pub(crate) fn apply_page(node: &Rc<Node>, table: Table, page: RowPage) {
     let known = node.read_positions.borrow().known(table);
     let last = page.rows.last().map(RowChange::version);
     // Changes that did not fit are returned by the next call.
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -5,13 +5,15 @@
 //! themselves there. [`store`] is the client of the store. [`follow`] keeps the
 //! [`Catalogue`] up to date from the store's feeds, or from other daemons while the
 //! store is not available ([`rows`]). [`read_positions`] decides when an entry relies on
-//! what other entries have read. [`members`] maintains the list of entries in the store,
+//! what other entries have read, and [`confirm`] whether the configuration may deny a request.
+//! [`members`] maintains the list of entries in the store,
 //! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
 //! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`parts`] on which parts of prompts engines crash, [`message`] reads messages of other daemons, and
 //! [`control`] calls them and counts that. [`specs`] spares sidecars reads of the operator's
 //! rows.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
 
+pub(crate) mod confirm;
 pub(crate) mod control;
 pub(crate) mod evacuations;
 pub(crate) mod follow;
@@ -48,6 +50,7 @@
     server::drain::Drain,
 };
 
+use confirm::Confirmation;
 use control::ControlMetrics;
 use rows::Rows;
 use store::Store;
@@ -80,6 +83,8 @@
     pub(crate) catalogue: RefCell<Catalogue>,
     /// Versions up to which the tables are known.
     pub(crate) read_positions: RefCell<ReadPositions>,
+    /// Whether the store confirms the configuration.
+    pub(crate) confirmation: Confirmation,
     /// The operator's rows as read, for daemons that cannot reach the store.
     pub(crate) rows: RefCell<Rows>,
     /// Notified when the catalogue has changed.
@@ -117,6 +122,7 @@
             control: ControlMetrics::new(),
             catalogue: RefCell::default(),
             read_positions: RefCell::default(),
+            confirmation: Confirmation::default(),
             rows: RefCell::default(),
             changed: Notify::new(),
             evacuated: Notify::new(),
--- a/kingcupbayd/src/registered/usage.rs
+++ b/kingcupbayd/src/registered/usage.rs
@@ -14,7 +14,7 @@
 use crate::{
     clock,
     gateway::Gateway,
-    registered::{Node, evacuations, limits, members, message, origins, parts, rows},
+    registered::{Node, confirm, evacuations, limits, members, message, origins, parts, rows},
 };
 
 /// Timeout of a peer's answer. If it is late, the next report replaces this one.
@@ -44,6 +44,7 @@
         tokio::time::sleep(period.into()).await;
         let now = clock::now();
         gateway.node.tick(now);
+        gateway.metrics.set_configuration_age(confirm::age(&gateway.node));
         gateway.metrics.set_limited(gateway.limits.borrow().limited(now));
         limits::send_reports(&gateway);
         if now.since(last_parts) >= PARTS_PERIOD {
