Send a request to no upstream after three have ended under it

Callers saw: one request that crashed the upstream that ran it was sent to the next one, by its entry within a try, and again by its caller's next try at another entry. Cause: nothing recognised a request over its tries. Each has an id of its own; what entries share of engines that end are the parts of prompts that others hold too, and the end of an upstream counted for the upstream alone. Change: a request is recognised by a hash of organisation, host, method, path, model, prompt and body, if it has a body or a part of its own. An entry that sees an upstream's process end under it reports that to the two entries that keep its count, which follow from the hash, and learns theirs. From the third end on the request is refused everywhere, at once and as not run, before a send, a repeat, a resumption and while it waits, for 60 s or until a whole answer to an equal one. The entry that sees the third end names the request to all others before its caller gets an answer. Plain services are included. Nothing is sent while no upstream ends. The first end under a request that was under way is looked into beside it, without delay. Requests with neither a body nor a part of their own are left to the route's attempts.

--- a/kingcupbay_core/src/deployment/model.rs
+++ b/kingcupbay_core/src/deployment/model.rs
@@ -269,7 +269,7 @@
 }
 
 /// Name of an adapter, or of a base model.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct AdapterName {
     /// The base model.
--- /dev/null
+++ b/kingcupbay_core/src/fatal.rs
@@ -0,0 +1,206 @@
+//! Requests that end one upstream after the other.
+//!
+//! An entry sends a request on when its upstream ends, and a caller tries again at another entry
+//! under another attempt id. A request that ends whatever runs it would so end one upstream after
+//! the other. Entries recognise it by a hash of what stays the same over its tries. The few
+//! entries that keep the count of a request follow from that hash: who sees an upstream end under
+//! a request reports that to them, and learns from their answers what others have seen. No
+//! upstream gets the request after [`ENDS_MAX`] ends without a whole answer in between.
+//!
+//! Nothing is sent or looked up for a request while no upstream ends under it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+use crate::{
+    time::{Instant, Span},
+    wire::fatal::{RequestEnd, RequestEnds, RequestKey},
+};
+
+/// Ends of upstreams under a request after which no upstream gets it.
+pub const ENDS_MAX: usize = 3;
+
+/// How long an end counts. Longer than all tries of a request last.
+pub const END_KEPT: Span = Span::from_secs(60);
+
+/// Ends closer together than this count once: a request cannot be sent on as fast, so that they
+/// have a common cause, such as the loss of a rack, and befell equal requests of several callers.
+const END_SPREAD: Span = Span::from_millis(10);
+
+/// Ends of one upstream closer together than this are seen from several callers' requests: it
+/// does not start again and end once more as fast.
+const RESTART_TIME_MIN: Span = Span::from_millis(100);
+
+/// Largest number of requests that are remembered. The oldest are dropped first.
+const REQUESTS_MAX: usize = 10_000;
+
+/// Ends remembered of one request.
+const ENDS_KEPT_MAX: usize = 16;
+
+/// The end of an upstream under a request.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    /// Hash of the upstream's id.
+    upstream: u64,
+    at: Instant,
+}
+
+/// Ends of upstreams under one request.
+#[derive(Clone, Debug, Default)]
+struct Ends {
+    /// By the id that their observer has given them.
+    ends: BTreeMap<u64, End>,
+    /// When the last whole answer ended.
+    completed: Option<Instant>,
+    /// When it was last heard of. Invariant: its place in `by_time`.
+    updated: Instant,
+}
+
+impl Ends {
+    /// Returns the number of ends since the last whole answer.
+    fn count(&self, now: Instant) -> usize {
+        let is_open = |end: &End| {
+            let counts = self.completed.is_none_or(|completed| completed < end.at);
+            counts && now.since(end.at) < END_KEPT
+        };
+        let mut open: Vec<End> = self.ends.values().copied().filter(is_open).collect();
+        open.sort_unstable_by_key(|end| (end.at, end.upstream));
+        let mut counted: Vec<End> = Vec::new();
+        for end in open {
+            let is_same = |other: &End| {
+                let least = match other.upstream == end.upstream {
+                    true => RESTART_TIME_MIN,
+                    false => END_SPREAD,
+                };
+                end.at.since(other.at) < least
+            };
+            if !counted.iter().any(is_same) {
+                counted.push(end);
+            }
+        }
+        counted.len()
+    }
+}
+
+/// Requests under which upstreams have ended, as far as an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct FatalRequests {
+    requests: BTreeMap<RequestKey, Ends>,
+    /// Invariant: contains each of `requests` once, at its `updated`.
+    by_time: BTreeSet<(Instant, RequestKey)>,
+}
+
+impl FatalRequests {
+    /// Returns whether no upstream has ended under any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns the number of upstreams that have ended under the request since its last whole
+    /// answer.
+    pub fn ends(&self, now: Instant, request: RequestKey) -> usize {
+        self.requests.get(&request).map_or(0, |known| known.count(now))
+    }
+
+    /// Returns whether no upstream may get the request any more.
+    pub fn is_refused(&self, now: Instant, request: RequestKey) -> bool {
+        self.ends(now, request) >= ENDS_MAX
+    }
+
+    /// Returns the requests that no upstream may get any more.
+    pub fn refused(&self, now: Instant) -> impl Iterator<Item = RequestKey> {
+        let known = self.requests.iter();
+        known.filter(move |(_, ends)| ends.count(now) >= ENDS_MAX).map(|(&request, _)| request)
+    }
+
+    /// Records that `upstream` ended at `at` while it ran `attempt`, a try of the request.
+    pub fn on_end(
+        &mut self,
+        now: Instant,
+        at: Instant,
+        request: RequestKey,
+        upstream: &str,
+        attempt: &str,
+    ) {
+        let upstream = hash(upstream);
+        self.update(now, request, |known| {
+            known.ends.insert(hash((upstream, attempt, at)), End { upstream, at });
+        });
+    }
+
+    /// Records a whole answer to the request. Returns whether upstreams have ended under it
+    /// before, so that other entries have to know.
+    pub fn on_complete(&mut self, now: Instant, request: RequestKey) -> bool {
+        let has_ended = self.ends(now, request) > 0;
+        if has_ended {
+            self.update(now, request, |known| known.completed = Some(now));
+        }
+        has_ended
+    }
+
+    /// Applies what another entry knows. Returns whether no upstream may get the request from now
+    /// on.
+    pub fn on_report(&mut self, now: Instant, report: RequestEnds) -> bool {
+        let was_refused = self.is_refused(now, report.request);
+        let at = |age: Span| Instant::from_micros(now.as_micros().saturating_sub(age.as_micros()));
+        let ends = report.ends.into_iter().filter(|(_, end)| end.age < END_KEPT);
+        let ends: Vec<(u64, RequestEnd)> = ends.take(ENDS_KEPT_MAX).collect();
+        if ends.is_empty() && !self.requests.contains_key(&report.request) {
+            return false;
+        }
+        self.update(now, report.request, |known| {
+            for (id, RequestEnd { upstream, age }) in ends {
+                known.ends.entry(id).or_insert(End { upstream, at: at(age) });
+            }
+            known.completed = known.completed.max(report.completed.map(at));
+        });
+        !was_refused && self.is_refused(now, report.request)
+    }
+
+    /// Returns what this entry knows of the request, for others.
+    pub fn report(&self, now: Instant, request: RequestKey) -> RequestEnds {
+        let Some(known) = self.requests.get(&request) else {
+            return RequestEnds { request, ..RequestEnds::default() };
+        };
+        RequestEnds {
+            request,
+            ends: known
+                .ends
+                .iter()
+                .map(|(&id, end)| {
+                    (id, RequestEnd { upstream: end.upstream, age: now.since(end.at) })
+                })
+                .collect(),
+            completed: known.completed.map(|at| now.since(at)),
+        }
+    }
+
+    fn update(&mut self, now: Instant, request: RequestKey, change: impl FnOnce(&mut Ends)) {
+        let known = self.requests.entry(request).or_default();
+        self.by_time.remove(&(known.updated, request));
+        change(known);
+        while known.ends.len() > ENDS_KEPT_MAX {
+            let oldest = known.ends.iter().min_by_key(|(id, end)| (end.at, **id));
+            let Some(id) = oldest.map(|(id, _)| *id) else { break };
+            known.ends.remove(&id);
+        }
+        known.updated = now;
+        self.by_time.insert((now, request));
+        let expired = |at: Instant| now.since(at) >= END_KEPT;
+        while let Some(&(at, oldest)) = self.by_time.first()
+            && (expired(at) || self.requests.len() > REQUESTS_MAX)
+        {
+            self.by_time.pop_first();
+            self.requests.remove(&oldest);
+        }
+    }
+}
+
+/// Returns the same value at all daemons of one build.
+fn hash(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -44,6 +44,8 @@
     pub resumes: Option<String>,
     /// Parts of the prompt that other requests may share, in their order: all but the last.
     pub parts: Vec<PartId>,
+    /// The last part of the prompt, which belongs to the request itself or to its session.
+    pub own_part: Option<PartId>,
 }
 
 /// Metadata sent to an upstream in addition to the caller's own headers.
--- a/kingcupbay_core/src/wire/mod.rs
+++ b/kingcupbay_core/src/wire/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! [`metadata`] and [`rows`] hold messages of a platform in decoded form. On such
 //! a platform daemons exchange [`sidecar`], [`usage`], [`read_position`],
-//! [`evacuation`], [`limit`] and [`origin`] messages, as MessagePack over HTTP.
+//! [`evacuation`], [`limit`], [`origin`] and [`fatal`] messages, as MessagePack over HTTP.
 //!
 //! [`admin`] is the interface of every daemon for the operators' tool, as JSON.
 
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod error;
 pub mod evacuation;
+pub mod fatal;
 pub mod fleet;
 pub mod limit;
 pub mod metadata;
--- a/kingcupbay_core/src/wire/part.rs
+++ b/kingcupbay_core/src/wire/part.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::fatal::RequestEnds;
 use crate::time::Span;
 
 /// Path at an entry that takes a list of [`PartReport`]. The answer is 204.
@@ -45,4 +46,7 @@
     pub relay: bool,
     /// The parts.
     pub parts: Vec<PartReport>,
+    /// Requests that no upstream gets any more.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub requests: Vec<RequestEnds>,
 }
--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -221,6 +221,7 @@
             rest: RefCell::default(),
             arrivals: RefCell::default(),
             fatal_parts: RefCell::default(),
+            fatal_body: RefCell::default(),
             crashes: Cell::new(0),
             crash: RefCell::default(),
             changes: Changes::default(),
@@ -366,9 +367,16 @@
         self.state.fatal_parts.borrow_mut().insert(part.to_owned());
     }
 
-    /// Ends what [`UpstreamServer::crash_on`] began, for all parts.
+    /// Makes it crash whenever it runs a request whose body contains `text`, before or after it
+    /// has begun to answer.
+    pub fn crash_on_body(&self, text: &str) {
+        *self.state.fatal_body.borrow_mut() = Some(text.to_owned());
+    }
+
+    /// Ends what [`UpstreamServer::crash_on`] and [`UpstreamServer::crash_on_body`] began.
     pub fn clear_fatal_parts(&self) {
         self.state.fatal_parts.borrow_mut().clear();
+        *self.state.fatal_body.borrow_mut() = None;
     }
 
     /// Returns how often it has crashed on a part of a prompt.
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -74,6 +74,8 @@
     pub(super) arrivals: RefCell<Vec<Instant>>,
     /// Parts of prompts on which it crashes as it begins to answer.
     pub(super) fatal_parts: RefCell<BTreeSet<String>>,
+    /// Text in the bodies of requests on which it crashes.
+    pub(super) fatal_body: RefCell<Option<String>>,
     pub(super) crashes: Cell<u32>,
     /// Ends the process and starts it again after a while.
     pub(super) crash: RefCell<Option<Box<dyn Fn()>>>,
@@ -275,6 +277,18 @@
         });
         self.overheat();
         self.changes.notify();
+        let is_fatal = |text: &String| {
+            call.body.windows(text.len().max(1)).any(|bytes| bytes == text.as_bytes())
+        };
+        let is_fatal = self.fatal_body.borrow().as_ref().is_some_and(is_fatal);
+        if is_fatal {
+            self.crash_soon();
+        }
+        if !self.settings.engine && is_fatal {
+            return answer(&attempt)
+                .body(BodyStream::new(stream::pending::<Result<bytes::Bytes, std::io::Error>>()))
+                .map_into_boxed_body();
+        }
         if !self.settings.engine {
             return answer(&attempt)
                 .body(format!("done by {}", self.settings.id))
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -3,7 +3,7 @@
 //! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
 //! daemons. Each holds for the process that has said it, by id and start. A stream goes on only
 //! at an upstream of the software that began it, and a request with a part that engines crash on
-//! goes to none.
+//! goes to none, nor does one under which upstreams end.
 
 use std::rc::Rc;
 
@@ -19,7 +19,7 @@
 use crate::{
     clock,
     gateway::{Gateway, job::Job, send::SendOptions},
-    registered::parts,
+    registered::{fatal, parts},
 };
 
 /// Why a request is not sent to an upstream now.
@@ -27,6 +27,8 @@
 pub(crate) enum Hold {
     /// Engines crash on a part of the prompt.
     Quarantined,
+    /// Upstreams end under the request.
+    Fatal,
     /// The upstream runs another software than the one that began the stream, or was chosen for.
     Software,
     /// The upstream has said that it leaves.
@@ -43,7 +45,7 @@
     /// Returns the time until the upstream takes another request, if it does.
     pub(crate) fn after(self) -> Option<Span> {
         match self {
-            Hold::Quarantined | Hold::Software | Hold::Leaving => None,
+            Hold::Quarantined | Hold::Fatal | Hold::Software | Hold::Leaving => None,
             Hold::Resting(after) | Hold::Limited(after) | Hold::Cold(after) => Some(after),
         }
     }
@@ -52,6 +54,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Hold::Quarantined => parts::QUARANTINED,
+            Hold::Fatal => fatal::REFUSED,
             Hold::Software => "upstreams run another software",
             Hold::Leaving => "upstreams are leaving",
             Hold::Resting(_) => "upstreams asked for rest",
@@ -78,6 +81,8 @@
     Resting,
     /// Engines crash on a part of the prompt.
     Quarantined,
+    /// Upstreams end under the request.
+    Fatal,
 }
 
 impl Withdrawal {
@@ -88,6 +93,7 @@
             Withdrawal::Leaving => "leaving",
             Withdrawal::Resting => "resting",
             Withdrawal::Quarantined => "quarantined",
+            Withdrawal::Fatal => "fatal",
         }
     }
 }
@@ -106,6 +112,9 @@
         if parts::is_quarantined(self, job) {
             return Err(Hold::Quarantined);
         }
+        if fatal::is_refused(job) {
+            return Err(Hold::Fatal);
+        }
         let catalogue = self.node.catalogue.borrow();
         let replaced = catalogue.instance(&row.id).is_some_and(|now| now.software != row.software);
         if replaced || !options.eligible.includes(row) {
@@ -207,6 +216,9 @@
         if parts::is_quarantined(self, job) {
             return Some(Withdrawal::Quarantined);
         }
+        if fatal::is_refused(job) {
+            return Some(Withdrawal::Fatal);
+        }
         let catalogue = self.node.catalogue.borrow();
         if catalogue.evacuations().is_evacuated(&row.zone) {
             return Some(Withdrawal::Evacuated);
--- a/kingcupbayd/src/gateway/choice.rs
+++ b/kingcupbayd/src/gateway/choice.rs
@@ -167,7 +167,9 @@
     job.gateway.metrics.on_withdrawal(why);
     let event = match why {
         Withdrawal::Evacuated => "zone_left",
-        Withdrawal::Leaving | Withdrawal::Resting | Withdrawal::Quarantined => "wait_left",
+        Withdrawal::Leaving | Withdrawal::Resting | Withdrawal::Quarantined | Withdrawal::Fatal => {
+            "wait_left"
+        }
     };
     info!(job.gateway.node.log, ""; "event" => event, "request" => &job.metadata.attempt,
         "upstream" => &instance.id, "zone" => &instance.zone, "why" => why.as_str());
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -25,7 +25,7 @@
         tried::{SearchEnd, Tried, may_send},
     },
     http::link::LinkError,
-    registered::{origins, parts},
+    registered::{fatal, origins, parts},
 };
 
 /// Largest number of engines that are asked for a permit before a request is refused.
@@ -94,6 +94,9 @@
     if let Some(refusal) = parts::refusal(&job.gateway, &job) {
         return Err(refusal);
     }
+    if let Some(refusal) = fatal::refusal(&job) {
+        return Err(refusal);
+    }
     let tried = Rc::new(Tried::default());
     let point = StartPoint {
         last_event: job.metadata.last_event,
@@ -328,7 +331,7 @@
                 return Outcome::Next(None);
             }
             tried.may_have_run.set(true);
-            let again = parts::on_cut(&job.gateway, job, &instance, &error, None).await;
+            let again = parts::on_cut(job, &instance, &error, None).await;
             match again && job.route.repeat == Repeat::Resumable {
                 true => Outcome::Next(None),
                 false => Outcome::Last,
@@ -376,6 +379,7 @@
         (false, ..) if parts::is_quarantined(&job.gateway, job) => {
             Refusal::plain(Code::NoUpstream, parts::QUARANTINED)
         }
+        (false, ..) if let Some(refusal) = fatal::refusal(job) => refusal,
         (false, ..) if let Some(rest) = job.gateway.shortest_rest(service) => {
             Refusal::retry(Code::Overloaded, "engines asked for rest", job.spread(rest))
         }
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -1,19 +1,23 @@
 //! An admitted request.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, OnceCell},
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
 };
 
-use actix_http::{Method, header::HeaderMap};
+use actix_http::{
+    Method,
+    header::{self, HeaderMap, HeaderValue},
+};
 use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::{Deployment, Organisation, Route},
     retry_after::retry_after,
     time::{Instant, Span},
     wire::{
+        fatal::RequestKey,
         metadata::{RequestMetadata, Size},
         origin::StreamId,
     },
@@ -45,6 +49,8 @@
     /// Headers as sent by the caller.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What stays the same over the caller's tries, once it has been asked for.
+    pub(crate) key: OnceCell<Option<RequestKey>>,
     pub(crate) arrived: Instant,
     /// Time by which the final answer is due.
     pub(crate) deadline: Instant,
@@ -107,6 +113,22 @@
         }
     }
 
+    /// Returns the hash of what stays the same over the caller's tries. `None` if nothing tells
+    /// the request from those of other callers.
+    pub(crate) fn request_key(&self) -> Option<RequestKey> {
+        *self.key.get_or_init(|| {
+            let RequestMetadata { model, parts, own_part, .. } = &self.metadata;
+            if own_part.is_none() && self.body.is_empty() {
+                return None;
+            }
+            let host = self.headers.get(header::HOST).map(HeaderValue::as_bytes);
+            let mut hasher = DefaultHasher::new();
+            (self.organisation_name(), host, self.method.as_str(), &self.path).hash(&mut hasher);
+            (model, parts, own_part, &self.body).hash(&mut hasher);
+            Some(RequestKey(hasher.finish()))
+        })
+    }
+
     /// Returns the name of the organisation, if the route needs a key.
     pub(crate) fn organisation_name(&self) -> Option<&str> {
         self.organisation.as_ref().map(|organisation| organisation.name.as_str())
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -42,6 +42,8 @@
     mixed: IntGauge,
     part_crashes: IntCounter,
     part_refusals: IntCounter,
+    request_ends: IntCounter,
+    fatal_refusals: IntCounter,
     suspects: IntGauge,
     quarantined: IntGauge,
 }
@@ -212,6 +214,16 @@
                 "kingcupbay_part_refusals_total",
                 "Requests refused for a quarantined part of their prompt",
             ),
+            request_ends: counter(
+                &registry,
+                "kingcupbay_request_ends_total",
+                "Upstreams that ended while they ran a request",
+            ),
+            fatal_refusals: counter(
+                &registry,
+                "kingcupbay_fatal_refusals_total",
+                "Requests refused because upstreams end under them",
+            ),
             suspects: gauge(
                 &registry,
                 "kingcupbay_suspect_parts",
@@ -276,6 +288,16 @@
         self.part_refusals.inc();
     }
 
+    /// Counts an upstream that ended while it ran a request.
+    pub(crate) fn on_request_end(&self) {
+        self.request_ends.inc();
+    }
+
+    /// Counts a request refused because upstreams end under it.
+    pub(crate) fn on_fatal_refusal(&self) {
+        self.fatal_refusals.inc();
+    }
+
     /// Records the numbers of suspect and of quarantined parts.
     pub(crate) fn set_parts(&self, suspects: usize, quarantined: usize) {
         self.suspects.set(suspects as i64);
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) mod tried;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -44,6 +44,7 @@
         lookup::Caller,
         model::{Deployment, Organisation, Route},
     },
+    fatal::FatalRequests,
     health::Health,
     limit::LimitShares,
     origin::Origins,
@@ -117,6 +118,8 @@
     pub(crate) pending_origins: PendingOrigins,
     /// Parts of prompts that engines crash on.
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Requests under which upstreams end.
+    pub(crate) fatal: RefCell<FatalRequests>,
     /// Streams that may move to other engines.
     pub(crate) transfers: transfer::Transfers,
     /// Notified when an upstream has said that it leaves or has asked for rest.
@@ -181,6 +184,7 @@
             origins: RefCell::default(),
             pending_origins: PendingOrigins::default(),
             quarantine: RefCell::default(),
+            fatal: RefCell::default(),
             transfers: transfer::Transfers::default(),
             withdrawn: Notify::new(),
             metrics: Metrics::new(&node.store, &node.control),
@@ -264,6 +268,7 @@
         cost,
         limiter: Cell::default(),
         is_trial: Cell::default(),
+        key: OnceCell::new(),
         body,
         method: request.method().clone(),
         path: path(&request),
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -23,6 +23,7 @@
         send::{self, SendError, SendOptions},
     },
     http::link::LinkError,
+    registered::{fatal, parts},
 };
 
 /// Time without an answer, as a multiple of the route's latency target, after which a request
@@ -107,6 +108,9 @@
 /// Sends a request to upstreams of `service` until one answers. An upstream that is silent may
 /// still answer while another is tried.
 pub(crate) async fn serve(job: Rc<Job>, service: &str) -> Result<Response<BoxBody>, Refusal> {
+    if let Some(refusal) = fatal::refusal(&job) {
+        return Err(refusal);
+    }
     let mut tried = Tried::default();
     let open = OpenAttempts::new();
     while job.remaining() > Span::ZERO {
@@ -157,9 +161,10 @@
                 tried.held = Some(hold.earlier(tried.held));
             }
             Outcome::Unsent(_) => tried.on_unsent(ticket),
-            Outcome::Unknown(_) => {
+            Outcome::Unknown(error) => {
                 tried.may_have_run = true;
-                if !job.route.repeat.repeatable() {
+                let again = parts::on_cut(&job, &instance, &error, None).await;
+                if !again || !job.route.repeat.repeatable() {
                     break;
                 }
             }
@@ -338,6 +343,9 @@
 /// Returns the upstream's answer, and counts and logs it.
 fn deliver(job: &Job, instance: &Instance, head: &ResponseHead, body: Bytes) -> Response<BoxBody> {
     let ms = clock::now().since(job.arrived);
+    if !head.status.is_server_error() {
+        fatal::on_complete(job);
+    }
     job.gateway.metrics.on_answer(&job.route.name, head.status.as_u16(), ms);
     info!(job.gateway.node.log, ""; "event" => "answered", "request" => &job.metadata.attempt,
         "route" => &job.route.name, "upstream" => &instance.id,
--- a/kingcupbayd/src/gateway/resuming.rs
+++ b/kingcupbayd/src/gateway/resuming.rs
@@ -38,7 +38,7 @@
         self.waiting = Some(now);
         let began = Some(self.answered);
         let may_go_on = self.search.is_some()
-            || (parts::on_cut(&gateway, &self.job, &self.instance, &error, began).await
+            || (parts::on_cut(&self.job, &self.instance, &error, began).await
                 && self.begin_search());
         if !may_go_on || remaining == Span::ZERO {
             gateway.metrics.on_broken(&self.job.route.name);
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -33,7 +33,7 @@
         tried::Tried,
     },
     http::link::{Link, LinkError},
-    registered::{origins, parts},
+    registered::{fatal, origins, parts},
 };
 
 /// Time without an event in the middle of a resumable stream after which another engine is
@@ -314,6 +314,9 @@
             let (job, row) = (self.job.clone(), self.instance.clone());
             drop(actix_rt::spawn(parts::on_short_answer(job, row, self.answered)));
         }
+        if self.events && (self.framed || self.went_on) {
+            fatal::on_complete(&self.job);
+        }
         let gateway = &self.job.gateway;
         let now = clock::now();
         gateway.health.borrow_mut().on_exchange(now, &self.instance.id, Exchange::Succeeded);
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -8,7 +8,8 @@
 //! what other entries have read, and [`confirm`] whether the configuration may deny a request.
 //! [`members`] maintains the list of entries in the store,
 //! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
-//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`parts`] on which parts of prompts engines crash, [`message`] reads messages of other daemons, and
+//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`parts`] on which
+//! parts of prompts engines crash, [`fatal`] under which requests upstreams end, [`message`] reads messages of other daemons, and
 //! [`control`] calls them and counts that. [`specs`] spares sidecars reads of the operator's
 //! rows.
 //! [`start`] sets up either role: `gateway` for entries, `sidecar` beside an engine.
@@ -16,6 +17,7 @@
 pub(crate) mod confirm;
 pub(crate) mod control;
 pub(crate) mod evacuations;
+pub(crate) mod fatal;
 pub(crate) mod follow;
 pub(crate) mod limiters;
 pub(crate) mod limits;
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -7,6 +7,7 @@
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use kingcupbay_core::{
     deployment::model::Instance,
     quarantine::BEGIN_TIME,
@@ -25,8 +26,9 @@
         self,
         link::{Link, LinkError},
     },
-    registered::message,
+    registered::{fatal, message},
 };
+
 /// Timeout of an answer to a report.
 const ANSWER_TIMEOUT: Span = Span::from_millis(300);
 
@@ -55,17 +57,26 @@
     if parts.is_empty() {
         return;
     }
+    let gateway = gateway.clone();
+    let reports = PartReports { parts, ..PartReports::default() };
+    drop(actix_rt::spawn(async move { announce(&gateway, reports).await }));
+}
+
+/// Sends `reports` to all entries. Returns once the limiters have answered, or one of them if
+/// this entry is none.
+pub(crate) async fn announce(gateway: &Rc<Gateway>, reports: PartReports) {
     let is_limiter = gateway.limiters.borrow().is_limiter();
-    let body = encode(&PartReports { relay: !is_limiter, parts });
+    let body = encode(&PartReports { relay: !is_limiter, ..reports });
     if !is_limiter {
-        drop(actix_rt::spawn(send_to_limiter(gateway.clone(), body)));
+        send_to_limiter(gateway.clone(), body).await;
         return;
     }
-    let targets = {
+    let (peers, followers) = {
         let limiters = gateway.limiters.borrow();
-        limiters.peers().iter().copied().chain(limiters.followers()).collect()
+        (limiters.peers().to_vec(), limiters.followers().collect())
     };
-    send_to_all(gateway, targets, &body);
+    send_to_all(gateway, followers, &body);
+    join_all(peers.into_iter().map(|peer| send(gateway, peer, &body))).await;
 }
 
 fn encode(reports: &PartReports) -> Bytes {
@@ -120,9 +131,12 @@
             let peers = limiters.peers().iter().copied().filter(|_| reports.relay);
             peers.chain(limiters.followers()).collect()
         };
-        let body = encode(&PartReports { relay: false, parts: reports.parts.clone() });
+        let body = encode(&PartReports { relay: false, ..reports.clone() });
         send_to_all(&gateway, targets, &body);
     }
+    for report in reports.requests {
+        fatal::on_report(&gateway, report);
+    }
     let now = clock::now();
     let found = gateway.quarantine.borrow_mut().on_reports(now, reports.parts, is_limiter);
     on_found(&gateway, &found, "report");
@@ -177,30 +191,48 @@
     }
 }
 
-/// Records that the connection to `row`, which was about to answer the request of `job`, has
-/// failed with `error`; `began` is the time of the first byte of the answer. Returns whether the
-/// request may be sent to another engine.
+/// Records that the connection to `row`, which ran the request of `job`, has failed with `error`;
+/// `began` is the time of the first byte of the answer. Returns whether the request may be sent
+/// to another upstream.
 pub(crate) async fn on_cut(
-    gateway: &Rc<Gateway>,
-    job: &Job,
-    row: &Instance,
+    job: &Rc<Job>,
+    row: &Rc<Instance>,
     error: &LinkError,
     began: Option<Instant>,
 ) -> bool {
-    let is_end = matches!(error, LinkError::Early | LinkError::Lost(_));
-    let is_suspect = began.is_none_or(|began| clock::now().since(began) < BEGIN_TIME);
-    let has_parts = !job.metadata.parts.is_empty();
-    !(has_parts && is_end && is_suspect && has_ended(row).await)
-        || on_crash(gateway, job, row, began)
+    if !matches!(error, LinkError::Early | LinkError::Lost(_)) {
+        return true;
+    }
+    let at = clock::now();
+    let is_beginning = began.is_none_or(|began| at.since(began) < BEGIN_TIME);
+    let is_suspect = is_beginning && !job.metadata.parts.is_empty();
+    if !is_suspect && !fatal::has_ends(job) {
+        // It may go on at once: one end says nothing of a request.
+        let (job, row) = (job.clone(), row.clone());
+        drop(actix_rt::spawn(async move {
+            if has_ended(&row).await {
+                fatal::on_end(&job, &row, at).await;
+            }
+        }));
+        return true;
+    }
+    if !has_ended(row).await {
+        return true;
+    }
+    let again = !is_suspect || on_crash(&job.gateway, job, row, began);
+    fatal::on_end(job, row, at).await && again
 }
 
 /// Records that `row` has ended the answer to the request of `job`, begun at `began`, with its
 /// connection and within [`BEGIN_TIME`]. The answer is whole, unless the engine has crashed.
 pub(crate) async fn on_short_answer(job: Rc<Job>, row: Rc<Instance>, began: Instant) {
+    let at = clock::now();
     if !job.metadata.parts.is_empty() && has_ended(&row).await {
         on_crash(&job.gateway, &job, &row, Some(began));
+        fatal::on_end(&job, &row, at).await;
     } else {
         on_answer(&job.gateway, &job, began);
+        fatal::on_complete(&job);
     }
 }
 
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -9,6 +9,7 @@
     time::Span,
     wire::{
         evacuation::EVACUATIONS_PATH,
+        fatal::REQUEST_ENDS_PATH,
         limit::LIMITS_PATH,
         origin::{ORIGIN_PATH, ORIGINS_PATH},
         part::PARTS_PATH,
@@ -28,8 +29,8 @@
     gateway::{self, Gateway, permits, transfer},
     http,
     registered::{
-        Node, evacuations, follow::follow, limiters, limits, members, message, origins, parts,
-        specs, usage,
+        Node, evacuations, fatal, follow::follow, limiters, limits, members, message, origins,
+        parts, specs, usage,
     },
     server::{
         self, KEEP_ALIVE, ServerLimits,
@@ -227,6 +228,7 @@
         ORIGINS_PATH => origins::handle_records(gateway, request).await,
         ORIGIN_PATH => origins::handle_query(gateway, request).await,
         PARTS_PATH => parts::handle(gateway, request).await,
+        REQUEST_ENDS_PATH => fatal::handle(gateway, request).await,
         ACQUIRE_PATH => limiters::handle_acquire(gateway, request).await,
         REFUND_PATH => limiters::handle_refund(gateway, request).await,
         ROWS_PATH => {
