Bound answers without an end, each and all together

Callers saw: a stream whose engine began an event that never ended stayed without events until its time was over, and the entry kept all of its bytes. While 64 answers of a plain service had no end, an entry grew to 557 MB. Cause: an event had no bound, and any byte counted as a sign that the engine goes on. Whole answers had a bound each (8 MB, 64 MB for calls) and none together. Informational heads, the extensions of a chunk and answers to other requests were skipped as long as they came. Ruled out: a bound on time alone, as a fast sender fills the memory within it. Change: an event has at most 256 KB, and only whole events end a silence, so that a stream goes on at another engine. All heads before an answer count together (64 KB), as do bytes of the framing in a row (64 KB), skipped answers (1 MB), bodies of refusals (64 KB) and of failures of engines (8 MB). Calls of the store, engines and other daemons take 8 MB. The connection closes, and the upstream's health counts a failure. Conclusion: requests' bodies are bounded each (the configuration's limit, 10 s), not together.

--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -222,6 +222,7 @@
             arrivals: RefCell::default(),
             fatal_parts: RefCell::default(),
             fatal_body: RefCell::default(),
+            endless: Cell::new(None),
             crashes: Cell::new(0),
             crash: RefCell::default(),
             changes: Changes::default(),
@@ -373,6 +374,12 @@
         *self.state.fatal_body.borrow_mut() = Some(text.to_owned());
     }
 
+    /// Sets whether its answers have no end: a plain service's body, or the next event of a
+    /// stream. `pause` is the time between two pieces of it.
+    pub fn set_endless(&self, pause: Option<Duration>) {
+        self.state.endless.set(pause);
+    }
+
     /// Ends what [`UpstreamServer::crash_on`] and [`UpstreamServer::crash_on_body`] began.
     pub fn clear_fatal_parts(&self) {
         self.state.fatal_parts.borrow_mut().clear();
--- a/kingcupbay_standin/src/upstream/run.rs
+++ b/kingcupbay_standin/src/upstream/run.rs
@@ -11,7 +11,10 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 
-use super::{network, state::State};
+use super::{
+    network,
+    state::{ENDLESS_BYTES, State},
+};
 
 /// Tokens of each event.
 pub(super) const EVENT_TOKENS: u64 = 4;
@@ -129,6 +132,11 @@
             }
             return Some(Err(io::Error::other("cut")));
         }
+        if let Some(pause) = self.state.endless.get() {
+            tokio::time::sleep(pause).await;
+            let length = if pause.is_zero() { ENDLESS_BYTES } else { 1 };
+            return Some(Ok(vec![b'x'; length].into()));
+        }
         self.run.events.set(self.run.events.get().max(self.next));
         let text = format!("id: {}\ndata: {}\n\n", self.next, self.text());
         if network::overlaps(self.run.origin, self.run.number) {
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -9,7 +9,7 @@
 };
 
 use actix_http::{ConnectionType, Method, Response, StatusCode, body::BodyStream, header};
-use futures_util::{FutureExt, stream};
+use futures_util::{FutureExt, StreamExt, stream};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -31,6 +31,9 @@
 /// Time from the head of an answer to the crash of an engine that crashes on its prompt.
 const CRASH_DELAY: Duration = Duration::from_millis(8);
 
+/// Bytes of each piece of an answer without an end, at full speed.
+pub(super) const ENDLESS_BYTES: usize = 16 << 10;
+
 /// Header with the requests per second that an upstream takes.
 const LIMIT_HEADER: header::HeaderName = header::HeaderName::from_static("server-limit");
 
@@ -76,6 +79,8 @@
     pub(super) fatal_parts: RefCell<BTreeSet<String>>,
     /// Text in the bodies of requests on which it crashes.
     pub(super) fatal_body: RefCell<Option<String>>,
+    /// If set, its answers have no end, and this is the time between two pieces.
+    pub(super) endless: Cell<Option<Duration>>,
     pub(super) crashes: Cell<u32>,
     /// Ends the process and starts it again after a while.
     pub(super) crash: RefCell<Option<Box<dyn Fn()>>>,
@@ -284,6 +289,9 @@
         if is_fatal {
             self.crash_soon();
         }
+        if let Some(pause) = self.endless.get().filter(|_| !self.settings.engine) {
+            return answer(&attempt).body(BodyStream::new(endless(pause))).map_into_boxed_body();
+        }
         if !self.settings.engine && is_fatal {
             return answer(&attempt)
                 .body(BodyStream::new(stream::pending::<Result<bytes::Bytes, std::io::Error>>()))
@@ -328,6 +336,18 @@
     }
 }
 
+/// Returns a body of text that has neither an end nor the end of an event.
+fn endless(
+    pause: Duration,
+) -> impl futures_util::Stream<Item = Result<bytes::Bytes, std::io::Error>> + Unpin {
+    let length = if pause.is_zero() { ENDLESS_BYTES } else { 1 };
+    let piece = bytes::Bytes::from(vec![b'x'; length]);
+    Box::pin(stream::repeat(piece).then(move |piece| async move {
+        tokio::time::sleep(pause).await;
+        Ok(piece)
+    }))
+}
+
 /// Returns the tokens that a request prefills which goes on after event `last`.
 fn prefilled(memory: Option<&Memory>, prompt: u64, last: u64) -> u64 {
     memory.map_or(prompt, |memory| EVENT_TOKENS * last.saturating_sub(memory.events))
--- a/kingcupbayd/src/gateway/resuming.rs
+++ b/kingcupbayd/src/gateway/resuming.rs
@@ -1,6 +1,9 @@
 //! Goes on with a stream at another engine if its engine is silent or fails.
 
-use kingcupbay_core::{health::Exchange, time::Span};
+use kingcupbay_core::{
+    health::Exchange,
+    time::{Instant, Span},
+};
 use slog::{info, warn};
 
 use crate::{
@@ -81,8 +84,9 @@
         true
     }
 
-    /// Ends the search for another engine, as the one of now has sent bytes.
-    pub(super) fn on_bytes(&mut self) {
+    /// Ends the search for another engine, as the one of now has sent whole events; `before` is
+    /// when the ones before were forwarded. Bytes of an event without an end are a silence.
+    pub(super) fn on_events(&mut self, before: Instant) {
         let now = clock::now();
         self.search_at = now + EVENT_TIMEOUT;
         if self.waiting.take().is_none() {
@@ -94,7 +98,7 @@
         gateway.metrics.on_silence("went_on");
         info!(gateway.node.log, ""; "event" => "went_on",
             "request" => &self.job.metadata.attempt, "upstream" => &self.instance.id,
-            "last_event" => self.last_event, "ms" => now.since(self.forwarded).as_millis());
+            "last_event" => self.last_event, "ms" => now.since(before).as_millis());
         self.watch();
     }
 
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use actix_http::{ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::Instance,
     origin::Eligible,
@@ -24,7 +24,10 @@
 const MISROUTED_MAX: u32 = 3;
 
 /// Longest answer of a plain service.
-const BODY_MAX_BYTES: usize = 8 << 20;
+pub(super) const BODY_MAX_BYTES: usize = 8 << 20;
+
+/// Longest body of an answer that says that the request did not run.
+const REFUSAL_MAX_BYTES: usize = 64 << 10;
 
 /// Time by which the deadline sent to an upstream is earlier than the entry's own, so
 /// that the upstream's answer still arrives in time.
@@ -136,18 +139,13 @@
     instance: &Instance,
     mut answer: PendingAnswer,
 ) -> Result<(ResponseHead, AnswerMetadata, Bytes), LinkError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = answer.link.chunk().await? {
-        if body.len() + chunk.len() > BODY_MAX_BYTES {
-            return Err(LinkError::Malformed("the answer is too long".to_owned()));
-        }
-        body.extend_from_slice(&chunk);
-    }
     let pool = &job.gateway.node.pool;
+    let limit = if answer.metadata.not_run { REFUSAL_MAX_BYTES } else { BODY_MAX_BYTES };
+    let body = pool.read_whole(&mut answer.link, limit).await?;
     pool.put(instance.address, answer.link, answer.metadata.idle);
     let id = &instance.id;
     if let Some(load) = answer.metadata.load {
         job.gateway.health.borrow_mut().on_load(clock::now(), id, load);
     }
-    Ok((answer.head, answer.metadata, body.freeze()))
+    Ok((answer.head, answer.metadata, body))
 }
--- a/kingcupbayd/src/gateway/stream.rs
+++ b/kingcupbayd/src/gateway/stream.rs
@@ -28,7 +28,7 @@
         moving::{Event, Moving},
         permits::Permit,
         reply::{self, Refusal},
-        send::PendingAnswer,
+        send::{BODY_MAX_BYTES, PendingAnswer},
         transfer::{Movable, Move},
         tried::Tried,
     },
@@ -41,6 +41,9 @@
 /// lack of memory repeats its prefill within a second.
 pub(super) const EVENT_TIMEOUT: Span = Span::from_millis(1_500);
 
+/// Longest event of a stream.
+const EVENT_MAX_BYTES: usize = 256 << 10;
+
 /// A stream that is forwarded to its caller.
 pub(crate) struct Relay {
     pub(super) job: Rc<Job>,
@@ -88,6 +91,8 @@
     pub(super) pause: Span,
     /// Whether the body is a series of events.
     pub(super) events: bool,
+    /// Bytes forwarded of a body that is not.
+    other_bytes: usize,
     /// Whether the engine of now marks the end of the body other than by that of its connection.
     framed: bool,
     pub(super) ended: bool,
@@ -137,6 +142,7 @@
             instance,
             permit,
             events,
+            other_bytes: 0,
             framed,
         };
         let mut relay = relay.watched();
@@ -164,9 +170,12 @@
         loop {
             let result = match self.next_event().await {
                 Event::Read(Ok(Some(chunk))) => {
-                    self.on_bytes();
+                    let before = self.forwarded;
                     match self.take_whole_events(chunk) {
-                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Ok(Some(bytes)) => {
+                            self.on_events(before);
+                            return Some(Ok(bytes));
+                        }
                         Ok(None) => continue,
                         Err(error) => self.on_cut(error).await,
                     }
@@ -214,13 +223,22 @@
     /// whole one.
     fn take_whole_events(&mut self, chunk: Bytes) -> Result<Option<Bytes>, LinkError> {
         if !self.events {
-            return Ok(Some(chunk));
+            self.other_bytes += chunk.len();
+            return match self.other_bytes > BODY_MAX_BYTES {
+                true => Err(LinkError::Malformed("the answer is too long".to_owned())),
+                false => Ok(Some(chunk)),
+            };
         }
         let whole = match (self.partial.is_empty(), events_end(&chunk)) {
             (true, Some(end)) if end == chunk.len() => chunk,
             _ => {
                 self.partial.extend_from_slice(&chunk);
-                let Some(end) = events_end(&self.partial) else { return Ok(None) };
+                let Some(end) = events_end(&self.partial) else {
+                    return match self.partial.len() > EVENT_MAX_BYTES {
+                        true => Err(LinkError::Malformed("an event is too long".to_owned())),
+                        false => Ok(None),
+                    };
+                };
                 self.partial.split_to(end).freeze()
             }
         };
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -53,9 +53,15 @@
 /// doubles the value for its own structures.
 const RECEIVE_BUFFER_BYTES: usize = 24 << 10;
 
-/// Longest head of an answer, in bytes.
+/// Longest head of an answer, in bytes, with the informational heads before it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Bytes read in a row that hold none of the body, such as the extensions of a chunk.
+const MAX_FRAMING_BYTES: usize = 64 << 10;
+
+/// Bytes of an answer to another request that are skipped.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
 /// Why an exchange has no complete answer.
 #[derive(Debug)]
 #[derive(Error)]
@@ -165,8 +171,9 @@
             unreachable!("a connection carries one request at a time");
         };
         let mut writing = std::pin::pin!(writer.write_all(&output));
+        let mut received = self.input.len();
         let head = loop {
-            if let Some(head) = decode_head(&mut codec, &mut self.input)? {
+            if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
                 break head;
             }
             self.input.reserve(READ_BUFFER_BYTES);
@@ -182,7 +189,7 @@
                 }
                 read = reader.read_buf(&mut self.input) => match read {
                     Ok(0) => return Err(LinkError::Early),
-                    Ok(_) => {}
+                    Ok(bytes) => received += bytes,
                     Err(error) => return Err(LinkError::Lost(error)),
                 }
             }
@@ -200,6 +207,7 @@
     /// Reads the next part of the body; `None` after its proper end. Fails if
     /// the connection ends or fails before that.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, LinkError> {
+        let mut received = 0;
         loop {
             match self.parser.as_mut().expect("there between two calls") {
                 Parser::Head(_) => {
@@ -221,10 +229,13 @@
                     Err(error) => return Err(LinkError::Malformed(error.to_string())),
                 },
             }
+            if received > MAX_FRAMING_BYTES {
+                return Err(LinkError::Malformed("the body's framing is too long".to_owned()));
+            }
             self.input.reserve(READ_BUFFER_BYTES);
             match self.stream.read_buf(&mut self.input).await {
                 Ok(0) => return self.on_end(),
-                Ok(_) => {}
+                Ok(bytes) => received += bytes,
                 Err(error) => return Err(LinkError::Lost(error)),
             }
         }
@@ -232,18 +243,27 @@
 
     /// Skips the rest of an answer and reads the head of the answer after it.
     pub(crate) async fn next_head(&mut self) -> Result<ResponseHead, LinkError> {
-        while self.chunk().await?.is_some() {}
+        let mut skipped = 0;
+        while let Some(chunk) = self.chunk().await? {
+            skipped += chunk.len();
+            if skipped > MAX_SKIPPED_BYTES {
+                return Err(LinkError::Malformed(
+                    "another request's answer is too long".to_owned(),
+                ));
+            }
+        }
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             return Err(LinkError::Early);
         };
+        let mut received = self.input.len();
         let head = loop {
-            if let Some(head) = decode_head(&mut codec, &mut self.input)? {
+            if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
                 break head;
             }
             self.input.reserve(READ_BUFFER_BYTES);
             match self.stream.read_buf(&mut self.input).await {
                 Ok(0) => return Err(LinkError::Early),
-                Ok(_) => {}
+                Ok(bytes) => received += bytes,
                 Err(error) => return Err(LinkError::Lost(error)),
             }
         };
@@ -326,17 +346,18 @@
 }
 
 /// Decodes the next head that is not informational; `None` if more bytes are
-/// needed.
+/// needed than the `received` ones.
 fn decode_head(
     codec: &mut ClientCodec,
     input: &mut BytesMut,
+    received: usize,
 ) -> Result<Option<ResponseHead>, LinkError> {
     loop {
         let head = codec.decode(input).map_err(|error| LinkError::Malformed(error.to_string()))?;
         match head {
             Some(head) if head.status.is_informational() => {}
             Some(head) => return Ok(Some(head)),
-            None if input.len() > MAX_HEAD_BYTES => {
+            None if received > MAX_HEAD_BYTES => {
                 return Err(LinkError::Malformed("the head is too long".to_owned()));
             }
             None => return Ok(None),
--- a/kingcupbayd/src/http/pool.rs
+++ b/kingcupbayd/src/http/pool.rs
@@ -11,7 +11,10 @@
 
 use crate::clock;
 
-use super::link::{Link, LinkError};
+use super::{
+    held::HeldBytes,
+    link::{Link, LinkError},
+};
 
 /// Idle timeout of a connection whose server announced none. Shorter than the
 /// few seconds after which servers usually close.
@@ -25,8 +28,8 @@
 /// Idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 24;
 
-/// Longest body of an answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Longest body of an answer, in bytes. The store's pages hold a megabyte before their encoding.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A complete answer.
 pub(crate) struct Answer {
@@ -40,6 +43,8 @@
 /// Idle connections by address.
 #[derive(Clone, Default)]
 pub(crate) struct Pool {
+    /// Answers that are being read.
+    pub(crate) held: HeldBytes,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Link>>>>,
 }
 
@@ -122,15 +127,26 @@
             headers.insert(header::CONTENT_TYPE, json);
         }
         let head = link.exchange(method, path, headers, body).await?;
+        let body = self.read_whole(&mut link, MAX_ANSWER_BYTES).await?;
+        self.put(address, link, None);
+        Ok(Answer { status: head.status.as_u16(), headers: head.headers, body })
+    }
+
+    /// Reads the rest of an answer of at most `limit` bytes.
+    pub(crate) async fn read_whole(
+        &self,
+        link: &mut Link,
+        limit: usize,
+    ) -> Result<Bytes, LinkError> {
+        let mut held = self.held.begin();
         let mut whole = BytesMut::new();
         while let Some(chunk) = link.chunk().await? {
-            if whole.len() + chunk.len() > MAX_ANSWER_BYTES {
+            let length = whole.len() + chunk.len();
+            if length > limit || !held.try_hold(length) {
                 return Err(LinkError::Malformed("the answer is too long".to_owned()));
             }
             whole.extend_from_slice(&chunk);
         }
-        self.put(address, link, None);
-        let status = head.status.as_u16();
-        Ok(Answer { status, headers: head.headers, body: whole.freeze() })
+        Ok(whole.freeze())
     }
 }
