Count broken answers under a request, and play both faults in the soak

Cause: an end counted only if a new connection was refused or closed at once; a proxy accepts one and closes it later. Looking for that proof also took connections and time. Ruled out: a longer look, which holds up each resumption. Change: each answer that breaks off under a request counts, but for a connection that timed out, as the way was cut then. The quarantine of parts asks for the proof as before. A sound request is refused after three broken answers in a row with no whole one in between, over its tries. Conclusion: the stand-in's endless streams keep without an end, which they did not at first.

--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -77,6 +77,8 @@
     pub takes_up: Option<Sent>,
     /// A further part of the prompt of a stream.
     pub part: Option<String>,
+    /// The prompt of a stream whose tries are alike but for their attempts.
+    pub same: Option<String>,
 }
 
 impl Spec {
@@ -90,6 +92,7 @@
             adapter: None,
             takes_up: None,
             part: None,
+            same: None,
         }
     }
 
@@ -197,8 +200,12 @@
             entry: self.entry,
             incarnation: host.daemon.borrow().incarnation(),
             round: context.round.get(),
-            path: format!("{}{}?at={at}", kind.prefix(), self.random.below(1_000)),
+            path: match &spec.same {
+                Some(_) => kind.prefix().to_owned(),
+                None => format!("{}{}?at={at}", kind.prefix(), self.random.below(1_000)),
+            },
             body: match kind {
+                _ if spec.same.is_some() => "the same".to_owned(),
                 Kind::Seats | Kind::Guest => String::new(),
                 _ => format!("{} {at}", "x".repeat(self.random.below(6_000) as usize)),
             },
@@ -210,7 +217,9 @@
                 first: broken.first_attempt().to_owned(),
                 last: broken.received,
             }),
-            prompt: kind.streams().then(|| prompt_parts(spec.part.as_deref(), at)),
+            prompt: kind.streams().then(|| {
+                spec.same.clone().unwrap_or_else(|| prompt_parts(spec.part.as_deref(), at))
+            }),
             received: spec.takes_up.as_ref().map_or(0, |broken| broken.received),
             tokens: prompt + output,
             at: Instant::now(),
--- a/kingcupbay_soak/src/parts.rs
+++ b/kingcupbay_soak/src/parts.rs
@@ -1,11 +1,12 @@
-//! Checks that a part of prompts on which engines crash is found and refused.
+//! Checks that a part of prompts on which engines crash, and a request under which they end, are
+//! found and refused.
 
 use std::{rc::Rc, time::Duration};
 
 use kingcupbay_core::random::Random;
 
 use crate::{
-    callers::{Caller, Context, Spec},
+    callers::{ADAPTERS, Caller, Context, Spec},
     promises::Breach,
     sent::Kind,
 };
@@ -13,6 +14,9 @@
 /// Crashes on one part that requests sent one after the other may cause.
 const CRASHES_MAX: u32 = 12;
 
+/// Crashes that one request may cause, sent once at a time.
+const REQUEST_CRASHES_MAX: u32 = 3;
+
 /// Time in which entries decide on the crashes that they know, and tell each other.
 const DECISION_TIME: Duration = Duration::from_millis(2_500);
 
@@ -60,6 +64,41 @@
     (ended > CRASHES_MAX || !in_time).then_some(Breach { promise: PROMISE, details })
 }
 
+/// Makes engines crash on the part of one request, and sends that to all entries in turn until
+/// each refuses it.
+pub(crate) async fn check_request(context: &Rc<Context>, random: &mut Random) -> Option<Breach> {
+    let engines = &context.fleet.engines;
+    let own = format!("{:x}", random.draw() | 1);
+    engines.iter().for_each(|engine| engine.runner.crash_on(&own));
+    let crashes = || engines.iter().map(|engine| engine.runner.crashes()).sum::<u32>();
+    let before = crashes();
+    let refused = async {
+        loop {
+            let mut refusing = 0;
+            for entry in 0..context.fleet.entries.len() {
+                let known = crashes();
+                let name = format!("request-{}", random.draw());
+                let mut caller = Caller::new(context, &name, entry, random.draw());
+                let same = Some(format!("5c1e07a2:20,{own}:20"));
+                let adapter = Some(ADAPTERS[0]);
+                let sent = caller.send(Spec { same, adapter, ..Spec::new(Kind::Tour) }).await;
+                refusing += usize::from(sent.status() == Some(503) && crashes() == known);
+                register_crashed(context);
+            }
+            if refusing == context.fleet.entries.len() && crashes() - before >= REQUEST_CRASHES_MAX
+            {
+                return;
+            }
+        }
+    };
+    let in_time = tokio::time::timeout(LIMIT, refused).await.is_ok();
+    engines.iter().for_each(|engine| engine.runner.clear_fatal_parts());
+    let ended = crashes() - before;
+    let details = format!("{ended} crashes under {own}, all entries refuse it: {in_time}");
+    let promise = "a request that ends upstreams is refused";
+    (ended > REQUEST_CRASHES_MAX || !in_time).then_some(Breach { promise, details })
+}
+
 /// Registers engines that have crashed since as started anew.
 fn register_crashed(context: &Context) {
     for engine in &context.fleet.engines {
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -39,6 +39,9 @@
 /// Separates the seed of silences from that of the other troubles.
 const SILENCES_SEED: u64 = 0x7369_6c65;
 
+/// Separates that of answers without an end and fatal requests.
+const ENDLESS_SEED: u64 = 0x656e_646c;
+
 /// Callers per entry besides the ordinary ones: a guest and two of the club.
 const OTHER_CALLERS: usize = 3;
 
@@ -93,6 +96,7 @@
     // Seeds that are kept for their other troubles draw these as before.
     let mut announced = Random::new(plan.seed ^ ANNOUNCEMENTS_SEED);
     let mut silent = Random::new(plan.seed ^ SILENCES_SEED);
+    let mut endless = Random::new(plan.seed ^ ENDLESS_SEED);
     let mut outcome = Outcome::default();
     let mut sound = BTreeMap::new();
     outcome.breaches.extend(wait_for_recovery(&context, &mut random).await);
@@ -102,6 +106,7 @@
         let mut troubles = trouble::draw_round(&mut random, &context.fleet, only_planned);
         troubles.extend(trouble::draw_announcements(&mut announced, &context.fleet));
         troubles.extend(trouble::draw_silences(&mut silent, &context.fleet));
+        troubles.extend(trouble::draw_endless(&mut endless, &context.fleet));
         context.round.set(round);
         if !troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
             sound.insert(round, stopped_entries(&troubles));
@@ -120,6 +125,7 @@
         let breach = announcements::check(&context.fleet, &mut announced, callers).await;
         outcome.breaches.extend(breach);
         outcome.breaches.extend(parts::check(&context, &mut announced).await);
+        outcome.breaches.extend(parts::check_request(&context, &mut endless).await);
     }
     context.finished.set(true);
     for caller in callers {
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -84,6 +84,8 @@
     Restart(usize),
     /// Store calls fail, are late, or take effect without an answer.
     Calls(Fault),
+    /// An upstream's answers have no end, with this many milliseconds between two pieces.
+    Endless(usize, u64),
     /// The store drops its change history.
     Forget,
     /// The store comes back from a copy that lacks this many of the last versions. The
@@ -193,6 +195,19 @@
     (0..count).map(silence).collect()
 }
 
+/// Draws upstreams whose answers have no end during a round, to overlap its other troubles.
+pub fn draw_endless(random: &mut Random, fleet: &Fleet) -> Vec<Timed> {
+    let count = 2_u64.saturating_sub(random.below(6));
+    let endless = |_| {
+        let upstream = random.below(fleet.upstreams().count() as u64) as usize;
+        let trouble = Trouble::Endless(upstream, [0, 50][random.below(2) as usize]);
+        let at = Duration::from_millis(random.below(1_500));
+        let lasts = Duration::from_millis(100 + random.below(2_400));
+        Timed { at, lasts, trouble }
+    };
+    (0..count).map(endless).collect()
+}
+
 fn draw(random: &mut Random, fleet: &Fleet) -> Trouble {
     let mut one_of = |count: usize| random.below(count as u64) as usize;
     let entry = one_of(fleet.entries.len());
@@ -247,6 +262,11 @@
         Trouble::Answers(at, fault) => set_fault(upstream(at).runner.server(), fault, lasts).await,
         Trouble::Restart(at) => fleet.engines[at].runner.server().apply(FaultOrder::Restart),
         Trouble::Calls(fault) => set_fault(fleet.store.server(), fault, lasts).await,
+        Trouble::Endless(at, pause) => {
+            upstream(at).runner.set_endless(Some(Duration::from_millis(pause)));
+            tokio::time::sleep(lasts).await;
+            upstream(at).runner.set_endless(None);
+        }
         Trouble::Forget => fleet.store.drop_history(),
         Trouble::Configure(step) => fleet.operator.configure(&fleet.store, step),
         Trouble::Announce(adapter) => fleet.announce(ADAPTERS[adapter]),
--- a/kingcupbay_standin/src/upstream/run.rs
+++ b/kingcupbay_standin/src/upstream/run.rs
@@ -80,6 +80,8 @@
     /// Events sent on this stream.
     sent: u64,
     ended: bool,
+    /// Set once it has begun an event that has no end.
+    endless: Option<Duration>,
     /// Restarts of the engine when the run began.
     restarts: u64,
     /// When the last event was handed over to be written.
@@ -93,7 +95,17 @@
         let state = Rc::clone(state);
         let handed_over = Instant::now();
         let next = last + 1;
-        EventStream { state, run, prefill, next, sent: 0, ended: false, restarts, handed_over }
+        EventStream {
+            state,
+            run,
+            prefill,
+            next,
+            sent: 0,
+            ended: false,
+            endless: None,
+            restarts,
+            handed_over,
+        }
     }
 
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
@@ -132,7 +144,8 @@
             }
             return Some(Err(io::Error::other("cut")));
         }
-        if let Some(pause) = self.state.endless.get() {
+        self.endless = self.endless.or(self.state.endless.get());
+        if let Some(pause) = self.endless {
             tokio::time::sleep(pause).await;
             let length = if pause.is_zero() { ENDLESS_BYTES } else { 1 };
             return Some(Ok(vec![b'x'; length].into()));
--- a/kingcupbayd/src/registered/fatal.rs
+++ b/kingcupbayd/src/registered/fatal.rs
@@ -24,8 +24,8 @@
     registered::{message, parts},
 };
 
-/// Timeout of a message. A round trip within a region takes 2 ms.
-const MESSAGE_TIMEOUT: Span = Span::from_millis(200);
+/// Timeout of a message, for which a broken answer waits. A round trip within a region takes 2 ms.
+const MESSAGE_TIMEOUT: Span = Span::from_millis(100);
 
 /// Why a request is refused under which upstreams have ended.
 pub(crate) const REFUSED: &str = "upstreams end under the request";
@@ -45,15 +45,11 @@
     })
 }
 
-/// Returns whether upstreams are known to have ended under the request of `job`.
-pub(crate) fn has_ends(job: &Job) -> bool {
-    let known = job.gateway.fatal.borrow();
-    !known.is_empty()
-        && job.request_key().is_some_and(|request| known.ends(clock::now(), request) > 0)
-}
-
-/// Records that the process of `row` ended at `at` while it ran the request of `job`. Returns
-/// whether another upstream may get it, by what the entries that keep its count know.
+/// Records that `row` broke off its answer to the request of `job` at `at`. Returns whether another
+/// upstream may get the request, by what the entries that keep its count know.
+///
+/// Whether its process has ended cannot always be proved, as something else may accept connections
+/// in its place. A sound request loses as many answers in a row only by rare chance.
 pub(crate) async fn on_end(job: &Job, row: &Instance, at: Instant) -> bool {
     let Some(request) = job.request_key() else { return true };
     let gateway = &job.gateway;
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -3,7 +3,7 @@
 //! A limiter reports to the other limiters and to its followers, a follower to one limiter, which
 //! passes the report on.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{io, net::SocketAddr, rc::Rc};
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
 use bytes::Bytes;
@@ -195,8 +195,8 @@
 /// `began` is the time of the first byte of the answer. Returns whether the request may be sent
 /// to another upstream.
 pub(crate) async fn on_cut(
-    job: &Rc<Job>,
-    row: &Rc<Instance>,
+    job: &Job,
+    row: &Instance,
     error: &LinkError,
     began: Option<Instant>,
 ) -> bool {
@@ -206,21 +206,11 @@
     let at = clock::now();
     let is_beginning = began.is_none_or(|began| at.since(began) < BEGIN_TIME);
     let is_suspect = is_beginning && !job.metadata.parts.is_empty();
-    if !is_suspect && !fatal::has_ends(job) {
-        // It may go on at once: one end says nothing of a request.
-        let (job, row) = (job.clone(), row.clone());
-        drop(actix_rt::spawn(async move {
-            if has_ended(&row).await {
-                fatal::on_end(&job, &row, at).await;
-            }
-        }));
-        return true;
-    }
-    if !has_ended(row).await {
-        return true;
-    }
-    let again = !is_suspect || on_crash(&job.gateway, job, row, began);
-    fatal::on_end(job, row, at).await && again
+    let again = !(is_suspect && has_ended(row).await) || on_crash(&job.gateway, job, row, began);
+    // The way there was cut, which says nothing of the request.
+    let is_timeout =
+        matches!(error, LinkError::Lost(error) if error.kind() == io::ErrorKind::TimedOut);
+    (is_timeout || fatal::on_end(job, row, at).await) && again
 }
 
 /// Records that `row` has ended the answer to the request of `job`, begun at `began`, with its
@@ -275,7 +265,7 @@
 
 fn is_refusal(error: &LinkError) -> bool {
     matches!(error, LinkError::Unsent(error)
-        if error.kind() == std::io::ErrorKind::ConnectionRefused)
+        if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Lists the quarantined parts for operators, or releases one.
