Close a connection that has carried an answer without an id

Callers saw: a booking was answered 503, "upstreams are full", and ran. Cause: an answer "not run" without an attempt id counts as that to the request at hand. A connection that had carried one went back to the pool, and a second copy of it, late, was taken for the answer to the next request there. The class: an answer that is attributed by its place on a connection alone. Ruled out: to keep such connections for idempotent requests: they would fill the pool, and the first upstream would go on with a stream that is begun elsewhere. Change: once an answer without an id has been taken for that to a request with one, the connection closes after it. On any other connection each earlier answer bore an id, and so does a copy of it. Looked for elsewhere: calls of the store, of an engine's own interface and of other daemons bear no ids at all. A late copy there would be taken for the answer to the next call: orders are checked by the engine's count and a report, a report by the next one; open, read only.

--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -108,6 +108,10 @@
     for _ in 0..MISROUTED_MAX {
         let metadata = answer::decode_headers(head.status.as_u16(), &head.headers);
         if is_own(job, &metadata) {
+            if metadata.attempt.is_none() {
+                // A late copy of it would look like the answer to any other request.
+                link.forbid_reuse();
+            }
             // Another upstream at the address answers so.
             if head.status != StatusCode::MISDIRECTED_REQUEST {
                 job.gateway.on_announcements(instance, sent, &metadata);
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -280,6 +280,11 @@
         done && self.reusable && self.input.is_empty()
     }
 
+    /// Closes the connection once the answer that is being read has ended.
+    pub(crate) fn forbid_reuse(&mut self) {
+        self.reusable = false;
+    }
+
     fn set_ack_timeout(&self, timeout: Duration) -> io::Result<()> {
         socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
     }
