Keep a slot for each late load, although newer orders have passed it

Callers saw: an engine crashed, with all of its streams. Cause: a load without a reply was forgotten once the engine's count of orders had passed the count that it names. A restart sets the count back, and the load is carried out when the new count reaches it, at an engine that is full by then. The class: what is known of a process is dropped by a count that the next process begins anew. Ruled out: X-Expect-Instance on orders, as an engine may start again under its id. The number of slots kept still follows the count: only loads that it has not passed. Looked for elsewhere: the sidecar's permits, transfers and fencing numbers are dropped by the engine's start, not by its count. A sidecar that restarts forgets unanswered loads; open.

--- a/kingcupbay_core/src/admission/orders.rs
+++ b/kingcupbay_core/src/admission/orders.rs
@@ -159,13 +159,15 @@
     /// Loads that name the same order count need one slot, as only one of them can
     /// be carried out. Without the reserve, a late load would overfill the engine,
     /// which then crashes.
+    ///
+    /// A load is kept in mind although the engine's count has passed it: a restart sets the
+    /// count back.
     fn reserved_slots(&mut self, now: Instant, orders: u64) -> usize {
-        let may_run_late = |load: &UnansweredLoad| {
-            now.since(load.sent_at) < LATE_LOAD_TIMEOUT && load.after >= orders
-        };
-        self.before_restart.retain(may_run_late);
-        self.unanswered.retain(may_run_late);
-        self.before_restart.iter().map(|load| load.after).collect::<BTreeSet<u64>>().len()
+        let is_due = |load: &UnansweredLoad| now.since(load.sent_at) < LATE_LOAD_TIMEOUT;
+        self.before_restart.retain(is_due);
+        self.unanswered.retain(is_due);
+        let counts = self.before_restart.iter().map(|load| load.after);
+        counts.filter(|&after| after >= orders).collect::<BTreeSet<u64>>().len()
     }
 
     /// Whether the engine has replied and no report has come since.
--- a/kingcupbay_core/tests/admission.rs
+++ b/kingcupbay_core/tests/admission.rs
@@ -333,6 +333,33 @@
     assert_eq!(orders(&resumed)[0].name, name("tulips"));
 }
 
+/// A load gets no reply, and newer orders follow. The engine restarts, which sets its count of
+/// orders back, and carries the load out late. Without a free slot at that time it crashes.
+#[test]
+fn a_slot_is_kept_for_a_late_load_that_newer_orders_have_passed() {
+    let mut engine = engine();
+    engine.on_report(at(0), report(2, &[]));
+    let unanswered = engine.on_permit_request(at(1), Ticket(1), permit_request("a", "roses"));
+    assert_eq!(orders(&unanswered)[0].after, Some(2));
+    engine.on_reply(at(801), Reply::Unknown);
+    engine.on_cancel(at(802), Ticket(1));
+    engine.on_report(at(900), report(4, &[]));
+    engine.on_report_failure(at(1_000));
+    engine.on_report(at(2_000), report(0, &[]));
+    for restarts in 1..=2 {
+        engine.on_report(at(2_000 + restarts * 1_000), report(2, &[("lilies", 1)]));
+        let ticket = Ticket(2 + restarts);
+        let request = permit_request("c", "tulips");
+        let delayed = engine.on_permit_request(at(2_001 + restarts * 1_000), ticket, request);
+        let loads = orders(&delayed).iter().any(|order| order.target != Target::Unload);
+        assert!(!loads, "after {restarts} restarts: {delayed:?}");
+        engine.on_cancel(at(2_002 + restarts * 1_000), ticket);
+        engine.on_report(at(2_100 + restarts * 1_000), report(5, &[("lilies", 1)]));
+        engine.on_report_failure(at(2_200 + restarts * 1_000));
+        engine.on_report(at(2_300 + restarts * 1_000), report(0, &[]));
+    }
+}
+
 /// Entries request a replica of an adapter whose other engines are busy. It must be
 /// loaded before an adapter that one caller waits for, with an eviction if needed. A
 /// request that could not be met in time must expire.
