Take an earlier write for none, also after the upstream's row is removed

Callers saw: requests went to an upstream that had left, and were lost when it ended. Cause: an earlier write that the store carries out late is recognised by start and count while the upstream's row is there, and after its removal only if the store had come back from an older copy. The class: knowledge that goes with the row that it is about. Ruled out: to wait for a second write of an upstream that comes back, as a row does not change with its count alone. Change: start and count of an upstream's last known write are compared after its removal too, for the minute for which the departure is kept. The very write that was known last still counts, as a row may be written again, except after the store's return from a copy. Looked for elsewhere: rows of entries bear an incarnation and come back by their own write only; evacuations are kept with the version of their removal. Open: a late write that is newer than any that was known cannot be told from a return. Why it was missed: a late write must be that of an upstream that leaves within 6 s without a word; the soak's upstreams announce that they leave, and its store applies late writes of daemons alone.

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -292,14 +292,16 @@
     fn is_outdated(&self, row: &Instance) -> bool {
         let departure = self.departures.last(&row.id);
         let left = departure.map_or(0, |(version, _)| version);
-        // The copy that the store came back from may show the upstream before it left.
-        let copied = departure.is_some_and(|(version, last)| {
-            era(version) < era(row.version) && last >= Some((row.born, row.count))
+        // The store may carry out an earlier write late, or come back from a copy that shows the
+        // last one.
+        let is_earlier = departure.is_some_and(|(version, last)| {
+            let write = Some((row.born, row.count));
+            last > write || (last == write && era(version) < era(row.version))
         });
         let known = self.instances.get(&row.id).is_some_and(|known| {
             row.version < known.version || (row.born == known.born && row.count < known.count)
         });
-        known || copied || row.version < left
+        known || is_earlier || row.version < left
     }
 
     /// Removes an upstream whose registration was deleted as of `version`, unless a
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -206,6 +206,26 @@
     assert_eq!(catalogue.serving("desk").count(), 1);
 }
 
+/// An upstream's write gets no answer, its next ones do, and its row is removed as it leaves. The
+/// store then carries out the early write, which would bring the upstream back.
+#[test]
+fn a_write_from_before_a_departure_brings_nobody_back() {
+    for reported in [false, true] {
+        let mut catalogue = Catalogue::default();
+        let now = Instant::from_micros(1);
+        let write = |version, count| Instance { version, count, ..instance("a") };
+        catalogue.on_instance(now, write(1, 5));
+        if reported {
+            assert!(catalogue.on_departure_report(now, "a", 2));
+        }
+        catalogue.on_instance_gone(now, "a", 2);
+        catalogue.on_instance(now, write(3, 3));
+        assert_eq!(catalogue.serving("desk").count(), 0, "reported: {reported}");
+        catalogue.on_instance(now, write(4, 6));
+        assert_eq!(catalogue.serving("desk").count(), 1, "it is back");
+    }
+}
+
 /// An entry is cut off from the store while an upstream leaves. Another entry that saw it
 /// leave reports this at once in three usage reports, as one may be lost. It also does so
 /// in each full report, for entries that were cut off from all others.
