Pass on no stream without a proof that an engine made it

Callers saw: streams with the status 200 and without X-Response-Stamp. Cause: only plain answers were checked for the proof and for an encoding; the head of a stream was taken for its start whatever it held. The class: a check that stands on one path of several. Ruled out: a check in the relay, which would come after the permit and the search are over. Change: one function says whether a head proves its answer. A success that does not is a failed attempt of a stream, as of a plain request, and another engine is tried where the route allows it. A moved run goes through the same check. Looked for elsewhere: the three places that take an upstream's answer (plain, stream, moved run) check it now.

--- a/kingcupbay_core/src/wire/metadata.rs
+++ b/kingcupbay_core/src/wire/metadata.rs
@@ -93,6 +93,14 @@
     pub rest: Option<Span>,
 }
 
+impl AnswerMetadata {
+    /// Returns whether the head shows that an upstream made the answer, and that the body is what
+    /// it wrote. Only then may a success be passed on.
+    pub fn is_proved(&self) -> bool {
+        self.signed && !self.encoded
+    }
+}
+
 /// Request rate that an answer announces: what its upstream takes from all daemons together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum AnnouncedLimit {
--- a/kingcupbay_standin/src/lib.rs
+++ b/kingcupbay_standin/src/lib.rs
@@ -54,7 +54,8 @@
     service::{CALL_PATH, Execution, ExecutionCounts, IDEMPOTENCY_HEADER, PlainService},
     table::{Table, TableRecord},
     upstream::{
-        BASE_MODEL, CopyCounts, OrderIssuer, UpstreamRun, UpstreamServer, UpstreamSettings,
+        BASE_MODEL, CopyCounts, OrderIssuer, SpoiledHead, UpstreamRun, UpstreamServer,
+        UpstreamSettings,
     },
     weights::{FULL_SPEED_LOADS, LOAD_TIME, SharedBandwidth, TakeRequest, Weights, WeightsRecord},
 };
--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -37,6 +37,15 @@
 /// Time until a crashed engine accepts connections again.
 const CRASH_TIME: Duration = Duration::from_millis(120);
 
+/// What is wrong with the head of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpoiledHead {
+    /// It lacks the upstream's signature.
+    Unsigned,
+    /// It names an encoding of the body.
+    Encoded,
+}
+
 /// Settings of an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamSettings {
@@ -223,6 +232,7 @@
             fatal_parts: RefCell::default(),
             fatal_body: RefCell::default(),
             endless: Cell::new(None),
+            spoiled: Cell::new(None),
             crashes: Cell::new(0),
             crash: RefCell::default(),
             changes: Changes::default(),
@@ -374,6 +384,11 @@
         *self.state.fatal_body.borrow_mut() = Some(text.to_owned());
     }
 
+    /// Sets what is wrong with the heads of its answers.
+    pub fn set_spoiled(&self, spoiled: Option<SpoiledHead>) {
+        self.state.spoiled.set(spoiled);
+    }
+
     /// Sets whether its answers have no end: a plain service's body, or the next event of a
     /// stream. `pause` is the time between two pieces of it.
     pub fn set_endless(&self, pause: Option<Duration>) {
--- a/kingcupbay_standin/src/upstream/state.rs
+++ b/kingcupbay_standin/src/upstream/state.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use super::{
-    BASE_MODEL, UpstreamRun, UpstreamSettings,
+    BASE_MODEL, SpoiledHead, UpstreamRun, UpstreamSettings,
     copies::{Copies, HANDLE, MOVE, Memory},
     network,
     run::{EVENT_TOKENS, EventStream, Phase, Run},
@@ -34,6 +34,9 @@
 /// Bytes of each piece of an answer without an end, at full speed.
 pub(super) const ENDLESS_BYTES: usize = 16 << 10;
 
+/// Header with the signature of an answer.
+const SIGNATURE_HEADER: header::HeaderName = header::HeaderName::from_static("x-response-stamp");
+
 /// Header with the requests per second that an upstream takes.
 const LIMIT_HEADER: header::HeaderName = header::HeaderName::from_static("server-limit");
 
@@ -81,6 +84,8 @@
     pub(super) fatal_body: RefCell<Option<String>>,
     /// If set, its answers have no end, and this is the time between two pieces.
     pub(super) endless: Cell<Option<Duration>>,
+    /// What is wrong with the heads of its answers.
+    pub(super) spoiled: Cell<Option<SpoiledHead>>,
     pub(super) crashes: Cell<u32>,
     /// Ends the process and starts it again after a while.
     pub(super) crash: RefCell<Option<Box<dyn Fn()>>>,
@@ -158,6 +163,14 @@
 
     /// Adds what every answer says of the upstream itself.
     fn add_signals(&self, headers: &mut header::HeaderMap) {
+        match self.spoiled.get() {
+            Some(SpoiledHead::Unsigned) => drop(headers.remove(SIGNATURE_HEADER)),
+            Some(SpoiledHead::Encoded) => {
+                let value = header::HeaderValue::from_static("gzip");
+                headers.insert(header::CONTENT_ENCODING, value);
+            }
+            None => {}
+        }
         if let Some(limit) = self.limit.borrow().as_deref() {
             let value = header::HeaderValue::from_str(limit).expect("tests set visible ASCII");
             headers.insert(LIMIT_HEADER, value);
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -312,6 +312,10 @@
 /// Records how an attempt has ended.
 async fn conclude(job: &Rc<Job>, tried: &Tried, ended: Attempt) -> Outcome {
     let Attempt { instance, permit, version, ticket, result } = ended;
+    let result = result.and_then(|answer| match answer.is_unproved_success() {
+        true => Err(LinkError::without_proof().into()),
+        false => Ok(answer),
+    });
     match result {
         Ok(answer) if !answer.metadata.not_run => {
             Outcome::Started(Box::new(Started { instance, answer, permit, version }))
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -303,10 +303,9 @@
                 let mut backlog = job.gateway.backlog.borrow_mut();
                 backlog.on_answer(now, &instance.id, load, now.since(began));
             }
-            let complete = metadata.signed && !metadata.encoded;
-            match complete || !head.status.is_success() {
+            match metadata.is_proved() || !head.status.is_success() {
                 true => Outcome::Answer(head, body),
-                false => Outcome::Unknown(LinkError::Malformed("no proof".to_owned())),
+                false => Outcome::Unknown(LinkError::without_proof()),
             }
         }
         Err(error) => Outcome::Unknown(error),
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -40,6 +40,13 @@
     pub(crate) metadata: AnswerMetadata,
 }
 
+impl PendingAnswer {
+    /// Returns whether it is a success without a proof that an upstream made it.
+    pub(super) fn is_unproved_success(&self) -> bool {
+        self.head.status.is_success() && !self.metadata.not_run && !self.metadata.is_proved()
+    }
+}
+
 /// What an upstream is sent in addition to the caller's request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendOptions<'a> {
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -84,6 +84,11 @@
 }
 
 impl LinkError {
+    /// Returns the error of a success without a proof that an upstream made it.
+    pub(crate) fn without_proof() -> LinkError {
+        LinkError::Malformed("no proof".to_owned())
+    }
+
     /// Whether the request was certainly not sent.
     pub fn is_unsent(&self) -> bool {
         matches!(self, LinkError::Unsent(_))
