Note services with engines of different software in the store

Callers saw: streams that held events of two software versions, after all entries had ended beside a release. Cause: that a service is mixed, and the origins of its streams, lay in the memory of entries. Those that started after the loss of all others saw the one software that was left, took the service for one of a single software, and let streams of any origin go on there. The class: that nothing is known counts as that there is nothing to know. Ruled out: to refuse all streams of unknown origin for a minute after a start, which breaks those of services of one software too (their origins are not shared); to read departures from the store's history, as removed rows do not name their software. Change: the readers write a note to the store when a service becomes mixed, one row a service, and remove it a minute after it was. Every entry reads the notes when it starts, and counts these services as mixed for a minute; until it has read them it asks callers that take up a stream of unknown origin to retry. Nothing is written for a request or a stream. The new test of stream_software.rs fails on the program before, which writes no note. Looked for elsewhere: the quarantine and the ends under a request are lost with all entries too; a fatal request may end three more engines then. Usage, permits and fencing have rules for a start. Open: all entries lost within the time of one write after a release began; a store that is away at the start delays streams that are taken up.

--- a/kingcupbay_core/src/origin.rs
+++ b/kingcupbay_core/src/origin.rs
@@ -6,7 +6,8 @@
 //! reports the origin of each stream that it begins to [`KEEPERS`] others, which follow from the
 //! stream's id. The entry that takes the stream up asks those. While a service has one software
 //! only, origins are kept by the entry alone and cost no message; they are reported once
-//! another software appears.
+//! another software appears. That a service is mixed is noted in the store, so that entries that
+//! start after the loss of all others do not take its streams for those of the software left.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -77,6 +78,8 @@
 pub struct Origins {
     /// When each software of each service was last registered.
     seen: BTreeMap<String, BTreeMap<SoftwareId, Instant>>,
+    /// Until when each service counts as mixed that was before this entry started.
+    noted: BTreeMap<String, Instant>,
     streams: BTreeMap<StreamId, Stream>,
     /// Invariant: contains each stream once, at its `until`.
     expiry: BTreeSet<(Instant, StreamId)>,
@@ -103,14 +106,22 @@
 
     /// Returns the services that have had upstreams of different software within [`KEPT_FOR`].
     pub fn mixed(&self, now: Instant) -> impl Iterator<Item = &str> {
-        let names = self.seen.keys().map(String::as_str);
-        names.filter(move |name| self.is_mixed(now, name))
+        let names: BTreeSet<&str> =
+            self.seen.keys().chain(self.noted.keys()).map(String::as_str).collect();
+        names.into_iter().filter(move |name| self.is_mixed(now, name))
     }
 
     /// Returns whether `service` has had upstreams of different software within [`KEPT_FOR`].
     pub fn is_mixed(&self, now: Instant, service: &str) -> bool {
         let seen = self.seen.get(service).into_iter().flatten();
-        seen.filter(|(_, at)| now.since(**at) < KEPT_FOR).count() > 1
+        self.noted.get(service).is_some_and(|until| now < *until)
+            || seen.filter(|(_, at)| now.since(**at) < KEPT_FOR).count() > 1
+    }
+
+    /// Records that `service` was mixed before this entry started. The entries that began its
+    /// streams may all have ended since.
+    pub fn on_note(&mut self, now: Instant, service: &str) {
+        self.noted.insert(service.to_owned(), now + KEPT_FOR);
     }
 
     /// Records that this entry has forwarded the first event of `stream`, or taken it up.
@@ -154,6 +165,7 @@
             service.retain(|_, at| now.since(*at) < KEPT_FOR);
         }
         self.seen.retain(|_, service| !service.is_empty());
+        self.noted.retain(|_, until| now < *until);
     }
 
     /// Returns what this entry knows of the origin of `stream`.
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -116,6 +116,8 @@
     /// The software that began each stream.
     pub(crate) origins: RefCell<Origins>,
     pub(crate) pending_origins: PendingOrigins,
+    /// Whether this entry knows which services were mixed before it started.
+    pub(crate) has_read_notes: Cell<bool>,
     /// Parts of prompts that engines crash on.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Requests under which upstreams end.
@@ -183,6 +185,7 @@
             releases: permits::Releases::default(),
             origins: RefCell::default(),
             pending_origins: PendingOrigins::default(),
+            has_read_notes: Cell::default(),
             quarantine: RefCell::default(),
             fatal: RefCell::default(),
             transfers: transfer::Transfers::default(),
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -8,7 +8,8 @@
 //! what other entries have read, and [`confirm`] whether the configuration may deny a request.
 //! [`members`] maintains the list of entries in the store,
 //! [`usage`] sends them usage reports, [`limiters`] asks the entries that keep limits,
-//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream, [`parts`] on which
+//! [`evacuations`] reports evacuated zones, [`origins`] which software began each stream
+//! and [`mixed_services`] where that matters, [`parts`] on which
 //! parts of prompts engines crash, [`fatal`] under which requests upstreams end, [`message`] reads messages of other daemons, and
 //! [`control`] calls them and counts that. [`specs`] spares sidecars reads of the operator's
 //! rows.
@@ -23,6 +24,7 @@
 pub(crate) mod limits;
 pub(crate) mod members;
 pub(crate) mod message;
+pub(crate) mod mixed_services;
 pub(crate) mod origins;
 pub(crate) mod parts;
 pub(crate) mod read_positions;
--- a/kingcupbayd/src/registered/origins.rs
+++ b/kingcupbayd/src/registered/origins.rs
@@ -128,11 +128,12 @@
         None => (Origin::Unknown, 0),
     };
     let mixed = gateway.origins.borrow().is_mixed(clock::now(), service);
+    let has_read = gateway.has_read_notes.get();
     let cut_off = silent > 0 && gateway.node.store_unavailable_since().is_some();
     let (outcome, eligible) = match origin {
         Origin::Software(software) => ("known", Ok(Eligible::Only(software))),
-        Origin::Unknown if !mixed && !cut_off => ("any", Ok(Eligible::Any)),
-        Origin::Unknown if silent > 0 => {
+        Origin::Unknown if !mixed && !cut_off && has_read => ("any", Ok(Eligible::Any)),
+        Origin::Unknown if silent > 0 || !has_read => {
             let why = "the stream's origin is not known now";
             ("silent", Err(Refusal::retry(Code::NoUpstream, why, UNREACHABLE_RETRY)))
         }
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -29,8 +29,8 @@
     gateway::{self, Gateway, permits, transfer},
     http,
     registered::{
-        Node, evacuations, fatal, follow::follow, limiters, limits, members, message, origins,
-        parts, specs, usage,
+        Node, evacuations, fatal, follow::follow, limiters, limits, members, message,
+        mixed_services, origins, parts, specs, usage,
     },
     server::{
         self, KEEP_ALIVE, ServerLimits,
@@ -100,6 +100,7 @@
     actix_rt::spawn(members::register(node.clone()));
     actix_rt::spawn(usage::send_reports(gateway.clone()));
     actix_rt::spawn(update_entries(gateway.clone()));
+    actix_rt::spawn(mixed_services::maintain(gateway.clone()));
     if node.registry.transfers {
         actix_rt::spawn(transfer::watch(gateway.clone()));
     }
--- a/kingcupbayd/tests/stream_software.rs
+++ b/kingcupbayd/tests/stream_software.rs
@@ -171,3 +171,25 @@
     assert_eq!(event_ids(&got.body.unwrap()), [5, 6]);
     assert_eq!(engine.runs().len(), 3);
 }
+
+/// A release has replaced all engines of one software when all entries are killed. Those that
+/// start again see the other software alone, and must not let a stream of unknown origin go on.
+#[actix_rt::test]
+async fn a_stream_is_refused_after_the_loss_of_all_entries_beside_a_release() {
+    let mut mixed = MixedFleet::start(|id| UpstreamSettings::engine(id, 6)).await;
+    wait_until("the note", async || {
+        let noted = "event=software_noted";
+        (mixed.fleet.entry.has_line(noted) || mixed.other.has_line(noted)).then_some(())
+    })
+    .await;
+    mixed.fleet.store.remove("servers", "gpu-1");
+    mixed.fleet.entry.signal("-KILL");
+    mixed.other.signal("-KILL");
+    let port = mixed._sidecars[0].address("peers").port();
+    let entry = start_entry("entry-1", &mixed.fleet.store, port);
+    wait_until_ready(&entry).await;
+    let runs = || mixed.engines.iter().map(|engine| engine.runs().len()).sum::<usize>();
+    let before = runs();
+    let got = take_up(&entry, 1, 2).await;
+    assert_eq!((got.status, runs()), (503, before), "{got:?}");
+}
