Ask a sidecar that has stopped reporting while another engine is silent

Cause: searches beside a silent engine leave out engines whose sidecars owe load reports, for 5 s beyond the time for which they owe them. A sidecar that has restarted reports only once it is asked, and nobody asked it. Ruled out: a shorter pause, which lets requests go to engines whose sidecars are really silent. Change: if no engine in good health is left, such a search asks the sidecars that no call has found unreachable for a permit. Without a permit nothing is sent there. The other tests of silence.rs pass.

--- a/kingcupbayd/src/gateway/choice.rs
+++ b/kingcupbayd/src/gateway/choice.rs
@@ -69,14 +69,18 @@
             && rests.remaining(now, &row.id, row.born).is_none()
     };
     let untried: Vec<&Rc<Instance>> = catalogue.serving(service).filter(is_open).collect();
-    let is_healthy = |row: &&&Rc<Instance>| {
+    let is_sound = |row: &&&Rc<Instance>| {
         !health.is_suspect(now, &row.id)
             && !health.is_suspect(now, &permits::sidecar_id(row.address))
-            && !placement.is_silent(now, row.address)
     };
+    let is_healthy = |row: &&&Rc<Instance>| is_sound(row) && !placement.is_silent(now, row.address);
     let healthy: Vec<SocketAddr> =
         untried.iter().filter(is_healthy).map(|row| row.address).collect();
-    let all = || untried.iter().map(|row| row.address).collect::<Vec<_>>();
+    // A sidecar that has restarted reports only once it is asked for a permit again.
+    let others = || match point.is_speculative {
+        true => untried.iter().filter(is_sound).map(|row| row.address).collect::<Vec<_>>(),
+        false => untried.iter().map(|row| row.address).collect(),
+    };
     let zone = gateway.node.settings.daemon.zone.to_string();
     let near = untried.iter().filter(|row| row.zone == zone).map(|row| row.address).collect();
     let want =
@@ -87,9 +91,7 @@
             let engine = placement
                 .choose_spread(now, name, &healthy, job.draw())
                 .or_else(|| placement.choose(now, name, &healthy))
-                .or_else(|| {
-                    placement.choose(now, name, &all()).filter(|_| !point.is_speculative)
-                })?;
+                .or_else(|| placement.choose(now, name, &others()))?;
             (engine, None)
         }
     };
@@ -152,7 +154,9 @@
             Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
         }
         None => {
-            let resident = gateway.placement.borrow().resident_version(engine, name);
+            let placement = gateway.placement.borrow();
+            let is_down = point.is_speculative && placement.is_silent(clock::now(), engine);
+            let resident = placement.resident_version(engine, name).filter(|_| !is_down);
             let newest = gateway.node.catalogue.borrow().version(name);
             match resident {
                 Some(resident) => Ok((Some(newest.unwrap_or(resident)), None)),
