Clear a request that another entry has answered

Callers would have seen: a plain request that many callers share refused for 60 s, after three of its answers had broken off at entries that had no whole one to it in between. Cause: a whole answer was recorded only where an end of the request was known already. Change: entries remember for 60 s which requests got whole answers, 20,000 at most. One that hears of a refused request that it has answered since tells all; a report that is cleared is not told on. What has expired is dropped at each tick. Measured: fatal.rs::an_entry_that_has_answered_the_request_clears_it; the tests of fatal_requests.rs pass. Conclusion: hot requests are cleared by their own entries; rare ones by whoever answered them.

--- a/kingcupbay_core/src/fatal.rs
+++ b/kingcupbay_core/src/fatal.rs
@@ -36,9 +36,23 @@
 /// Largest number of requests that are remembered. The oldest are dropped first.
 const REQUESTS_MAX: usize = 10_000;
 
+/// Largest number of requests whose whole answers are remembered. The oldest are dropped first.
+const COMPLETED_MAX: usize = 20_000;
+
 /// Ends remembered of one request.
 const ENDS_KEPT_MAX: usize = 16;
 
+/// What follows from another entry's report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// Nothing new.
+    Known,
+    /// No upstream may get the request from now on.
+    Refused,
+    /// This entry knows of a whole answer since, which the other one does not.
+    Cleared,
+}
+
 /// The end of an upstream under a request.
 #[derive(Clone, Copy, Debug)]
 struct End {
@@ -90,6 +104,10 @@
     requests: BTreeMap<RequestKey, Ends>,
     /// Invariant: contains each of `requests` once, at its `updated`.
     by_time: BTreeSet<(Instant, RequestKey)>,
+    /// When requests last got a whole answer from this entry. Callers may share a request.
+    completed: BTreeMap<RequestKey, Instant>,
+    /// Invariant: the entries of `completed` by time.
+    completed_by_time: BTreeSet<(Instant, RequestKey)>,
 }
 
 impl FatalRequests {
@@ -109,12 +127,6 @@
         self.ends(now, request) >= ENDS_MAX
     }
 
-    /// Returns the requests that no upstream may get any more.
-    pub fn refused(&self, now: Instant) -> impl Iterator<Item = RequestKey> {
-        let known = self.requests.iter();
-        known.filter(move |(_, ends)| ends.count(now) >= ENDS_MAX).map(|(&request, _)| request)
-    }
-
     /// Records that `upstream` ended at `at` while it ran `attempt`, a try of the request.
     pub fn on_end(
         &mut self,
@@ -133,30 +145,45 @@
     /// Records a whole answer to the request. Returns whether upstreams have ended under it
     /// before, so that other entries have to know.
     pub fn on_complete(&mut self, now: Instant, request: RequestKey) -> bool {
+        if let Some(before) = self.completed.insert(request, now) {
+            self.completed_by_time.remove(&(before, request));
+        }
+        self.completed_by_time.insert((now, request));
         let has_ended = self.ends(now, request) > 0;
         if has_ended {
-            self.update(now, request, |known| known.completed = Some(now));
+            self.update(now, request, |_| {});
         }
+        self.expire(now);
         has_ended
     }
 
-    /// Applies what another entry knows. Returns whether no upstream may get the request from now
-    /// on.
-    pub fn on_report(&mut self, now: Instant, report: RequestEnds) -> bool {
+    /// Applies what another entry knows.
+    pub fn on_report(&mut self, now: Instant, report: RequestEnds) -> Applied {
         let was_refused = self.is_refused(now, report.request);
         let at = |age: Span| Instant::from_micros(now.as_micros().saturating_sub(age.as_micros()));
         let ends = report.ends.into_iter().filter(|(_, end)| end.age < END_KEPT);
         let ends: Vec<(u64, RequestEnd)> = ends.take(ENDS_KEPT_MAX).collect();
         if ends.is_empty() && !self.requests.contains_key(&report.request) {
-            return false;
+            return Applied::Known;
         }
+        let end = |(id, RequestEnd { upstream, age })| (id, End { upstream, at: at(age) });
+        let reported = Ends {
+            ends: ends.into_iter().map(end).collect(),
+            completed: report.completed.map(at),
+            updated: now,
+        };
+        let is_reported_refused = reported.count(now) >= ENDS_MAX;
         self.update(now, report.request, |known| {
-            for (id, RequestEnd { upstream, age }) in ends {
-                known.ends.entry(id).or_insert(End { upstream, at: at(age) });
+            for (id, end) in reported.ends {
+                known.ends.entry(id).or_insert(end);
             }
-            known.completed = known.completed.max(report.completed.map(at));
+            known.completed = known.completed.max(reported.completed);
         });
-        !was_refused && self.is_refused(now, report.request)
+        match self.is_refused(now, report.request) {
+            true if !was_refused => Applied::Refused,
+            false if is_reported_refused => Applied::Cleared,
+            _ => Applied::Known,
+        }
     }
 
     /// Returns what this entry knows of the request, for others.
@@ -181,6 +208,7 @@
         let known = self.requests.entry(request).or_default();
         self.by_time.remove(&(known.updated, request));
         change(known);
+        known.completed = known.completed.max(self.completed.get(&request).copied());
         while known.ends.len() > ENDS_KEPT_MAX {
             let oldest = known.ends.iter().min_by_key(|(id, end)| (end.at, **id));
             let Some(id) = oldest.map(|(id, _)| *id) else { break };
@@ -188,6 +216,11 @@
         }
         known.updated = now;
         self.by_time.insert((now, request));
+        self.expire(now);
+    }
+
+    /// Drops what is no longer of use.
+    pub fn expire(&mut self, now: Instant) {
         let expired = |at: Instant| now.since(at) >= END_KEPT;
         while let Some(&(at, oldest)) = self.by_time.first()
             && (expired(at) || self.requests.len() > REQUESTS_MAX)
@@ -195,6 +228,12 @@
             self.by_time.pop_first();
             self.requests.remove(&oldest);
         }
+        while let Some(&(at, oldest)) = self.completed_by_time.first()
+            && (expired(at) || self.completed.len() > COMPLETED_MAX)
+        {
+            self.completed_by_time.pop_first();
+            self.completed.remove(&oldest);
+        }
     }
 }
 
--- a/kingcupbay_core/tests/fatal.rs
+++ b/kingcupbay_core/tests/fatal.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use kingcupbay_core::{
-    fatal::{END_KEPT, FatalRequests},
+    fatal::{Applied, END_KEPT, FatalRequests},
     time::Instant,
     wire::fatal::{RequestEnds, RequestKey},
 };
@@ -30,7 +30,6 @@
     end(&mut known, 100, 3);
     assert!(known.is_refused(at(100), REQUEST));
     assert!(!known.is_refused(at(100), RequestKey(8)));
-    assert_eq!(known.refused(at(100)).collect::<Vec<_>>(), [REQUEST]);
     assert!(!known.is_refused(at(100) + END_KEPT, REQUEST));
 }
 
@@ -78,18 +77,20 @@
 fn entries_add_up_what_they_have_seen() {
     let [mut first, mut second, mut keeper] = [(); 3].map(|()| FatalRequests::default());
     end(&mut first, 0, 1);
-    assert!(!keeper.on_report(at(5), first.report(at(5), REQUEST)));
+    assert_eq!(keeper.on_report(at(5), first.report(at(5), REQUEST)), Applied::Known);
     end(&mut second, 50, 2);
     keeper.on_report(at(55), second.report(at(55), REQUEST));
     second.on_report(at(60), keeper.report(at(60), REQUEST));
     assert_eq!(second.ends(at(60), REQUEST), 2);
     end(&mut second, 100, 3);
     assert!(second.is_refused(at(100), REQUEST));
-    assert!(keeper.on_report(at(105), second.report(at(105), REQUEST)));
-    assert!(!keeper.on_report(at(110), second.report(at(110), REQUEST)));
+    let told = second.report(at(105), REQUEST);
+    assert_eq!(keeper.on_report(at(105), told.clone()), Applied::Refused);
+    assert_eq!(keeper.on_report(at(110), told), Applied::Known);
     // A report that says nothing takes no memory.
     let mut empty = FatalRequests::default();
-    assert!(!empty.on_report(at(0), RequestEnds { request: REQUEST, ..RequestEnds::default() }));
+    let nothing = RequestEnds { request: REQUEST, ..RequestEnds::default() };
+    assert_eq!(empty.on_report(at(0), nothing), Applied::Known);
     assert!(empty.is_empty());
 }
 
@@ -103,5 +104,22 @@
     assert_eq!(known.ends(at(30_000), RequestKey(0)), 0);
     assert_eq!(known.ends(at(30_000), RequestKey(29_999)), 1);
     known.on_end(at(30_000) + END_KEPT, at(30_000) + END_KEPT, REQUEST, "gpu-1", "a1");
-    assert_eq!(known.refused(at(30_000) + END_KEPT).count(), 0);
+    assert!(!known.is_refused(at(30_000) + END_KEPT, REQUEST));
+}
+
+/// Callers share a request, such as a plain one without a part of its own. Some entries see its
+/// answers break off, others see it answered: these must clear it for all.
+#[test]
+fn an_entry_that_has_answered_the_request_clears_it() {
+    let [mut failing, mut sound] = [(); 2].map(|()| FatalRequests::default());
+    for (millis, id) in [(0, 1), (200, 2), (400, 3)] {
+        end(&mut failing, millis, id);
+    }
+    assert!(failing.is_refused(at(400), REQUEST));
+    assert!(!sound.on_complete(at(410), REQUEST), "no end is known there");
+    let told = failing.report(at(420), REQUEST);
+    assert_eq!(sound.on_report(at(420), told), Applied::Cleared);
+    // What has been cleared is not news to anybody else.
+    assert_eq!(failing.on_report(at(430), sound.report(at(430), REQUEST)), Applied::Known);
+    assert!(!failing.is_refused(at(430), REQUEST));
 }
--- a/kingcupbayd/src/registered/fatal.rs
+++ b/kingcupbayd/src/registered/fatal.rs
@@ -6,6 +6,7 @@
 use futures_util::future::join_all;
 use kingcupbay_core::{
     deployment::model::Instance,
+    fatal::Applied,
     origin::keepers,
     time::{Instant, Span},
     wire::{
@@ -72,9 +73,6 @@
 /// Records that the request of `job` got a whole answer.
 pub(crate) fn on_complete(job: &Job) {
     let gateway = &job.gateway;
-    if gateway.fatal.borrow().is_empty() {
-        return;
-    }
     let Some(request) = job.request_key() else { return };
     if gateway.fatal.borrow_mut().on_complete(clock::now(), request) {
         let gateway = gateway.clone();
@@ -92,7 +90,7 @@
     let body = rmp_serde::to_vec_named(&report).expect("a report has only plain fields");
     let answers = join_all(keepers.iter().map(|&keeper| exchange(gateway, keeper, &body))).await;
     for known in answers.into_iter().flatten() {
-        on_report(gateway, known);
+        on_report(gateway, known, false);
     }
 }
 
@@ -119,13 +117,23 @@
     parts::announce(gateway, PartReports { requests, ..PartReports::default() }).await;
 }
 
-/// Applies what another entry knows of a request.
-pub(crate) fn on_report(gateway: &Gateway, report: RequestEnds) {
+/// Applies what another entry knows of a request, or has announced of it to all.
+pub(crate) fn on_report(gateway: &Rc<Gateway>, report: RequestEnds, is_announced: bool) {
     let request = report.request;
-    if gateway.fatal.borrow_mut().on_report(clock::now(), report) {
-        warn!(gateway.node.log, ""; "event" => "request_refused",
-            "key" => format!("{:x}", request.0));
-        gateway.withdrawn.notify_waiters();
+    let applied = gateway.fatal.borrow_mut().on_report(clock::now(), report);
+    match applied {
+        Applied::Refused => {
+            warn!(gateway.node.log, ""; "event" => "request_refused",
+                "key" => format!("{:x}", request.0));
+            gateway.withdrawn.notify_waiters();
+        }
+        Applied::Cleared if is_announced => {
+            info!(gateway.node.log, ""; "event" => "request_cleared",
+                "key" => format!("{:x}", request.0));
+            let gateway = gateway.clone();
+            drop(actix_rt::spawn(async move { announce(&gateway, request).await }));
+        }
+        Applied::Cleared | Applied::Known => {}
     }
 }
 
@@ -136,7 +144,7 @@
         Err(answer) => return answer,
     };
     let key = report.request;
-    on_report(&gateway, report);
+    on_report(&gateway, report, false);
     let known = gateway.fatal.borrow().report(clock::now(), key);
     let body = rmp_serde::to_vec_named(&known).expect("a report has only plain fields");
     http::reply::bytes("application/msgpack", body.into())
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -47,6 +47,7 @@
 /// Decides on what is known by now, and reports what has changed to other entries.
 pub(crate) fn send_reports(gateway: &Rc<Gateway>) {
     let now = clock::now();
+    gateway.fatal.borrow_mut().expire(now);
     let found = gateway.quarantine.borrow_mut().on_tick(now);
     on_found(gateway, &found, "own");
     let parts = gateway.quarantine.borrow_mut().reports(now);
@@ -135,7 +136,7 @@
         send_to_all(&gateway, targets, &body);
     }
     for report in reports.requests {
-        fatal::on_report(&gateway, report);
+        fatal::on_report(&gateway, report, true);
     }
     let now = clock::now();
     let found = gateway.quarantine.borrow_mut().on_reports(now, reports.parts, is_limiter);
