--- a/kingcupbay_soak/src/parts.rs
+++ b/kingcupbay_soak/src/parts.rs
@@ -8,7 +8,7 @@
 use crate::{
     callers::{ADAPTERS, Caller, Context, Spec},
     promises::Breach,
-    sent::{End, Kind, Sent},
+    sent::Kind,
 };
 
 /// Crashes on one part that requests sent one after the other may cause.
@@ -76,16 +76,17 @@
         loop {
             let mut refusing = 0;
             for entry in 0..context.fleet.entries.len() {
+                let known = crashes();
                 let name = format!("request-{}", random.draw());
                 let mut caller = Caller::new(context, &name, entry, random.draw());
                 let same = Some(format!("5c1e07a2:20,{own}:20"));
                 let adapter = Some(ADAPTERS[0]);
                 let sent = caller.send(Spec { same, adapter, ..Spec::new(Kind::Tour) }).await;
-                refusing += usize::from(is_refusal(&sent));
+                refusing += usize::from(sent.status() == Some(503) && crashes() == known);
                 register_crashed(context);
             }
-            // An answer that broke off for another reason counts as well.
-            if refusing == context.fleet.entries.len() {
+            if refusing == context.fleet.entries.len() && crashes() - before >= REQUEST_CRASHES_MAX
+            {
                 return;
             }
         }
@@ -98,12 +99,6 @@
     (ended > REQUEST_CRASHES_MAX || !in_time).then_some(Breach { promise, details })
 }
 
-/// Returns whether the request was refused because upstreams end under it.
-fn is_refusal(sent: &Sent) -> bool {
-    matches!(&sent.end, Some(End::Answered(answer))
-        if answer.status == 503 && answer.body.contains("upstreams end under the request"))
-}
-
 /// Registers engines that have crashed since as started anew.
 fn register_crashed(context: &Context) {
     for engine in &context.fleet.engines {
