Keep slots free for late loads of a sidecar's earlier process

Cause: unanswered loads lie in the memory of the sidecar alone. One that has just started takes them for none, and fills an engine that has restarted up to its last slot. The class: what only the earlier process knew is taken for "nothing" by the next one. Ruled out: a note in the store for each unanswered load, a write a second and engine, and unread while the store is away; X-Expect-Instance, as an engine may start again under its id; as many slots as loads can be unanswered (one in 0.8 s): up to 14 of 19 slots, 10 s after a start of all daemons. Change: for 20 s after its start a sidecar keeps two slots free, at most half of all, unless the engine's report says that it started 25 s before the sidecar or earlier. If a late load takes one, an adapter is evicted. A changed start also shows a restart that the order count does not. Left: two slots are a choice, not a bound; engines with one slot keep none.

--- a/kingcupbay_core/src/admission/mod.rs
+++ b/kingcupbay_core/src/admission/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! [`estimate`] decides whether a request is accepted and predicts how long it
 //! waits. [`schedule`] grants permits and refuses. [`queue`] holds the waiting requests
-//! and [`running`] those with a permit. [`orders`] decides what the engine loads and unloads. [`order`] and [`report`]
+//! and [`running`] those with a permit. [`orders`] decides what the engine loads and unloads, and
+//! [`late_loads`] how many adapter slots stay free meanwhile. [`order`] and [`report`]
 //! define the messages to and from the engine, [`load_report`] the updates to
 //! entries. [`speed`], [`pace`], [`prefill`] and [`loads`] learn how fast the engine is.
 //!
@@ -18,6 +19,7 @@
 //! requests that can still meet their latency target go before those that cannot.
 
 mod estimate;
+mod late_loads;
 pub mod load_report;
 pub mod loads;
 pub mod order;
@@ -92,6 +94,8 @@
     reported_at: Instant,
     /// Order count of the latest report, kept while the engine does not answer.
     order_count: u64,
+    /// When the engine started, as its latest report says.
+    born: Option<u64>,
     queue: Queue,
     running: Running,
     recent_grants: RecentGrants,
@@ -122,6 +126,7 @@
             report: None,
             reported_at: Instant::default(),
             order_count: 0,
+            born: None,
             queue: Queue::default(),
             running: Running::default(),
             recent_grants: RecentGrants::default(),
@@ -139,6 +144,12 @@
         }
     }
 
+    /// Records that the sidecar's process has started, at `unix` milliseconds of Unix time. The
+    /// engine may still carry out loads of an earlier process.
+    pub fn on_start(&mut self, now: Instant, unix: u64) {
+        self.orders.on_start(now, unix);
+    }
+
     /// Applies the operator's specification of the engine.
     pub fn on_spec(&mut self, spec: Engine) {
         self.spec = spec;
@@ -280,7 +291,8 @@
         // a crashing engine stops answering first, so there may be no previous
         // report. A missed restart would leave adapters marked as still cached, and
         // late orders would fill the engine beyond its adapter slots.
-        if report.orders < self.order_count {
+        let is_other = self.born.is_some_and(|born| report.born.is_some_and(|new| new != born));
+        if report.orders < self.order_count || is_other {
             // The engine restarted and lost its running requests.
             self.running.clear();
             self.orders.on_restart(now);
@@ -290,6 +302,7 @@
             self.rest_until = now;
         }
         self.order_count = report.orders;
+        self.born = report.born;
         let elapsed = now.since(self.reported_at);
         self.running.on_report(now, elapsed, &report, &mut self.speed, &mut self.pace);
         self.orders.on_report();
--- a/kingcupbay_core/src/admission/orders.rs
+++ b/kingcupbay_core/src/admission/orders.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    late_loads::LateLoads,
     loads::LoadLimiter,
     order::{Reply, Target},
     report::Report,
@@ -31,10 +32,6 @@
 /// Delay before an order that the engine refused is sent again.
 const REFUSED_ORDER_BACKOFF: Span = Span::from_secs(1);
 
-/// Longest time after which the engine may still carry out an unanswered load. The
-/// platform says "seconds"; delays up to 12 s were observed.
-const LATE_LOAD_TIMEOUT: Span = Span::from_secs(20);
-
 /// Target of all load orders: the newest version.
 const LOAD_NEWEST: Target = Target::Load { version: None };
 
@@ -66,14 +63,6 @@
     Replied,
 }
 
-/// A load order that got no reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct UnansweredLoad {
-    /// Order count at which the engine carries it out.
-    after: u64,
-    sent_at: Instant,
-}
-
 /// Plans orders from recent orders, uses and refusals.
 #[derive(Debug)]
 pub(super) struct OrderPlanner {
@@ -86,10 +75,7 @@
     replica_requests: BTreeMap<AdapterName, Instant>,
     /// Adapters whose older version was unloaded and whose newer one is to be loaded.
     updates: BTreeSet<AdapterName>,
-    /// Loads without a reply since the engine started.
-    unanswered: Vec<UnansweredLoad>,
-    /// Loads without a reply from before the engine's last restart.
-    before_restart: Vec<UnansweredLoad>,
+    late_loads: LateLoads,
 }
 
 impl Default for OrderPlanner {
@@ -100,13 +86,17 @@
             retry_after: BTreeMap::new(),
             replica_requests: BTreeMap::new(),
             updates: BTreeSet::new(),
-            unanswered: Vec::new(),
-            before_restart: Vec::new(),
+            late_loads: LateLoads::default(),
         }
     }
 }
 
 impl OrderPlanner {
+    /// Records that the sidecar's process has started, at `unix` milliseconds of Unix time.
+    pub(super) fn on_start(&mut self, now: Instant, unix: u64) {
+        self.late_loads.on_start(now, unix);
+    }
+
     pub(super) fn on_use(&mut self, now: Instant, name: &AdapterName) {
         self.last_used.insert(name.clone(), now);
     }
@@ -124,7 +114,7 @@
         let InFlight::Sent { name, target, after } = previous else { return None };
         match (reply, target) {
             (Reply::Unknown, Target::Load { .. }) => {
-                self.unanswered.push(UnansweredLoad { after, sent_at: now });
+                self.late_loads.on_unanswered(now, after);
                 None
             }
             (Reply::Refused | Reply::Fenced, _) => {
@@ -149,25 +139,11 @@
     pub(super) fn on_restart(&mut self, now: Instant) {
         self.updates.clear();
         self.replica_requests.clear();
-        if let InFlight::Sent { target: Target::Load { .. }, after, .. } = self.in_flight {
-            self.before_restart.push(UnansweredLoad { after, sent_at: now });
-        }
-        self.before_restart.append(&mut self.unanswered);
-    }
-
-    /// Returns the adapter slots to keep free for late loads from before a restart.
-    /// Loads that name the same order count need one slot, as only one of them can
-    /// be carried out. Without the reserve, a late load would overfill the engine,
-    /// which then crashes.
-    ///
-    /// A load is kept in mind although the engine's count has passed it: a restart sets the
-    /// count back.
-    fn reserved_slots(&mut self, now: Instant, orders: u64) -> usize {
-        let is_due = |load: &UnansweredLoad| now.since(load.sent_at) < LATE_LOAD_TIMEOUT;
-        self.before_restart.retain(is_due);
-        self.unanswered.retain(is_due);
-        let counts = self.before_restart.iter().map(|load| load.after);
-        counts.filter(|&after| after >= orders).collect::<BTreeSet<u64>>().len()
+        let in_flight = match self.in_flight {
+            InFlight::Sent { target: Target::Load { .. }, after, .. } => Some(after),
+            _ => None,
+        };
+        self.late_loads.on_restart(now, in_flight);
     }
 
     /// Whether the engine has replied and no report has come since.
@@ -192,10 +168,12 @@
                 && !input.report.is_pending(name)
                 && now.since(*requested_at) < REPLICA_REQUEST_TTL
         });
-        let reserved = self.reserved_slots(now, input.report.orders);
+        let slots = input.spec.adapter_slots as usize;
+        let reserved = self.late_loads.reserved_slots(now, input.report, slots);
         let (name, target) = self
             .load_base_model(input)
             .or_else(|| self.unload_outdated(now, input))
+            .or_else(|| self.free_reserved(input, reserved))
             .or_else(|| self.load_missing(now, input, reserved))?;
         self.in_flight = InFlight::Sent { name: name.clone(), target, after: input.report.orders };
         Some((name, target))
@@ -231,6 +209,19 @@
         Some((name, Target::Unload))
     }
 
+    /// Evicts an adapter if one takes a reserved slot, as when a late load was carried out.
+    fn free_reserved(
+        &self,
+        input: &PlanInput<'_>,
+        reserved: usize,
+    ) -> Option<(AdapterName, Target)> {
+        let used = input.report.used_adapter_slots();
+        if used + reserved <= input.spec.adapter_slots as usize {
+            return None;
+        }
+        self.eviction_candidate(input).map(|evicted| (evicted, Target::Unload))
+    }
+
     /// Loads a missing adapter, or evicts one to make room. Requested replicas go
     /// first, as each serves many requests, while most other missing adapters serve
     /// one. Updates ahead of demand go last and evict nothing.
--- a/kingcupbay_core/src/admission/report.rs
+++ b/kingcupbay_core/src/admission/report.rs
@@ -17,6 +17,8 @@
     pub busy: bool,
     /// Orders accepted since the engine started; a lower count shows a restart.
     pub orders: u64,
+    /// Unix time in milliseconds at which the engine started, if it says so.
+    pub born: Option<u64>,
     /// Requests that wait inside the engine.
     pub waiting: u32,
     /// Requests that run.
--- a/kingcupbayd/src/clock.rs
+++ b/kingcupbayd/src/clock.rs
@@ -24,6 +24,12 @@
     Instant::from_micros(micros)
 }
 
+/// Returns the Unix time in milliseconds, which may be set back or forward.
+pub(crate) fn unix_millis() -> u64 {
+    let time = clock_gettime(ClockId::Realtime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 /// Runs `future` for `time`. Returns `None` if it does not complete.
 ///
 /// After a pause of this process its timers fire before it has read what arrived meanwhile, and
--- a/kingcupbayd/src/sidecar/engine.rs
+++ b/kingcupbayd/src/sidecar/engine.rs
@@ -143,6 +143,7 @@
     });
     let pending: Vec<String> = pending.collect();
     info!(sidecar.node.log, ""; "event" => "report", "orders" => report.orders,
+        "born" => report.born,
         "held" => report.adapters().count(), "pending" => pending.join(","),
         "busy" => report.busy, "running" => report.running, "waiting" => report.waiting,
         "leaving" => report.leaving);
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -28,7 +28,7 @@
 use slog::info;
 use tokio::sync::{Notify, oneshot};
 
-use crate::registered::Node;
+use crate::{clock, registered::Node};
 
 use metrics::Metrics;
 
@@ -65,8 +65,10 @@
 impl Sidecar {
     /// Creates the state of the sidecar of the engine at `engine`.
     pub(crate) fn new(node: Rc<Node>, engine: SocketAddr) -> Sidecar {
+        let mut admission = Admission::new(node.host());
+        admission.on_start(clock::now(), clock::unix_millis());
         Sidecar {
-            admission: RefCell::new(Admission::new(node.host())),
+            admission: RefCell::new(admission),
             engine,
             answers: RefCell::default(),
             tickets: Cell::default(),
