--- a/kingcupbay_core/tests/late_loads.rs
+++ b/kingcupbay_core/tests/late_loads.rs
@@ -9,10 +9,11 @@
     wire::{metadata::Size, sidecar::PermitRequest},
 };
 
-const SLOTS: usize = 6;
+/// Adapter slots of the engine.
+const ADAPTER_SLOTS: usize = 6;
 
 /// Unix time in milliseconds at which the sidecar starts.
-const START: u64 = 1_700_000_000_000;
+const START_UNIX_MS: u64 = 1_700_000_000_000;
 
 fn at(millis: u64) -> Instant {
     Instant::from_micros(1_000_000 + millis * 1_000)
@@ -21,10 +22,10 @@
 /// Creates the state of a sidecar that has just started.
 fn sidecar() -> Admission {
     let mut admission = Admission::new("upstream-1");
-    let adapter_slots = SLOTS as u32;
+    let adapter_slots = ADAPTER_SLOTS as u32;
     admission.on_spec(Engine { slots: 8, kv_tokens: 100_000, adapter_slots, ..Engine::default() });
     admission.on_fencing(7);
-    admission.on_start(at(0), START);
+    admission.on_start(at(0), START_UNIX_MS);
     admission
 }
 
@@ -63,22 +64,22 @@
     })
 }
 
-const LOAD: Option<Target> = Some(Target::Load { version: None });
+const LOAD_NEWEST: Option<Target> = Some(Target::Load { version: None });
 
 /// Guards against an engine that crashes on a late load of the sidecar's earlier process, which has
 /// gone with all that it knew.
 #[test]
 fn slots_are_kept_for_late_loads_of_a_sidecar_that_restarted_after_its_engine() {
-    for born in [None, Some(START - 100), Some(START - 19_000)] {
+    for born in [None, Some(START_UNIX_MS - 100), Some(START_UNIX_MS - 19_000)] {
         let mut sidecar = sidecar();
-        sidecar.on_report(at(1), report(born, SLOTS as u64 - 1, SLOTS - 2));
+        sidecar.on_report(at(1), report(born, ADAPTER_SLOTS as u64 - 1, ADAPTER_SLOTS - 2));
         assert_eq!(request(&mut sidecar, 2), Some(Target::Unload), "{born:?}");
         sidecar = self::sidecar();
-        sidecar.on_report(at(1), report(born, SLOTS as u64 - 2, SLOTS - 3));
-        assert_eq!(request(&mut sidecar, 2), LOAD, "{born:?}");
+        sidecar.on_report(at(1), report(born, ADAPTER_SLOTS as u64 - 2, ADAPTER_SLOTS - 3));
+        assert_eq!(request(&mut sidecar, 2), LOAD_NEWEST, "{born:?}");
         sidecar = self::sidecar();
-        sidecar.on_report(at(20_001), report(born, SLOTS as u64, SLOTS - 1));
-        assert_eq!(request(&mut sidecar, 20_002), LOAD, "{born:?}");
+        sidecar.on_report(at(20_001), report(born, ADAPTER_SLOTS as u64, ADAPTER_SLOTS - 1));
+        assert_eq!(request(&mut sidecar, 20_002), LOAD_NEWEST, "{born:?}");
     }
 }
 
@@ -86,9 +87,15 @@
 #[test]
 fn slots_are_kept_for_late_loads_of_a_sidecar_that_restarted_before_its_engine() {
     let mut sidecar = sidecar();
-    sidecar.on_report(at(1), report(Some(START - 60_000), SLOTS as u64, SLOTS - 1));
+    sidecar.on_report(
+        at(1),
+        report(Some(START_UNIX_MS - 60_000), ADAPTER_SLOTS as u64, ADAPTER_SLOTS - 1),
+    );
     sidecar.on_report_failure(at(100));
-    sidecar.on_report(at(2_000), report(Some(START + 1_500), SLOTS as u64, SLOTS - 2));
+    sidecar.on_report(
+        at(2_000),
+        report(Some(START_UNIX_MS + 1_500), ADAPTER_SLOTS as u64, ADAPTER_SLOTS - 2),
+    );
     assert_eq!(request(&mut sidecar, 2_001), Some(Target::Unload));
 }
 
@@ -96,8 +103,11 @@
 #[test]
 fn a_slot_that_a_late_load_has_taken_is_freed_without_demand() {
     let mut sidecar = sidecar();
-    sidecar.on_report(at(1), report(Some(START), SLOTS as u64, SLOTS - 2));
-    let actions = sidecar.on_report(at(60), report(Some(START), SLOTS as u64 + 1, SLOTS - 1));
+    sidecar.on_report(at(1), report(Some(START_UNIX_MS), ADAPTER_SLOTS as u64, ADAPTER_SLOTS - 2));
+    let actions = sidecar.on_report(
+        at(60),
+        report(Some(START_UNIX_MS), ADAPTER_SLOTS as u64 + 1, ADAPTER_SLOTS - 1),
+    );
     assert_eq!(target(actions), Some(Target::Unload));
 }
 
@@ -105,6 +115,6 @@
 #[test]
 fn no_slot_is_kept_if_the_engine_has_not_restarted_lately() {
     let mut sidecar = sidecar();
-    sidecar.on_report(at(1), report(Some(START - 60_000), 40, SLOTS - 1));
-    assert_eq!(request(&mut sidecar, 2), LOAD);
+    sidecar.on_report(at(1), report(Some(START_UNIX_MS - 60_000), 40, ADAPTER_SLOTS - 1));
+    assert_eq!(request(&mut sidecar, 2), LOAD_NEWEST);
 }
