Read a connection only as far as its requests go

What callers saw: an entry that ran out of memory took all of its callers with it. 1,000 clients with heads of 120 KB took 128 to 139 MB, 400 with bodies in chunks of a byte 470 MB for 12 MB sent, 100 with 8,000 pipelined requests each 518 to 691 MB. A client that went on sending after its refusal kept its connection.

Cause: the server library reads up to 131,072 bytes of a connection before it decodes any, and decodes all of it: a request of 145 bytes takes some 7 KB once decoded, a chunk of a byte takes an entry of its queue. The configuration's limit of heads was decoded and used by nobody. The library drains a chunked body that nobody reads for as long as it comes.

Ruled out: a bound on decoded messages, as the library has none in its loop; an own parser in front of it; a refusal of small chunks, which are legal.

Change: server/flow.rs keeps what may be read: 2 KB at a time between requests and ahead of an answer, 16 KB of a body (4 KB of one in chunks) until its reader has taken them, a head up to the configured size, the rest of a refused body for a second. server/socket.rs reads as much, the rest stays with the client. A longer head is refused with 431; the code head_too_large is new. The kernel keeps 24 KB of each accepted connection, as it does of those to upstreams.

Bodies as a whole are not bounded together yet.

--- a/kingcupbay_core/src/wire/error.rs
+++ b/kingcupbay_core/src/wire/error.rs
@@ -53,6 +53,8 @@
     BadRequest = "bad_request", 400;
     /// The body is longer than allowed.
     TooLarge = "too_large", 413;
+    /// The head is longer than allowed.
+    HeadTooLarge = "head_too_large", 431;
     /// The body did not arrive in time.
     BodyTimeout = "body_timeout", 408;
     /// The key is unknown or withdrawn.
--- a/kingcupbayd/src/entry/answer.rs
+++ b/kingcupbayd/src/entry/answer.rs
@@ -83,8 +83,7 @@
 ) -> Result<(Answer, bool), Failure> {
     let callers = entry.settings.callers.as_ref().expect("an entry has [callers]");
     let deadline = headers::deadline(&request, callers, clock::now())?;
-    let payload = request.take_payload();
-    let bytes = body::read(payload, callers.body_limit, callers.body_timeout).await?;
+    let bytes = body::read(&mut request, callers.body_limit, callers.body_timeout).await?;
     let parsed = prompt::parse(shape, &bytes)?;
     let config = entry.fleet.config();
     let version = config.version(caller.organisation, &parsed.model).ok_or_else(|| {
--- a/kingcupbayd/src/entry/call.rs
+++ b/kingcupbayd/src/entry/call.rs
@@ -80,8 +80,8 @@
         return Err(Failure::not_run(Code::BadRequest, message));
     }
     let target = Target::Service { name: row.service.clone(), once: row.once };
-    let payload = request.take_payload();
-    let body = body::read(payload, callers.body_limit, callers.body_timeout).await?.to_vec();
+    let (limit, timeout) = (callers.body_limit, callers.body_timeout);
+    let body = body::read(&mut request, limit, timeout).await?.to_vec();
     let id = new_request_id();
     let log = RequestLog::open(id, caller.clone(), name.to_owned(), &entry);
     let work = Work::Call { route, path: rest.to_owned(), idempotency, body };
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -68,7 +68,7 @@
         limiters,
         origins::PendingOrigins,
     },
-    server::{drain::Phase, socket::Peer},
+    server::{drain::Phase, flow::head_length, socket::Peer},
 };
 
 use job::Job;
@@ -262,8 +262,10 @@
         Err(refusal) => return refuse(&gateway, &metadata, refusal),
     };
     let limits = deployment.limits;
-    let payload = request.take_payload();
-    let body = match http::body::read(payload, limits.body, BODY_TIMEOUT).await {
+    if head_length(&request) > limits.head {
+        return refuse(&gateway, &metadata, Refusal::plain(Code::HeadTooLarge, "the head"));
+    }
+    let body = match http::body::read(&mut request, limits.body, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(failure) => {
             let refusal = Refusal::plain(failure.code, "the body");
--- a/kingcupbayd/src/gateway/reply.rs
+++ b/kingcupbayd/src/gateway/reply.rs
@@ -48,6 +48,7 @@
             Code::BadKey => StatusCode::UNAUTHORIZED,
             Code::BadRequest => StatusCode::BAD_REQUEST,
             Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Code::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Code::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Code::Deadline if !self.not_run => StatusCode::GATEWAY_TIMEOUT,
             _ if !self.not_run => StatusCode::BAD_GATEWAY,
--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -1,6 +1,6 @@
 //! Reading of bodies within a size and time limit, and of complete answers.
 
-use actix_http::{Payload, header};
+use actix_http::{Payload, Request, header};
 use awc::ClientResponse;
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
@@ -12,7 +12,7 @@
 use serde::de::IgnoredAny;
 use thiserror::Error;
 
-use crate::clock;
+use crate::{clock, server::socket::Peer};
 
 /// Why an answer's body is incomplete.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,24 +66,30 @@
 ///
 /// A stalled body would keep its connection and memory for ever. `timeout`
 /// covers the whole body, so a slow trickle of bytes does not extend it.
-pub(crate) async fn read(payload: Payload, limit: usize, timeout: Span) -> Result<Bytes, Failure> {
-    match clock::timeout(timeout, collect(payload, limit)).await {
+pub(crate) async fn read(
+    request: &mut Request,
+    limit: usize,
+    timeout: Span,
+) -> Result<Bytes, Failure> {
+    let peer = Peer::of(request);
+    let payload = request.take_payload();
+    match clock::timeout(timeout, collect(peer, payload, limit)).await {
         Some(result) => result,
         None => Err(Failure::not_run(Code::BodyTimeout, "the body did not arrive in time")),
     }
 }
 
-async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, Failure> {
+async fn collect(peer: Peer, mut payload: Payload, limit: usize) -> Result<Bytes, Failure> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
+    while let Some(part) = peer.next_part(&mut payload).await {
+        let part = part.map_err(|error| {
             Failure::not_run(Code::BadRequest, format!("the body is malformed: {error}"))
         })?;
-        if body.len() + chunk.len() > limit {
+        if body.len() + part.len() > limit {
             let message = format!("the body is longer than {limit} bytes");
             return Err(Failure::not_run(Code::TooLarge, message));
         }
-        body.extend_from_slice(&chunk);
+        body.extend_from_slice(&part);
     }
     Ok(body.freeze())
 }
--- a/kingcupbayd/src/registered/message.rs
+++ b/kingcupbayd/src/registered/message.rs
@@ -20,7 +20,7 @@
     log: &Logger,
     request: &mut Request,
 ) -> Result<T, Response<BoxBody>> {
-    let body = http::body::read(request.take_payload(), MESSAGE_MAX_BYTES, MESSAGE_TIMEOUT).await;
+    let body = http::body::read(request, MESSAGE_MAX_BYTES, MESSAGE_TIMEOUT).await;
     let body = body.map_err(|failure| failure.message);
     let message = body.and_then(|body| {
         rmp_serde::from_slice(&body).map_err(|error: rmp_serde::decode::Error| error.to_string())
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -120,10 +120,16 @@
             let configured = deployed.deployment().and_then(|now| now.limits.idle_timeout);
             configured.unwrap_or(KEEP_ALIVE)
         };
+        let deployed = node.clone();
+        let head_max = move || {
+            let limits = deployed.deployment().map(|now| now.limits);
+            limits.unwrap_or_default().head
+        };
         let limits = ServerLimits {
             head_timeout: callers.head_timeout,
             idle_timeout: Box::new(idle_timeout),
             connections: ConnectionLimits::new(callers.descriptors),
+            head_max: Box::new(head_max),
         };
         drop(actix_rt::spawn(server::serve(listener, limits, node.drain.clone(), handle)));
     }
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -3,8 +3,8 @@
 //! The accept loop spawns a task for each connection. [`drain`] counts the
 //! connections and holds the phase of a planned stop, which closes the
 //! listener, lets every connection finish its request, and closes idle ones.
-//! [`crowd`] bounds the number of connections, and [`socket`] tells a request whether its sender
-//! has left.
+//! [`crowd`] bounds the number of connections, [`flow`] what is read of each ahead of its
+//! requests, and [`socket`] tells a request whether its sender has left.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -15,11 +15,12 @@
 
 pub(crate) mod crowd;
 pub(crate) mod drain;
+pub(crate) mod flow;
 pub(crate) mod socket;
 
 use crowd::{ConnectionLimits, Crowd};
 use drain::Drain;
-use socket::Socket;
+use socket::{Peer, Socket};
 
 /// Connections that may wait to be accepted. With the usual 128, a burst of
 /// new streams fills the queue, and the kernel retransmits the SYN only after a
@@ -38,6 +39,12 @@
 /// callers; the kernel doubles it for its own structures.
 const SEND_BUFFER_BYTES: u32 = 16 << 10;
 
+/// Bytes of a caller that the kernel keeps until they are read; it doubles them likewise.
+const RECEIVE_BUFFER_BYTES: u32 = 24 << 10;
+
+/// Largest head of a request where no configuration sets one.
+const HEAD_MAX_BYTES: usize = 16 << 10;
+
 /// Pause after a failed accept. Without it, the loop would spin while the
 /// process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -54,6 +61,7 @@
     socket.bind(address)?;
     // Accepted connections inherit it.
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     let listener = socket.listen(BACKLOG)?;
     let bound = listener.local_addr()?;
     Ok((listener, bound))
@@ -65,6 +73,8 @@
     pub(crate) head_timeout: Span,
     /// Returns the idle timeout of a new connection.
     pub(crate) idle_timeout: Box<dyn Fn() -> Span>,
+    /// Returns the largest head of a request on a new connection, in bytes.
+    pub(crate) head_max: Box<dyn Fn() -> usize>,
     /// Bounds of the number of connections.
     pub(crate) connections: ConnectionLimits,
 }
@@ -75,6 +85,7 @@
         ServerLimits {
             head_timeout,
             idle_timeout: Box::new(|| KEEP_ALIVE),
+            head_max: Box::new(|| HEAD_MAX_BYTES),
             connections: ConnectionLimits::unlimited(),
         }
     }
@@ -91,13 +102,14 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let ServerLimits { head_timeout, idle_timeout, connections } = limits;
+    let ServerLimits { head_timeout, idle_timeout, head_max, connections } = limits;
     let crowd = Crowd::default();
     let build = async |idle: Span| {
         let (closing, members, handle) = (drain.clone(), crowd.clone(), handle.clone());
         let handle = fn_service(move |request: Request| {
+            let open = Peer::of(&request).begin(&request);
             let answer = handle(request);
-            async move { Ok::<_, Response<BoxBody>>(answer.await) }
+            async move { Ok::<_, Response<BoxBody>>(open.until_sent(answer.await)) }
         });
         let factory = HttpService::build()
             .keep_alive(Duration::from(idle))
@@ -147,12 +159,12 @@
                     idle = idle_timeout();
                     service = build(idle).await;
                 }
+                // If this fails, answers wait for each other's acknowledgement.
+                let _ = stream.set_nodelay(true);
                 let guard = drain.track_connection();
                 let service = service.clone();
+                let socket = Socket::new(stream, head_max(), head_timeout);
                 actix_rt::spawn(async move {
-                    // If this fails, answers wait for each other's acknowledgement.
-                    let _ = stream.set_nodelay(true);
-                    let socket = Socket::new(stream);
                     // The request's own handler deals with a broken connection.
                     let _ = service.call((socket, Protocol::Http1, None)).await;
                     drop(guard);
--- a/kingcupbayd/src/share/peer.rs
+++ b/kingcupbayd/src/share/peer.rs
@@ -34,12 +34,11 @@
 
 /// Answers the messages of another entry.
 pub(crate) async fn handle(shares: Rc<Shares>, mut request: Request) -> Response<BoxBody> {
-    let payload = request.take_payload();
-    let bytes = match body::read(payload, MAX_LIST_BYTES, Span::from_secs(1)).await {
-        Ok(bytes) => bytes,
+    let body = match body::read(&mut request, MAX_LIST_BYTES, Span::from_secs(1)).await {
+        Ok(body) => body,
         Err(failure) => return reply::failure(&failure),
     };
-    let Ok(envelopes) = rmp_serde::from_slice::<Vec<Envelope>>(&bytes) else {
+    let Ok(envelopes) = rmp_serde::from_slice::<Vec<Envelope>>(&body) else {
         return reply::text(StatusCode::BAD_REQUEST, "not a list of envelopes\n");
     };
     let sender = envelopes.first().map(|envelope| envelope.from);
--- a/kingcupbayd/tests/misbehaving_clients.rs
+++ b/kingcupbayd/tests/misbehaving_clients.rs
@@ -258,6 +258,24 @@
     run(100, Script::new(chunked_head(), chunk(PIECE_BYTES), 512), MEMORY_BYTES).await;
 }
 
+/// A client that goes on sending after its request was refused must be disconnected.
+#[actix_rt::test]
+async fn a_body_that_goes_on_after_its_refusal_ends_its_connection() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let fleet = start_fleet().await;
+    let _upstream = fleet.start_plain("desk-1");
+    wait_until_ready(&fleet.entry).await;
+    request_until_served(&fleet.entry, "before").await;
+    for head in [head_with_length(1 << 40), chunked_head()] {
+        let mut stream = TcpStream::connect(fleet.entry.address("callers")).await.unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let piece = chunk(PIECE_BYTES);
+        let sending = async { while stream.write_all(&piece).await.is_ok() {} };
+        let ended = tokio::time::timeout(EVENT_TIMEOUT, sending).await;
+        assert!(ended.is_ok(), "the entry goes on reading: {head}");
+    }
+}
+
 /// Whole bodies of legal size, all at once: held while they are forwarded too.
 #[actix_rt::test]
 async fn whole_bodies_of_legal_size_take_bounded_memory() {
