Bound the memory of all bodies together

What callers saw: an entry ended as it ran out of memory, and with it the requests of all its callers. 100 clients with bodies of 4 MiB, whole or just short of their end, by length, in pieces or in chunks, took 441 to 809 MB of a machine's 260; 100 bodies far over the limit 342 to 420 MB before they were refused; 1,200 messages at the port for other daemons 697 and 771 MB; 400 bodies in own mode 558 MB.

Cause: each body is bounded, all together are not. A length over the limit was refused only once the limit had arrived. A client that stopped short held its memory for 10 s.

Ruled out: bounds for each connection that add up to the machine (260 MB over 1,844 connections leave 141 KB each, and one body of 4 MiB is legal); counting what has arrived instead of what is announced (bodies that each lack their end fill the memory together and none can end); refusing at once whatever finds no room (of 100 legal bodies at once most would be sent again elsewhere, while room comes in milliseconds).

Change: kingcupbay_core/memory.rs divides the memory, http/budget.rs waits and releases by guards. A body of more than 16 KB takes room for its announced length (one in chunks 64 KB, then the limit) before more of it is read; meanwhile its connection's flow control holds the client back. Large bodies leave an eighth to those of 64 KB or less. Small ones come first, then those of the organisation that holds the least. While one waits, clients that move less than 64 KB in a second are given up with 408, those of the organisation that holds the most first. What has waited 2 s gets 503 with Retry-After, and so does at once what comes while 256 wait. A length over the limit is refused with its head. Callers' bodies may take a quarter of the setting memory_mb of [daemon] (256 unless set; deploy takes the machine's), messages of other daemons an eighth of their own. Metrics kingcupbay_held_bytes, kingcupbay_waiting_for_memory, kingcupbay_no_room_total; log stalled_clients.

Bodies inside the limits are served in calm before and after.

Answers that are not read are still unbounded together.

--- a/kingcupbay_core/src/lib.rs
+++ b/kingcupbay_core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod id;
 pub mod ini;
 pub mod limit;
+pub mod memory;
 pub mod origin;
 pub mod placement;
 pub mod quarantine;
--- a/kingcupbayd/src/admin/mod.rs
+++ b/kingcupbayd/src/admin/mod.rs
@@ -60,8 +60,8 @@
         STATUS_PATH if get => reply::json(StatusCode::OK, &status(&daemon)),
         DUMP_PATH if get => dump::answer(&daemon, &request).await,
         PATCH_PATH if request.method() == Method::POST => {
-            match body::read(&mut request, MAX_PATCH_BYTES, PATCH_TIMEOUT).await {
-                Ok(body) => patch(&daemon, &body).await,
+            match body::read(&mut request, None, MAX_PATCH_BYTES, PATCH_TIMEOUT).await {
+                Ok(body) => patch(&daemon, &body.bytes).await,
                 Err(failure) => reply::failure(&failure),
             }
         }
--- a/kingcupbayd/src/config/daemon.rs
+++ b/kingcupbayd/src/config/daemon.rs
@@ -6,6 +6,11 @@
 
 use super::reader::Reader;
 
+/// Default of the memory, in MiB.
+const DEFAULT_MEMORY_MIB: f64 = 256.0;
+
+const MIB: usize = 1 << 20;
+
 /// Host, availability zone and role of this daemon.
 #[derive(Clone, Debug)]
 pub struct Daemon {
@@ -15,6 +20,8 @@
     pub zone: Name,
     /// Its role.
     pub role: Role,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
 }
 
 struct RoleText(Role);
@@ -39,6 +46,8 @@
             host: reader.required("daemon", "host", name, "unnamed"),
             zone: reader.required("daemon", "zone", name, "unnamed"),
             role: role.0,
+            memory: reader.decimal("daemon", "memory_mb", 16.0..=1e6, DEFAULT_MEMORY_MIB) as usize
+                * MIB,
         }
     }
 }
--- a/kingcupbayd/src/entry/answer.rs
+++ b/kingcupbayd/src/entry/answer.rs
@@ -29,7 +29,7 @@
 };
 use crate::{
     clock,
-    http::{body, reply},
+    http::{body, budget::HeldBytes, reply},
     server::socket::Peer,
     share::Reservation,
 };
@@ -83,8 +83,11 @@
 ) -> Result<(Answer, bool), Failure> {
     let callers = entry.settings.callers.as_ref().expect("an entry has [callers]");
     let deadline = headers::deadline(&request, callers, clock::now())?;
-    let bytes = body::read(&mut request, callers.body_limit, callers.body_timeout).await?;
+    let (limit, timeout) = (callers.body_limit, callers.body_timeout);
+    let HeldBytes { bytes, held } =
+        body::read(&mut request, Some(&caller.name), limit, timeout).await?;
     let parsed = prompt::parse(shape, &bytes)?;
+    drop(bytes);
     let config = entry.fleet.config();
     let version = config.version(caller.organisation, &parsed.model).ok_or_else(|| {
         let message = format!("no model {} for this access key", parsed.model);
@@ -106,6 +109,7 @@
         deadline,
         target: Target::Model(version),
         work,
+        _held: held,
     };
     let answer = Answer {
         relay: Relay::new(entry, job),
--- a/kingcupbayd/src/entry/call.rs
+++ b/kingcupbayd/src/entry/call.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     clock,
-    http::{body, reply},
+    http::{body, budget::HeldBytes, reply},
     server::socket::Peer,
 };
 
@@ -81,12 +81,14 @@
     }
     let target = Target::Service { name: row.service.clone(), once: row.once };
     let (limit, timeout) = (callers.body_limit, callers.body_timeout);
-    let body = body::read(&mut request, limit, timeout).await?.to_vec();
+    let HeldBytes { bytes, held } =
+        body::read(&mut request, Some(&caller.name), limit, timeout).await?;
     let id = new_request_id();
     let log = RequestLog::open(id, caller.clone(), name.to_owned(), &entry);
-    let work = Work::Call { route, path: rest.to_owned(), idempotency, body };
+    let work = Work::Call { route, path: rest.to_owned(), idempotency, body: bytes.into() };
     let peer = Peer::of(&request);
-    let job = Job { request: id, caller: caller.clone(), peer, deadline, target, work };
+    let job =
+        Job { request: id, caller: caller.clone(), peer, deadline, target, work, _held: held };
     Ok((Relay::new(entry, job), log))
 }
 
--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -28,7 +28,7 @@
 use super::{Entry, admission::Caller};
 use crate::{
     clock,
-    http::{body, client::is_unsent},
+    http::{body, budget::Held, client::is_unsent},
     server::socket::Peer,
 };
 
@@ -56,7 +56,6 @@
 }
 
 /// An admitted request.
-#[derive(Clone, Debug)]
 pub(crate) struct Job {
     /// Identity of the request on every hop.
     pub(crate) request: RequestId,
@@ -70,6 +69,8 @@
     pub(crate) target: Target,
     /// What to run.
     pub(crate) work: Work,
+    /// Memory for what the caller has sent.
+    pub(crate) _held: Held,
 }
 
 /// A step of an answer.
--- a/kingcupbayd/src/fleet/peer.rs
+++ b/kingcupbayd/src/fleet/peer.rs
@@ -114,11 +114,11 @@
 
 /// Answers a pull of another daemon.
 pub(crate) async fn handle_pull(fleet: Rc<Fleet>, mut request: Request) -> Response<BoxBody> {
-    let body = match body::read(&mut request, MAX_PULL_BYTES, PULL_TIMEOUT).await {
+    let body = match body::read(&mut request, None, MAX_PULL_BYTES, PULL_TIMEOUT).await {
         Ok(body) => body,
         Err(failure) => return reply::failure(&failure),
     };
-    let pull: Pull = match rmp_serde::from_slice(&body) {
+    let pull: Pull = match rmp_serde::from_slice(&body.bytes) {
         Ok(pull) => pull,
         Err(error) => {
             let message = format!("not a pull: {error}");
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -11,7 +11,6 @@
     Method,
     header::{self, HeaderMap, HeaderValue},
 };
-use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::{Deployment, Organisation, Route},
     retry_after::retry_after,
@@ -24,7 +23,7 @@
 };
 use slog::debug;
 
-use crate::{clock, gateway::Gateway, server::socket::Peer};
+use crate::{clock, gateway::Gateway, http::budget::HeldBytes, server::socket::Peer};
 
 /// Longest time over which the returns of refused callers are spread.
 const SPREAD_MAX: Span = Span::from_secs(2);
@@ -50,7 +49,7 @@
     pub(crate) path: String,
     /// Headers as sent by the caller.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBytes,
     /// What stays the same over the caller's tries, once it has been asked for.
     pub(crate) key: OnceCell<RequestKey>,
     pub(crate) arrived: Instant,
@@ -86,16 +85,13 @@
 
     /// Returns a pseudorandom number that is the same for each call on one request.
     pub(crate) fn draw(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.metadata.attempt.hash(&mut hasher);
-        hasher.finish()
+        draw(&self.metadata)
     }
 
     /// Returns a time from `after` up to twice that, or [`SPREAD_MAX`] later, so that callers
     /// who are refused for the same reason do not all return at once.
     pub(crate) fn spread(&self, after: Span) -> Span {
-        let width = after.min(SPREAD_MAX).as_micros().max(1);
-        after + Span::from_micros(self.draw() % width)
+        spread(after, &self.metadata)
     }
 
     /// Returns the time after which this request may retry if capacity is expected `after`
@@ -130,8 +126,8 @@
             let host = self.headers.get(header::HOST).map(HeaderValue::as_bytes);
             let mut hasher = DefaultHasher::new();
             (self.organisation_name(), host, self.method.as_str(), &self.path).hash(&mut hasher);
-            (model, parts, own_part, &self.body).hash(&mut hasher);
-            if own_part.is_none() && self.body.is_empty() {
+            (model, parts, own_part, &self.body.bytes).hash(&mut hasher);
+            if own_part.is_none() && self.body.bytes.is_empty() {
                 // Little else tells it from the requests of other callers.
                 size.map(|size| (size.prompt, size.output)).hash(&mut hasher);
             }
@@ -149,3 +145,16 @@
         self.metadata.attempt.as_deref().unwrap_or_default()
     }
 }
+
+/// Returns a pseudorandom number that is the same for each call on one request.
+fn draw(metadata: &RequestMetadata) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    metadata.attempt.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns a time from `after` up to twice that, or [`SPREAD_MAX`] later.
+pub(crate) fn spread(after: Span, metadata: &RequestMetadata) -> Span {
+    let width = after.min(SPREAD_MAX).as_micros().max(1);
+    after + Span::from_micros(draw(metadata) % width)
+}
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     gateway::admit::Hold,
+    http::budget::ConnectionMemory,
     metrics::{EVENT_GAP_BUCKETS, LATENCY_BUCKETS, counter, counters, gauge, histograms, text},
     registered::{control::ControlMetrics, store::Store},
 };
@@ -51,10 +52,15 @@
 }
 
 impl Metrics {
-    /// Creates the metrics at zero and adds those of the `store`'s client and of the messages
-    /// to other daemons.
-    pub(crate) fn new(store: &Store, control: &ControlMetrics) -> Metrics {
+    /// Creates the metrics at zero and adds those of the `store`'s client, of the messages to
+    /// other daemons and of the memory for callers.
+    pub(crate) fn new(
+        store: &Store,
+        control: &ControlMetrics,
+        memory: &ConnectionMemory,
+    ) -> Metrics {
         let registry = Registry::new();
+        memory.register(&registry);
         let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
         registry.register(era).expect("no other metric has its name");
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -61,7 +61,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    clock, http,
+    clock,
+    http::{self, budget::ConnectionMemory},
     registered::{
         Node,
         confirm::{self, ConfirmedBy},
@@ -134,6 +135,8 @@
     pub(crate) transfers: transfer::Transfers,
     /// Notified when an upstream has said that it leaves or has asked for rest.
     pub(crate) withdrawn: Notify,
+    /// Memory for what callers send, and for answers that they do not read.
+    pub(crate) memory: ConnectionMemory,
     pub(crate) metrics: Metrics,
 }
 
@@ -178,6 +181,7 @@
     /// Creates the state of an entry that has served nothing yet.
     pub(crate) fn new(node: Rc<Node>) -> Gateway {
         let allowance = Allowance::new(node.host(), node.incarnation, clock::now());
+        let memory = ConnectionMemory::of_callers(node.settings.daemon.memory, &node.log);
         Gateway {
             allowance: RefCell::new(allowance),
             limiters: RefCell::new(Limiters::new(node.host())),
@@ -201,7 +205,8 @@
             knows_ends: Cell::default(),
             transfers: transfer::Transfers::default(),
             withdrawn: Notify::new(),
-            metrics: Metrics::new(&node.store, &node.control),
+            metrics: Metrics::new(&node.store, &node.control, &memory),
+            memory,
             node,
         }
     }
@@ -265,10 +270,12 @@
     if head_length(&request) > limits.head {
         return refuse(&gateway, &metadata, Refusal::plain(Code::HeadTooLarge, "the head"));
     }
-    let body = match http::body::read(&mut request, limits.body, BODY_TIMEOUT).await {
+    let owner = organisation.as_ref().map(|organisation| organisation.name.as_str());
+    let body = match http::body::read(&mut request, owner, limits.body, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(failure) => {
-            let refusal = Refusal::plain(failure.code, "the body");
+            let after = failure.retry_after.map(|after| job::spread(after, &metadata));
+            let refusal = Refusal { after, ..Refusal::plain(failure.code, "the body") };
             warn!(gateway.node.log, ""; "event" => "refused", "request" => &metadata.attempt,
                 "code" => refusal.code.as_str(), "why" => refusal.why,
                 "error" => failure.message);
--- a/kingcupbayd/src/http/held.rs
+++ b/kingcupbayd/src/http/held.rs
@@ -14,7 +14,7 @@
 
 /// Bytes of the answers that are being read, on all connections.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct HeldBytes {
+pub(crate) struct HeldAnswers {
     total: Rc<Cell<usize>>,
 }
 
@@ -25,7 +25,7 @@
     counted: usize,
 }
 
-impl HeldBytes {
+impl HeldAnswers {
     /// Begins to count an answer.
     pub(crate) fn begin(&self) -> HeldAnswer {
         HeldAnswer { total: self.total.clone(), counted: 0 }
--- a/kingcupbayd/src/http/pool.rs
+++ b/kingcupbayd/src/http/pool.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 
 use super::{
-    held::HeldBytes,
+    held::HeldAnswers,
     link::{Link, LinkError},
 };
 
@@ -44,7 +44,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Pool {
     /// Answers that are being read.
-    pub(crate) held: HeldBytes,
+    pub(crate) held: HeldAnswers,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Link>>>>,
 }
 
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -5,6 +5,8 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::http::budget::ConnectionMemory;
+
 /// Bucket bounds of latencies in seconds, from a relayed request to a cold start
 /// behind a queue.
 pub(crate) const LATENCY_BUCKETS: &[f64] =
@@ -18,6 +20,8 @@
 /// Every metric of a daemon; those of the other role stay at zero.
 pub(crate) struct Metrics {
     registry: Registry,
+    /// Memory for what callers send.
+    pub(crate) memory: ConnectionMemory,
     /// Requests by organisation and code; `ok` is a complete answer.
     pub(crate) requests: IntCounterVec,
     /// Answers that could not be delivered completely, by organisation.
@@ -51,9 +55,10 @@
 }
 
 impl Metrics {
-    /// Creates all metrics at zero.
-    pub(crate) fn new() -> Metrics {
+    /// Creates all metrics at zero and adds those of `memory`.
+    pub(crate) fn new(memory: ConnectionMemory) -> Metrics {
         let registry = Registry::new();
+        memory.register(&registry);
         let counters =
             |name: &str, help: &str, labels: &[&str]| counters(&registry, name, help, labels);
         let histogram = |name: &str, help: &str, bounds: &[f64]| {
@@ -106,6 +111,7 @@
             config_number: gauge("kingcupbay_config_number", "Configuration in use"),
             standing: gauge("kingcupbay_standing", "1 while this daemon may act on what it knows"),
             registry,
+            memory,
         }
     }
 
--- a/kingcupbayd/src/registered/message.rs
+++ b/kingcupbayd/src/registered/message.rs
@@ -20,10 +20,11 @@
     log: &Logger,
     request: &mut Request,
 ) -> Result<T, Response<BoxBody>> {
-    let body = http::body::read(request, MESSAGE_MAX_BYTES, MESSAGE_TIMEOUT).await;
+    let body = http::body::read(request, None, MESSAGE_MAX_BYTES, MESSAGE_TIMEOUT).await;
     let body = body.map_err(|failure| failure.message);
     let message = body.and_then(|body| {
-        rmp_serde::from_slice(&body).map_err(|error: rmp_serde::decode::Error| error.to_string())
+        rmp_serde::from_slice(&body.bytes)
+            .map_err(|error: rmp_serde::decode::Error| error.to_string())
     });
     message.map_err(|error| {
         warn!(log, ""; "event" => "message_unreadable", "path" => request.path(),
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -27,7 +27,7 @@
     clock,
     config::{Registry, Settings},
     gateway::{self, Gateway, permits, transfer},
-    http,
+    http::{self, budget::ConnectionMemory},
     registered::{
         Node, evacuations, fatal, follow::follow, limiters, limits, members, message,
         mixed_services, origins, parts, specs, usage,
@@ -130,19 +130,21 @@
             idle_timeout: Box::new(idle_timeout),
             connections: ConnectionLimits::new(callers.descriptors),
             head_max: Box::new(head_max),
+            memory: gateway.memory.clone(),
         };
         drop(actix_rt::spawn(server::serve(listener, limits, node.drain.clone(), handle)));
     }
+    let memory = ConnectionMemory::of_daemons(node.settings.daemon.memory, &node.log);
     if let Some((listener, _)) = listeners.ready {
         let state = gateway.clone();
         let handle = move |request| answer_ready(state.clone(), request);
-        listen(listener, handle);
+        listen(listener, &memory, handle);
     }
     let state = gateway.clone();
     let handle = move |request| handle_entry_peer(state.clone(), request);
-    listen(listeners.peers.0, handle);
+    listen(listeners.peers.0, &memory, handle);
     let handle = move |request| answer_operator(gateway.clone(), request);
-    listen(listeners.operators.0, handle);
+    listen(listeners.operators.0, &memory, handle);
 }
 
 /// Starts the tasks and servers of a sidecar.
@@ -155,18 +157,19 @@
     actix_rt::spawn(load_reports::follow_catalogue(sidecar.clone()));
     let state = sidecar.clone();
     let handle = move |request| handle_sidecar_peer(state.clone(), request);
-    listen(listeners.peers.0, handle);
+    let memory = ConnectionMemory::of_daemons(node.settings.daemon.memory, &node.log);
+    listen(listeners.peers.0, &memory, handle);
     let handle = move |request| answer_sidecar_operator(sidecar.clone(), request);
-    listen(listeners.operators.0, handle);
+    listen(listeners.operators.0, &memory, handle);
 }
 
 /// Starts a server for other daemons or operators on `listener`.
-fn listen<F, Fut>(listener: TcpListener, handle: F)
+fn listen<F, Fut>(listener: TcpListener, memory: &ConnectionMemory, handle: F)
 where
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let limits = ServerLimits::new(HEAD_TIMEOUT);
+    let limits = ServerLimits::new(HEAD_TIMEOUT, memory.clone());
     drop(actix_rt::spawn(server::serve(listener, limits, Drain::new(), handle)));
 }
 
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod flow;
 pub(crate) mod socket;
 
+use crate::http::budget::ConnectionMemory;
 use crowd::{ConnectionLimits, Crowd};
 use drain::Drain;
 use socket::{Peer, Socket};
@@ -75,17 +76,20 @@
     pub(crate) idle_timeout: Box<dyn Fn() -> Span>,
     /// Returns the largest head of a request on a new connection, in bytes.
     pub(crate) head_max: Box<dyn Fn() -> usize>,
+    /// Memory for bodies, and for answers that are not read.
+    pub(crate) memory: ConnectionMemory,
     /// Bounds of the number of connections.
     pub(crate) connections: ConnectionLimits,
 }
 
 impl ServerLimits {
-    /// Returns limits that differ in the time for the head of a request only.
-    pub(crate) fn new(head_timeout: Span) -> ServerLimits {
+    /// Returns limits that differ in the time for the head of a request and in memory only.
+    pub(crate) fn new(head_timeout: Span, memory: ConnectionMemory) -> ServerLimits {
         ServerLimits {
             head_timeout,
             idle_timeout: Box::new(|| KEEP_ALIVE),
             head_max: Box::new(|| HEAD_MAX_BYTES),
+            memory,
             connections: ConnectionLimits::unlimited(),
         }
     }
@@ -102,7 +106,7 @@
     F: Fn(Request) -> Fut + Clone + 'static,
     Fut: Future<Output = Response<BoxBody>> + 'static,
 {
-    let ServerLimits { head_timeout, idle_timeout, head_max, connections } = limits;
+    let ServerLimits { head_timeout, idle_timeout, head_max, memory, connections } = limits;
     let crowd = Crowd::default();
     let build = async |idle: Span| {
         let (closing, members, handle) = (drain.clone(), crowd.clone(), handle.clone());
@@ -163,7 +167,7 @@
                 let _ = stream.set_nodelay(true);
                 let guard = drain.track_connection();
                 let service = service.clone();
-                let socket = Socket::new(stream, head_max(), head_timeout);
+                let socket = Socket::new(stream, head_max(), head_timeout, memory.clone());
                 actix_rt::spawn(async move {
                     // The request's own handler deals with a broken connection.
                     let _ = service.call((socket, Protocol::Http1, None)).await;
--- a/kingcupbayd/src/server/socket.rs
+++ b/kingcupbayd/src/server/socket.rs
@@ -25,6 +25,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::flow::{Flow, Room};
+use crate::http::budget::{Budget, ConnectionMemory, Held};
 
 /// Answer to a head that is too long.
 const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
@@ -34,6 +35,7 @@
 struct Connection {
     stream: RefCell<TcpStream>,
     flow: RefCell<Flow>,
+    memory: ConnectionMemory,
 }
 
 /// A connection whose end its requests can ask for.
@@ -42,10 +44,16 @@
 impl Socket {
     /// Wraps a new connection, whose requests have heads of at most `head_max` bytes that arrive
     /// within `head_timeout` once they have begun.
-    pub(crate) fn new(stream: TcpStream, head_max: usize, head_timeout: Span) -> Socket {
+    pub(crate) fn new(
+        stream: TcpStream,
+        head_max: usize,
+        head_timeout: Span,
+        memory: ConnectionMemory,
+    ) -> Socket {
         Socket(Rc::new(Connection {
             stream: RefCell::new(stream),
             flow: RefCell::new(Flow::new(head_max, head_timeout)),
+            memory,
         }))
     }
 
@@ -76,6 +84,15 @@
         poll(&mut watched, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
     }
 
+    /// Begins to count a body that comes on the connection, for the organisation `owner`.
+    pub(crate) fn begin_body(&self, owner: Option<&str>) -> Held {
+        match self.0.as_ref().and_then(Weak::upgrade) {
+            Some(connection) => connection.memory.bodies.begin(owner),
+            // What is held for nobody is released at once.
+            None => Budget::unlimited().begin(owner),
+        }
+    }
+
     /// Reads the next part of a body. More of it is read once all that has arrived is taken.
     pub(crate) async fn next_part(
         &self,
--- a/kingcupbayd/src/share/peer.rs
+++ b/kingcupbayd/src/share/peer.rs
@@ -34,11 +34,11 @@
 
 /// Answers the messages of another entry.
 pub(crate) async fn handle(shares: Rc<Shares>, mut request: Request) -> Response<BoxBody> {
-    let body = match body::read(&mut request, MAX_LIST_BYTES, Span::from_secs(1)).await {
+    let body = match body::read(&mut request, None, MAX_LIST_BYTES, Span::from_secs(1)).await {
         Ok(body) => body,
         Err(failure) => return reply::failure(&failure),
     };
-    let Ok(envelopes) = rmp_serde::from_slice::<Vec<Envelope>>(&body) else {
+    let Ok(envelopes) = rmp_serde::from_slice::<Vec<Envelope>>(&body.bytes) else {
         return reply::text(StatusCode::BAD_REQUEST, "not a list of envelopes\n");
     };
     let sender = envelopes.first().map(|envelope| envelope.from);
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -17,7 +17,7 @@
     entry::{self, Entry},
     fleet::{self, Fleet, PatchOutcome},
     handle_peer,
-    http::client::Clients,
+    http::{budget::ConnectionMemory, client::Clients},
     metrics::Metrics,
     server::{
         self, ServerLimits,
@@ -76,7 +76,7 @@
     let mut servers = Vec::new();
     if let (Some((listener, _)), RoleState::Entry(entry)) = (callers, &daemon.role) {
         let entry = entry.clone();
-        let mut limits = ServerLimits::new(HEAD_TIMEOUT);
+        let mut limits = ServerLimits::new(HEAD_TIMEOUT, daemon.metrics.memory.clone());
         if let Some(callers) = &settings.callers {
             limits.head_timeout = callers.head_timeout;
             limits.connections = ConnectionLimits::new(callers.descriptors);
@@ -87,14 +87,15 @@
     }
     let state = daemon.clone();
     let handle = move |request| handle_peer(state.clone(), request);
-    let limits = ServerLimits::new(HEAD_TIMEOUT);
+    let memory = ConnectionMemory::of_daemons(settings.daemon.memory, &daemon.log);
+    let limits = ServerLimits::new(HEAD_TIMEOUT, memory.clone());
     let serving = server::serve(peers, limits, daemon.drain.clone(), handle);
     servers.push(actix_rt::spawn(serving));
     // The operators' port stays open until the stop is complete, so it has a
     // drain of its own, which nothing waits for.
     let state = daemon.clone();
     let handle = move |request| admin::handle(state.clone(), request);
-    let limits = ServerLimits::new(HEAD_TIMEOUT);
+    let limits = ServerLimits::new(HEAD_TIMEOUT, memory);
     actix_rt::spawn(server::serve(operators, limits, Drain::new(), handle));
     info!(daemon.log, ""; "event" => "listening", "role" => ?daemon.settings.daemon.role,
         "callers" => addresses.callers.map(|at| at.to_string()),
@@ -107,7 +108,7 @@
     let clients = Clients::new(tuning.connect_timeout);
     let table = Table::new(clients.clone(), platform.table, tuning.platform_timeout);
     let objects = Objects::new(clients.clone(), platform.objects, Span::from_secs(30));
-    let metrics = Rc::new(Metrics::new());
+    let metrics = Rc::new(Metrics::new(ConnectionMemory::of_callers(settings.daemon.memory, &log)));
     let drain = Drain::new();
     let mut incarnation = [0; 8];
     getrandom::fill(&mut incarnation).expect("the system's random source works");
--- a/kingcupbayd/src/upstream/run.rs
+++ b/kingcupbayd/src/upstream/run.rs
@@ -45,11 +45,11 @@
 
 /// Answers `POST /run`.
 pub(crate) async fn answer(upstream: Rc<Upstream>, mut request: Request) -> Response<BoxBody> {
-    let body = match body::read(&mut request, MAX_RUN_BYTES, RUN_TIMEOUT).await {
+    let body = match body::read(&mut request, None, MAX_RUN_BYTES, RUN_TIMEOUT).await {
         Ok(body) => body,
         Err(failure) => return reply::failure(&failure),
     };
-    let Ok(run) = rmp_serde::from_slice::<Run>(&body) else {
+    let Ok(run) = rmp_serde::from_slice::<Run>(&body.bytes) else {
         return reply::failure(&Failure::not_run(Code::BadRequest, "not an order"));
     };
     let state = RunStream::new(upstream, run, Peer::of(&request));
--- a/kingcupbayd/tests/misbehaving_clients.rs
+++ b/kingcupbayd/tests/misbehaving_clients.rs
@@ -18,7 +18,7 @@
 
 use actix_rt::net::TcpStream;
 use common::{
-    EVENT_TIMEOUT, Process, SECRET, build_request, completion_body,
+    EVENT_TIMEOUT, Process, SECRET, build_request, completion_body, get_text,
     registered::{
         ANY_PORT, Fleet, KEY, PLAIN_SERVICE, config_row, send_to, settings_text, wait_until_ready,
     },
@@ -205,6 +205,13 @@
     request_until_served(entry, "after").await;
     let (peak, now) = (status_bytes(entry, "VmHWM:"), status_bytes(entry, "VmRSS:"));
     println!("{} MB at most, {} MB after", peak >> 20, now >> 20);
+    wait_until("the release of all memory", async || {
+        let text = get_text(entry, "/metrics").await;
+        let held = |what: &str| format!("kingcupbay_held_bytes{{what=\"{what}\"}} 0");
+        let is_released = |what| text.lines().any(|line| line == held(what));
+        is_released("bodies").then_some(())
+    })
+    .await;
     assert!(peak < memory, "{} MB resident at most, {} allowed", peak >> 20, memory >> 20);
 }
 
@@ -249,13 +256,23 @@
 #[actix_rt::test]
 async fn announced_bodies_over_the_limit_are_refused_in_bounded_memory() {
     let script = Script::new(head_with_length(1 << 30), vec![b'x'; PIECE_BYTES], 512);
-    run(100, script, MEMORY_BYTES).await;
+    assert_refused(&run(100, script, MEMORY_BYTES).await);
+}
+
+/// Checks that clients that got anything were told that their body is too large.
+fn assert_refused(received: &[Option<Vec<u8>>]) {
+    for text in received.iter().flatten().filter(|text| !text.is_empty()) {
+        let text = String::from_utf8_lossy(text);
+        assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    }
+    assert!(received.iter().flatten().any(|text| !text.is_empty()), "nobody got an answer");
 }
 
 /// Chunked bodies far over the limit.
 #[actix_rt::test]
 async fn chunked_bodies_over_the_limit_are_refused_in_bounded_memory() {
-    run(100, Script::new(chunked_head(), chunk(PIECE_BYTES), 512), MEMORY_BYTES).await;
+    let script = Script::new(chunked_head(), chunk(PIECE_BYTES), 512);
+    assert_refused(&run(100, script, MEMORY_BYTES).await);
 }
 
 /// A client that goes on sending after its request was refused must be disconnected.
