Send a long body without a copy of it

Cause: a request was encoded with its body behind its head, so that each body of 4 MiB took 8 MiB while it was sent. Ruled out: vectored writes, which the writer's future does not need for a head of a few hundred bytes before a body of more than 16 KB. Change: a body of more than 16 KB, which needs more than one segment anyway, is written after the head. A shorter one is sent with it as before. Conclusion: the memory that the budget counts for a body is what the body takes.

--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -165,11 +165,11 @@
         headers: HeaderMap,
         body: &[u8],
     ) -> Result<ResponseHead, LinkError> {
+        let is_long = body.len() > SHORT_REQUEST_BYTES;
         let output = self.encode(method, path, headers, body)?;
         self.request_written = false;
         self.reusable = false;
         self.unfinished = true;
-        let is_long = output.len() > SHORT_REQUEST_BYTES;
         if is_long {
             self.set_ack_timeout(LONG_REQUEST_TIMEOUT).map_err(LinkError::Unsent)?;
         }
@@ -177,7 +177,11 @@
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             unreachable!("a connection carries one request at a time");
         };
-        let mut writing = std::pin::pin!(writer.write_all(&output));
+        let mut writing = std::pin::pin!(async {
+            writer.write_all(&output).await?;
+            // A copy behind the head would take as much memory again.
+            if is_long { writer.write_all(body).await } else { Ok(()) }
+        });
         let mut received = self.input.len();
         let head = loop {
             if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
@@ -349,6 +353,7 @@
         self.on_given_up = None;
     }
 
+    /// Encodes a request, with its body if that is short.
     fn encode(
         &mut self,
         method: Method,
@@ -365,13 +370,14 @@
             (true, _) => BodySize::None,
             (false, _) => BodySize::Sized(body.len() as u64),
         };
-        let mut output = BytesMut::with_capacity(1_024 + body.len());
+        let copied = if body.len() > SHORT_REQUEST_BYTES { &[] } else { body };
+        let mut output = BytesMut::with_capacity(1_024 + copied.len());
         let Some(Parser::Head(codec)) = &mut self.parser else {
             unreachable!("a connection carries one request at a time");
         };
         let item = Message::Item((RequestHeadType::Owned(head), size));
         codec.encode(item, &mut output).map_err(LinkError::Unsent)?;
-        output.extend_from_slice(body);
+        output.extend_from_slice(copied);
         Ok(output)
     }
 }
