Count answers until their callers have read them

What callers saw: 100 callers that asked for answers of 4 MiB and did not read them took 421 MB of an entry with 260.

Cause: an answer was counted while it was read from its upstream and no longer, and the library copied the whole of it into its write buffer.

Ruled out: the budget of the bodies (a request holds its body until it has its answer, so that bodies would keep their own answers out).

Change: a plain service's answer of more than 16 KB takes room for its announced length out of an eighth of the process's memory and keeps it until the caller has read all of it; it is passed on 16 KB at a time. A caller that reads less than 64 KB in a second is disconnected while another answer waits. An answer that finds no room in 2 s ends its request with 502 (it may have run); its upstream's health does not count it.

Measured: unread_large_answers_take_bounded_memory, 420 MB before, 40 MB after, bound 260; the other tests of misbehaving_clients.rs as before.

Answers of own mode, of 1 MB at most each, are not counted yet.

--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use actix_http::{Response, ResponseHead, body::BoxBody};
-use bytes::Bytes;
 use kingcupbay_core::{
     deployment::model::{Instance, Repeat},
     health::Exchange,
@@ -22,7 +21,7 @@
         reply::{self, Refusal},
         send::{self, SendError, SendOptions},
     },
-    http::link::LinkError,
+    http::{budget::HeldBytes, link::LinkError},
     registered::{fatal, parts},
 };
 
@@ -44,7 +43,7 @@
 enum Outcome {
     /// The upstream sent a complete answer. Whether it shows that the upstream has outlived the
     /// request.
-    Answer(ResponseHead, Bytes, bool),
+    Answer(ResponseHead, HeldBytes, bool),
     /// The upstream says that the request did not run.
     NotRun,
     /// The request was held back.
@@ -83,7 +82,7 @@
     sends: u32,
     may_have_run: bool,
     /// The last answer that reports a failure.
-    failure: Option<(Rc<Instance>, ResponseHead, Bytes)>,
+    failure: Option<(Rc<Instance>, ResponseHead, HeldBytes)>,
     held: Option<Hold>,
 }
 
@@ -169,6 +168,11 @@
                 tried.held = Some(hold.earlier(tried.held));
             }
             Outcome::Unsent(_) => tried.on_unsent(ticket),
+            // Another answer would not find memory either.
+            Outcome::Unknown(LinkError::NoRoom) => {
+                tried.may_have_run = true;
+                break;
+            }
             Outcome::Unknown(error) => {
                 tried.may_have_run = true;
                 let again = parts::on_cut(&job, &instance, &error, None).await;
@@ -322,10 +326,10 @@
                 fatal::on_answer(&job.gateway, instance, began);
                 return Outcome::Answer(head, body, true);
             }
-            match fatal::is_unframed_end(job, instance, began, body.is_empty()).await {
+            match fatal::is_unframed_end(job, instance, began, body.bytes.is_empty()).await {
                 true => Outcome::Unknown(LinkError::Early),
                 false => {
-                    let is_sound = !body.is_empty();
+                    let is_sound = !body.bytes.is_empty();
                     Outcome::Answer(head, body, is_sound)
                 }
             }
@@ -342,6 +346,7 @@
         Outcome::Answer(..) => (Exchange::Succeeded, "answer"),
         Outcome::NotRun => (Exchange::Failed, "not_run"),
         Outcome::Held(_) => return,
+        Outcome::Unknown(LinkError::NoRoom) => return on_no_room(job, instance),
         Outcome::Unsent(_) => (Exchange::Unreachable, "unsent"),
         Outcome::Unknown(LinkError::Silent) => (Exchange::Unreachable, "silent"),
         Outcome::Unknown(_) => (Exchange::Failed, "lost"),
@@ -364,12 +369,26 @@
         "ms" => now.since(job.arrived).as_millis());
 }
 
+/// Records that an answer was not read as there was no memory for it, which says nothing about
+/// its upstream.
+fn on_no_room(job: &Job, instance: &Instance) {
+    job.gateway.metrics.on_send("no_room");
+    warn!(job.gateway.node.log, ""; "event" => "attempt", "request" => &job.metadata.attempt,
+        "upstream" => &instance.id, "outcome" => "no_room",
+        "ms" => clock::now().since(job.arrived).as_millis());
+}
+
 /// Returns the upstream's answer, and counts and logs it.
-fn deliver(job: &Job, instance: &Instance, head: &ResponseHead, body: Bytes) -> Response<BoxBody> {
+fn deliver(
+    job: &Job,
+    instance: &Instance,
+    head: &ResponseHead,
+    body: HeldBytes,
+) -> Response<BoxBody> {
     let ms = clock::now().since(job.arrived);
     job.gateway.metrics.on_answer(&job.route.name, head.status.as_u16(), ms);
     info!(job.gateway.node.log, ""; "event" => "answered", "request" => &job.metadata.attempt,
         "route" => &job.route.name, "upstream" => &instance.id,
         "status" => head.status.as_u16(), "ms" => ms.as_millis());
-    reply::complete(&job.gateway, head.status, &head.headers, body)
+    reply::complete(job, head, body)
 }
--- a/kingcupbayd/src/gateway/reply.rs
+++ b/kingcupbayd/src/gateway/reply.rs
@@ -1,14 +1,17 @@
 //! The entry's own answers, and upstreams' answers that are passed on as they are.
 
-use actix_http::{Response, ResponseBuilder, StatusCode, body::BoxBody, header};
-use bytes::Bytes;
+use actix_http::{Response, ResponseBuilder, ResponseHead, StatusCode, body::BoxBody, header};
 use kingcupbay_core::{
     time::Span,
     wire::{error::Code, metadata::RequestMetadata},
 };
 use kingcupbay_platform::{answer, request};
 
-use crate::{gateway::Gateway, server::drain::Phase};
+use crate::{
+    gateway::{Gateway, job::Job},
+    http::{budget::HeldBytes, reply::HeldBody},
+    server::drain::Phase,
+};
 
 /// Refusal of a request that gets no answer from an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -80,13 +83,9 @@
 }
 
 /// Builds an answer from an upstream's complete answer, unchanged.
-pub(crate) fn complete(
-    gateway: &Gateway,
-    status: StatusCode,
-    headers: &header::HeaderMap,
-    body: Bytes,
-) -> Response<BoxBody> {
-    head(gateway, status, headers).body(body).map_into_boxed_body()
+pub(crate) fn complete(job: &Job, answer: &ResponseHead, body: HeldBytes) -> Response<BoxBody> {
+    let mut builder = head(&job.gateway, answer.status, &answer.headers);
+    builder.body(HeldBody::new(body, job.caller.clone())).map_into_boxed_body()
 }
 
 /// Builds the head of an answer from an upstream's, without the headers of the
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -2,8 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use actix_http::{ResponseHead, StatusCode};
-use bytes::Bytes;
+use actix_http::{ResponseHead, StatusCode, header};
 use kingcupbay_core::{
     deployment::model::Instance,
     origin::Eligible,
@@ -17,7 +16,11 @@
 use crate::{
     clock,
     gateway::{admit::Hold, job::Job},
-    http::link::{Link, LinkError},
+    http::{
+        budget::HeldBytes,
+        link::{Link, LinkError},
+        pool,
+    },
     registered::fatal,
 };
 
@@ -168,11 +171,13 @@
     job: &Job,
     instance: &Instance,
     mut answer: PendingAnswer,
-) -> Result<(ResponseHead, AnswerMetadata, Bytes), LinkError> {
-    let pool = &job.gateway.node.pool;
+) -> Result<(ResponseHead, AnswerMetadata, HeldBytes), LinkError> {
     let limit = if answer.metadata.not_run { REFUSAL_MAX_BYTES } else { BODY_MAX_BYTES };
-    let body = pool.read_whole(&mut answer.link, limit).await?;
-    pool.put(instance.address, answer.link, answer.metadata.idle);
+    let length = answer.head.headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let held = job.caller.begin_answer(job.organisation_name());
+    let body = pool::read_held(&mut answer.link, limit, length, held).await?;
+    job.gateway.node.pool.put(instance.address, answer.link, answer.metadata.idle);
     let id = &instance.id;
     if let Some(load) = answer.metadata.load {
         job.gateway.health.borrow_mut().on_load(clock::now(), id, load);
--- a/kingcupbayd/src/http/budget.rs
+++ b/kingcupbayd/src/http/budget.rs
@@ -22,6 +22,7 @@
 /// Parts of a process's memory that bodies and answers may hold, as divisors. The rest is for the
 /// process itself and for what each connection needs.
 const BODIES_DIVISOR: usize = 4;
+const ANSWERS_DIVISOR: usize = 8;
 const MESSAGES_DIVISOR: usize = 8;
 
 /// Longest wait for room.
@@ -44,10 +45,12 @@
 #[derive(Clone)]
 pub(crate) struct Budget(Rc<Shared>);
 
-/// Memory of the connections of a listener.
+/// Memory of the connections of a listener. Bodies and answers have parts of their own: a request
+/// holds its body until it has its answer.
 #[derive(Clone)]
 pub(crate) struct ConnectionMemory {
     pub(crate) bodies: Budget,
+    pub(crate) answers: Budget,
 }
 
 impl ConnectionMemory {
@@ -55,6 +58,7 @@
     pub(crate) fn of_callers(memory: usize, log: &Logger) -> ConnectionMemory {
         ConnectionMemory {
             bodies: Budget::new("bodies", memory / BODIES_DIVISOR, Some(log.clone())),
+            answers: Budget::new("answers", memory / ANSWERS_DIVISOR, Some(log.clone())),
         }
     }
 
@@ -62,12 +66,13 @@
     /// bytes. Callers cannot use it up.
     pub(crate) fn of_daemons(memory: usize, log: &Logger) -> ConnectionMemory {
         let messages = Budget::new("messages", memory / MESSAGES_DIVISOR, Some(log.clone()));
-        ConnectionMemory { bodies: messages }
+        ConnectionMemory { bodies: messages.clone(), answers: messages }
     }
 
-    /// Exports its metrics.
+    /// Exports the metrics of both parts.
     pub(crate) fn register(&self, registry: &Registry) {
         self.bodies.register(registry);
+        self.answers.register(registry);
     }
 }
 
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -84,6 +84,9 @@
     /// No complete answer arrived in time.
     #[error("no answer in time")]
     Silent,
+    /// There was no memory for the answer.
+    #[error("no memory for the answer")]
+    NoRoom,
 }
 
 impl LinkError {
--- a/kingcupbayd/src/http/pool.rs
+++ b/kingcupbayd/src/http/pool.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 
 use super::{
+    budget::{FREE_BYTES, Held, HeldBytes, NoRoom},
     held::HeldAnswers,
     link::{Link, LinkError},
 };
@@ -147,11 +148,7 @@
     }
 
     /// Reads the rest of an answer of at most `limit` bytes.
-    pub(crate) async fn read_whole(
-        &self,
-        link: &mut Link,
-        limit: usize,
-    ) -> Result<Bytes, LinkError> {
+    async fn read_whole(&self, link: &mut Link, limit: usize) -> Result<Bytes, LinkError> {
         let mut held = self.held.begin();
         let mut whole = BytesMut::new();
         while let Some(chunk) = link.chunk().await? {
@@ -164,3 +161,32 @@
         Ok(whole.freeze())
     }
 }
+
+/// Reads the rest of an answer of at most `limit` bytes for a caller, with the memory that it
+/// takes. `length` is what its head announces.
+pub(crate) async fn read_held(
+    link: &mut Link,
+    limit: usize,
+    length: Option<usize>,
+    mut held: Held,
+) -> Result<HeldBytes, LinkError> {
+    let too_long = || LinkError::Malformed("the answer is too long".to_owned());
+    if length.is_some_and(|length| length > limit) {
+        return Err(too_long());
+    }
+    let (mut whole, mut room) = (BytesMut::new(), FREE_BYTES);
+    while let Some(chunk) = link.chunk().await? {
+        let so_far = whole.len() + chunk.len();
+        if so_far > limit {
+            return Err(too_long());
+        }
+        if so_far > room {
+            room = length.unwrap_or((2 * so_far).min(limit)).max(so_far);
+            held.hold(room).await.map_err(|NoRoom| LinkError::NoRoom)?;
+            whole.reserve(room - whole.len());
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    held.on_complete(whole.len());
+    Ok(HeldBytes { bytes: whole.freeze(), held })
+}
--- a/kingcupbayd/src/http/reply.rs
+++ b/kingcupbayd/src/http/reply.rs
@@ -1,8 +1,14 @@
 //! Builders of HTTP answers.
 
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
 use actix_http::{
     Response, ResponseBuilder, StatusCode,
-    body::{BodyStream, BoxBody},
+    body::{BodySize, BodyStream, BoxBody, MessageBody},
     header,
 };
 use bytes::Bytes;
@@ -10,6 +16,13 @@
 use kingcupbay_core::wire::error::{Failure, Ran};
 use serde::Serialize;
 
+use super::budget::HeldBytes;
+use crate::server::socket::Peer;
+
+/// Bytes of a complete answer that are passed on at a time, so that the rest is not copied before
+/// the caller reads.
+const PART_BYTES: usize = 16 << 10;
+
 /// The error body that callers of model servers know, with two further fields,
 /// `code` and `ran`.
 #[derive(Serialize)]
@@ -89,3 +102,41 @@
         .body(bytes)
         .map_into_boxed_body()
 }
+
+/// The body of a complete answer, which keeps its memory until the caller has read it. A caller
+/// that does not read is given up if others wait for memory.
+pub(crate) struct HeldBody {
+    body: HeldBytes,
+    caller: Peer,
+    /// Whether the caller is expected to read.
+    is_begun: bool,
+}
+
+impl HeldBody {
+    pub(crate) fn new(body: HeldBytes, caller: Peer) -> HeldBody {
+        HeldBody { body, caller, is_begun: false }
+    }
+}
+
+impl MessageBody for HeldBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.body.bytes.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let HeldBody { body, caller, is_begun } = &mut *self;
+        if !std::mem::replace(is_begun, true) {
+            let caller = caller.clone();
+            body.held.on_stall(move || caller.give_up());
+        }
+        let length = body.bytes.len().min(PART_BYTES);
+        let part = body.bytes.split_to(length);
+        body.held.on_moved(length);
+        Poll::Ready((length > 0).then_some(Ok(part)))
+    }
+}
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -207,7 +207,9 @@
         LinkError::Early => false,
         LinkError::Lost(error) => error.kind() == io::ErrorKind::TimedOut,
         LinkError::Malformed(_) => false,
-        LinkError::Unsent(_) | LinkError::Unproved | LinkError::Silent => return true,
+        LinkError::Unsent(_) | LinkError::Unproved | LinkError::Silent | LinkError::NoRoom => {
+            return true;
+        }
     };
     let is_malformed = matches!(error, LinkError::Malformed(_));
     if is_timeout {
--- a/kingcupbayd/src/server/flow.rs
+++ b/kingcupbayd/src/server/flow.rs
@@ -71,6 +71,8 @@
     deadline: Option<Pin<Box<Sleep>>>,
     /// The connection's task, while it waits for this state to change.
     waker: Option<Waker>,
+    /// Whether the connection is given up as its client stalls.
+    pub(super) is_given_up: bool,
 }
 
 impl Flow {
@@ -84,6 +86,7 @@
             head_timeout,
             deadline: None,
             waker: None,
+            is_given_up: false,
         }
     }
 
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -43,6 +43,9 @@
 /// Bytes of a caller that the kernel keeps until they are read; it doubles them likewise.
 const RECEIVE_BUFFER_BYTES: u32 = 24 << 10;
 
+/// Bytes of answers that are kept for a caller beside those that the kernel keeps.
+const WRITE_BUFFER_BYTES: usize = 16 << 10;
+
 /// Largest head of a request where no configuration sets one.
 const HEAD_MAX_BYTES: usize = 16 << 10;
 
@@ -120,6 +123,7 @@
             .client_request_timeout(head_timeout.into())
             .client_disconnect_timeout(CLOSE_TIMEOUT)
             .h1_allow_half_closed(false)
+            .h1_write_buffer_size(WRITE_BUFFER_BYTES)
             .on_connect_ext(|socket: &Socket, data: &mut Extensions| {
                 data.insert(socket.peer());
             })
--- a/kingcupbayd/src/server/socket.rs
+++ b/kingcupbayd/src/server/socket.rs
@@ -38,6 +38,23 @@
     memory: ConnectionMemory,
 }
 
+impl Connection {
+    /// Fails once the connection was given up.
+    fn check_open(&self) -> io::Result<()> {
+        match self.flow.borrow().is_given_up {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
+    }
+
+    /// Keeps the task of a write that waits, so that [`Peer::give_up`] can end it.
+    fn on_written<T>(&self, cx: &Context<'_>, written: &Poll<T>) {
+        if written.is_pending() {
+            self.flow.borrow_mut().wake_later(cx);
+        }
+    }
+}
+
 /// A connection whose end its requests can ask for.
 pub(crate) struct Socket(Rc<Connection>);
 
@@ -86,13 +103,34 @@
 
     /// Begins to count a body that comes on the connection, for the organisation `owner`.
     pub(crate) fn begin_body(&self, owner: Option<&str>) -> Held {
+        self.begin_hold(owner, |memory| &memory.bodies)
+    }
+
+    /// Begins to count an answer that goes to the connection, for the organisation `owner`.
+    pub(crate) fn begin_answer(&self, owner: Option<&str>) -> Held {
+        self.begin_hold(owner, |memory| &memory.answers)
+    }
+
+    fn begin_hold(
+        &self,
+        owner: Option<&str>,
+        part: impl FnOnce(&ConnectionMemory) -> &Budget,
+    ) -> Held {
         match self.0.as_ref().and_then(Weak::upgrade) {
-            Some(connection) => connection.memory.bodies.begin(owner),
+            Some(connection) => part(&connection.memory).begin(owner),
             // What is held for nobody is released at once.
             None => Budget::unlimited().begin(owner),
         }
     }
 
+    /// Ends the connection without another byte.
+    pub(crate) fn give_up(&self) {
+        self.with_flow(|flow| {
+            flow.is_given_up = true;
+            flow.wake();
+        });
+    }
+
     /// Reads the next part of a body. More of it is read once all that has arrived is taken.
     pub(crate) async fn next_part(
         &self,
@@ -192,6 +230,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.0.check_open()?;
         let flow = &mut *self.0.flow.borrow_mut();
         let read = match flow.room() {
             Room::Bytes(max) => self.poll_read_some(cx, buf, max)?,
@@ -230,7 +269,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, bytes)
+        self.0.check_open()?;
+        let written = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, bytes);
+        self.0.on_written(cx, &written);
+        written
     }
 
     fn poll_write_vectored(
@@ -238,7 +280,10 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices)
+        self.0.check_open()?;
+        let written = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, slices);
+        self.0.on_written(cx, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/kingcupbayd/tests/misbehaving_clients.rs
+++ b/kingcupbayd/tests/misbehaving_clients.rs
@@ -209,7 +209,7 @@
         let text = get_text(entry, "/metrics").await;
         let held = |what: &str| format!("kingcupbay_held_bytes{{what=\"{what}\"}} 0");
         let is_released = |what| text.lines().any(|line| line == held(what));
-        is_released("bodies").then_some(())
+        (is_released("bodies") && is_released("answers")).then_some(())
     })
     .await;
     assert!(peak < memory, "{} MB resident at most, {} allowed", peak >> 20, memory >> 20);
