Play crowds of clients in the soak

Cause: no soak had clients that stop short of the end of what they send. Ruled out: whole bodies, as no upstream may run what the soak's own record lacks. Change: a round may have two crowds of 100 clients at an entry, in six shapes, which overlap its other troubles and excuse no loss. Daemons have memory_mb = 96, and none may ever have used more.

--- a/kingcupbay_soak/src/daemon.rs
+++ b/kingcupbay_soak/src/daemon.rs
@@ -71,6 +71,11 @@
         &self.host
     }
 
+    /// Id of its process, if it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.process.as_ref().map(|process| process.child.id())
+    }
+
     /// Number of starts so far.
     pub fn incarnation(&self) -> u32 {
         self.incarnation
--- a/kingcupbay_soak/src/fleet.rs
+++ b/kingcupbay_soak/src/fleet.rs
@@ -17,6 +17,7 @@
 use kingcupbayd::Link;
 
 use crate::{
+    crowd::MEMORY_MIB,
     daemon::{Daemon, DaemonFiles},
     operator::{COLD_RATE, COLD_SECS, Operator},
     proxy::{Flows, Proxy},
@@ -280,7 +281,7 @@
             _ => "",
         };
         let settings = format!(
-            "[daemon]\nhost = {host}\nzone = {zone}\nrole = {role}\n{callers}\
+            "[daemon]\nhost = {host}\nzone = {zone}\nrole = {role}\nmemory_mb = {MEMORY_MIB}\n{callers}\
              [peers]\nlisten = 127.0.0.1:0\n[operators]\nlisten = 127.0.0.1:0\n\
              [registry]\nstore = {}\n{rest}",
             to_store.address()
--- a/kingcupbay_soak/src/lib.rs
+++ b/kingcupbay_soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod abandoned;
 mod announcements;
 pub mod callers;
+pub mod crowd;
 pub mod daemon;
 pub mod fleet;
 pub mod operator;
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::{
     abandoned, announcements,
     callers::{ADAPTERS, Caller, Context, Spec},
+    crowd,
     daemon::DaemonFiles,
     fleet::{Fleet, Size, ZONES},
     parts,
@@ -97,6 +98,7 @@
     let mut announced = Random::new(plan.seed ^ ANNOUNCEMENTS_SEED);
     let mut silent = Random::new(plan.seed ^ SILENCES_SEED);
     let mut endless = Random::new(plan.seed ^ ENDLESS_SEED);
+    let mut crowds = crowd::random(plan.seed);
     let mut outcome = Outcome::default();
     let mut sound = BTreeMap::new();
     outcome.breaches.extend(wait_for_recovery(&context, &mut random).await);
@@ -107,12 +109,14 @@
         troubles.extend(trouble::draw_announcements(&mut announced, &context.fleet));
         troubles.extend(trouble::draw_silences(&mut silent, &context.fleet));
         troubles.extend(trouble::draw_endless(&mut endless, &context.fleet));
+        troubles.extend(crowd::draw(&mut crowds, &context.fleet));
         context.round.set(round);
         if !troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
             sound.insert(round, stopped_entries(&troubles));
         }
         try_join_all(troubles.iter().map(|&timed| trouble::apply(&context.fleet, timed))).await?;
         outcome.troubles.push(troubles);
+        outcome.breaches.extend(crowd::check_memory(&context.fleet));
         context.fleet.clear_faults()?;
         // Requests sent from here on belong to no round.
         context.round.set(0);
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     callers::ADAPTERS,
+    crowd::{self, Shape},
     fleet::{Fleet, Host, Upstream, ZONES},
     proxy::{Flow, Flows, Proxy},
 };
@@ -108,12 +109,14 @@
     Evacuate(usize),
     /// Sound upstreams neither read nor write for a while, and go on.
     FallSilent(Group),
+    /// A crowd of clients sends much to an entry, and never all of it.
+    Crowd(usize, Shape),
 }
 
 impl Trouble {
-    /// Whether requests may be lost during it: it is neither planned work nor a silence.
+    /// Whether requests may be lost during it: it is neither planned work, a silence nor a crowd.
     pub fn excuses_loss(self) -> bool {
-        !self.is_planned() && !matches!(self, Trouble::FallSilent(_))
+        !self.is_planned() && !matches!(self, Trouble::FallSilent(_) | Trouble::Crowd(..))
     }
 
     /// Whether this is planned work.
@@ -289,6 +292,7 @@
         Trouble::Rewind(versions) => rewind_and_write_again(fleet, versions, lasts).await,
         Trouble::Evacuate(at) => evacuate_and_restore(fleet, ZONES[at], lasts).await,
         Trouble::FallSilent(group) => pause(fleet, group, lasts).await,
+        Trouble::Crowd(entry, shape) => crowd::press(fleet, entry, shape, lasts).await,
     }
     Ok(())
 }
