--- a/kingcupbay_core/tests/docs.rs
+++ b/kingcupbay_core/tests/docs.rs
@@ -46,7 +46,13 @@
             })
             .collect()
     };
-    let files = ["metrics.rs", "gateway/metrics.rs", "sidecar/metrics.rs", "registered/control.rs"];
+    let files = [
+        "metrics.rs",
+        "gateway/metrics.rs",
+        "sidecar/metrics.rs",
+        "registered/control.rs",
+        "http/budget.rs",
+    ];
     let texts = files.map(|file| read(&format!("kingcupbayd/src/{file}")));
     let mut exported: BTreeSet<String> = texts.iter().flat_map(|text| names(text)).collect();
     let crates = ["kingcupbay_standin", "kingcupbay_core", "kingcupbay_bench"];
--- a/kingcupbayd/tests/settings.rs
+++ b/kingcupbayd/tests/settings.rs
@@ -170,3 +170,17 @@
         std::fs::remove_file(&file).unwrap();
     }
 }
+
+/// Guards against a memory that leaves no room for any body, and against another default.
+#[test]
+fn the_memory_is_checked() {
+    let text = std::fs::read_to_string(example_path("upstream.ini")).unwrap();
+    let line = "memory_mb = 256\n";
+    assert!(text.contains(line));
+    let parse = |line: &str| Settings::parse("a.ini", &text.replace("memory_mb = 256\n", line));
+    assert_eq!(parse(line).unwrap().daemon.memory, 256 << 20);
+    assert_eq!(parse("").unwrap().daemon.memory, 256 << 20);
+    assert_eq!(parse("memory_mb = 96.0\n").unwrap().daemon.memory, 96 << 20);
+    let mistakes = parse("memory_mb = 1\n").unwrap_err();
+    assert!(mistakes[0].to_string().contains("[daemon] memory_mb"), "{}", mistakes[0]);
+}
