Keep the error that writing a request has taken

An upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The client got that part as a complete answer.

Cause: Link::exchange writes and reads at the same time. The kernel gives the error of a connection to one call only. If that is the write, reading shows the bytes that have arrived and then a plain end; the write's error was dropped, and an answer that ends with its connection looked complete. Ruled out: to give up as soon as writing fails, which loses the answers that upstreams send before they close; to ask for the kernel's pending error at the end, which the write has taken by then. Change: the error of writing is kept. An answer that ends with its connection is complete only if writing has not failed, or has failed with a broken pipe, which the kernel reports instead of a reset if the upstream's proper end came first. An answer that ends early names the error of writing, so that a way that was cut is not counted as an upstream's end; next_head and is_closed likewise. A connection whose request was not written is not kept.

--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -112,6 +112,8 @@
     parser: Option<Parser>,
     /// The request has been written completely.
     request_written: bool,
+    /// Why the rest of the request could not be written.
+    write_error: Option<io::Error>,
     /// The last answer allows another request.
     reusable: bool,
     /// A request was sent whose answer has not been read to its end.
@@ -139,6 +141,7 @@
             input: BytesMut::with_capacity(READ_BUFFER_BYTES),
             parser: Some(Parser::Head(ClientCodec::default())),
             request_written: true,
+            write_error: None,
             reusable: false,
             unfinished: false,
             on_given_up: None,
@@ -186,6 +189,7 @@
             if is_long { writer.write_all(body).await } else { Ok(()) }
         });
         let mut received = self.input.len();
+        let mut is_writing = true;
         let head = loop {
             if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
                 break head;
@@ -193,24 +197,17 @@
             self.input.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
-                wrote = &mut writing, if !self.request_written => {
+                wrote = &mut writing, if is_writing => {
                     // The answer may have arrived although the rest of the
                     // request could not be written.
-                    self.request_written = true;
-                    if wrote.is_err() {
-                        self.reusable = false;
-                    }
+                    is_writing = false;
+                    self.request_written = wrote.is_ok();
+                    self.write_error = wrote.err();
                 }
                 read = reader.read_buf(&mut self.input) => match read {
-                    Ok(0) => {
-                        self.on_given_up = None;
-                        return Err(LinkError::Early);
-                    }
+                    Ok(0) => return Err(self.on_early_end()),
                     Ok(bytes) => received += bytes,
-                    Err(error) => {
-                        self.on_given_up = None;
-                        return Err(LinkError::Lost(error));
-                    }
+                    Err(error) => return Err(self.on_lost(error)),
                 }
             }
         };
@@ -257,10 +254,7 @@
             match self.stream.read_buf(&mut self.input).await {
                 Ok(0) => return self.on_end(),
                 Ok(bytes) => received += bytes,
-                Err(error) => {
-                    self.on_given_up = None;
-                    return Err(LinkError::Lost(error));
-                }
+                Err(error) => return Err(self.on_lost(error)),
             }
         }
     }
@@ -286,9 +280,9 @@
             }
             self.input.reserve(READ_BUFFER_BYTES);
             match self.stream.read_buf(&mut self.input).await {
-                Ok(0) => return Err(LinkError::Early),
+                Ok(0) => return Err(self.on_early_end()),
                 Ok(bytes) => received += bytes,
-                Err(error) => return Err(LinkError::Lost(error)),
+                Err(error) => return Err(self.on_lost(error)),
             }
         };
         // An upstream that sent one surplus answer may send another.
@@ -311,6 +305,9 @@
 
     /// Whether the server has closed the connection, as far as the kernel knows.
     fn is_closed(&self) -> bool {
+        if let Some(error) = &self.write_error {
+            return is_by_server(error);
+        }
         let mut byte = [std::mem::MaybeUninit::uninit()];
         match socket2::SockRef::from(&self.stream).peek(&mut byte) {
             Ok(bytes) => bytes == 0,
@@ -332,10 +329,16 @@
         socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))
     }
 
+    /// Handles the end of the connection while a body is read.
     fn on_end(&mut self) -> Result<Option<Bytes>, LinkError> {
         self.reusable = false;
+        // The kernel gives an error of the connection to one call only. If writing took it, reading
+        // shows a plain end, also where the server has reset the connection. A write after the
+        // server's proper end fails with a broken pipe.
+        let is_proper =
+            self.write_error.as_ref().is_none_or(|error| error.kind() == io::ErrorKind::BrokenPipe);
         match self.parser.take() {
-            Some(Parser::UntilEnd(codec)) => {
+            Some(Parser::UntilEnd(codec)) if is_proper => {
                 self.parser = Some(Parser::Head(codec));
                 self.unfinished = false;
                 self.on_given_up = None;
@@ -343,12 +346,26 @@
             }
             other => {
                 self.parser = other;
-                self.on_given_up = None;
-                Err(LinkError::Early)
+                Err(self.on_early_end())
             }
         }
     }
 
+    /// Returns the error of an answer before whose end the connection has ended.
+    fn on_early_end(&mut self) -> LinkError {
+        self.on_given_up = None;
+        match self.write_error.take() {
+            Some(error) => LinkError::Lost(error),
+            None => LinkError::Early,
+        }
+    }
+
+    /// Returns the error of a connection that cannot be read.
+    fn on_lost(&mut self, error: io::Error) -> LinkError {
+        self.on_given_up = None;
+        LinkError::Lost(error)
+    }
+
     fn end_body(&mut self) {
         let Some(Parser::Body(codec)) = self.parser.take() else { return };
         self.parser = Some(Parser::Head(codec.into_message_codec()));
@@ -435,6 +452,11 @@
     }
 }
 
+/// Returns whether an error of writing shows that the server has closed the connection.
+fn is_by_server(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe)
+}
+
 /// Configures the socket so that the kernel detects a dead peer.
 fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub(crate) mod raw;
 pub(crate) mod registered;
 
 use std::{
--- /dev/null
+++ b/kingcupbayd/tests/common/raw.rs
@@ -0,0 +1,191 @@
+//! An upstream that answers with given bytes, and a caller that reads answers byte for byte.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream as BlockingStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use actix_rt::net::TcpStream;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::registered::KEY;
+
+/// What an upstream does once it has written its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It closes the connection.
+    Close,
+    /// It waits for the next request.
+    Keep,
+}
+
+/// An upstream that answers each request with the bytes that a function makes of its head.
+pub(crate) struct RawUpstream {
+    pub(crate) address: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    open: Arc<AtomicUsize>,
+}
+
+impl RawUpstream {
+    pub(crate) fn start<F>(answer: F, ending: Ending) -> RawUpstream
+    where
+        F: Fn(&str) -> Vec<u8> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (heads, open) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<AtomicUsize>::default());
+        let (seen, count, answer) = (heads.clone(), open.clone(), Arc::new(answer));
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let (seen, count, answer) = (seen.clone(), count.clone(), answer.clone());
+                count.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || {
+                    while let Some(head) = read_request(&mut stream) {
+                        seen.lock().unwrap().push(head.clone());
+                        // The caller may have closed the connection in the middle of the answer.
+                        let _ = stream.write_all(&answer(&head));
+                        if ending == Ending::Close {
+                            let _ = stream.shutdown(Shutdown::Write);
+                            let _ = stream.read_to_end(&mut Vec::new());
+                            break;
+                        }
+                    }
+                    count.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        RawUpstream { address, heads, open }
+    }
+
+    /// Returns the heads of the requests for `path`.
+    pub(crate) fn heads(&self, path: &str) -> Vec<String> {
+        let heads = self.heads.lock().unwrap();
+        let named = |head: &&String| head.split(' ').nth(1) == Some(path);
+        heads.iter().filter(named).cloned().collect()
+    }
+
+    /// Returns how many connections to it are open.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Returns its row in the store as an instance of `service`.
+    pub(crate) fn row(&self, service: &str, version: &str) -> Value {
+        json!({"service": service, "address": self.address.to_string(), "zone": "zone-a",
+            "version": version, "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": 0,
+            "born": 1})
+    }
+}
+
+/// Reads one request; returns its head.
+pub(crate) fn read_request(stream: &mut BlockingStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length = field(&head, "content-length").map_or(0, |length| length.parse().unwrap());
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    Some(head)
+}
+
+/// Returns the value of a field of a head.
+pub(crate) fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.split("\r\n").skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+/// An answer byte for byte.
+#[derive(Debug)]
+pub(crate) struct RawAnswer {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl RawAnswer {
+    /// Its status; 0 if it has none.
+    pub(crate) fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default()
+    }
+}
+
+/// A caller with one connection that it uses for all its requests.
+pub(crate) struct RawCaller {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl RawCaller {
+    pub(crate) async fn connect(entry: SocketAddr) -> RawCaller {
+        RawCaller { stream: TcpStream::connect(entry).await.unwrap(), input: Vec::new() }
+    }
+
+    /// Sends a request with the usual headers and `fields`, each with its end of line.
+    pub(crate) async fn send(&mut self, line: &str, fields: &str, body: &[u8]) {
+        let head = format!(
+            "{line} HTTP/1.1\r\nhost: desk.example\r\nx-deadline-ms: 5000\r\n\
+             authorization: Bearer {KEY}\r\n{fields}content-length: {}\r\n\r\n",
+            body.len()
+        );
+        self.stream.write_all(head.as_bytes()).await.unwrap();
+        self.stream.write_all(body).await.unwrap();
+    }
+
+    /// Reads the next answer; `None` if the connection ends before the answer does.
+    pub(crate) async fn read(&mut self) -> Option<RawAnswer> {
+        let end = loop {
+            match self.input.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+                Some(at) => break at + 4,
+                None => self.fill().await?,
+            }
+        };
+        let head =
+            String::from_utf8_lossy(&self.input.drain(..end).collect::<Vec<u8>>()).into_owned();
+        let mut body = Vec::new();
+        if field(&head, "transfer-encoding") == Some("chunked") {
+            loop {
+                let line = loop {
+                    match self.input.windows(2).position(|bytes| bytes == b"\r\n") {
+                        Some(at) => break self.input.drain(..at + 2).collect::<Vec<u8>>(),
+                        None => self.fill().await?,
+                    }
+                };
+                let size = std::str::from_utf8(&line).unwrap().trim();
+                let size = usize::from_str_radix(size, 16).unwrap();
+                let chunk = self.take(size + 2).await?;
+                body.extend_from_slice(&chunk[..size]);
+                if size == 0 {
+                    break;
+                }
+            }
+        } else if let Some(length) = field(&head, "content-length") {
+            body = self.take(length.parse().unwrap()).await?;
+        }
+        Some(RawAnswer { head, body })
+    }
+
+    async fn take(&mut self, length: usize) -> Option<Vec<u8>> {
+        while self.input.len() < length {
+            self.fill().await?;
+        }
+        Some(self.input.drain(..length).collect())
+    }
+
+    async fn fill(&mut self) -> Option<()> {
+        match self.stream.read_buf(&mut self.input).await {
+            Ok(0) | Err(_) => None,
+            Ok(_) => Some(()),
+        }
+    }
+}
