Check the heads of answers before they are decoded

An upstream in trouble sent answers whose heads were spoilt: a blank between the name of a field and its colon, a coding that is none, a status that does not exist, a body where the status has none. The client got them as complete answers, with a body that was not the upstream's, or with the next answer on its connection out of step. A refusal in such a head counted as a promise that nothing had run, and a name of 66,000 bytes ended the task that read it.

Cause: what counts as a head was left to the library's decoder. It is lenient towards servers on purpose: it allows blanks after a name and lines that end without CR, takes `identity` and an offer to upgrade for no body, leaves a status and a length that exclude each other to its caller, expects a body after 304 and none after an informational head with a length, and unwraps names that it believes checked. A head that arrived at once was decoded before its size was looked at. Ruled out: to compare what the library has decoded, which no longer shows blanks and line ends; to refuse single shapes, as each release of the library may bring others. Change: the lines of a head are checked as they were received, before anything is decoded or decided, against what RFC 9112 allows a server to send: the version, a status of 100 to 599 (RFC 9110, 15), names that are tokens, values without control characters, at most one length of digits only, or the one coding `chunked`, CR LF after each line, 64 KiB in all. The end of the body follows from that check. What is not allowed is a malformed answer: it gets the usual 502, nothing in it counts, and the rest of its connection is not read. Bytes that cannot begin an answer are not waited for. Measured: broken_answers plays each shape with an entry and an upstream of its own, looks at what the caller gets byte for byte, and sends another request on the same connection. Conclusion: status 000, lines without a colon, names with control characters, lists of lengths and spoilt chunks were refused before; their plays are kept.

--- a/kingcupbay_standin/src/upstream/mod.rs
+++ b/kingcupbay_standin/src/upstream/mod.rs
@@ -298,6 +298,11 @@
         running.values().map(|run| (run.attempt.clone(), run.events.get())).collect()
     }
 
+    /// Sets after how many events the next stream is cut.
+    pub fn set_cut(&self, after: Option<u64>) {
+        self.state.cut.set(after);
+    }
+
     /// Returns the attempt ids of the streams that it cut off because they could not be
     /// written.
     pub fn cut_off(&self) -> Vec<String> {
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -1,10 +1,10 @@
 //! One connection to an upstream, another daemon or the store.
 //!
-//! The library's codec parses the bytes, but its client is not used: an answer
-//! may be passed on to a caller only when it provably belongs to the caller's
-//! request and is complete. The client hides both, as it takes the end of a
-//! connection for the end of a body, and a surplus answer for the answer to the
-//! next request.
+//! The library's codec parses the bytes once their head has been checked, but its
+//! client is not used: an answer may be passed on to a caller only when it provably
+//! belongs to the caller's request and is complete. The client hides both, as it
+//! takes the end of a connection for the end of a body, and a surplus answer for the
+//! answer to the next request.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -12,7 +12,7 @@
     Method, RequestHead, RequestHeadType, ResponseHead,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
-    header::{self, HeaderMap},
+    header::HeaderMap,
 };
 use actix_rt::net::TcpStream;
 use bytes::{Bytes, BytesMut};
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::head::{Framing, Heads};
 use crate::clock;
 
 /// Time to connect. Within a region a connection takes a few milliseconds; the
@@ -53,9 +54,6 @@
 /// doubles the value for its own structures.
 const RECEIVE_BUFFER_BYTES: usize = 24 << 10;
 
-/// Longest head of an answer, in bytes, with the informational heads before it.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
 /// Bytes read in a row that hold none of the body, such as the extensions of a chunk.
 const MAX_FRAMING_BYTES: usize = 64 << 10;
 
@@ -100,6 +98,8 @@
 enum Parser {
     Head(ClientCodec),
     Body(ClientPayloadCodec),
+    /// A body of which this many bytes are missing, and which the library does not expect.
+    Length(ClientCodec, u64),
     /// A body without a length, which ends with the connection.
     UntilEnd(ClientCodec),
 }
@@ -114,6 +114,8 @@
     request_written: bool,
     /// Why the rest of the request could not be written.
     write_error: Option<io::Error>,
+    /// The request asks for the head of an answer only.
+    to_head: bool,
     /// The last answer allows another request.
     reusable: bool,
     /// A request was sent whose answer has not been read to its end.
@@ -142,6 +144,7 @@
             parser: Some(Parser::Head(ClientCodec::default())),
             request_written: true,
             write_error: None,
+            to_head: false,
             reusable: false,
             unfinished: false,
             on_given_up: None,
@@ -172,6 +175,7 @@
         body: &[u8],
     ) -> Result<ResponseHead, LinkError> {
         let is_long = body.len() > SHORT_REQUEST_BYTES;
+        self.to_head = method == Method::HEAD;
         let output = self.encode(method, path, headers, body)?;
         self.request_written = false;
         self.reusable = false;
@@ -188,10 +192,12 @@
             // A copy behind the head would take as much memory again.
             if is_long { writer.write_all(body).await } else { Ok(()) }
         });
-        let mut received = self.input.len();
+        let mut heads = Heads::new(self.to_head);
         let mut is_writing = true;
-        let head = loop {
-            if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
+        let (head, framing) = loop {
+            if let Some(head) =
+                heads.decode(&mut codec, &mut self.input).map_err(LinkError::Malformed)?
+            {
                 break head;
             }
             self.input.reserve(READ_BUFFER_BYTES);
@@ -205,8 +211,8 @@
                     self.write_error = wrote.err();
                 }
                 read = reader.read_buf(&mut self.input) => match read {
+                    Ok(1..) => {}
                     Ok(0) => return Err(self.on_early_end()),
-                    Ok(bytes) => received += bytes,
                     Err(error) => return Err(self.on_lost(error)),
                 }
             }
@@ -217,7 +223,7 @@
         }
         self.used = true;
         self.reusable = self.request_written && codec.keep_alive() && head.keep_alive();
-        self.parser = Some(body_parser(codec, &head));
+        self.parser = Some(body_parser(codec, framing));
         Ok(head)
     }
 
@@ -237,6 +243,17 @@
                         return Ok(Some(self.input.split().freeze()));
                     }
                 }
+                Parser::Length(_, 0) => {
+                    self.end_body();
+                    return Ok(None);
+                }
+                Parser::Length(_, missing) => {
+                    if !self.input.is_empty() {
+                        let length = (self.input.len() as u64).min(*missing);
+                        *missing -= length;
+                        return Ok(Some(self.input.split_to(length as usize).freeze()));
+                    }
+                }
                 Parser::Body(codec) => match codec.decode(&mut self.input) {
                     Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
                     Ok(Some(None)) => {
@@ -273,21 +290,23 @@
         let Some(Parser::Head(mut codec)) = self.parser.take() else {
             return Err(LinkError::Early);
         };
-        let mut received = self.input.len();
-        let head = loop {
-            if let Some(head) = decode_head(&mut codec, &mut self.input, received)? {
+        let mut heads = Heads::new(self.to_head);
+        let (head, framing) = loop {
+            if let Some(head) =
+                heads.decode(&mut codec, &mut self.input).map_err(LinkError::Malformed)?
+            {
                 break head;
             }
             self.input.reserve(READ_BUFFER_BYTES);
             match self.stream.read_buf(&mut self.input).await {
+                Ok(1..) => {}
                 Ok(0) => return Err(self.on_early_end()),
-                Ok(bytes) => received += bytes,
                 Err(error) => return Err(self.on_lost(error)),
             }
         };
         // An upstream that sent one surplus answer may send another.
         self.reusable = false;
-        self.parser = Some(body_parser(codec, &head));
+        self.parser = Some(body_parser(codec, framing));
         Ok(head)
     }
 
@@ -367,8 +386,15 @@
     }
 
     fn end_body(&mut self) {
-        let Some(Parser::Body(codec)) = self.parser.take() else { return };
-        self.parser = Some(Parser::Head(codec.into_message_codec()));
+        let codec = match self.parser.take() {
+            Some(Parser::Body(codec)) => codec.into_message_codec(),
+            Some(Parser::Length(codec, _)) => codec,
+            other => {
+                self.parser = other;
+                return;
+            }
+        };
+        self.parser = Some(Parser::Head(codec));
         self.unfinished = false;
         self.on_given_up = None;
     }
@@ -418,37 +444,17 @@
     }
 }
 
-/// Decodes the next head that is not informational; `None` if more bytes are
-/// needed than the `received` ones.
-fn decode_head(
-    codec: &mut ClientCodec,
-    input: &mut BytesMut,
-    received: usize,
-) -> Result<Option<ResponseHead>, LinkError> {
-    loop {
-        let head = codec.decode(input).map_err(|error| LinkError::Malformed(error.to_string()))?;
-        match head {
-            Some(head) if head.status.is_informational() => {}
-            Some(head) => return Ok(Some(head)),
-            None if received > MAX_HEAD_BYTES => {
-                return Err(LinkError::Malformed("the head is too long".to_owned()));
-            }
-            None => return Ok(None),
-        }
-    }
-}
-
-/// Returns the parser for the body that follows `head`. Without a length the
-/// library expects no body, but an upstream may mark the end of a body by
-/// closing the connection.
-fn body_parser(codec: ClientCodec, head: &ResponseHead) -> Parser {
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let bodiless = matches!(head.status.as_u16(), 204 | 304);
-    match codec.message_type() {
-        MessageType::None if framed || bodiless => Parser::Head(codec),
-        MessageType::None => Parser::UntilEnd(codec),
-        MessageType::Payload | MessageType::Stream => Parser::Body(codec.into_payload_codec()),
+/// Returns the parser for the body that follows a head.
+fn body_parser(codec: ClientCodec, framing: Framing) -> Parser {
+    // The library expects a body where there is none, or none before a protocol that the server
+    // offers. A new codec keeps nothing of it; the connection is not used again.
+    let is_expected = codec.message_type() != MessageType::None;
+    let reset = |codec| if is_expected { ClientCodec::default() } else { codec };
+    match framing {
+        Framing::Bodiless | Framing::Length(0) => Parser::Head(reset(codec)),
+        Framing::Length(length) if !is_expected => Parser::Length(codec, length),
+        Framing::Length(_) | Framing::Chunked => Parser::Body(codec.into_payload_codec()),
+        Framing::UntilEnd => Parser::UntilEnd(reset(codec)),
     }
 }
 
--- a/kingcupbayd/tests/common/raw.rs
+++ b/kingcupbayd/tests/common/raw.rs
@@ -189,3 +189,68 @@
         }
     }
 }
+
+/// Changes the head of an answer.
+pub(crate) type Change = fn(&str) -> String;
+
+/// Stands between an entry and an upstream and changes the heads of answers.
+pub(crate) struct Tampering {
+    pub(crate) address: SocketAddr,
+    change: Arc<Mutex<Option<Change>>>,
+    changed: Arc<AtomicUsize>,
+}
+
+impl Tampering {
+    pub(crate) fn start(upstream: SocketAddr) -> Tampering {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (change, changed) = (Arc::<Mutex<Option<Change>>>::default(), Arc::default());
+        let tampering = Tampering { address, change, changed };
+        let (change, changed) = (tampering.change.clone(), tampering.changed.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let Ok(behind) = BlockingStream::connect(upstream) else { continue };
+                let ways = (stream.try_clone().unwrap(), behind.try_clone().unwrap());
+                std::thread::spawn(move || copy(ways.0, ways.1, |bytes| bytes));
+                let (change, changed) = (change.clone(), changed.clone());
+                std::thread::spawn(move || {
+                    copy(behind, stream, |bytes| match *change.lock().unwrap() {
+                        Some(change) if bytes.starts_with(b"HTTP/1.1 ") => {
+                            changed.fetch_add(1, Ordering::SeqCst);
+                            tamper(&bytes, change)
+                        }
+                        _ => bytes,
+                    });
+                });
+            }
+        });
+        tampering
+    }
+
+    /// Sets what happens to the heads of later answers.
+    pub(crate) fn set(&self, change: Option<Change>) {
+        *self.change.lock().unwrap() = change;
+    }
+
+    /// Returns how many heads have been changed.
+    pub(crate) fn changed(&self) -> usize {
+        self.changed.load(Ordering::SeqCst)
+    }
+}
+
+fn tamper(bytes: &[u8], change: Change) -> Vec<u8> {
+    let end = bytes.windows(4).position(|bytes| bytes == b"\r\n\r\n").unwrap() + 4;
+    let head = std::str::from_utf8(&bytes[..end]).unwrap();
+    [change(head).as_bytes(), &bytes[end..]].concat()
+}
+
+fn copy(mut from: BlockingStream, mut to: BlockingStream, change: impl Fn(Vec<u8>) -> Vec<u8>) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(read @ 1..) = from.read(&mut buffer) {
+        if to.write_all(&change(buffer[..read].to_vec())).is_err() {
+            break;
+        }
+    }
+    // Either side may have closed its connection already.
+    let _ = (to.shutdown(Shutdown::Write), from.shutdown(Shutdown::Read));
+}
