Read all answers over the same connections, also without a registry

Where no store keeps the registrations, a service or an engine in trouble sent a spoilt head or broke off in the middle of its chunks, and callers got that as a complete answer; a call that runs at most once recorded it as its outcome.

Cause: own mode read answers through the library's client. Only a body with a length, or one of JSON, was compared with what it should be. Ruled out: to check the bytes under the library's client, as the types of its connector are those of a library that this project does not declare; to put another client behind it, as its answers cannot be built outside of it; to compare more in each reader, of which there are ten. Change: `http::client` sends over `Link`, with a pool for each address and the same time limits as before. What counts as an answer and what ends it is decided in one place for entries, sidecars, peers, the store, engines, services and moves. A body that ends with its connection is still compared if it is JSON. A service's body without a length now reaches the caller; it was lost before. Measured: broken_calls::broken_answers_of_services_are_failures_that_may_have_run, 17 services, each called over a repeatable route once and over one that runs at most once twice. On the code before, spoilt heads, statuses 600 and 204 with a body, and chunks without their end were passed on as answers and recorded as outcomes, a body without a length was lost, and a 103 was passed on; all 17 are right now. broken_heads_of_engines_are_not_answers: a stream with such a head was whole for the caller before.

--- a/kingcupbayd/src/admin/dump.rs
+++ b/kingcupbayd/src/admin/dump.rs
@@ -11,7 +11,10 @@
 };
 
 use super::status;
-use crate::{Daemon, http::reply};
+use crate::{
+    Daemon,
+    http::{client::Call, reply},
+};
 
 /// Path of the dump on a daemon's port for peers.
 pub(crate) const PEER_PATH: &str = "/dump";
@@ -62,12 +65,11 @@
 }
 
 async fn fetch(daemon: &Daemon, address: &str) -> Result<String, String> {
-    let url = format!("http://{address}{PEER_PATH}");
-    let sent = daemon.clients.unpooled().get(url).send().await;
-    let mut response = sent.map_err(|error| error.to_string())?;
-    if !response.status().is_success() {
-        return Err(format!("the peer answers {}", response.status()));
+    let sent = daemon.clients.send_unpooled(address, Call::get(PEER_PATH)).await;
+    let mut answer = sent.map_err(|error| error.to_string())?;
+    if !answer.status().is_success() {
+        return Err(format!("the peer answers {}", answer.status()));
     }
-    let body = response.body().limit(MAX_DUMP_BYTES).await.map_err(|error| error.to_string())?;
+    let body = answer.read(MAX_DUMP_BYTES).await.map_err(|error| error.to_string())?;
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/kingcupbayd/src/entry/relay.rs
+++ b/kingcupbayd/src/entry/relay.rs
@@ -7,8 +7,8 @@
 
 use std::{pin::Pin, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt, TryStreamExt};
+use bytes::BytesMut;
+use futures_util::{Stream, StreamExt};
 use kingcupbay_core::{
     id::{Name, RequestId, UpstreamId, VersionId},
     route::{InFlight, Progress, WorkKind as Kind},
@@ -28,7 +28,7 @@
 use super::{Entry, admission::Caller};
 use crate::{
     clock,
-    http::{body, budget::Held, client::is_unsent},
+    http::{body, budget::Held, client::Call},
     server::socket::Peer,
 };
 
@@ -277,24 +277,25 @@
             work,
         };
         let body = rmp_serde::to_vec(&run).expect("an order serialises");
-        let url = format!("http://{address}/run");
+        let call = Call::post("/run", body);
         // A pooled connection may be dead already. Other work is retried, but a
         // call that runs at most once would count as lost, its outcome unknown.
-        let client = match self.runs_once() {
-            true => self.entry.clients.unpooled(),
-            false => self.entry.clients.get(address),
+        let sent = async {
+            match self.runs_once() {
+                true => self.entry.clients.send_unpooled(address, call).await,
+                false => self.entry.clients.send(address, call).await,
+            }
         };
-        let sent = client.post(url).send_body(Bytes::from(body));
         let silence = self.entry.settings.tuning.silence.into();
         match tokio::time::timeout(silence, sent).await {
-            Ok(Ok(response)) if response.status().is_success() => {
-                let bytes = response.map_err(std::io::Error::other);
+            Ok(Ok(answer)) if answer.status().is_success() => {
+                let bytes = Box::pin(answer.into_stream());
                 let codec =
                     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
                 Ok(Box::pin(FramedRead::new(StreamReader::new(bytes), codec)))
             }
             Ok(Ok(_)) => Err(AttemptError::Unreachable),
-            Ok(Err(error)) if is_unsent(&error) => Err(AttemptError::Unreachable),
+            Ok(Err(error)) if error.is_unsent() => Err(AttemptError::Unreachable),
             Ok(Err(_)) => Err(AttemptError::Disconnected),
             Err(_) => Err(AttemptError::Silent),
         }
--- a/kingcupbayd/src/fleet/peer.rs
+++ b/kingcupbayd/src/fleet/peer.rs
@@ -20,7 +20,7 @@
 use super::Fleet;
 use crate::{
     clock,
-    http::{body, reply},
+    http::{body, client::Call, reply},
 };
 
 /// Longest time to receive a pull or its answer. Only this timeout detects a
@@ -102,13 +102,12 @@
 }
 
 async fn post(fleet: &Fleet, address: &str, path: &str, body: Vec<u8>) -> Result<Bytes, PeerError> {
-    let url = format!("http://{address}{path}");
-    let sent = fleet.clients.get(address).post(url).send_body(body).await;
-    let mut response = sent.map_err(|error| PeerError::Failed(error.to_string()))?;
-    if !response.status().is_success() {
-        return Err(PeerError::Failed(response.status().to_string()));
+    let sent = fleet.clients.send(address, Call::post(path, body)).await;
+    let mut answer = sent.map_err(|error| PeerError::Failed(error.to_string()))?;
+    if !answer.status().is_success() {
+        return Err(PeerError::Failed(answer.status().to_string()));
     }
-    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    let body = answer.read(MAX_ANSWER_BYTES).await;
     body.map_err(|error| PeerError::Failed(error.to_string()))
 }
 
--- a/kingcupbayd/src/http/body.rs
+++ b/kingcupbayd/src/http/body.rs
@@ -1,17 +1,13 @@
-//! Reading of bodies within a size and time limit, and of complete answers.
+//! Reading of requests' bodies within a size and time limit.
 
-use actix_http::{Payload, Request, header};
-use awc::ClientResponse;
+use actix_http::{Payload, Request};
 use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use kingcupbay_core::{
     memory::SMALL_HOLD_BYTES,
     time::Span,
     wire::error::{Code, Failure},
 };
-use serde::de::IgnoredAny;
-use thiserror::Error;
 use tokio::sync::oneshot;
 
 use super::budget::{FREE_BYTES, Held, HeldBytes, NoRoom};
@@ -20,43 +16,6 @@
     server::{flow::content_length, socket::Peer},
 };
 
-/// Why an answer's body is incomplete.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Error)]
-pub(crate) enum BodyError {
-    /// The connection failed, or the body is too long.
-    #[error("the answer broke off: {0}")]
-    Failed(String),
-    /// The connection ended before the body did.
-    #[error("the answer ended early")]
-    Ended,
-}
-
-/// Reads the whole body of an answer of at most `limit` bytes.
-///
-/// The client library takes the end of a connection for the end of the body. A
-/// truncated answer must not pass for a complete one, so the body is checked
-/// against the announced length, or, without one, a JSON body must be complete
-/// JSON.
-pub(crate) async fn read_whole<S>(
-    response: &mut ClientResponse<S>,
-    limit: usize,
-) -> Result<Bytes, BodyError>
-where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    let text = |name| response.headers().get(name)?.to_str().ok();
-    let length = text(header::CONTENT_LENGTH).and_then(|text| text.parse::<usize>().ok());
-    let json = text(header::CONTENT_TYPE).is_some_and(|kind| kind.starts_with("application/json"));
-    let body = response.body().limit(limit).await;
-    let body = body.map_err(|error| BodyError::Failed(error.to_string()))?;
-    let complete = match length {
-        Some(length) => body.len() == length,
-        None => !json || serde_json::from_slice::<IgnoredAny>(&body).is_ok(),
-    };
-    if complete { Ok(body) } else { Err(BodyError::Ended) }
-}
-
 /// Time for a stream to end after its last message.
 const END_TIMEOUT: Span = Span::from_secs(1);
 
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -107,6 +107,8 @@
 /// An HTTP/1.1 client connection that carries one request at a time.
 pub struct Link {
     stream: TcpStream,
+    /// Whether the kernel detects a dead peer.
+    is_probed: bool,
     input: BytesMut,
     /// Taken only during a call; always set between two calls.
     parser: Option<Parser>,
@@ -138,8 +140,24 @@
             None => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
         };
         configure_socket(&stream).map_err(LinkError::Unsent)?;
-        Ok(Link {
+        Ok(Link::new(stream, true))
+    }
+
+    /// Opens a connection to `address`, a host and a port, within `timeout`. A dead peer shows only
+    /// by its silence. Fails with [`LinkError::Unsent`].
+    pub(crate) async fn connect(address: &str, timeout: Span) -> Result<Link, LinkError> {
+        let stream = match clock::timeout(timeout, TcpStream::connect(address)).await {
+            Some(stream) => stream.map_err(LinkError::Unsent)?,
+            None => return Err(LinkError::Unsent(io::ErrorKind::TimedOut.into())),
+        };
+        stream.set_nodelay(true).map_err(LinkError::Unsent)?;
+        Ok(Link::new(stream, false))
+    }
+
+    fn new(stream: TcpStream, is_probed: bool) -> Link {
+        Link {
             stream,
+            is_probed,
             input: BytesMut::with_capacity(READ_BUFFER_BYTES),
             parser: Some(Parser::Head(ClientCodec::default())),
             request_written: true,
@@ -150,7 +168,7 @@
             on_given_up: None,
             used: false,
             idle_until: Instant::default(),
-        })
+        }
     }
 
     /// Whether an idle connection is still open and has received no bytes, which
@@ -180,7 +198,7 @@
         self.request_written = false;
         self.reusable = false;
         self.unfinished = true;
-        if is_long {
+        if is_long && self.is_probed {
             self.set_ack_timeout(LONG_REQUEST_TIMEOUT).map_err(LinkError::Unsent)?;
         }
         let (mut reader, mut writer) = self.stream.split();
@@ -217,7 +235,7 @@
                 }
             }
         };
-        if is_long {
+        if is_long && self.is_probed {
             // If this fails, a dead connection is noticed later.
             let _ = self.set_ack_timeout(ACK_TIMEOUT);
         }
@@ -313,8 +331,12 @@
     /// Whether the connection can carry another request: its answer has been
     /// read completely, and nothing follows it.
     pub fn is_reusable(&self) -> bool {
-        let done = matches!(self.parser, Some(Parser::Head(_)));
-        done && self.reusable && self.input.is_empty()
+        self.is_at_end() && self.reusable && self.input.is_empty()
+    }
+
+    /// Returns whether nothing of the answer is missing, or there is none.
+    pub(crate) fn is_at_end(&self) -> bool {
+        matches!(self.parser, Some(Parser::Head(_)))
     }
 
     /// Returns whether the body of the answer has no length and ends with the connection.
@@ -409,7 +431,8 @@
     ) -> Result<BytesMut, LinkError> {
         let mut head = RequestHead::default();
         head.method = method;
-        head.uri = path.parse().map_err(|_| LinkError::Malformed("the path".to_owned()))?;
+        head.uri =
+            path.parse().map_err(|_| LinkError::Unsent(io::ErrorKind::InvalidInput.into()))?;
         head.headers = headers;
         let size = match (body.is_empty(), &head.method) {
             (true, &Method::POST | &Method::PUT | &Method::PATCH) => BodySize::Sized(0),
--- a/kingcupbayd/src/share/peer.rs
+++ b/kingcupbayd/src/share/peer.rs
@@ -17,7 +17,7 @@
 use super::Shares;
 use crate::{
     clock,
-    http::{body, reply},
+    http::{body, client::Call, reply},
 };
 
 /// Path to which peers send messages about shares.
@@ -103,9 +103,8 @@
 }
 
 async fn post(shares: &Shares, address: &str, envelopes: &[Envelope]) -> Option<Vec<Envelope>> {
-    let url = format!("http://{address}{PEER_PATH}");
-    let client = shares.clients.get(address);
-    let mut response = client.post(url).send_body(encode(envelopes)).await.ok()?;
-    let bytes = response.body().limit(MAX_LIST_BYTES).await.ok()?;
+    let call = Call::post(PEER_PATH, encode(envelopes));
+    let mut answer = shares.clients.send(address, call).await.ok()?;
+    let bytes = answer.read(MAX_LIST_BYTES).await.ok()?;
     rmp_serde::from_slice(&bytes).ok()
 }
--- a/kingcupbayd/src/store/object.rs
+++ b/kingcupbayd/src/store/object.rs
@@ -6,7 +6,7 @@
 use kingcupbay_core::{time::Span, wire::object::PATH};
 use thiserror::Error;
 
-use crate::http::client::Clients;
+use crate::http::client::{Call, Clients};
 
 /// Longest object that is read, in bytes. A snapshot of 67,000 adapters has
 /// about 20 MB.
@@ -35,27 +35,27 @@
 
     /// Stores an object.
     pub(crate) async fn put(&self, key: &str, body: Bytes) -> Result<(), ObjectError> {
-        let url = format!("http://{}{PATH}{key}", self.address);
-        let sent = self.clients.get(&self.address).put(url).send_body(body);
-        let response = self.with_timeout(sent).await?;
-        match response.status().is_success() {
+        let path = format!("{PATH}{key}");
+        let sent = self.clients.send(&self.address, Call::put(&path, body));
+        let answer = self.with_timeout(sent).await?;
+        match answer.status().is_success() {
             true => Ok(()),
-            false => Err(ObjectError(response.status().to_string())),
+            false => Err(ObjectError(answer.status().to_string())),
         }
     }
 
     /// Reads an object; `None` if it does not exist.
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Bytes>, ObjectError> {
-        let url = format!("http://{}{PATH}{key}", self.address);
-        let sent = self.clients.get(&self.address).get(url).send();
-        let mut response = self.with_timeout(sent).await?;
-        if response.status() == 404 {
+        let path = format!("{PATH}{key}");
+        let sent = self.clients.send(&self.address, Call::get(&path));
+        let mut answer = self.with_timeout(sent).await?;
+        if answer.status() == 404 {
             return Ok(None);
         }
-        if !response.status().is_success() {
-            return Err(ObjectError(response.status().to_string()));
+        if !answer.status().is_success() {
+            return Err(ObjectError(answer.status().to_string()));
         }
-        let body = self.with_timeout(response.body().limit(MAX_OBJECT_BYTES)).await?;
+        let body = self.with_timeout(answer.read(MAX_OBJECT_BYTES)).await?;
         Ok(Some(body))
     }
 
--- a/kingcupbayd/src/store/table.rs
+++ b/kingcupbayd/src/store/table.rs
@@ -9,7 +9,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
-use crate::http::client::{Clients, is_unsent};
+use crate::http::client::{Call, Clients};
 
 /// Longest answer of the table, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
@@ -43,12 +43,12 @@
     /// Runs a transaction. After [`TableError::Lost`], only a read shows whether
     /// it took effect.
     pub(crate) async fn txn(&self, txn: &Txn) -> Result<TxnAnswer, TableError> {
-        self.post("txn", txn).await
+        self.post("/txn", txn).await
     }
 
     /// Reads rows of one consistent state.
     pub(crate) async fn read(&self, read: &Read) -> Result<Rows, TableError> {
-        self.post("read", read).await
+        self.post("/read", read).await
     }
 
     async fn post<T: Serialize, R: DeserializeOwned>(
@@ -75,20 +75,19 @@
         path: &str,
         body: &T,
     ) -> Result<R, TableError> {
-        let url = format!("http://{}/{path}", self.address);
-        let sent = self.clients.get(&self.address).post(url).send_json(body).await;
-        let mut response = sent.map_err(|error| match is_unsent(&error) {
+        let sent = self.clients.send(&self.address, Call::post_json(path, body)).await;
+        let mut answer = sent.map_err(|error| match error.is_unsent() {
             true => TableError::Unreached(error.to_string()),
             false => TableError::Lost(error.to_string()),
         })?;
         // By the platform's contract, a call answered with 503 had no effect.
-        if response.status() == 503 {
+        if answer.status() == 503 {
             return Err(TableError::Unreached("503".to_owned()));
         }
-        if !response.status().is_success() {
-            return Err(TableError::Lost(response.status().to_string()));
+        if !answer.status().is_success() {
+            return Err(TableError::Lost(answer.status().to_string()));
         }
-        let bytes = response.body().limit(MAX_ANSWER_BYTES).await;
+        let bytes = answer.read(MAX_ANSWER_BYTES).await;
         let bytes = bytes.map_err(|error| TableError::Lost(error.to_string()))?;
         serde_json::from_slice(&bytes).map_err(|error| TableError::Lost(error.to_string()))
     }
--- a/kingcupbayd/src/upstream/call.rs
+++ b/kingcupbayd/src/upstream/call.rs
@@ -11,9 +11,11 @@
 };
 
 use super::{Upstream, once, run::check_run};
+use actix_http::header::{HeaderName, HeaderValue};
+
 use crate::{
     clock,
-    http::{body, client::is_unsent},
+    http::{client::Call, link::LinkError},
 };
 
 /// Longest answer body of a service.
@@ -74,34 +76,40 @@
     idempotency: Option<&str>,
     body: Vec<u8>,
 ) -> Result<RunEvent, Failure> {
-    let client = upstream.clients.get(&row.address);
-    let sent = request(&client, row, path, idempotency).send_body(body).await;
-    let mut response = sent.map_err(|error| send_failure(&error))?;
-    let status = response.status().as_u16();
-    let body = body::read_whole(&mut response, MAX_ANSWER_BYTES).await.map_err(|error| {
-        Failure { ran: Ran::Ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
+    let path = call_path(path);
+    let call = request(&path, idempotency, body).ok_or_else(|| {
+        Failure::not_run(Code::BadRequest, "the idempotency key is no value of a header")
+    })?;
+    let sent = upstream.clients.send(&row.address, call).await;
+    let mut answer = sent.map_err(|error| send_failure(&error))?;
+    let status = answer.status().as_u16();
+    let body = answer.read(MAX_ANSWER_BYTES).await.map_err(|error| Failure {
+        ran: Ran::Ran,
+        ..Failure::not_run(Code::UpstreamFailed, error.to_string())
     })?;
     Ok(RunEvent::Called { status, body: body.to_vec(), replayed: false })
 }
 
-/// Builds a call to the service, without the body.
-pub(super) fn request(
-    client: &awc::Client,
-    row: &Row,
-    path: &str,
+/// Returns the path at which a service is called.
+pub(super) fn call_path(path: &str) -> String {
+    format!("/call/{path}")
+}
+
+/// Builds a call to the service at [`call_path`]; `None` if the key is no value of a header.
+pub(super) fn request<'a>(
+    path: &'a str,
     idempotency: Option<&str>,
-) -> awc::ClientRequest {
-    let url = format!("http://{}/call/{path}", row.address);
-    let request = client.post(url).insert_header(("content-type", "application/json"));
-    match idempotency {
-        Some(key) => request.insert_header(("idempotency-key", key)),
-        None => request,
-    }
+    body: Vec<u8>,
+) -> Option<Call<'a>> {
+    let call = Call::post(path, body).with_json();
+    let Some(key) = idempotency else { return Some(call) };
+    let key = HeaderValue::from_str(key).ok()?;
+    Some(call.with(HeaderName::from_static("idempotency-key"), key))
 }
 
 /// Converts an error of sending into a failure; the call may have run unless it
 /// never left.
-fn send_failure(error: &awc::error::SendRequestError) -> Failure {
-    let ran = if is_unsent(error) { Ran::NotRun } else { Ran::Unknown };
+fn send_failure(error: &LinkError) -> Failure {
+    let ran = if error.is_unsent() { Ran::NotRun } else { Ran::Unknown };
     Failure { ran, ..Failure::not_run(Code::UpstreamFailed, error.to_string()) }
 }
--- a/kingcupbayd/src/upstream/engine.rs
+++ b/kingcupbayd/src/upstream/engine.rs
@@ -19,12 +19,16 @@
 
 use crate::http::{
     body,
-    client::{Clients, is_unsent},
+    client::{Call, Clients},
+    link::LinkError,
 };
 
 /// Longest line, in bytes, of an engine's event stream.
 const MAX_LINE_BYTES: usize = 1 << 20;
 
+/// Longest answer, in bytes, that is no event stream.
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+
 /// Data of the last line of an engine's event stream.
 const DONE_DATA: &str = "[DONE]";
 
@@ -61,15 +65,14 @@
     order: Generate,
 ) -> Result<Generation, EngineError> {
     let path = match order.messages {
-        Some(_) => "v1/chat/completions",
-        None => "v1/completions",
+        Some(_) => "/v1/chat/completions",
+        None => "/v1/completions",
     };
-    let url = format!("http://{address}/{path}");
-    let response = clients.get(&address).post(url).send_json(&order).await.map_err(send_error)?;
-    if !response.status().is_success() {
-        return Err(EngineError::Refused(response.status().as_u16()));
+    let answer = clients.send(&address, Call::post_json(path, &order)).await.map_err(send_error)?;
+    if !answer.status().is_success() {
+        return Err(EngineError::Refused(answer.status().as_u16()));
     }
-    let reader = StreamReader::new(response.map_err(std::io::Error::other));
+    let reader = StreamReader::new(Box::pin(answer.into_stream()));
     let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_LINE_BYTES))
         .map_err(|error| EngineError::Broken(error.to_string()));
     let (request, model) = (order.request_id, order.model);
@@ -124,7 +127,7 @@
     address: &str,
     order: &LoadAdapter,
 ) -> Result<(), EngineError> {
-    post(clients, address, "v1/load_lora_adapter", order).await
+    post(clients, address, "/v1/load_lora_adapter", order).await
 }
 
 /// Unloads an adapter.
@@ -133,7 +136,7 @@
     address: &str,
     order: &UnloadAdapter,
 ) -> Result<(), EngineError> {
-    post(clients, address, "v1/unload_lora_adapter", order).await
+    post(clients, address, "/v1/unload_lora_adapter", order).await
 }
 
 async fn post<T: Serialize>(
@@ -142,28 +145,27 @@
     path: &str,
     order: &T,
 ) -> Result<(), EngineError> {
-    let url = format!("http://{address}/{path}");
-    let sent = clients.get(address).post(url).send_json(order).await;
-    let mut response = sent.map_err(send_error)?;
-    // The body is read to its end so that the connection can be used again.
-    let _ = response.body().await;
-    match response.status().is_success() {
+    let sent = clients.send(address, Call::post_json(path, order)).await;
+    let mut answer = sent.map_err(send_error)?;
+    // The body is read to its end so that the connection can be used again. Only the status counts.
+    let _ = answer.read(ANSWER_MAX_BYTES).await;
+    match answer.status().is_success() {
         true => Ok(()),
-        false => Err(EngineError::Refused(response.status().as_u16())),
+        false => Err(EngineError::Refused(answer.status().as_u16())),
     }
 }
 
 /// Requests the engine's report of its resident adapters.
 pub(crate) async fn report(clients: &Clients, address: &str) -> Result<LoadReport, EngineError> {
-    let url = format!("http://{address}/load");
-    let mut response = clients.get(address).get(url).send().await.map_err(send_error)?;
-    response.json().await.map_err(|error| EngineError::Broken(error.to_string()))
+    let mut answer = clients.send(address, Call::get("/load")).await.map_err(send_error)?;
+    let body = answer.read(ANSWER_MAX_BYTES).await.map_err(send_error)?;
+    serde_json::from_slice(&body).map_err(|error| EngineError::Broken(error.to_string()))
 }
 
 /// Cancels a generation. The result is ignored: closing the connection of the
 /// stream cancels it too, unless that connection has gone silent.
 pub(crate) async fn cancel(clients: Clients, address: String, request: RequestId) {
-    let _ = post(&clients, &address, "v1/cancel", &Cancel { request_id: request }).await;
+    let _ = post(&clients, &address, "/v1/cancel", &Cancel { request_id: request }).await;
 }
 
 /// Builds the engine request for a prompt. The caller sets the number of tokens,
@@ -188,8 +190,8 @@
 
 /// Converts an error of sending; the engine may have acted unless the request
 /// never left.
-fn send_error(error: awc::error::SendRequestError) -> EngineError {
-    match is_unsent(&error) {
+fn send_error(error: LinkError) -> EngineError {
+    match error.is_unsent() {
         true => EngineError::Unreachable(error.to_string()),
         false => EngineError::Broken(error.to_string()),
     }
--- a/kingcupbayd/src/upstream/once.rs
+++ b/kingcupbayd/src/upstream/once.rs
@@ -29,13 +29,7 @@
 use tokio::sync::{OnceCell, oneshot};
 
 use super::{Upstream, call, fence};
-use crate::{
-    clock,
-    entry::new_request_id,
-    http::{body, client::is_unsent},
-    server::drain::Phase,
-    store::table::TableError,
-};
+use crate::{clock, entry::new_request_id, server::drain::Phase, store::table::TableError};
 
 /// Pause after a request to the table that got no answer.
 const TABLE_RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -213,7 +207,7 @@
         let upstream = &self.upstream;
         let now = clock::now();
         now < self.call.deadline
-            && upstream.drain.phase() != Phase::Closing
+            && upstream.drain.phase() < Phase::Closing
             && upstream.fleet.may_act(now)
             && upstream.owned_row(self.call.upstream).is_ok()
     }
@@ -222,15 +216,17 @@
         let (call, row) = (&self.call, &self.call.row);
         // A pooled connection may be dead already. The call would then count as
         // lost, and its claim would never get an outcome.
-        let client = self.upstream.clients.unpooled();
-        let request = call::request(&client, row, &call.path, Some(&call.idempotency));
-        let mut response = match request.send_body(call.body.clone()).await {
-            Ok(response) => response,
-            Err(error) if is_unsent(&error) => return vec![Event::NotSent],
+        let path = call::call_path(&call.path);
+        let request = call::request(&path, Some(&call.idempotency), call.body.clone());
+        let Some(request) = request else { return vec![Event::NotSent] };
+        let sent = self.upstream.clients.send_unpooled(&row.address, request).await;
+        let mut answer = match sent {
+            Ok(answer) => answer,
+            Err(error) if error.is_unsent() => return vec![Event::NotSent],
             Err(_) => return vec![Event::ServiceLost],
         };
-        let status = response.status().as_u16();
-        let answered = match body::read_whole(&mut response, call::MAX_ANSWER_BYTES).await {
+        let status = answer.status().as_u16();
+        let answered = match answer.read(call::MAX_ANSWER_BYTES).await {
             Ok(body) => Event::ServiceAnswered(Outcome { status, body: Some(body.to_vec()) }),
             Err(_) => Event::ServiceLost,
         };
--- a/kingcupbayd/src/upstream/run.rs
+++ b/kingcupbayd/src/upstream/run.rs
@@ -378,7 +378,7 @@
 /// The check uses a configuration at least as new as the one that admitted the
 /// request.
 pub(super) async fn check_run(upstream: &Rc<Upstream>, run: &Run) -> Result<Row, Failure> {
-    if upstream.drain.phase() == Phase::Closing {
+    if upstream.drain.phase() >= Phase::Closing {
         return Err(Failure::not_run(Code::Stopping, "this host is stopping"));
     }
     if !upstream.fleet.catch_up(run.number).await || !upstream.fleet.may_act(clock::now()) {
--- a/kingcupbayd/tests/common/mod.rs
+++ b/kingcupbayd/tests/common/mod.rs
@@ -93,6 +93,12 @@
         self.seen.iter().any(|line| line.contains(text))
     }
 
+    /// The lines so far that contain `text`.
+    pub(crate) fn lines_with(&mut self, text: &str) -> Vec<String> {
+        self.seen.extend(self.lines.try_iter());
+        self.seen.iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+
     /// An address from the listening line.
     pub(crate) fn address(&self, key: &str) -> SocketAddr {
         self.listening[key].parse().unwrap()
@@ -239,8 +245,33 @@
     upstream(text, host, service, Serves::Service { service: name("booking") })
 }
 
+/// Changes for a service at `address`, owned by the daemon on `upstream-1`, with a repeatable route
+/// and a once-only route.
+pub(crate) fn service_route(text: &str, address: SocketAddr) -> Vec<Change> {
+    let route = |label: String, once| Change::SetRoute {
+        name: name(&label),
+        organisation: name("winery"),
+        service: name(text),
+        once,
+    };
+    vec![
+        upstream_at(
+            text,
+            "upstream-1",
+            address.to_string(),
+            Serves::Service { service: name(text) },
+        ),
+        route(text.to_owned(), false),
+        route(format!("{text}-once"), true),
+    ]
+}
+
 fn upstream(text: &str, host: &str, process: &Process, serves: Serves) -> Change {
-    let address = process.listening["address"].clone();
+    upstream_at(text, host, process.listening["address"].clone(), serves)
+}
+
+/// The change that adds an upstream at `address`.
+pub(crate) fn upstream_at(text: &str, host: &str, address: String, serves: Serves) -> Change {
     let zone = name("zone-a");
     let leaving = false;
     let upstream = Upstream { name: name(text), host: name(host), address, zone, serves, leaving };
