Answer what a planned stop has no time for

In a planned stop of an entry, a request whose body arrived late in the grace was passed on; at the end of the grace it was cut without an answer, as was any request that its upstream had not answered by then, among them requests that may not be repeated.

Cause: an entry closes its port and its idle connections after 2.2 s, but a connection on which a body arrives is not idle, and its request was admitted whenever the body was complete. When the time for running requests was over, the process ended with their connections. Ruled out: to refuse from the signal on what may outlast the grace, as most of it does not and callers reach the entry for 2 s more; to shorten the deadline that upstreams are sent, which ends what the next process could not serve better. Change: a request that is complete only once the port is closed is refused with 503, `stopping` and a time to retry, and sent nowhere. When the time for running requests is over, those without an answer get one: 502 if the request was sent, which promises nothing, 503 if it was not. Without a registry likewise, where `drain_limit_ms` bounds the time. Measured: planned_stop, on the code before: a_request_that_outlasts_the_grace_is_answered, a_request_whose_body_ends_late_in_the_grace_is_refused and a_call_that_outlasts_the_drain_limit_is_answered failed with a connection that ended without an answer; they pass now. requests_during_a_planned_stop_are_answered_or_not_passed_on (eight clients, kept and new connections, until the port is closed) and a_stream_that_outlasts_the_grace_does_not_look_whole pass on both. Conclusion: streams that outlast the grace are cut as before; their callers take them up elsewhere.

--- a/kingcupbayd/src/entry/admission.rs
+++ b/kingcupbayd/src/entry/admission.rs
@@ -32,7 +32,7 @@
 /// Fails if this daemon is stopping, has no standing, or does not know the key.
 /// The checks are made in the order of their cost.
 pub(crate) fn authenticate(entry: &Entry, request: &Request) -> Result<Caller, Failure> {
-    if entry.drain.phase() == Phase::Closing {
+    if entry.drain.phase() >= Phase::Closing {
         let failure = Failure::not_run(Code::Stopping, "this host is stopping");
         return Err(failure.after(STANDING_RETRY));
     }
--- a/kingcupbayd/src/entry/mod.rs
+++ b/kingcupbayd/src/entry/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use actix_http::{Method, Request, Response, StatusCode, body::BoxBody};
-use kingcupbay_core::wire::error::{Code, Failure};
+use kingcupbay_core::wire::error::{Code, Failure, Ran};
 use slog::Logger;
 
 use crate::{
@@ -97,6 +97,18 @@
 
 /// Answers one request of a caller or of the balancer.
 pub(crate) async fn handle(entry: Rc<Entry>, request: Request) -> Response<BoxBody> {
+    let drain = entry.drain.clone();
+    tokio::select! {
+        biased;
+        answer = dispatch(entry, request) => answer,
+        () = drain.wait_until(Phase::Ending) => {
+            let failure = Failure::not_run(Code::UpstreamFailed, "this host is stopping");
+            reply::failure(&Failure { ran: Ran::Unknown, ..failure })
+        }
+    }
+}
+
+async fn dispatch(entry: Rc<Entry>, request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions") => {
--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -42,6 +42,8 @@
     pub(crate) cost: u64,
     /// The limiter that took them off; `None` if this entry did itself.
     pub(crate) limiter: Cell<Option<SocketAddr>>,
+    /// Whether it has been sent to an upstream, and may have run.
+    pub(crate) is_sent: Cell<bool>,
     /// Whether it is sent although its prompt holds a quarantined part.
     pub(crate) is_trial: Cell<bool>,
     pub(crate) method: Method,
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -85,6 +85,9 @@
 /// Time after which to retry at an entry that has no configuration yet.
 const UNREADY_RETRY: Span = Span::from_millis(500);
 
+/// Time after which to retry at another entry, as this one stops.
+const STOPPING_RETRY: Span = Span::from_millis(50);
+
 /// Time after which to retry at an entry that knows of a newer configuration than its
 /// own. By then the store's feed has delivered it, or the caller reaches another entry.
 const BEHIND_RETRY: Span = Span::from_millis(400);
@@ -291,6 +294,7 @@
         metadata,
         cost,
         limiter: Cell::default(),
+        is_sent: Cell::default(),
         is_trial: Cell::default(),
         key: OnceCell::new(),
         body,
@@ -307,6 +311,9 @@
         let refusal = Refusal::plain(Code::NoUpstream, admit::CALLER_LEFT);
         return refuse(&gateway, &job.metadata, refusal);
     }
+    if gateway.node.drain.phase() >= Phase::Closing {
+        return refuse(&gateway, &job.metadata, stopping_refusal(&job));
+    }
     if let Err(refusal) = limiters::acquire(&job).await {
         return refuse(&gateway, &job.metadata, refusal);
     }
@@ -319,9 +326,16 @@
     let service = job.route.target(draw).to_owned();
     job.gateway.repeats.borrow_mut().entry(service.clone()).or_default().on_first(clock::now());
     let engine = job.deployment.services.get(&service).is_some_and(|row| row.engine.is_some());
-    let answer = match engine && job.metadata.model.is_some() {
-        true => generate::serve(job.clone(), &service).await,
-        false => plain::serve(job.clone(), &service).await,
+    let served = async {
+        match engine && job.metadata.model.is_some() {
+            true => generate::serve(job.clone(), &service).await,
+            false => plain::serve(job.clone(), &service).await,
+        }
+    };
+    let answer = tokio::select! {
+        biased;
+        answer = served => answer,
+        () = job.gateway.node.drain.wait_until(Phase::Ending) => Err(stopping_refusal(&job)),
     };
     match answer {
         Ok(response) => response,
@@ -342,6 +356,15 @@
     }
 }
 
+/// Returns the refusal of a request that the entry, which stops, has no time for.
+fn stopping_refusal(job: &Job) -> Refusal {
+    let why = "the entry is stopping";
+    match job.is_sent.get() {
+        true => Refusal::unknown(Code::Stopping, why),
+        false => Refusal::retry(Code::Stopping, why, job.spread(STOPPING_RETRY)),
+    }
+}
+
 /// The route of a request, and its organisation unless it is anonymous.
 type Admitted = (Rc<Route>, Option<Rc<Organisation>>);
 
--- a/kingcupbayd/src/gateway/send.rs
+++ b/kingcupbayd/src/gateway/send.rs
@@ -130,6 +130,7 @@
     let (given_up, row) = (job.clone(), instance.clone());
     link.on_given_up =
         Some(Box::new(move |is_closed| fatal::on_given_up(&given_up, &row, sent, is_closed)));
+    job.is_sent.set(true);
     let mut head = link.exchange(job.method.clone(), &job.path, headers, &job.body.bytes).await?;
     for _ in 0..MISROUTED_MAX {
         let metadata = answer::decode_headers(head.status.as_u16(), &head.headers);
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -1,6 +1,6 @@
 //! Start and planned stop of a daemon of a registered fleet.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{Request, Response, StatusCode, body::BoxBody};
 use actix_rt::net::TcpListener;
@@ -55,6 +55,9 @@
 const RECOVERY_ROUNDS: u32 = 12;
 const RECOVERY_PAUSE: Span = Span::from_millis(250);
 
+/// Time for the answers to requests whose upstreams have not answered in the grace period.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Part of the grace period that is kept for the last bytes.
 const GRACE_MARGIN: Span = Span::from_millis(250);
 
@@ -184,6 +187,11 @@
         let limit = node.registry.grace.saturating_sub(LEAVING_TIME).saturating_sub(GRACE_MARGIN);
         let whole = tokio::time::timeout(limit.into(), node.drain.wait_until_idle()).await.is_ok();
         let cut = node.drain.open_connections();
+        if !whole {
+            node.drain.advance(Phase::Ending);
+            // Streams do not end by themselves.
+            let _ = tokio::time::timeout(LAST_ANSWERS_TIME, node.drain.wait_until_idle()).await;
+        }
         info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
     } else {
         info!(log, ""; "event" => "stopped");
--- a/kingcupbayd/src/server/drain.rs
+++ b/kingcupbayd/src/server/drain.rs
@@ -14,6 +14,8 @@
     Leaving,
     /// No new connection or request is accepted; running requests finish.
     Closing,
+    /// The time for running requests is over. Those without an answer yet get one that says so.
+    Ending,
 }
 
 /// Drain state, shared by all servers of the daemon.
@@ -59,9 +61,14 @@
 
     /// Waits for [`Phase::Closing`].
     pub(crate) async fn wait_until_closing(self) {
-        let mut phase = self.phase.subscribe();
+        self.wait_until(Phase::Closing).await;
+    }
+
+    /// Waits for `phase` or a later one.
+    pub(crate) async fn wait_until(&self, phase: Phase) {
+        let mut current = self.phase.subscribe();
         // The sender lives as long as `self`, so waiting cannot fail.
-        let _ = phase.wait_for(|&phase| phase == Phase::Closing).await;
+        let _ = current.wait_for(|&current| current >= phase).await;
     }
 
     /// Waits until no connection is open.
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -35,6 +35,9 @@
 /// Pause between two attempts to join.
 const JOIN_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(100);
 
+/// Time for the answers to requests that have not ended when the time for them is over.
+const LAST_ANSWERS_TIME: std::time::Duration = std::time::Duration::from_millis(100);
+
 /// A running daemon.
 pub struct Running {
     /// Addresses at which it listens.
@@ -198,6 +201,10 @@
             }
             limit => tokio::time::timeout(limit.into(), servers).await.is_ok(),
         };
+        if !whole {
+            self.daemon.drain.advance(Phase::Ending);
+            tokio::time::sleep(LAST_ANSWERS_TIME).await;
+        }
         if let RoleState::Entry(entry) = &self.daemon.role {
             share::hand_over(entry.shares().clone()).await;
         }
--- a/kingcupbayd/tests/common/raw.rs
+++ b/kingcupbayd/tests/common/raw.rs
@@ -5,8 +5,9 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream as BlockingStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use actix_rt::net::TcpStream;
@@ -128,18 +129,27 @@
 
 impl RawCaller {
     pub(crate) async fn connect(entry: SocketAddr) -> RawCaller {
-        RawCaller { stream: TcpStream::connect(entry).await.unwrap(), input: Vec::new() }
+        RawCaller::new(TcpStream::connect(entry).await.unwrap())
+    }
+
+    pub(crate) fn new(stream: TcpStream) -> RawCaller {
+        RawCaller { stream, input: Vec::new() }
     }
 
     /// Sends a request with the usual headers and `fields`, each with its end of line.
     pub(crate) async fn send(&mut self, line: &str, fields: &str, body: &[u8]) {
+        assert!(self.try_send(line, fields, body).await, "the connection has ended");
+    }
+
+    /// Does the same; returns whether the connection took it.
+    pub(crate) async fn try_send(&mut self, line: &str, fields: &str, body: &[u8]) -> bool {
         let head = format!(
             "{line} HTTP/1.1\r\nhost: desk.example\r\nx-deadline-ms: 5000\r\n\
              authorization: Bearer {KEY}\r\n{fields}content-length: {}\r\n\r\n",
             body.len()
         );
-        self.stream.write_all(head.as_bytes()).await.unwrap();
-        self.stream.write_all(body).await.unwrap();
+        let request = [head.as_bytes(), body].concat();
+        self.stream.write_all(&request).await.is_ok()
     }
 
     /// Reads the next answer; `None` if the connection ends before the answer does.
@@ -254,3 +264,54 @@
     // Either side may have closed its connection already.
     let _ = (to.shutdown(Shutdown::Write), from.shutdown(Shutdown::Read));
 }
+
+/// Forwards connections. While it is closed, it holds what is sent through it.
+pub(crate) struct Gate {
+    pub(crate) address: SocketAddr,
+    target: Arc<Mutex<Option<SocketAddr>>>,
+    is_open: Arc<AtomicBool>,
+}
+
+impl Gate {
+    pub(crate) fn start(target: Option<SocketAddr>) -> Gate {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let is_open = Arc::new(AtomicBool::new(true));
+        let gate = Gate { address, target: Arc::new(Mutex::new(target)), is_open };
+        let (target, is_open) = (gate.target.clone(), gate.is_open.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (target, is_open) = (target.clone(), is_open.clone());
+                std::thread::spawn(move || {
+                    wait_for(&is_open);
+                    let target = *target.lock().unwrap();
+                    let Some(Ok(behind)) = target.map(BlockingStream::connect) else { return };
+                    let ways = (stream.try_clone().unwrap(), behind.try_clone().unwrap());
+                    let gate = is_open.clone();
+                    std::thread::spawn(move || copy(ways.0, ways.1, |bytes| held(&gate, bytes)));
+                    copy(behind, stream, |bytes| held(&is_open, bytes));
+                });
+            }
+        });
+        gate
+    }
+
+    pub(crate) fn set_target(&self, target: SocketAddr) {
+        *self.target.lock().unwrap() = Some(target);
+    }
+
+    pub(crate) fn set_open(&self, is_open: bool) {
+        self.is_open.store(is_open, Ordering::SeqCst);
+    }
+}
+
+fn held(is_open: &AtomicBool, bytes: Vec<u8>) -> Vec<u8> {
+    wait_for(is_open);
+    bytes
+}
+
+fn wait_for(is_open: &AtomicBool) {
+    while !is_open.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
