Read the registrations anew before a stream of unknown origin goes on

During a release, an entry that had been cut off or paused for a moment took up streams that engines of the new software version had begun through another entry, which was lost. They went on at an engine of the old version.

Cause: the entry got neither the registrations nor the origins that were reported while it was out of step. Where nobody knew a stream's origin, an entry let it go on anywhere if it took the service for one of a single software, also if entries that might know the origin did not answer; it looked only at whether the store was known to be unavailable, which it learns seconds later. Ruled out: to refuse whenever an entry that may know the origin does not answer, as each lost entry would end streams of a single software; to trust the age of the feed's last page, as an entry that was paused reads pages that were sent long before. Change: if an entry that may know the origin does not answer, the store is asked for newer registrations first, in one call for all streams that wait, ten a second at most. Conclusion: an entry whose list of entries is outdated as well asks fewer than may know; not brought about.

--- a/kingcupbay_core/src/deployment/waits.rs
+++ b/kingcupbay_core/src/deployment/waits.rs
@@ -134,6 +134,10 @@
 /// Pause after such a call has failed.
 pub const CONFIRM_PAUSE: Span = Span::from_millis(250);
 
+/// Pause between two calls that ask the store whether the registrations of upstreams are the
+/// newest. One call serves all streams that wait for it.
+pub const UPSTREAM_CONFIRM_PAUSE: Span = Span::from_millis(100);
+
 /// Timeout of fetching rows from another entry. 100 KB take a tenth of a second over
 /// the slowest hosts' links of 10 Mbit/s, and several entries may fetch at once.
 pub const FETCH_TIMEOUT: Span = Span::from_millis(800);
--- a/kingcupbayd/src/registered/confirm.rs
+++ b/kingcupbayd/src/registered/confirm.rs
@@ -2,16 +2,17 @@
 //!
 //! A caller that is told that its route or key is unknown does not retry. The store's feed may
 //! have died without this entry knowing, so it asks the store once more if that has not answered
-//! for a while, and other entries' read positions if the store does not answer.
+//! for a while, and other entries' read positions if the store does not answer. The registrations
+//! are confirmed by the store alone, before a stream goes on at an upstream whose software is taken
+//! for the only one.
 
 use std::{cell::Cell, rc::Rc};
 
 use kingcupbay_core::{
-    deployment::waits::{CONFIRM_PAUSE, CONFIRM_TIMEOUT, DENIAL_AGE_MAX},
+    deployment::waits::{CONFIRM_PAUSE, CONFIRM_TIMEOUT, DENIAL_AGE_MAX, UPSTREAM_CONFIRM_PAUSE},
     time::{Instant, Span},
     wire::read_position::Table,
 };
-use kingcupbay_platform::store::OPERATOR_TABLE;
 use slog::warn;
 use tokio::sync::Mutex;
 
@@ -46,13 +47,15 @@
     }
 }
 
-/// Calls that ask the store whether the configuration is the newest.
+/// Calls that ask the store whether a table is the newest.
 #[derive(Debug, Default)]
 pub(crate) struct Confirmation {
     /// Held during a call: requests that arrive meanwhile wait for its answer.
     turn: Mutex<()>,
     /// When the last call failed.
     failed: Cell<Option<Instant>>,
+    /// When the last call that was answered began.
+    answered: Cell<Option<Instant>>,
 }
 
 /// Finds out who confirms the configuration. `newer_elsewhere` says whether another entry has a
@@ -63,7 +66,7 @@
     }
     let asked = clock::now();
     let _turn = node.confirmation.turn.lock().await;
-    if is_read_since(node, asked) || ask_store(node).await {
+    if is_read_since(node, asked) || ask_store(node, Table::Operator).await {
         return ConfirmedBy::Store;
     }
     let by_entries = node.read_positions.borrow().remaining(clock::now(), Table::Operator);
@@ -73,9 +76,32 @@
     }
 }
 
+/// Returns once the store has confirmed the registrations since now, and has been applied. Returns
+/// `false` if it does not answer.
+///
+/// A page of the feed proves less: it may have been sent long before it was read, as by an entry
+/// that was paused.
+pub(crate) async fn confirm_upstreams(node: &Rc<Node>) -> bool {
+    let asked = clock::now();
+    let confirmation = &node.upstream_confirmation;
+    let _turn = confirmation.turn.lock().await;
+    if let Some(at) = confirmation.answered.get() {
+        if at >= asked {
+            return true;
+        }
+        tokio::time::sleep(UPSTREAM_CONFIRM_PAUSE.saturating_sub(clock::now().since(at)).into())
+            .await;
+    }
+    ask_store(node, Table::Upstreams).await
+}
+
 /// Returns how long ago the store last confirmed the configuration, to this entry itself.
 pub(crate) fn age(node: &Node) -> Option<Span> {
-    node.read_positions.borrow().own_age(clock::now(), Table::Operator)
+    own_age(node, Table::Operator)
+}
+
+fn own_age(node: &Node, table: Table) -> Option<Span> {
+    node.read_positions.borrow().own_age(clock::now(), table)
 }
 
 fn is_recent(node: &Node) -> bool {
@@ -86,26 +112,33 @@
     age(node).is_some_and(|age| age <= clock::now().since(since))
 }
 
-/// Asks the store for changes of the operator's rows. Returns whether it has confirmed what is
-/// known.
-async fn ask_store(node: &Rc<Node>) -> bool {
-    let failed = node.confirmation.failed.get();
+/// Asks the store for changes of `table`. Returns whether it has confirmed what is known.
+async fn ask_store(node: &Rc<Node>, table: Table) -> bool {
+    let confirmation = match table {
+        Table::Upstreams => &node.upstream_confirmation,
+        Table::Operator | Table::Entries => &node.confirmation,
+    };
+    let failed = confirmation.failed.get();
     if failed.is_some_and(|at| clock::now().since(at) < CONFIRM_PAUSE) {
         return false;
     }
-    let known = node.read_positions.borrow().known(Table::Operator);
-    let feed = node.store.feed(OPERATOR_TABLE, known, Span::ZERO);
+    let began = clock::now();
+    let known = node.read_positions.borrow().known(table);
+    let feed = node.store.feed(follow::table_name(table), known, Span::ZERO);
     let silent = || Err(StoreError::Link(LinkError::Silent));
     match clock::timeout(CONFIRM_TIMEOUT, feed).await.unwrap_or_else(silent) {
         Ok(page) => {
             let is_whole = !page.more;
-            follow::apply_page(node, Table::Operator, page);
+            follow::apply_page(node, table, page);
+            if is_whole {
+                confirmation.answered.set(Some(began));
+            }
             is_whole
         }
         Err(error) => {
-            node.confirmation.failed.set(Some(clock::now()));
-            warn!(node.log, ""; "event" => "unconfirmed", "error" => %error,
-                "age_ms" => age(node).map(Span::as_millis));
+            confirmation.failed.set(Some(clock::now()));
+            warn!(node.log, ""; "event" => "unconfirmed", "table" => follow::table_name(table),
+                "error" => %error, "age_ms" => own_age(node, table).map(Span::as_millis));
             false
         }
     }
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -25,7 +25,7 @@
 };
 
 /// Returns the name of a table in the store.
-fn table_name(table: Table) -> &'static str {
+pub(super) fn table_name(table: Table) -> &'static str {
     match table {
         Table::Operator => OPERATOR_TABLE,
         Table::Upstreams => UPSTREAM_TABLE,
--- a/kingcupbayd/src/registered/mod.rs
+++ b/kingcupbayd/src/registered/mod.rs
@@ -89,6 +89,8 @@
     pub(crate) read_positions: RefCell<ReadPositions>,
     /// Whether the store confirms the configuration.
     pub(crate) confirmation: Confirmation,
+    /// The same for the registrations of upstreams.
+    pub(crate) upstream_confirmation: Confirmation,
     /// The operator's rows as read, for daemons that cannot reach the store.
     pub(crate) rows: RefCell<Rows>,
     /// Notified when the catalogue has changed.
@@ -127,6 +129,7 @@
             catalogue: RefCell::default(),
             read_positions: RefCell::default(),
             confirmation: Confirmation::default(),
+            upstream_confirmation: Confirmation::default(),
             rows: RefCell::default(),
             changed: Notify::new(),
             evacuated: Notify::new(),
--- a/kingcupbayd/src/registered/origins.rs
+++ b/kingcupbayd/src/registered/origins.rs
@@ -23,7 +23,7 @@
     clock,
     gateway::{Gateway, job::Job, reply::Refusal},
     http,
-    registered::message,
+    registered::{confirm, message},
 };
 
 /// Timeout of a message about origins. A round trip within a region takes 2 ms.
@@ -127,12 +127,15 @@
         Some(stream) => find(gateway, stream).await,
         None => (Origin::Unknown, 0),
     };
-    let mixed = gateway.origins.borrow().is_mixed(clock::now(), service);
     let has_read = gateway.has_read_notes.get();
-    let cut_off = silent > 0 && gateway.node.store_unavailable_since().is_some();
+    let is_single = || !gateway.origins.borrow().is_mixed(clock::now(), service);
+    let is_any = origin == Origin::Unknown
+        && has_read
+        && is_single()
+        && (silent == 0 || (is_read_anew(gateway).await && is_single()));
     let (outcome, eligible) = match origin {
         Origin::Software(software) => ("known", Ok(Eligible::Only(software))),
-        Origin::Unknown if !mixed && !cut_off && has_read => ("any", Ok(Eligible::Any)),
+        Origin::Unknown if is_any => ("any", Ok(Eligible::Any)),
         Origin::Unknown if silent > 0 || !has_read => {
             let why = "the stream's origin is not known now";
             ("silent", Err(Refusal::retry(Code::NoUpstream, why, UNREACHABLE_RETRY)))
@@ -149,6 +152,19 @@
     eligible
 }
 
+/// Reads the registrations of upstreams anew; returns whether the store has answered. An entry that
+/// was cut off or paused does not know yet that a service has become mixed, nor does it get the
+/// origins that were reported meanwhile.
+async fn is_read_anew(gateway: &Rc<Gateway>) -> bool {
+    let node = &gateway.node;
+    let is_confirmed =
+        node.store_unavailable_since().is_none() && confirm::confirm_upstreams(node).await;
+    if is_confirmed {
+        on_instances(gateway);
+    }
+    is_confirmed
+}
+
 /// Returns the origin of `stream`, as far as this entry and those that may keep it know, and how
 /// many of those did not answer.
 async fn find(gateway: &Rc<Gateway>, stream: StreamId) -> (Origin, usize) {
--- a/kingcupbayd/tests/common/registered.rs
+++ b/kingcupbayd/tests/common/registered.rs
@@ -6,6 +6,7 @@
     path::PathBuf,
 };
 
+use futures_util::StreamExt;
 use kingcupbay_standin::{
     DeclaredConfig, DeclaredOrganisation, DeclaredRoute, Registry, UpstreamServer, UpstreamSettings,
 };
@@ -79,9 +80,14 @@
 /// Starts a daemon with [`settings_text`].
 pub(crate) fn start_daemon(role: &str, host: &str, store: &Registry, rest: &str) -> Process {
     let at = store.server().address();
+    start_with(&format!("{host}-{}", at.port()), &settings_text(role, host, at, rest))
+}
+
+/// Starts a daemon with the settings `text`; `label` names their file.
+pub(crate) fn start_with(label: &str, text: &str) -> Process {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let file = dir.join(format!("{}-{host}-{}.ini", std::process::id(), at.port()));
-    std::fs::write(&file, settings_text(role, host, at, rest)).unwrap();
+    let file = dir.join(format!("{}-{label}.ini", std::process::id()));
+    std::fs::write(&file, text).unwrap();
     let args = vec!["--config".to_owned(), file.display().to_string()];
     let process = Process::start("kingcupbayd", &args);
     std::fs::remove_file(&file).unwrap();
@@ -290,10 +296,33 @@
     );
     let peers = format!("[peers]\nlisten = {}:{port}", second_host());
     let text = text.replacen("[peers]\nlisten = 127.0.0.1:0", &peers, 1);
-    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("second-{port}.ini"));
-    std::fs::write(&file, text).unwrap();
-    let args = ["--config".to_owned(), file.display().to_string()];
-    let process = Process::start("kingcupbayd", &args);
-    std::fs::remove_file(&file).unwrap();
-    process
+    start_with(&format!("second-{port}"), &text)
+}
+
+/// Returns the adapter of stream `number`.
+pub(crate) fn adapter(number: usize) -> String {
+    format!("base/a{}", number % 4)
+}
+
+/// Reads the events of stream `number` at `entry` until the connection fails. Returns the number
+/// of the last one.
+pub(crate) async fn read_until_cut(entry: SocketAddr, number: usize) -> Option<u64> {
+    let request = client()
+        .post(format!("http://{entry}/tour/day"))
+        .insert_header(("host", "desk.example"))
+        .insert_header(("x-attempt-id", format!("s{number}")))
+        .insert_header(("x-deadline-ms", "10000"))
+        .insert_header(("x-model", adapter(number)))
+        .insert_header(STREAM_HEADERS[1])
+        .bearer_auth(KEY);
+    let mut response = request.send().await.ok()?;
+    if response.status() != 200 {
+        return None;
+    }
+    let mut text = String::new();
+    while let Some(Ok(chunk)) = response.next().await {
+        text.push_str(std::str::from_utf8(&chunk).unwrap());
+    }
+    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+    event_ids(whole).last().copied()
 }
--- a/kingcupbayd/tests/stream_software.rs
+++ b/kingcupbayd/tests/stream_software.rs
@@ -7,14 +7,13 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use common::{
-    Process, client, get_text,
+    Process, get_text,
     registered::{
-        CallerAnswer, Fleet, KEY, STREAM_HEADERS, event_ids, request_tour, second_host,
-        second_sidecar, send_to, start_engine_fleet, start_entry, wait_until_ready,
+        CallerAnswer, Fleet, KEY, STREAM_HEADERS, adapter, event_ids, read_until_cut, request_tour,
+        second_host, second_sidecar, send_to, start_engine_fleet, start_entry, wait_until_ready,
     },
     wait_until,
 };
-use futures_util::StreamExt;
 use kingcupbay_standin::{UpstreamServer, UpstreamSettings};
 
 /// Two engines of different software behind two entries.
@@ -61,33 +60,6 @@
 }
 
 /// Returns the adapter of stream `number`. Engines hold different ones.
-fn adapter(number: usize) -> String {
-    format!("base/a{}", number % 4)
-}
-
-/// Reads the events of stream `number` at `entry` until the connection fails. Returns the number
-/// of the last one.
-async fn read_until_cut(entry: SocketAddr, number: usize) -> Option<u64> {
-    let request = client()
-        .post(format!("http://{entry}/tour/day"))
-        .insert_header(("host", "desk.example"))
-        .insert_header(("x-attempt-id", format!("s{number}")))
-        .insert_header(("x-deadline-ms", "10000"))
-        .insert_header(("x-model", adapter(number)))
-        .insert_header(STREAM_HEADERS[1])
-        .bearer_auth(KEY);
-    let mut response = request.send().await.ok()?;
-    if response.status() != 200 {
-        return None;
-    }
-    let mut text = String::new();
-    while let Some(Ok(chunk)) = response.next().await {
-        text.push_str(std::str::from_utf8(&chunk).unwrap());
-    }
-    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    event_ids(whole).last().copied()
-}
-
 /// Takes up stream `number` after the event `last`.
 async fn take_up(entry: &Process, number: usize, last: u64) -> CallerAnswer {
     let (model, first, last) = (adapter(number), format!("s{number}"), last.to_string());
