Bound the answers of calls together without a registry

A service that sent bytes without an end to many calls at once made the daemon beside it keep up to 4 MiB for each of them.

Cause: each answer that is read for a call had a bound, all of them together had none. Ruled out: a smaller bound for each, which refuses sound answers. Change: the answers that are read whole share 32 MiB beyond 64 KiB each, as where a store keeps the registrations; one without room fails as an answer that may have run. The platform's own answers, which may be larger and of which few are read at a time, are exempt. Measured: endless::calls_without_an_end_take_bounded_memory, 100 calls at two such services beside calls of a sound one. Conclusion: answers of other daemons and engines are read by the same code; an entry that gets many whole answers of megabytes at once is not bounded by this.

--- a/kingcupbayd/src/admin/dump.rs
+++ b/kingcupbayd/src/admin/dump.rs
@@ -70,6 +70,6 @@
     if !answer.status().is_success() {
         return Err(format!("the peer answers {}", answer.status()));
     }
-    let body = answer.read(MAX_DUMP_BYTES).await.map_err(|error| error.to_string())?;
+    let body = answer.read_large(MAX_DUMP_BYTES).await.map_err(|error| error.to_string())?;
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/kingcupbayd/src/fleet/peer.rs
+++ b/kingcupbayd/src/fleet/peer.rs
@@ -107,7 +107,7 @@
     if !answer.status().is_success() {
         return Err(PeerError::Failed(answer.status().to_string()));
     }
-    let body = answer.read(MAX_ANSWER_BYTES).await;
+    let body = answer.read_large(MAX_ANSWER_BYTES).await;
     body.map_err(|error| PeerError::Failed(error.to_string()))
 }
 
--- a/kingcupbayd/src/http/client.rs
+++ b/kingcupbayd/src/http/client.rs
@@ -14,7 +14,10 @@
 use kingcupbay_core::time::Span;
 use serde::{Serialize, de::IgnoredAny};
 
-use super::link::{Link, LinkError};
+use super::{
+    held::HeldAnswers,
+    link::{Link, LinkError},
+};
 use crate::clock;
 
 /// Idle timeout of a pooled connection. It is shorter than the usual idle limit
@@ -32,6 +35,8 @@
 #[derive(Clone)]
 pub(crate) struct Clients {
     connect_timeout: Span,
+    /// Answers that are being read.
+    held: HeldAnswers,
     pools: Rc<RefCell<BTreeMap<String, Idle>>>,
 }
 
@@ -76,7 +81,7 @@
 impl Clients {
     /// Creates clients that give up connecting after `connect_timeout`.
     pub(crate) fn new(connect_timeout: Span) -> Clients {
-        Clients { connect_timeout, pools: Rc::default() }
+        Clients { connect_timeout, held: HeldAnswers::default(), pools: Rc::default() }
     }
 
     /// Sends a request to `address` and reads the head of the answer.
@@ -115,7 +120,7 @@
         let host = HeaderValue::from_str(address);
         headers.insert(header::HOST, host.expect("a connected address is visible ASCII"));
         let head = link.exchange(method, path, headers, &body).await?;
-        let mut answer = Answer { head, link: Some(link), idle };
+        let mut answer = Answer { head, link: Some(link), idle, held: self.held.clone() };
         answer.release_if_bodiless().await?;
         Ok(answer)
     }
@@ -140,6 +145,7 @@
     link: Option<Link>,
     /// Where the connection is kept.
     idle: Idle,
+    held: HeldAnswers,
 }
 
 impl Answer {
@@ -147,17 +153,38 @@
         self.head.status
     }
 
-    /// Reads the whole body of at most `limit` bytes.
+    /// Reads the whole body of at most `limit` bytes. Fails if there is no memory for it beside the
+    /// other answers that are being read.
+    pub(crate) async fn read(&mut self, limit: usize) -> Result<Bytes, LinkError> {
+        let mut held = self.held.begin();
+        self.read_with(limit, |length| held.try_hold(length)).await
+    }
+
+    /// Reads the whole body of at most `limit` bytes, whatever other answers hold. For answers of
+    /// which few are read at a time.
+    pub(crate) async fn read_large(&mut self, limit: usize) -> Result<Bytes, LinkError> {
+        self.read_with(limit, |_| true).await
+    }
+
+    /// Reads the whole body, as long as `has_room` for it.
     ///
     /// A body that ends with its connection may also be that of a process that has ended. JSON
     /// shows by itself whether it is whole.
-    pub(crate) async fn read(&mut self, limit: usize) -> Result<Bytes, LinkError> {
+    async fn read_with(
+        &mut self,
+        limit: usize,
+        mut has_room: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, LinkError> {
         let is_unframed = self.link.as_ref().is_some_and(Link::is_unframed);
         let mut whole = BytesMut::new();
         while let Some(chunk) = self.chunk().await? {
-            if whole.len() + chunk.len() > limit {
+            let length = whole.len() + chunk.len();
+            if length > limit {
                 return Err(LinkError::Malformed("the answer is too long".to_owned()));
             }
+            if !has_room(length) {
+                return Err(LinkError::NoRoom);
+            }
             whole.extend_from_slice(&chunk);
         }
         if is_unframed && self.is_json() && serde_json::from_slice::<IgnoredAny>(&whole).is_err() {
--- a/kingcupbayd/src/store/object.rs
+++ b/kingcupbayd/src/store/object.rs
@@ -55,7 +55,7 @@
         if !answer.status().is_success() {
             return Err(ObjectError(answer.status().to_string()));
         }
-        let body = self.with_timeout(answer.read(MAX_OBJECT_BYTES)).await?;
+        let body = self.with_timeout(answer.read_large(MAX_OBJECT_BYTES)).await?;
         Ok(Some(body))
     }
 
--- a/kingcupbayd/src/store/table.rs
+++ b/kingcupbayd/src/store/table.rs
@@ -87,7 +87,7 @@
         if !answer.status().is_success() {
             return Err(TableError::Lost(answer.status().to_string()));
         }
-        let bytes = answer.read(MAX_ANSWER_BYTES).await;
+        let bytes = answer.read_large(MAX_ANSWER_BYTES).await;
         let bytes = bytes.map_err(|error| TableError::Lost(error.to_string()))?;
         serde_json::from_slice(&bytes).map_err(|error| TableError::Lost(error.to_string()))
     }
--- a/kingcupbayd/tests/endless.rs
+++ b/kingcupbayd/tests/endless.rs
@@ -15,11 +15,14 @@
 };
 
 use common::{
-    Process,
+    Process, apply_changes, basic_changes, build_request,
+    raw::{Ending, RawUpstream},
     registered::{
-        Fleet, KEY, PLAIN_SERVICE, STREAM_HEADERS, event_ids, request_tour, start_two_engines,
+        Fleet, KEY, PLAIN_SERVICE, STREAM_HEADERS, config_row, event_ids, request_tour,
+        settings_text, start_two_engines, start_with,
     },
-    wait_until,
+    send_request, service_route, start_daemon, start_standin, wait_for_number, wait_until,
+    wait_until_ready,
 };
 use kingcupbay_standin::UpstreamSettings;
 use serde_json::json;
@@ -176,3 +179,107 @@
         assert!(used <= MEMORY_MAX_KB, "{used} KB");
     }
 }
+
+/// A chunked body of status 200 for the attempt `e1`.
+const ENDLESS_CHUNKS: &str =
+    "HTTP/1.1 200 OK\r\nx-attempt-id: e1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// A service sends bytes without an end to many requests at once. Guards against requests for
+/// sound services that are not served meanwhile.
+#[actix_rt::test]
+async fn sound_services_are_served_beside_answers_without_an_end() {
+    let piece = "10\r\n0123456789abcdef\r\n";
+    let (endless, _) = start_service(Endless::fast(ENDLESS_CHUNKS, piece));
+    let fleet = Fleet::start(1).await;
+    let mut config = config_row(2, &[KEY]);
+    for service in config["services"].as_array_mut().unwrap() {
+        service["engine"] = json!(null);
+    }
+    fleet.store.put("op", "config", &config);
+    let _sound = fleet.start_plain("desk-1");
+    let row = json!({"service": "writer", "address": endless.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": 0, "born": 1});
+    fleet.store.put("servers", "endless-1", &row);
+    fleet.wait_until_ready().await;
+    wait_until("a sound answer", async || {
+        (fleet.send("GET", "/seats/today", "a0").await.status == 200).then_some(())
+    })
+    .await;
+    let endless = (0..100).map(async |_| {
+        let got = fleet.send_with("POST", "/tour/day", "e1", KEY, &[("x-deadline-ms", "3000")]);
+        got.await.status
+    });
+    let sound = async {
+        let mut statuses = Vec::new();
+        for number in 0..40 {
+            statuses.push(fleet.send("POST", "/book/seat", &format!("s{number}")).await.status);
+        }
+        statuses
+    };
+    let (endless, sound) = tokio::join!(futures_util::future::join_all(endless), sound);
+    assert_eq!(sound, vec![200; 40]);
+    assert!(!endless.contains(&200), "{endless:?}");
+    let used = memory_kb(&fleet.entry);
+    assert!(used <= MEMORY_MAX_KB, "{used} KB");
+}
+
+/// A service sends bytes without an end where no store keeps the registrations. Guards against
+/// daemons that keep them all.
+#[actix_rt::test]
+async fn calls_without_an_end_take_bounded_memory() {
+    let piece = "10\r\n0123456789abcdef\r\n";
+    let (endless, _) = start_service(Endless::fast(ENDLESS_CHUNKS, piece));
+    let (head, _) = start_service(Endless::fast("HTTP/1.1 200 OK\r\n", "x-filler: 0123456789\r\n"));
+    let sound = RawUpstream::start(
+        |_| b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".to_vec(),
+        Ending::Keep,
+    );
+    let platform = start_standin("platform", &["--load", "1"]);
+    let upstream = start_daemon("upstream", "upstream-1", &platform, "");
+    let entry = start_daemon("entry", "entry-1", &platform, "");
+    wait_until_ready(&upstream).await;
+    wait_until_ready(&entry).await;
+    let mut changes = basic_changes();
+    for (label, address) in [("endless", endless), ("head", head), ("sound", sound.address)] {
+        changes.extend(service_route(label, address));
+    }
+    let number = apply_changes(&entry, &changes).await;
+    wait_for_number(&upstream, number).await;
+    wait_for_number(&entry, number).await;
+    let call = async |route: &str| {
+        let request = build_request(&entry, &format!("/v1/call/{route}/verdict"));
+        send_request(request, &json!({})).await.status
+    };
+    let calls = ["endless", "head"].iter().cycle().take(100).map(async |&route| call(route).await);
+    let sound = async {
+        let mut statuses = Vec::new();
+        for _ in 0..20 {
+            statuses.push(call("sound").await);
+        }
+        statuses
+    };
+    let (statuses, sound) = tokio::join!(futures_util::future::join_all(calls), sound);
+    assert_eq!(sound, vec![200; 20]);
+    assert!(!statuses.contains(&200), "{statuses:?}");
+    for (role, process) in [("upstream", &upstream), ("entry", &entry)] {
+        let used = memory_kb(process);
+        assert!(used <= MEMORY_MAX_KB, "{role}: {used} KB");
+    }
+}
+
+/// The store sends bytes without an end. Guards against an entry that keeps them all.
+#[actix_rt::test]
+async fn answers_of_the_store_without_an_end_take_bounded_memory() {
+    for (begin, piece) in
+        [("HTTP/1.1 200 OK\r\n", "x-filler: 0123456789\r\n"), (ENDLESS_CHUNKS, "4\r\n[[[[\r\n")]
+    {
+        let (store, open) = start_service(Endless::fast(begin, piece));
+        let label = format!("endless-{}", store.port());
+        let rest = "ready = 127.0.0.1:0\nsidecars = 1\n";
+        let mut entry = start_with(&label, &settings_text("entry", "entry-1", store, rest));
+        wait_until("a call", async || (open.load(Ordering::SeqCst) > 0).then_some(())).await;
+        wait_until("the end of a call", async || entry.has_line("feed_lost").then_some(())).await;
+        let used = memory_kb(&entry);
+        assert!(used <= MEMORY_MAX_KB, "{used} KB");
+    }
+}
