Spoil the heads of answers in the soak

Cause: no check brought about answers whose heads are spoilt, so that none saw them reach callers. Change: a path's proxy can put a line that is no field into the head of each answer, for upstreams, other daemons and the store. No answer that a caller gets may have that line. Measured: promises::a_spoilt_answer_is_seen, proxy::the_heads_of_answers_are_spoilt.

--- a/kingcupbay_soak/src/callers.rs
+++ b/kingcupbay_soak/src/callers.rs
@@ -14,6 +14,7 @@
 use crate::{
     fleet::Fleet,
     operator::{CLUB, GUESTS, TIMEOUT_MS, WINERY, guest_key, permanent_key},
+    proxy::SPOILT_FIELD,
     sent::{Answer, End, Kind, Sent, TakenUp},
 };
 
@@ -284,6 +285,7 @@
         stamp: signature,
         attempt,
         returns: head.headers.contains_key(header::RETRY_AFTER),
+        spoilt: head.headers.contains_key(SPOILT_FIELD),
         body: String::from_utf8_lossy(&bytes).into_owned(),
     })
 }
--- a/kingcupbay_soak/src/promises.rs
+++ b/kingcupbay_soak/src/promises.rs
@@ -93,6 +93,7 @@
         found.extend(check_run_count(req, ran));
         found.extend(check_refusal(req, ran));
         found.extend(check_success(req, ran));
+        found.extend(check_spoilt(req));
         if let Some(stopped) = sound.get(&req.round) {
             found.extend(check_not_lost(req, ran, stopped));
         }
@@ -171,6 +172,13 @@
     (!signed || !whole).then(|| breach("a success is whole and its own", details()))
 }
 
+/// No answer has a line of one that was spoilt on its way.
+fn check_spoilt(req: &Sent) -> Option<Breach> {
+    let Some(End::Answered(answer)) = &req.end else { return None };
+    let details = || format!("{} {:?}: {answer:?}", req.attempt, req.kind);
+    answer.spoilt.then(|| breach("a spoilt answer reaches nobody", details()))
+}
+
 fn is_whole_stream(req: &Sent, answer: &Answer) -> bool {
     let event = |id: u64| format!("id: {id}\ndata: event {id} of {}\n\n", req.attempt);
     let first = req.takes_up.as_ref().map_or(1, |stream| stream.last + 1);
--- a/kingcupbay_soak/src/proxy.rs
+++ b/kingcupbay_soak/src/proxy.rs
@@ -21,6 +21,12 @@
 /// Most bytes copied at a time; small, so that a fault interrupts answers midway.
 const CHUNK_BYTES: usize = 2 << 10;
 
+/// How an answer begins.
+const ANSWER_START: &[u8] = b"HTTP/1.1 ";
+
+/// Name in the line that is put into heads: a blank before the colon makes it no field.
+pub const SPOILT_FIELD: &str = "x-spoilt";
+
 /// Interval at which a held direction checks for a reset by its sender.
 const RESET_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -35,6 +41,8 @@
     Open,
     /// Each chunk passes after this delay.
     Late(Duration),
+    /// Bytes pass, but the head of each answer gets a line that is no field.
+    Spoilt,
     /// Bytes are held until the direction is open again; if the sender resets its
     /// connection, they are dropped, as on a cut network.
     Held,
@@ -212,10 +220,20 @@
         if read == 0 {
             return to.shutdown().await;
         }
-        to.write_all(&chunk[..read]).await?;
+        if now == Flow::Spoilt && chunk[..read].starts_with(ANSWER_START) {
+            to.write_all(&spoil(&chunk[..read])).await?;
+        } else {
+            to.write_all(&chunk[..read]).await?;
+        }
     }
 }
 
+/// Adds a line that is no field to the head that `bytes` begin with.
+fn spoil(bytes: &[u8]) -> Vec<u8> {
+    let end = bytes.windows(2).position(|pair| pair == b"\r\n").map_or(0, |at| at + 2);
+    [&bytes[..end], SPOILT_FIELD.as_bytes(), b" : 1\r\n", &bytes[end..]].concat()
+}
+
 /// Makes the drop of the socket send a reset instead of an orderly close.
 fn reset(stream: &TcpStream) {
     // If the option cannot be set, the socket closes in order.
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -40,6 +40,9 @@
 /// Separates the seed of silences from that of the other troubles.
 const SILENCES_SEED: u64 = 0x7369_6c65;
 
+/// Separates that of spoilt answers.
+const SPOILT_SEED: u64 = 0x7370_6f69;
+
 /// Separates that of answers without an end and fatal requests.
 const ENDLESS_SEED: u64 = 0x656e_646c;
 
@@ -98,6 +101,7 @@
     let mut announced = Random::new(plan.seed ^ ANNOUNCEMENTS_SEED);
     let mut silent = Random::new(plan.seed ^ SILENCES_SEED);
     let mut endless = Random::new(plan.seed ^ ENDLESS_SEED);
+    let mut spoilt = Random::new(plan.seed ^ SPOILT_SEED);
     let mut crowds = crowd::random(plan.seed);
     let mut outcome = Outcome::default();
     let mut sound = BTreeMap::new();
@@ -109,6 +113,11 @@
         troubles.extend(trouble::draw_announcements(&mut announced, &context.fleet));
         troubles.extend(trouble::draw_silences(&mut silent, &context.fleet));
         troubles.extend(trouble::draw_endless(&mut endless, &context.fleet));
+        let spoilt = trouble::draw_spoilt(&mut spoilt, &context.fleet);
+        // They would excuse losses in a round without other faults.
+        if troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
+            troubles.extend(spoilt);
+        }
         troubles.extend(crowd::draw(&mut crowds, &context.fleet));
         context.round.set(round);
         if !troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
--- a/kingcupbay_soak/src/sent.rs
+++ b/kingcupbay_soak/src/sent.rs
@@ -63,6 +63,8 @@
     pub attempt: Option<String>,
     /// Whether it carries a `retry-after` header.
     pub returns: bool,
+    /// Whether its head has a line of a spoilt answer.
+    pub spoilt: bool,
     /// The whole body.
     pub body: String,
 }
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -40,6 +40,8 @@
     Reset,
     /// Open connections carry nothing any more but are not closed.
     Silence,
+    /// The heads of answers get a line that is no field.
+    Spoil,
 }
 
 /// Sound upstreams that fall silent together.
@@ -211,6 +213,24 @@
     (0..count).map(endless).collect()
 }
 
+/// Draws upstreams, daemons and paths to the store whose answers are spoilt during a round, to
+/// overlap its other troubles.
+pub fn draw_spoilt(random: &mut Random, fleet: &Fleet) -> Vec<Timed> {
+    let count = 2_u64.saturating_sub(random.below(5));
+    let spoilt = |_| {
+        let mut one_of = |count: usize| random.below(count as u64) as usize;
+        let trouble = match one_of(4) {
+            0 => Trouble::Store(one_of(fleet.hosts().count()), PathFault::Spoil),
+            1 => Trouble::Peers(one_of(fleet.hosts().count()), PathFault::Spoil),
+            _ => Trouble::Upstream(one_of(fleet.upstreams().count()), PathFault::Spoil),
+        };
+        let at = Duration::from_millis(random.below(1_500));
+        let lasts = Duration::from_millis(100 + random.below(2_400));
+        Timed { at, lasts, trouble }
+    };
+    (0..count).map(spoilt).collect()
+}
+
 fn draw(random: &mut Random, fleet: &Fleet) -> Trouble {
     let mut one_of = |count: usize| random.below(count as u64) as usize;
     let entry = one_of(fleet.entries.len());
@@ -323,6 +343,7 @@
         PathFault::Cut => Flows::CUT,
         PathFault::CutThere => Flows { to_target: Flow::Held, from_target: Flow::Open },
         PathFault::CutBack => Flows { to_target: Flow::Open, from_target: Flow::Held },
+        PathFault::Spoil => Flows { to_target: Flow::Open, from_target: Flow::Spoilt },
         PathFault::Reset => return proxy.reset(),
         PathFault::Silence => return proxy.silence(),
     };
--- a/kingcupbay_soak/tests/promises.rs
+++ b/kingcupbay_soak/tests/promises.rs
@@ -99,6 +99,7 @@
             stamp: Some(format!("stamp-of-{attempt}")),
             attempt: Some(attempt.to_owned()),
             returns: false,
+            spoilt: false,
             body: "done by desk-0".to_owned(),
         };
         let End::Answered(answer) = sent.end.insert(End::Answered(answer)) else {
@@ -316,3 +317,14 @@
         ]
     );
 }
+
+#[test]
+fn a_spoilt_answer_is_seen() {
+    let mut case = Case::new();
+    case.sends("a", Kind::Book, CLUB);
+    case.runs("a");
+    case.answers("a", 200);
+    assert_eq!(case.broken_promises(), Vec::<&str>::new());
+    case.answers("a", 200).spoilt = true;
+    assert_eq!(case.broken_promises(), ["a spoilt answer reaches nobody"]);
+}
--- a/kingcupbay_soak/tests/proxy.rs
+++ b/kingcupbay_soak/tests/proxy.rs
@@ -91,3 +91,14 @@
     let mut byte = [0];
     assert_eq!(server.try_read(&mut byte).unwrap_err().kind(), ErrorKind::WouldBlock);
 }
+
+#[actix_rt::test]
+async fn the_heads_of_answers_are_spoilt() {
+    let (proxy, _listener, mut client, mut server) = connect().await;
+    proxy.set(Flows { to_target: Flow::Open, from_target: Flow::Spoilt });
+    server.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+    server.shutdown().await.unwrap();
+    let mut text = String::new();
+    client.read_to_string(&mut text).await.unwrap();
+    assert_eq!(text, "HTTP/1.1 200 OK\r\nx-spoilt : 1\r\ncontent-length: 0\r\n\r\n");
+}
