--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     part_crashes: IntCounter,
     part_refusals: IntCounter,
     abandoned: IntCounterVec,
+    malformed: IntCounter,
     request_ends: IntCounter,
     late_ends: IntCounterVec,
     fatal_refusals: IntCounter,
@@ -233,6 +234,11 @@
                 "kingcupbay_request_ends_total",
                 "Upstreams that ended while they ran a request",
             ),
+            malformed: counter(
+                &registry,
+                "kingcupbay_malformed_answers_total",
+                "Answers of upstreams that HTTP does not allow",
+            ),
             late_ends: counters(
                 &registry,
                 "kingcupbay_late_ends_total",
@@ -318,6 +324,11 @@
         self.request_ends.inc();
     }
 
+    /// Counts an answer that HTTP does not allow.
+    pub(crate) fn on_malformed(&self) {
+        self.malformed.inc();
+    }
+
     /// Counts an upstream that ended under a request that was given up before.
     pub(crate) fn on_late_end(&self, why: &str) {
         self.late_ends.with_label_values(&[why]).inc();
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -312,7 +312,10 @@
         return refuse(&gateway, &job.metadata, refusal);
     }
     if gateway.node.drain.phase() >= Phase::Closing {
-        return refuse(&gateway, &job.metadata, stopping_refusal(&job));
+        let refusal = stopping_refusal(&job);
+        warn!(gateway.node.log, ""; "event" => "refused", "request" => &job.metadata.attempt,
+            "code" => refusal.code.as_str(), "why" => refusal.why);
+        return refuse(&gateway, &job.metadata, refusal);
     }
     if let Err(refusal) = limiters::acquire(&job).await {
         return refuse(&gateway, &job.metadata, refusal);
--- a/kingcupbayd/src/registered/parts.rs
+++ b/kingcupbayd/src/registered/parts.rs
@@ -212,6 +212,9 @@
         }
     };
     let is_malformed = matches!(error, LinkError::Malformed(_));
+    if is_malformed {
+        job.gateway.metrics.on_malformed();
+    }
     if is_timeout {
         // The way there was cut. Whether the upstream has ended, too, shows later.
         fatal::on_given_up(job, row, at, false);
--- a/kingcupbayd/tests/broken_answers.rs
+++ b/kingcupbayd/tests/broken_answers.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::{
+    get_text,
     raw::{Ending, RawAnswer, RawCaller, RawUpstream},
     registered::{Fleet, PLAIN_SERVICE},
     wait_until,
@@ -72,6 +73,9 @@
     }
     assert_eq!(upstream.heads("/book/seat").len(), 1, "{}", shape.name);
     if got.as_ref().is_some_and(|got| got.status() == 502) {
+        let counts = get_text(&fleet.entry, "/metrics").await;
+        let line = "kingcupbay_malformed_answers_total 1";
+        assert!(shape.ending == Ending::Close || counts.contains(line), "{}", shape.name);
         // Bytes that follow a broken answer belong to no request.
         wait_until("the connection to close", async || {
             (upstream.open_connections() == 0).then_some(())
