--- a/kingcupbayd/src/http/client.rs
+++ b/kingcupbayd/src/http/client.rs
@@ -112,13 +112,14 @@
         kept: Option<Link>,
         idle: Idle,
     ) -> Result<Answer, LinkError> {
+        let host = HeaderValue::from_str(address);
+        let host = host.map_err(|_| LinkError::Unsent(io::ErrorKind::InvalidInput.into()))?;
         let mut link = match kept {
             Some(link) => link,
             None => Link::connect(address, self.connect_timeout).await?,
         };
         let Call { method, path, mut headers, body } = call;
-        let host = HeaderValue::from_str(address);
-        headers.insert(header::HOST, host.expect("a connected address is visible ASCII"));
+        headers.insert(header::HOST, host);
         let head = link.exchange(method, path, headers, &body).await?;
         let mut answer = Answer { head, link: Some(link), idle, held: self.held.clone() };
         answer.release_if_bodiless().await?;
--- a/kingcupbayd/src/http/link.rs
+++ b/kingcupbayd/src/http/link.rs
@@ -469,8 +469,8 @@
 
 /// Returns the parser for the body that follows a head.
 fn body_parser(codec: ClientCodec, framing: Framing) -> Parser {
-    // The library expects a body where there is none, or none before a protocol that the server
-    // offers. A new codec keeps nothing of it; the connection is not used again.
+    // The library expects a body where there is none, and none where the server offers to change
+    // the protocol. A new codec keeps nothing of the body that it expects.
     let is_expected = codec.message_type() != MessageType::None;
     let reset = |codec| if is_expected { ClientCodec::default() } else { codec };
     match framing {
--- a/kingcupbayd/src/registered/confirm.rs
+++ b/kingcupbayd/src/registered/confirm.rs
@@ -76,11 +76,9 @@
     }
 }
 
-/// Returns once the store has confirmed the registrations since now, and has been applied. Returns
-/// `false` if it does not answer.
+/// Applies the registrations as they are in the store now. Returns `false` if it does not answer.
 ///
-/// A page of the feed proves less: it may have been sent long before it was read, as by an entry
-/// that was paused.
+/// A page of the feed does not show this: an entry that was paused reads it long after it was sent.
 pub(crate) async fn confirm_upstreams(node: &Rc<Node>) -> bool {
     let asked = clock::now();
     let confirmation = &node.upstream_confirmation;
