Send the caller's last event to services without an engine

After the loss of an entry, 5 of 36 streams that callers took up at another one began anew: event 1 followed event 20.

Cause: requests to services without an engine were sent with SendOptions::plain(), whose last event is None, and the headers of a request leave out the caller's own Last-Event-Id, as the entry sets it. The upstream ran the stream from its start. A route that weighs a service with an engine and one without sends some streams there.

Ruled out: forwarding the header as it came. One that is no number would reach an upstream although the entry took it for missing and chose the upstream without regard to the stream's origin.

Change: the event is sent on all kinds of routes. The origin of a stream from such a service is recorded before it is answered, and one that is taken up goes to the software that began it. A caller that names its stream (Resumes) gets the service that its first attempt was drawn to.

Conclusion: why it works: the upstream gets what the rule lets it go on after, by the same field that engines get.

--- a/kingcupbayd/src/gateway/job.rs
+++ b/kingcupbayd/src/gateway/job.rs
@@ -87,7 +87,17 @@
 
     /// Returns a pseudorandom number that is the same for each call on one request.
     pub(crate) fn draw(&self) -> u64 {
-        draw(&self.metadata)
+        draw(self.metadata.attempt.as_deref())
+    }
+
+    /// Returns the pseudorandom number that chooses the service: that of the attempt which began
+    /// the stream, if the caller takes one up and names it.
+    pub(crate) fn service_draw(&self) -> u64 {
+        let first = self.metadata.resumes.as_deref();
+        match first.filter(|_| self.metadata.last_event.is_some()) {
+            Some(first) => draw(Some(first)),
+            None => self.draw(),
+        }
     }
 
     /// Returns a time from `after` up to twice that, or [`SPREAD_MAX`] later, so that callers
@@ -148,15 +158,15 @@
     }
 }
 
-/// Returns a pseudorandom number that is the same for each call on one request.
-fn draw(metadata: &RequestMetadata) -> u64 {
+/// Returns a pseudorandom number that is the same for each call on one attempt.
+fn draw(attempt: Option<&str>) -> u64 {
     let mut hasher = DefaultHasher::new();
-    metadata.attempt.hash(&mut hasher);
+    attempt.hash(&mut hasher);
     hasher.finish()
 }
 
 /// Returns a time from `after` up to twice that, or [`SPREAD_MAX`] later.
 pub(crate) fn spread(after: Span, metadata: &RequestMetadata) -> Span {
     let width = after.min(SPREAD_MAX).as_micros().max(1);
-    after + Span::from_micros(draw(metadata) % width)
+    after + Span::from_micros(draw(metadata.attempt.as_deref()) % width)
 }
--- a/kingcupbayd/src/gateway/mod.rs
+++ b/kingcupbayd/src/gateway/mod.rs
@@ -325,8 +325,7 @@
 
 /// Forwards an admitted request and answers it.
 async fn serve(job: Rc<Job>) -> Response<BoxBody> {
-    let draw = job.draw();
-    let service = job.route.target(draw).to_owned();
+    let service = job.route.target(job.service_draw()).to_owned();
     job.gateway.repeats.borrow_mut().entry(service.clone()).or_default().on_first(clock::now());
     let engine = job.deployment.services.get(&service).is_some_and(|row| row.engine.is_some());
     let served = async {
--- a/kingcupbayd/src/gateway/plain.rs
+++ b/kingcupbayd/src/gateway/plain.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use actix_http::{Response, ResponseHead, body::BoxBody};
+use actix_http::{Response, ResponseHead, body::BoxBody, header};
 use kingcupbay_core::{
     deployment::model::{Instance, Repeat},
     health::Exchange,
+    origin::Eligible,
     time::Span,
     wire::error::Code,
 };
@@ -22,7 +23,7 @@
         send::{self, SendError, SendOptions},
     },
     http::{budget::HeldBytes, link::LinkError},
-    registered::{fatal, parts},
+    registered::{fatal, origins, parts},
 };
 
 /// Time without an answer, as a multiple of the route's latency target, after which a request
@@ -111,10 +112,14 @@
     if let Some(refusal) = fatal::refusal(&job) {
         return Err(refusal);
     }
+    let eligible = match job.route.repeat.streams() {
+        true => origins::eligible(&job, service).await?,
+        false => Eligible::Any,
+    };
     let mut tried = Tried::default();
     let open = OpenAttempts::new();
     while job.remaining() > Span::ZERO {
-        let next = choose_next(&job, service, &tried, !open.is_empty());
+        let next = choose_next(&job, service, eligible, &tried, !open.is_empty());
         let newest = match &next {
             Next::Send(instance, _) => Some(instance.clone()),
             Next::Pause | Next::Nothing if open.is_empty() => break,
@@ -128,7 +133,7 @@
                 }
                 tried.upstreams.push(instance.id.clone());
                 tried.sends += 1;
-                open.push(Box::pin(attempt(&job, instance, ticket)));
+                open.push(Box::pin(attempt(&job, instance, eligible, ticket)));
                 patience(&job, tried.sends)
             }
             Next::Pause | Next::Nothing if tried.failure.is_some() => answer_time(&job),
@@ -187,13 +192,21 @@
     if let Some((instance, head, body)) = tried.failure {
         return Ok(deliver(&job, &instance, &head, body));
     }
-    Err(final_refusal(&job, service, &tried))
+    Err(final_refusal(&job, service, eligible, &tried))
 }
 
 /// Returns what to do next for a request that has been tried as `tried` says. `has_open` says
 /// whether a silent upstream may still answer it.
-fn choose_next(job: &Job, service: &str, tried: &Tried, has_open: bool) -> Next {
-    let Some(instance) = choose(job, service, &tried.upstreams) else { return Next::Nothing };
+fn choose_next(
+    job: &Job,
+    service: &str,
+    eligible: Eligible,
+    tried: &Tried,
+    has_open: bool,
+) -> Next {
+    let Some(instance) = choose(job, service, eligible, &tried.upstreams) else {
+        return Next::Nothing;
+    };
     match tried.sends {
         _ if has_open && !job.route.repeat.repeatable() => Next::Nothing,
         0 => Next::Send(instance, None),
@@ -231,7 +244,11 @@
 }
 
 /// Returns the refusal of a request that no upstream answers.
-fn final_refusal(job: &Job, service: &str, tried: &Tried) -> Refusal {
+fn final_refusal(job: &Job, service: &str, eligible: Eligible, tried: &Tried) -> Refusal {
+    let has_upstream = || {
+        let catalogue = job.gateway.node.catalogue.borrow();
+        catalogue.serving(service).any(|row| eligible.includes(row))
+    };
     match (tried.may_have_run, job.remaining() == Span::ZERO) {
         (true, true) => Refusal::unknown(Code::Deadline, "no answer in time"),
         (true, false) => Refusal::unknown(Code::UpstreamFailed, "the upstream failed"),
@@ -248,6 +265,9 @@
             let after = held.after().map_or(NO_UPSTREAM_RETRY, |after| job.spread(after));
             Refusal::retry(Code::Overloaded, held.as_str(), after)
         }
+        (false, _) if eligible != Eligible::Any && !has_upstream() => {
+            Refusal::plain(Code::NoUpstream, "no upstream of the stream's software")
+        }
         (false, _) => {
             let refusal = Refusal::retry(Code::NoUpstream, "no upstream", NO_UPSTREAM_RETRY);
             job.gateway.evacuated_refusal(service).unwrap_or(refusal)
@@ -256,10 +276,11 @@
 }
 
 /// Returns the upstream to try next.
-fn choose(job: &Job, service: &str, tried: &[String]) -> Option<Rc<Instance>> {
+fn choose(job: &Job, service: &str, eligible: Eligible, tried: &[String]) -> Option<Rc<Instance>> {
     let catalogue = job.gateway.node.catalogue.borrow();
+    let is_open = |row: &&Rc<Instance>| eligible.includes(row) && !tried.contains(&row.id);
     let untried: Vec<&Rc<Instance>> =
-        catalogue.listed(service).into_iter().filter(|row| !tried.contains(&row.id)).collect();
+        catalogue.listed(service).into_iter().filter(is_open).collect();
     let health = job.gateway.health.borrow();
     let ids = untried.iter().map(|row| row.id.as_str());
     let id = health.choose(clock::now(), ids, job.draw())?;
@@ -281,6 +302,7 @@
 async fn attempt(
     job: &Rc<Job>,
     instance: Rc<Instance>,
+    eligible: Eligible,
     mut ticket: Option<RepeatTicket>,
 ) -> (Rc<Instance>, Option<RepeatTicket>, Outcome) {
     if let Some(ticket) = &mut ticket {
@@ -288,7 +310,7 @@
     }
     let outcome = {
         let _open = OpenRequest::new(&job.gateway, &instance.id);
-        let exchange = exchange(job, &instance);
+        let exchange = exchange(job, &instance, eligible);
         let ended = clock::timeout(job.remaining(), exchange).await;
         ended.unwrap_or(Outcome::Unknown(LinkError::Silent))
     };
@@ -296,9 +318,11 @@
 }
 
 /// Sends the request to `instance` and reads the whole answer.
-async fn exchange(job: &Rc<Job>, instance: &Rc<Instance>) -> Outcome {
+async fn exchange(job: &Rc<Job>, instance: &Rc<Instance>, eligible: Eligible) -> Outcome {
     let began = clock::now();
-    let answer = match send::send(job, instance, SendOptions::plain()).await {
+    let last_event = job.metadata.last_event;
+    let options = SendOptions { eligible, last_event, ..SendOptions::plain() };
+    let answer = match send::send(job, instance, options).await {
         Ok(answer) => answer,
         Err(SendError::Held(hold)) => return Outcome::Held(hold),
         Err(SendError::Link(error)) if error.is_unsent() => return Outcome::Unsent(error),
@@ -378,6 +402,20 @@
         "ms" => clock::now().since(job.arrived).as_millis());
 }
 
+/// Records which software made a stream that the caller may take up.
+fn record_origin(job: &Job, instance: &Instance, head: &ResponseHead) {
+    let kind = head.headers.get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    let is_stream =
+        head.status.is_success() && kind.is_some_and(|kind| kind.starts_with("text/event-stream"));
+    let software = job.gateway.software(instance);
+    if let (Some(stream), Some(software)) = (job.stream(), software)
+        && is_stream
+        && job.route.repeat == Repeat::Resumable
+    {
+        origins::on_own(&job.gateway, &instance.service, stream, software);
+    }
+}
+
 /// Returns the upstream's answer, and counts and logs it.
 fn deliver(
     job: &Job,
@@ -387,6 +425,7 @@
 ) -> Response<BoxBody> {
     let ms = clock::now().since(job.arrived);
     job.gateway.metrics.on_answer(&job.route.name, head.status.as_u16(), ms);
+    record_origin(job, instance, head);
     info!(job.gateway.node.log, ""; "event" => "answered", "request" => &job.metadata.attempt,
         "route" => &job.route.name, "upstream" => &instance.id,
         "status" => head.status.as_u16(), "ms" => ms.as_millis());
