Look at the registration right before a request is written

Cause: the registration counted when the upstream was chosen. The wait for a permit, 2.25 s on a connection that has gone silent, and the check before the write looked at evacuations and at what upstreams say in their answers only.

Ruled out: that the entry did not know (its log has the row 2 s before the request). A shorter wait for permits: any other wait would end the same way, and a long queue at a busy engine looks like a silent connection. Holding every request back from an upstream that drains: a service of which all upstreams drain would refuse what it serves today.

Change: Gateway::hold and the waits for permits take an upstream for withdrawn whose row says draining, is gone, or names another start, or at whose address another one has started. What waited goes elsewhere with the time left; its permit is released, and the time that it waited is not taken for a search in vain. Where no other upstream may run it, it is sent to the one that leaves within a second of the news, without a permit after half a second. A run that continues goes to a target that leaves for the same second.

Conclusion: why it works: all that is sent to an upstream passes the check, after the last wait before the write. Open: a permit is still waited for on a silent connection (docs/incidents/inc-late-wait.md).

--- a/kingcupbay_core/src/deployment/catalogue.rs
+++ b/kingcupbay_core/src/deployment/catalogue.rs
@@ -60,6 +60,9 @@
     replaced: BTreeSet<String>,
     /// Upstreams that have left.
     departures: Departures,
+    /// When each upstream turned out to leave, or to be gone. Invariant: none of them is in
+    /// `instances` and stays.
+    left: BTreeMap<String, Instant>,
     /// Upstreams that have said in their answers that they leave.
     announced: AnnouncedDepartures,
     /// Availability zones whose upstreams get no new requests.
@@ -80,6 +83,18 @@
 /// register again within two seconds of the store's recovery.
 const MISSING_MAX: Span = Span::from_millis(2_500);
 
+/// How long it is kept when an upstream left. No request waits for one so long.
+const LEFT_KEPT_FOR: Span = Span::from_secs(60);
+
+/// What has become of an upstream since a request was sent to wait for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// It is leaving.
+    Leaving,
+    /// It is no longer registered, or another process has taken its id or its address.
+    Gone,
+}
+
 impl Catalogue {
     /// Returns the configuration in force.
     pub fn deployment(&self) -> Option<&Rc<Deployment>> {
@@ -155,6 +170,25 @@
         self.announced.contains(&row.id, row.born)
     }
 
+    /// Returns whether the process that `row` registered no longer gets new requests.
+    pub fn withdrawal(&self, row: &Instance) -> Option<Withdrawal> {
+        match self.instances.get(&row.id) {
+            Some(known) if known.born == row.born && !self.replaced.contains(&row.id) => {
+                known.leaving.then_some(Withdrawal::Leaving)
+            }
+            _ => Some(Withdrawal::Gone),
+        }
+    }
+
+    /// Returns for how long the upstream `id` has been known to leave, or to be gone. `None` if
+    /// it stays, perhaps as another process.
+    pub fn left_for(&self, now: Instant, id: &str) -> Option<Span> {
+        match self.left.get(id) {
+            Some(&since) => Some(now.since(since)),
+            None => (!self.instances.contains_key(id)).then_some(LEFT_KEPT_FOR),
+        }
+    }
+
     /// Returns whether `service` has upstreams, and all of them are in evacuated zones.
     pub fn is_evacuated(&self, service: &str) -> bool {
         self.serving(service).next().is_none() && self.staying(service).next().is_some()
@@ -208,7 +242,10 @@
 
     /// Stores a registration. `reported` says whether another entry has reported it.
     fn insert(&mut self, now: Instant, row: Instance, reported: bool) {
-        if !row.leaving {
+        if row.leaving {
+            self.left.entry(row.id.clone()).or_insert(now);
+        } else {
+            self.left.remove(&row.id);
             self.departures.on_back(&row.id);
         }
         self.update_cold(now, &row, reported);
@@ -276,7 +313,7 @@
             ChangeKind::UpstreamGone(id) => {
                 if self.instances.get(&id).is_some_and(|known| known.version <= version) {
                     self.departures.on_report(now, &id, version, self.last_write(&id));
-                    self.drop_instance(&id);
+                    self.drop_instance(now, &id);
                 }
             }
             ChangeKind::Entry(member) => self.on_member(member),
@@ -311,7 +348,7 @@
             return;
         }
         self.departures.on_store(now, id, version, self.last_write(id));
-        self.drop_instance(id);
+        self.drop_instance(now, id);
     }
 
     /// Returns start and count of the newest known write of an upstream.
@@ -326,6 +363,7 @@
         let newer = |known: &&Rc<Instance>| known.version < version && !known.leaving;
         let Some(known) = self.instances.get(id).filter(newer) else { return false };
         let left = Instance { leaving: true, version, ..Instance::clone(known) };
+        self.left.entry(id.to_owned()).or_insert(now);
         self.instances.insert(id.to_owned(), Rc::new(left));
         true
     }
@@ -364,13 +402,14 @@
             match after_outage && !row.leaving {
                 // The time of an upstream that is already missing is not extended.
                 true => drop(self.missing.entry(row.id.clone()).or_insert(now)),
-                false => self.drop_instance(&row.id),
+                false => self.drop_instance(now, &row.id),
             }
         }
         self.missing.keys().cloned().collect()
     }
 
-    fn drop_instance(&mut self, id: &str) {
+    fn drop_instance(&mut self, now: Instant, id: &str) {
+        self.left.entry(id.to_owned()).or_insert(now);
         self.missing.remove(id);
         self.replaced.remove(id);
         self.cold_until.remove(id);
@@ -398,8 +437,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.drop_instance(id);
+            self.drop_instance(now, id);
         }
+        let (left, instances) = (&mut self.left, &self.instances);
+        left.retain(|id, since| instances.contains_key(id) || now.since(*since) < LEFT_KEPT_FOR);
         gone
     }
 
--- a/kingcupbay_core/tests/deployment.rs
+++ b/kingcupbay_core/tests/deployment.rs
@@ -8,7 +8,7 @@
     cold::ColdLimits,
     config::model::{KeyHash, Role},
     deployment::{
-        catalogue::{Catalogue, Member},
+        catalogue::{Catalogue, Member, Withdrawal},
         lookup::Caller,
         model::{AdapterName, Deployment, Instance, Organisation, Repeat, Route, Service, Target},
     },
@@ -380,3 +380,27 @@
     catalogue.on_reported_change(now, report(2, 3));
     assert_eq!(catalogue.instance("a").map(|row| row.software.as_str()), Some(""));
 }
+
+/// Guards against losing sight of how long an upstream has been withdrawn, and against taking the
+/// process that comes after it for the one that left.
+#[test]
+fn a_withdrawn_upstream_is_known_until_it_registers_again() {
+    let mut catalogue = Catalogue::default();
+    let at = |millis| Instant::default() + Span::from_millis(millis);
+    let row = instance("a");
+    catalogue.on_instance(at(0), row.clone());
+    assert_eq!((catalogue.withdrawal(&row), catalogue.left_for(at(10), "a")), (None, None));
+    let draining = Instance { leaving: true, count: 2, version: 2, ..instance("a") };
+    catalogue.on_instance(at(100), draining.clone());
+    catalogue.on_instance(at(300), Instance { count: 3, version: 3, ..draining });
+    assert_eq!(catalogue.withdrawal(&row), Some(Withdrawal::Leaving));
+    assert_eq!(catalogue.left_for(at(400), "a"), Some(Span::from_millis(300)));
+    catalogue.on_instance_gone(at(500), "a", 4);
+    assert_eq!(catalogue.withdrawal(&row), Some(Withdrawal::Gone));
+    assert_eq!(catalogue.left_for(at(600), "a"), Some(Span::from_millis(500)));
+    let successor = Instance { born: 2, version: 5, ..instance("a") };
+    catalogue.on_instance(at(700), successor.clone());
+    assert_eq!(catalogue.withdrawal(&row), Some(Withdrawal::Gone));
+    assert_eq!(catalogue.withdrawal(&successor), None);
+    assert_eq!(catalogue.left_for(at(800), "a"), None);
+}
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -2,7 +2,8 @@
 //! is known of a request and its caller right before it is written.
 //!
 //! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
-//! daemons. Each holds for the process that has said it, by id and start. A stream goes on only
+//! daemons. Each holds for the process that has said it, by id and start. A request that waits while
+//! its upstream is withdrawn goes elsewhere, if it can. A stream goes on only
 //! at an upstream of the software that began it, and a request with a part that engines crash on
 //! goes to none, nor does one under which upstreams end.
 
@@ -11,7 +12,11 @@
 use kingcupbay_core::{
     cold::ColdLimits,
     config::model::Role,
-    deployment::{catalogue::Catalogue, model::Instance},
+    deployment::{
+        catalogue::{Catalogue, Withdrawal},
+        model::Instance,
+    },
+    origin::Eligible,
     time::{Instant, Span},
     wire::{limit::LimitReports, metadata::AnswerMetadata, origin::SoftwareId},
 };
@@ -26,6 +31,13 @@
 /// Why a request whose caller has left gets no run.
 pub(crate) const CALLER_LEFT: &str = "the caller has left";
 
+/// How long an upstream that leaves still gets requests which no other one may run. Upstreams serve
+/// for twice as long at least, and the news of their leaving may be late.
+const LEAVING_GRACE: Span = Span::from_millis(1_000);
+
+/// How long such a request waits for a permit.
+const LEAVING_WAIT: Span = Span::from_millis(500);
+
 /// Why a request is not sent to an upstream now, or does not wait for it any longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
@@ -39,8 +51,10 @@
     Software,
     /// The upstream's availability zone is evacuated.
     Evacuated,
-    /// The upstream has said that it leaves.
+    /// The upstream is leaving.
     Leaving,
+    /// The process that the request was chosen for is gone.
+    Gone,
     /// The upstream has asked for rest; what is left of that.
     Resting(Span),
     /// The upstream limits its requests; the time until it takes another one.
@@ -72,6 +86,7 @@
             Hold::Software => "upstreams run another software",
             Hold::Evacuated => "zones are evacuated",
             Hold::Leaving => "upstreams are leaving",
+            Hold::Gone => "upstreams are gone",
             Hold::Resting(_) => "upstreams asked for rest",
             Hold::Limited(_) => "upstreams limit their requests",
             Hold::Cold(_) => "upstreams are cold",
@@ -87,6 +102,7 @@
             Hold::Software => "software",
             Hold::Evacuated => "evacuated",
             Hold::Leaving => "leaving",
+            Hold::Gone => "gone",
             Hold::Resting(_) => "resting",
             Hold::Limited(_) => "limited",
             Hold::Cold(_) => "cold",
@@ -114,13 +130,32 @@
         if replaced || !options.eligible.includes(row) {
             return Some(Hold::Software);
         }
-        // A run that continues counts as the same run, and its source leaves already.
-        match options.copy.is_some() {
-            true => request_hold(job),
-            false => self.withdrawal(job, row),
+        match options.copy {
+            // A run that continues counts as the same run, and its source leaves already. No
+            // other upstream but its target holds its memory.
+            Some((source, _)) => request_hold(job).or_else(|| {
+                let hold = self.departure(row, Eligible::Only(row.software_id()), false);
+                hold.filter(|_| row.address != source)
+            }),
+            None => self.withdrawal(job, row, options.eligible),
         }
     }
 
+    /// Returns whether `row` is withdrawn from the request that may go to the `eligible` ones. If
+    /// there is no other of these, or the request `may_move` to none, it still gets it for a while.
+    fn departure(&self, row: &Instance, eligible: Eligible, may_move: bool) -> Option<Hold> {
+        let catalogue = self.node.catalogue.borrow();
+        let hold = match catalogue.withdrawal(row)? {
+            Withdrawal::Leaving => Hold::Leaving,
+            Withdrawal::Gone => Hold::Gone,
+        };
+        let is_other = |other: &Rc<Instance>| other.id != row.id && eligible.includes(other);
+        let left_for = catalogue.left_for(clock::now(), &row.id);
+        let is_late = left_for.is_some_and(|time| time >= LEAVING_GRACE);
+        let has_other = || may_move && catalogue.serving(&row.service).any(is_other);
+        (is_late || has_other()).then_some(hold)
+    }
+
     /// Counts the request of `job`, which this entry may send to `row` now. The sidecar beside an engine
     /// that has permitted the request keeps the limits of its engine itself.
     ///
@@ -221,8 +256,8 @@
     }
 
     /// Returns why the request of `job` gets no run at `row`, although it may wait for it already.
-    fn withdrawal(&self, job: &Job, row: &Instance) -> Option<Hold> {
-        if let Some(hold) = request_hold(job) {
+    fn withdrawal(&self, job: &Job, row: &Instance, eligible: Eligible) -> Option<Hold> {
+        if let Some(hold) = request_hold(job).or_else(|| self.departure(row, eligible, true)) {
             return Some(hold);
         }
         let catalogue = self.node.catalogue.borrow();
@@ -237,16 +272,31 @@
     }
 
     /// Waits until the request of `job` may not be sent to `row` any more, and returns why.
-    pub(crate) async fn wait_until_withdrawn(&self, job: &Job, row: &Instance) -> Hold {
+    /// Returns `None` once it must not wait any longer, as `row` leaves and no other one may run
+    /// it.
+    pub(crate) async fn wait_until_withdrawn(
+        &self,
+        job: &Job,
+        row: &Instance,
+        eligible: Eligible,
+    ) -> Option<Hold> {
         loop {
             let withdrawn = self.withdrawn.notified();
             let evacuated = self.node.evacuated.notified();
-            if let Some(why) = self.withdrawal(job, row) {
-                return why;
+            let changed = self.node.changed.notified();
+            if let Some(why) = self.withdrawal(job, row, eligible) {
+                return Some(why);
+            }
+            let left_for = self.node.catalogue.borrow().left_for(clock::now(), &row.id);
+            let rest = left_for.map(|time| LEAVING_WAIT.saturating_sub(time));
+            if rest == Some(Span::ZERO) {
+                return None;
             }
             tokio::select! {
                 () = withdrawn => {}
                 () = evacuated => {}
+                () = changed => {}
+                () = tokio::time::sleep(rest.unwrap_or_default().into()), if rest.is_some() => {}
             }
         }
     }
--- a/kingcupbayd/src/gateway/choice.rs
+++ b/kingcupbayd/src/gateway/choice.rs
@@ -153,16 +153,27 @@
                 "after_ms" => after.as_millis());
             Err(matches!(why, PermitRefusal::Busy | PermitRefusal::Unready).then_some(after))
         }
-        None => {
-            let placement = gateway.placement.borrow();
-            let is_down = point.is_speculative && placement.is_silent(clock::now(), engine);
-            let resident = placement.resident_version(engine, name).filter(|_| !is_down);
-            let newest = gateway.node.catalogue.borrow().version(name);
-            match resident {
-                Some(resident) => Ok((Some(newest.unwrap_or(resident)), None)),
-                None => Err(None),
-            }
-        }
+        None => skip_permit(job, instance, name, point),
+    }
+}
+
+/// Returns the version of the adapter with which a request may use an engine without a permit,
+/// provided that the adapter is known to be resident.
+pub(super) fn skip_permit(
+    job: &Job,
+    instance: &Instance,
+    name: &AdapterName,
+    point: StartPoint,
+) -> Result<(Option<u32>, Option<Permit>), Option<Span>> {
+    let engine = instance.address;
+    let gateway = &job.gateway;
+    let placement = gateway.placement.borrow();
+    let is_down = point.is_speculative && placement.is_silent(clock::now(), engine);
+    let resident = placement.resident_version(engine, name).filter(|_| !is_down);
+    let newest = gateway.node.catalogue.borrow().version(name);
+    match resident {
+        Some(resident) => Ok((Some(newest.unwrap_or(resident)), None)),
+        None => Err(None),
     }
 }
 
--- a/kingcupbayd/src/gateway/generate.rs
+++ b/kingcupbayd/src/gateway/generate.rs
@@ -248,16 +248,20 @@
         let wait = wait.filter(|_| !last);
         let acquired = tokio::select! {
             biased;
-            why = job.gateway.wait_until_withdrawn(job, &instance) => {
-                choice::on_withdrawn(job, &instance, why);
-                if why == Hold::CallerLeft {
-                    job.on_abandoned("permit");
-                }
-                if why.is_final() {
-                    return Err(Unplaced { after, is_final: true });
+            why = job.gateway.wait_until_withdrawn(job, &instance, point.eligible) => match why {
+                Some(why) => {
+                    choice::on_withdrawn(job, &instance, why);
+                    if why == Hold::CallerLeft {
+                        job.on_abandoned("permit");
+                    }
+                    if why.is_final() {
+                        return Err(Unplaced { after, is_final: true });
+                    }
+                    // The wait was not in vain: another engine may have room.
+                    continue;
                 }
-                Err(None)
-            }
+                None => choice::skip_permit(job, &instance, &name, point),
+            },
             acquired = choice::acquire_permit(job, &instance, &name, point, last, wait) => {
                 acquired
             }
--- /dev/null
+++ b/kingcupbayd/tests/withdrawn_upstreams.rs
@@ -0,0 +1,118 @@
+//! Requests that wait for an upstream while it is withdrawn.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{
+    Process, get_text,
+    registered::{
+        CallerAnswer, Fleet, KEY, event_ids, request_tour, second_host, second_sidecar,
+        start_engine_fleet,
+    },
+    wait_until,
+};
+use futures_util::future::join_all;
+use kingcupbay_standin::{UpstreamServer, UpstreamSettings};
+use serde_json::json;
+
+/// Requests that wait at once.
+const REQUESTS: usize = 8;
+
+/// Time in which requests come to wait for a permit.
+const WAIT: Duration = Duration::from_millis(150);
+
+/// Counter of the load reports that a sidecar has sent.
+const LOAD_REPORTS: &str = "kingcupbay_control_messages_total{kind=\"pressure\"}";
+
+/// A stream of the base model, which each engine holds.
+async fn request_base(fleet: &Fleet, attempt: &str) -> CallerAnswer {
+    let headers = [("x-model", "base"), ("x-token-usage", "100,50")];
+    fleet.send_with("POST", "/tour/day", attempt, KEY, &headers).await
+}
+
+/// Sends requests until the entry knows by the load reports of `sidecar` what its engine holds.
+async fn warm_up(fleet: &Fleet, sidecar: &Process) {
+    let mut attempts = 0;
+    wait_until("load reports", async || {
+        attempts += 1;
+        request_base(fleet, &format!("warm-{attempts}")).await;
+        let counts = get_text(sidecar, "/metrics").await;
+        let sent = counts.lines().find_map(|line| line.strip_prefix(LOAD_REPORTS))?;
+        (sent.trim().parse::<u64>().unwrap() >= 2).then_some(())
+    })
+    .await;
+}
+
+/// Requests wait for permits of the only engine, which do not come, when another engine joins and
+/// `withdraw` withdraws the first one. All must be served there.
+async fn assert_moved(withdraw: impl Fn(&Fleet, &UpstreamServer)) {
+    let (fleet, engine, sidecar) = start_engine_fleet(UpstreamSettings::engine("gpu-1", 6)).await;
+    let other = SocketAddr::new(second_host(), 0);
+    let other = UpstreamServer::start(other, UpstreamSettings::engine("gpu-2", 6)).unwrap();
+    let port = sidecar.address("peers").port();
+    let mut other_sidecar = second_sidecar(&fleet.store, &other, port);
+    wait_until("the other engine", async || other_sidecar.has_line("event=report").then_some(()))
+        .await;
+    warm_up(&fleet, &sidecar).await;
+    sidecar.signal("-STOP");
+    let before = engine.runs().len();
+    let names: Vec<String> = (0..REQUESTS).map(|number| format!("b{number}")).collect();
+    let requests = names.iter().map(|name| request_base(&fleet, name));
+    let withdrawal = async {
+        tokio::time::sleep(WAIT).await;
+        fleet.register("gpu-2", "writer", &other);
+        withdraw(&fleet, &engine);
+    };
+    let (answers, ()) = tokio::join!(join_all(requests), withdrawal);
+    let late = engine.runs().len() - before;
+    assert_eq!(late, 0, "requests reached the engine after it was withdrawn");
+    for answer in answers {
+        assert_eq!(event_ids(&answer.body.unwrap()), [1, 2, 3, 4, 5, 6]);
+    }
+    sidecar.signal("-CONT");
+}
+
+/// Guards against a request that reaches a draining engine once its wait for a permit ends.
+#[actix_rt::test]
+async fn requests_leave_a_draining_engine() {
+    assert_moved(|fleet, engine| {
+        fleet.store.put("servers", "gpu-1", &engine.registration("writer", "draining"));
+    })
+    .await;
+}
+
+/// Guards against the same for an engine whose registration is gone.
+#[actix_rt::test]
+async fn requests_leave_an_engine_that_is_gone() {
+    assert_moved(|fleet, _| fleet.store.remove("servers", "gpu-1")).await;
+}
+
+/// Guards against a request that was chosen for a process and reaches its successor.
+#[actix_rt::test]
+async fn requests_leave_an_engine_that_has_started_anew() {
+    assert_moved(|fleet, engine| {
+        let mut row = engine.registration("writer", "ready");
+        row["born"] = json!(2);
+        fleet.store.put("servers", "gpu-1", &row);
+    })
+    .await;
+}
+
+/// Guards against refusing what the only engine can still run while it drains.
+#[actix_rt::test]
+async fn the_last_engine_serves_waiting_requests_while_it_drains() {
+    let (fleet, engine, sidecar) = start_engine_fleet(UpstreamSettings::engine("gpu-1", 6)).await;
+    request_tour(&fleet, "a", None).await;
+    warm_up(&fleet, &sidecar).await;
+    sidecar.signal("-STOP");
+    let drain = async {
+        tokio::time::sleep(WAIT).await;
+        fleet.store.put("servers", "gpu-1", &engine.registration("writer", "draining"));
+    };
+    let (got, ()) = tokio::join!(request_base(&fleet, "c"), drain);
+    sidecar.signal("-CONT");
+    assert_eq!(event_ids(&got.body.unwrap()), [1, 2, 3, 4, 5, 6]);
+}
