Keep the origins of streams beside engines of their software, too

Two software versions serve side by side, all entries are killed and start again after a second.

Cause: the software that began a stream was kept by the entry that relayed it and by two others, in memory. After the loss of all of them nobody knows where the stream may go on, and what is not known is refused.

Change: while a service is mixed, entries report a stream's software to the sidecars of two engines of that software as well, chosen by the stream's id. An entry asks these, three of each software, where no entry knows the stream and it may not go anywhere.

Conclusion: why it works: the daemons beside the engines outlive the entries, and a stream needs an engine of its software in any case. What no daemon names, or what they name differently, is refused as before. Open: the loss of every host at once, and streams of services without an engine.

--- a/kingcupbay_core/src/origin.rs
+++ b/kingcupbay_core/src/origin.rs
@@ -4,7 +4,9 @@
 //! software that began it. The caller who takes it up comes to any entry, also once the entry
 //! that began it is gone. So while a service has engines of different software, an entry
 //! reports the origin of each stream that it begins to [`KEEPERS`] others, which follow from the
-//! stream's id. The entry that takes the stream up asks those. While a service has one software
+//! stream's id. The entry that takes the stream up asks those. The sidecars of [`SIDECAR_KEEPERS`]
+//! engines of its software, which follow from the id likewise, keep it for the case that all
+//! entries are lost. While a service has one software
 //! only, origins are kept by the entry alone and cost no message; they are reported once
 //! another software appears. That a service is mixed is noted in the store, so that entries that
 //! start after the loss of all others do not take its streams for those of the software left.
@@ -12,7 +14,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
 };
 
 use crate::{
@@ -28,7 +30,11 @@
 /// Number of other entries that keep the origin of a stream, so that one of them may fail.
 pub const KEEPERS: usize = 2;
 
-/// Largest number of origins that an entry keeps. The oldest are dropped first.
+/// Number of engines of a stream's software whose sidecars keep its origin. Without one of these
+/// engines the stream goes on nowhere.
+pub const SIDECAR_KEEPERS: usize = 2;
+
+/// Largest number of origins that a daemon keeps. The oldest are dropped first.
 const STREAMS_MAX: usize = 200_000;
 
 impl SoftwareId {
@@ -222,6 +228,40 @@
     order.filter(|member| member.host != own).map(|member| member.address).collect()
 }
 
+/// Returns the hosts of the engines, of those in `rows`, whose sidecars keep the origin of `stream`
+/// that `software` began.
+pub fn sidecar_keepers<'a>(
+    stream: StreamId,
+    rows: impl Iterator<Item = &'a Instance>,
+    software: SoftwareId,
+) -> Vec<IpAddr> {
+    let hosts = rows.filter(|row| row.software_id() == software).map(|row| row.address.ip());
+    by_host_score(stream, hosts).take(SIDECAR_KEEPERS).collect()
+}
+
+/// Returns the hosts of the engines, of those in `rows`, whose sidecars may keep the origin of
+/// `stream`, whichever software began it.
+pub fn possible_sidecar_keepers<'a>(
+    stream: StreamId,
+    rows: impl Iterator<Item = &'a Instance>,
+) -> BTreeSet<IpAddr> {
+    let mut hosts = BTreeMap::<SoftwareId, Vec<IpAddr>>::new();
+    for row in rows {
+        hosts.entry(row.software_id()).or_default().push(row.address.ip());
+    }
+    // An engine that has joined since may rank first.
+    let keepers = |hosts| by_host_score(stream, hosts).take(SIDECAR_KEEPERS + 1);
+    hosts.into_values().map(Vec::into_iter).flat_map(keepers).collect()
+}
+
+fn by_host_score(
+    stream: StreamId,
+    hosts: impl Iterator<Item = IpAddr>,
+) -> impl Iterator<Item = IpAddr> {
+    let order: BTreeSet<(u64, IpAddr)> = hosts.map(|host| (hash((stream, host)), host)).collect();
+    order.into_iter().map(|(_, host)| host)
+}
+
 fn by_score<'a>(stream: StreamId, entries: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
     let mut order: Vec<(u64, &Member)> =
         entries.map(|member| (hash((stream, &member.host)), member)).collect();
--- a/kingcupbay_soak/src/run.rs
+++ b/kingcupbay_soak/src/run.rs
@@ -46,6 +46,9 @@
 /// Separates that of answers without an end and fatal requests.
 const ENDLESS_SEED: u64 = 0x656e_646c;
 
+/// Separates that of signals to all entries.
+const SIGNALS_SEED: u64 = 0x7369_676e;
+
 /// Callers per entry besides the ordinary ones: a guest and two of the club.
 const OTHER_CALLERS: usize = 3;
 
@@ -102,6 +105,7 @@
     let mut silent = Random::new(plan.seed ^ SILENCES_SEED);
     let mut endless = Random::new(plan.seed ^ ENDLESS_SEED);
     let mut spoilt = Random::new(plan.seed ^ SPOILT_SEED);
+    let mut signals = Random::new(plan.seed ^ SIGNALS_SEED);
     let mut crowds = crowd::random(plan.seed);
     let mut outcome = Outcome::default();
     let mut sound = BTreeMap::new();
@@ -115,13 +119,15 @@
         troubles.extend(trouble::draw_endless(&mut endless, &context.fleet));
         let spoilt = trouble::draw_spoilt(&mut spoilt, &context.fleet);
         // They would excuse losses in a round without other faults.
-        if troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
+        let has_faults = troubles.iter().any(|timed| timed.trouble.excuses_loss());
+        if has_faults {
             troubles.extend(spoilt);
         }
+        troubles.extend(trouble::draw_signals(&mut signals, has_faults));
         troubles.extend(crowd::draw(&mut crowds, &context.fleet));
         context.round.set(round);
         if !troubles.iter().any(|timed| timed.trouble.excuses_loss()) {
-            sound.insert(round, stopped_entries(&troubles));
+            sound.insert(round, stopped_entries(&troubles, plan.size.entries));
         }
         try_join_all(troubles.iter().map(|&timed| trouble::apply(&context.fleet, timed))).await?;
         outcome.troubles.push(troubles);
@@ -151,12 +157,13 @@
 }
 
 /// Returns the entries that are asked to stop.
-fn stopped_entries(troubles: &[Timed]) -> BTreeSet<usize> {
+fn stopped_entries(troubles: &[Timed], entries: usize) -> BTreeSet<usize> {
     let stopped = |timed: &Timed| match timed.trouble {
-        Trouble::Entry(entry, Signal::Terminate) => Some(entry),
-        _ => None,
+        Trouble::Entry(entry, Signal::Terminate) => entry..entry + 1,
+        Trouble::AllEntries(Signal::Terminate) => 0..entries,
+        _ => 0..0,
     };
-    troubles.iter().filter_map(stopped).collect()
+    troubles.iter().flat_map(stopped).collect()
 }
 
 fn start_callers(
--- a/kingcupbay_soak/src/trouble.rs
+++ b/kingcupbay_soak/src/trouble.rs
@@ -2,6 +2,7 @@
 
 use std::{io, rc::Rc, time::Duration};
 
+use futures_util::future::try_join_all;
 use kingcupbay_core::random::Random;
 use kingcupbay_standin::{Fault, FaultOrder, Rule, Server};
 
@@ -73,6 +74,8 @@
 pub enum Trouble {
     /// Signal to an entry.
     Entry(usize, Signal),
+    /// Signal to all entries at one moment.
+    AllEntries(Signal),
     /// Signal to a sidecar.
     Sidecar(usize, Signal),
     /// Fault on the path from a daemon, entries counted first, to the store.
@@ -126,6 +129,7 @@
         matches!(
             self,
             Trouble::Entry(_, Signal::Terminate | Signal::Reload)
+                | Trouble::AllEntries(Signal::Terminate | Signal::Reload)
                 | Trouble::Sidecar(_, Signal::Terminate | Signal::Reload)
                 | Trouble::Configure(_)
                 | Trouble::Announce(_)
@@ -231,6 +235,24 @@
     (0..count).map(spoilt).collect()
 }
 
+/// Draws signals to all entries at one moment during a round, to overlap its other troubles.
+/// They are killed only if `may_kill`.
+pub fn draw_signals(random: &mut Random, may_kill: bool) -> Vec<Timed> {
+    let count = 1_u64.saturating_sub(random.below(4));
+    let signal = |_| {
+        let signal = match random.below(3) {
+            0 => Signal::Reload,
+            1 => Signal::Terminate,
+            _ if may_kill => Signal::Kill,
+            _ => Signal::Reload,
+        };
+        let at = Duration::from_millis(random.below(1_500));
+        let lasts = Duration::from_millis(100 + random.below(2_400));
+        Timed { at, lasts, trouble: Trouble::AllEntries(signal) }
+    };
+    (0..count).map(signal).collect()
+}
+
 fn draw(random: &mut Random, fleet: &Fleet) -> Trouble {
     let mut one_of = |count: usize| random.below(count as u64) as usize;
     let entry = one_of(fleet.entries.len());
@@ -278,6 +300,10 @@
     let upstream = |at: usize| fleet.upstreams().nth(at).expect("drawn among the upstreams");
     match timed.trouble {
         Trouble::Entry(at, signal) => send_signal(&fleet.entries[at], signal, lasts).await?,
+        Trouble::AllEntries(signal) => {
+            try_join_all(fleet.entries.iter().map(|entry| send_signal(entry, signal, lasts)))
+                .await?;
+        }
         Trouble::Sidecar(at, signal) => send_signal(&fleet.sidecars[at], signal, lasts).await?,
         Trouble::Store(at, fault) => disturb_path(&host(at).store, fault, lasts).await,
         Trouble::Peers(at, fault) => disturb_path(&host(at).peers, fault, lasts).await,
--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -276,8 +276,8 @@
         EVACUATIONS_PATH => evacuations::handle(gateway.node.clone(), request).await,
         TRANSFER_PATH => transfer::handle(gateway, request).await,
         LIMITS_PATH => limits::handle(gateway, request).await,
-        ORIGINS_PATH => origins::handle_records(gateway, request).await,
-        ORIGIN_PATH => origins::handle_query(gateway, request).await,
+        ORIGINS_PATH => origins::handle_records(&gateway.node.log, &gateway.origins, request).await,
+        ORIGIN_PATH => origins::handle_query(&gateway.node.log, &gateway.origins, request).await,
         PARTS_PATH => parts::handle(gateway, request).await,
         REQUEST_ENDS_PATH => fatal::handle(gateway, request).await,
         KNOWN_ENDS_PATH => fatal::handle_known(&gateway),
@@ -311,6 +311,8 @@
         REPLICA_PATH => sidecar::permits::handle_replica_request(sidecar, request).await,
         EVACUATIONS_PATH => evacuations::handle(sidecar.node.clone(), request).await,
         VERSION_PATH => specs::handle_version(sidecar.node.clone(), request).await,
+        ORIGINS_PATH => origins::handle_records(&sidecar.node.log, &sidecar.origins, request).await,
+        ORIGIN_PATH => origins::handle_query(&sidecar.node.log, &sidecar.origins, request).await,
         _ => http::reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -333,6 +335,7 @@
                 &admission.load_report(now),
                 admission.limit(now),
                 sidecar.transfers.count(),
+                sidecar.origins.borrow().len(),
             );
             http::reply::text(StatusCode::OK, text)
         }
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -21,6 +21,7 @@
     orders: IntCounterVec,
     requests: IntGaugeVec,
     movable: IntGauge,
+    known_origins: IntGauge,
     limit: Gauge,
     work: Gauge,
     sustained: Gauge,
@@ -72,6 +73,11 @@
                 "kingcupbay_movable_requests",
                 "Requests that the sidecar keeps to move them when the engine leaves",
             ),
+            known_origins: gauge(
+                &registry,
+                "kingcupbay_known_origins",
+                "Streams whose origin this daemon keeps",
+            ),
             limit: float_gauge(
                 &registry,
                 "kingcupbay_engine_limit",
@@ -114,13 +120,16 @@
     }
 
     /// Returns all metrics in the Prometheus text format, with `now` as the current
-    /// load, `limit` as the engine's current limit and `movable` requests kept for transfers.
+    /// load, `limit` as the engine's current limit, `movable` requests kept for transfers and the
+    /// origins of `known` streams.
     pub(crate) fn text(
         &self,
         now: &EngineLoadReport,
         limit: Option<f64>,
         movable: usize,
+        known: usize,
     ) -> String {
+        self.known_origins.set(i64::try_from(known).unwrap_or(i64::MAX));
         self.movable.set(i64::try_from(movable).unwrap_or(i64::MAX));
         self.limit.set(limit.unwrap_or(f64::INFINITY));
         if let Some(capacity) = now.capacity {
--- a/kingcupbayd/src/sidecar/mod.rs
+++ b/kingcupbayd/src/sidecar/mod.rs
@@ -22,6 +22,7 @@
 
 use kingcupbay_core::{
     admission::{Action, Admission, Ticket, load_report::LoadReporter},
+    origin::Origins,
     time::Instant,
     wire::sidecar::Verdict,
 };
@@ -48,6 +49,8 @@
     pub(crate) wake: Notify,
     /// Entries that have recently requested permits, by address.
     pub(crate) entries: RefCell<BTreeMap<SocketAddr, EntryState>>,
+    /// Origins of streams, kept for the case that all entries are lost.
+    pub(crate) origins: RefCell<Origins>,
     /// Running requests, to be moved when the engine leaves.
     pub(crate) transfers: transfers::Transfers,
     pub(crate) metrics: Metrics,
@@ -75,6 +78,7 @@
             orders: Cell::new(u64::MAX),
             wake: Notify::new(),
             entries: RefCell::default(),
+            origins: RefCell::default(),
             transfers: transfers::Transfers::default(),
             metrics: Metrics::new(&node.store, &node.control),
             node,
