Count a stream that is taken up for the service that it goes to

Cause: the tokens of a request are divided by the service that its attempt is drawn to. One that takes up a stream goes to the service of its first attempt since, which the division did not know: it could count for another.

Change: both use the same draw.

Measured: not shown by a test of its own; read, and plain_streams.rs passes.

--- a/kingcupbayd/src/registered/limiters.rs
+++ b/kingcupbayd/src/registered/limiters.rs
@@ -119,7 +119,7 @@
 /// Returns the kind of a request. The hash is the same at all daemons of one build.
 fn kind(job: &Job) -> RequestKind {
     let mut hasher = DefaultHasher::new();
-    job.route.target(job.draw()).hash(&mut hasher);
+    job.route.target(job.service_draw()).hash(&mut hasher);
     // The organisation is the same for all kinds, so its priority does not tell them apart.
     RequestKind { service: hasher.finish() as u32, priority: job.route.priority }
 }
