Refuse what arrives on a connection that a stopping entry closes late

Cause: an entry that gets little processor time closes idle connections late in a planned stop. Requests have arrived on them meanwhile. The connection's task finds both, the end and a request; the server library reads what has arrived and closes the connection without a look at it. Proved for the reproduction; that it is what the users saw is suspected.

Change: once the entry closes its connections, no further request is begun on one. What has arrived on a connection that closes is discarded and refused with 503 and Retry-After, and counted in event=stopped.

Conclusion: why it works: whether requests are read and whether connections close follows from the same phase within one poll of the connection.

--- a/kingcupbayd/src/registered/start.rs
+++ b/kingcupbayd/src/registered/start.rs
@@ -192,7 +192,8 @@
             // Streams do not end by themselves.
             let _ = tokio::time::timeout(LAST_ANSWERS_TIME, node.drain.wait_until_idle()).await;
         }
-        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
+        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut,
+            "refused" => node.drain.refused());
     } else {
         info!(log, ""; "event" => "stopped");
     }
--- a/kingcupbayd/src/server/drain.rs
+++ b/kingcupbayd/src/server/drain.rs
@@ -1,6 +1,6 @@
 //! Planned stop: the daemon's phase and the count of its open connections.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use tokio::sync::watch;
 
@@ -23,6 +23,8 @@
 pub(crate) struct Drain {
     phase: Rc<watch::Sender<Phase>>,
     connections: Rc<watch::Sender<usize>>,
+    /// Requests that were refused without being read.
+    refused: Rc<Cell<usize>>,
 }
 
 /// An open connection, counted until it is dropped.
@@ -36,6 +38,7 @@
         Drain {
             phase: Rc::new(watch::Sender::new(Phase::Serving)),
             connections: Rc::new(watch::Sender::new(0)),
+            refused: Rc::default(),
         }
     }
 
@@ -49,6 +52,16 @@
         *self.connections.borrow()
     }
 
+    /// Returns how many requests were refused without being read.
+    pub(crate) fn refused(&self) -> usize {
+        self.refused.get()
+    }
+
+    /// Counts a request that was refused without being read.
+    pub(crate) fn on_refused(&self) {
+        self.refused.set(self.refused.get() + 1);
+    }
+
     /// Advances to `phase`. The phase never goes back, so a second signal has no
     /// effect.
     pub(crate) fn advance(&self, phase: Phase) {
--- a/kingcupbayd/src/server/flow.rs
+++ b/kingcupbayd/src/server/flow.rs
@@ -150,6 +150,11 @@
         self.phase == Phase::Head
     }
 
+    /// Returns whether nothing of a further request has been read.
+    pub(super) fn is_before_head(&self) -> bool {
+        self.phase == Phase::Head && self.ahead == 0
+    }
+
     /// Records that a request's head has arrived, with a body in chunks or of a certain length.
     pub(super) fn on_request(&mut self, request: &Request) {
         let headers = request.headers();
--- a/kingcupbayd/src/server/mod.rs
+++ b/kingcupbayd/src/server/mod.rs
@@ -171,7 +171,8 @@
                 let _ = stream.set_nodelay(true);
                 let guard = drain.track_connection();
                 let service = service.clone();
-                let socket = Socket::new(stream, head_max(), head_timeout, memory.clone());
+                let socket =
+                    Socket::new(stream, head_max(), head_timeout, memory.clone(), drain.clone());
                 actix_rt::spawn(async move {
                     // The request's own handler deals with a broken connection.
                     let _ = service.call((socket, Protocol::Http1, None)).await;
--- a/kingcupbayd/src/server/socket.rs
+++ b/kingcupbayd/src/server/socket.rs
@@ -1,7 +1,7 @@
 //! Accepted connections: what is read of them, and whether the other side has closed them.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::poll_fn,
     io::{self, IoSlice},
     pin::Pin,
@@ -24,16 +24,29 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::flow::{Flow, Room};
+use super::{
+    drain::{Drain, Phase},
+    flow::{Flow, Room},
+};
 use crate::http::budget::{Budget, ConnectionMemory, Held};
 
 /// Answer to a head that is too long.
 const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     content-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Answer to a request that arrived when the connection was about to be closed.
+const STOPPING: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.050\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Bytes of such a request that are read and discarded, so that its sender can read the answer.
+const DISCARD_MAX_BYTES: usize = 64 << 10;
+
 /// A connection, shared with the requests that came on it.
 struct Connection {
     stream: RefCell<TcpStream>,
+    drain: Drain,
+    /// Whether nothing more is written.
+    is_shut: Cell<bool>,
     flow: RefCell<Flow>,
     memory: ConnectionMemory,
 }
@@ -47,6 +60,35 @@
         }
     }
 
+    /// Returns whether no further request is read, as the daemon stops and none has begun.
+    fn is_closing(&self) -> bool {
+        self.drain.phase() >= Phase::Closing
+            && !self.is_shut.get()
+            && self.flow.borrow().is_before_head()
+    }
+
+    /// Refuses a request that has arrived and will not be read. Its sender may have seen no sign
+    /// of the stop.
+    fn refuse_unread(&self) {
+        let is_shut = self.is_shut.replace(true);
+        if is_shut || self.drain.phase() < Phase::Closing || !self.flow.borrow().is_in_head() {
+            return;
+        }
+        // The runtime may not know yet that the connection can be read.
+        let stream = &*self.stream.borrow();
+        let mut part = [0; 4 << 10];
+        let mut discarded = 0;
+        while discarded < DISCARD_MAX_BYTES
+            && let Ok(bytes @ 1..) = rustix::io::read(stream, &mut part)
+        {
+            discarded += bytes;
+        }
+        // The connection ends either way.
+        if discarded > 0 && rustix::io::write(stream, STOPPING).is_ok() {
+            self.drain.on_refused();
+        }
+    }
+
     /// Keeps the task of a write that waits, so that [`Peer::give_up`] can end it.
     fn on_written<T>(&self, cx: &Context<'_>, written: &Poll<T>) {
         if written.is_pending() {
@@ -66,9 +108,12 @@
         head_max: usize,
         head_timeout: Span,
         memory: ConnectionMemory,
+        drain: Drain,
     ) -> Socket {
         Socket(Rc::new(Connection {
             stream: RefCell::new(stream),
+            drain,
+            is_shut: Cell::default(),
             flow: RefCell::new(Flow::new(head_max, head_timeout)),
             memory,
         }))
@@ -231,6 +276,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.0.check_open()?;
+        if self.0.is_closing() {
+            // The server closes the connection now, and would drop what it has read.
+            return Poll::Pending;
+        }
         let flow = &mut *self.0.flow.borrow_mut();
         let read = match flow.room() {
             Room::Bytes(max) => self.poll_read_some(cx, buf, max)?,
@@ -295,6 +344,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.refuse_unread();
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
