Decode the rows of the store one by one

What callers saw: reported by other operators, and the same here: beside one row of another writer whose value is no base64 text, an entry no longer followed the upstreams. It sent to one that was gone and never learned of a new one; one that started beside it was not ready after 20 s.

Cause: decode_page decoded all rows of an answer at once, so that one row made the whole page an error, at each read again.

Ruled out: leaving such a row out of the page. A known upstream under its key would be used as before, and the pages say that the row names no runner to use.

Change: rows are decoded one by one. One that cannot be read has a content that no decoder takes, and is handled as one whose content is odd inside base64; one without a name is left out. Both are logged and counted. An entry whose own row was replaced is taken off the list at once, and registers again. The stand-in for the registry can write such rows.

Conclusion: why it works: what one writer does to its row concerns no other row of the page.

--- a/kingcupbay_core/src/wire/rows.rs
+++ b/kingcupbay_core/src/wire/rows.rs
@@ -43,7 +43,20 @@
     pub version: u64,
 }
 
+/// Content of a row whose own could not be read. It is no message of anybody.
+const UNREADABLE: &[u8] = b"\0";
+
 impl Row {
+    /// Returns a row whose content could not be read.
+    pub fn unreadable(key: RowKey, version: u64) -> Row {
+        Row { key, value: UNREADABLE.to_vec(), version }
+    }
+
+    /// Returns whether its content could not be read.
+    pub fn is_unreadable(&self) -> bool {
+        self.value == UNREADABLE
+    }
+
     /// Returns a row without content. Daemons pass it on to say that the row was removed,
     /// as of `version`.
     pub fn removal(key: RowKey, version: u64) -> Row {
@@ -84,6 +97,8 @@
     pub version: u64,
     /// Whether more rows follow on another page.
     pub more: bool,
+    /// Number of rows that were left out, as they do not say which they are.
+    pub nameless: usize,
 }
 
 /// A transaction. All writes take effect if all conditions hold, and none
--- a/kingcupbay_standin/src/registry.rs
+++ b/kingcupbay_standin/src/registry.rs
@@ -37,7 +37,7 @@
 type RowKey = (String, String);
 
 /// A change: version, row key, and new value in wire encoding or `None` if removed.
-type Change = (u64, RowKey, Option<String>);
+type Change = (u64, RowKey, Option<Value>);
 
 /// A running registry.
 pub struct Registry {
@@ -47,7 +47,7 @@
 
 #[derive(Default)]
 struct State {
-    rows: RefCell<BTreeMap<RowKey, (String, u64)>>,
+    rows: RefCell<BTreeMap<RowKey, (Value, u64)>>,
     history: RefCell<Vec<Change>>,
     /// All changes since the start, also those that the history no longer has.
     log: RefCell<Vec<Change>>,
@@ -89,6 +89,11 @@
         self.state.write(vec![((table.to_owned(), key.to_owned()), Some(encode(value)))])
     }
 
+    /// Writes a row whose answers hold `value` as it is, where base64 is due.
+    pub fn put_unencoded(&self, table: &str, key: &str, value: Value) -> u64 {
+        self.state.write(vec![((table.to_owned(), key.to_owned()), Some(value))])
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.state.write(vec![((table.to_owned(), key.to_owned()), None)]);
@@ -138,7 +143,7 @@
 }
 
 impl State {
-    fn write(&self, writes: Vec<(RowKey, Option<String>)>) -> u64 {
+    fn write(&self, writes: Vec<(RowKey, Option<Value>)>) -> u64 {
         *self.version.borrow_mut() += 1;
         let version = *self.version.borrow();
         for (key, value) in writes {
@@ -241,7 +246,7 @@
             let body = json!({"rows": [], "ver": *self.version.borrow(), "nowMs": 0});
             return call::status_json(StatusCode::PRECONDITION_FAILED, &body);
         }
-        let value = |row: &Value| row["value"].as_str().map(str::to_owned);
+        let value = |row: &Value| row.get("value").filter(|value| value.is_string()).cloned();
         let mut writes: Vec<_> = list("put").iter().map(|row| (key(row), value(row))).collect();
         writes.extend(list("remove").iter().map(|row| (key(row), None)));
         let ver = self.write(writes);
@@ -275,7 +280,7 @@
     pairs.map(|(name, value)| (name.to_owned(), decoded(value))).collect()
 }
 
-fn row(table: &str, key: &str, value: Option<&String>, ver: u64) -> Value {
+fn row(table: &str, key: &str, value: Option<&Value>, ver: u64) -> Value {
     match value {
         Some(value) => {
             json!({"table": table, "part": "", "key": key, "value": value, "ver": ver})
@@ -290,7 +295,6 @@
 #[serde(transparent)]
 struct Encoded<'a>(#[serde_as(as = "Base64")] &'a [u8]);
 
-fn encode(bytes: &[u8]) -> String {
-    let text = serde_json::to_value(Encoded(bytes)).expect("bytes always encode");
-    text.as_str().unwrap_or_default().to_owned()
+fn encode(bytes: &[u8]) -> Value {
+    serde_json::to_value(Encoded(bytes)).expect("bytes always encode")
 }
--- a/kingcupbayd/src/gateway/metrics.rs
+++ b/kingcupbayd/src/gateway/metrics.rs
@@ -63,6 +63,8 @@
         let registry = Registry::new();
         memory.register(&registry);
         let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
+        let unreadable = Box::new(store.unreadable().clone());
+        registry.register(unreadable).expect("no other metric has its name");
         registry.register(calls).expect("no other metric has its name");
         registry.register(era).expect("no other metric has its name");
         control.register(&registry);
--- a/kingcupbayd/src/metrics.rs
+++ b/kingcupbayd/src/metrics.rs
@@ -148,6 +148,14 @@
     calls.expect("the name and the labels are valid")
 }
 
+/// Creates a counter of rows of the store that cannot be read, for the registry of either role.
+pub(crate) fn unreadable_rows() -> IntCounterVec {
+    let options =
+        Opts::new("kingcupbay_unreadable_rows_total", "Rows of the store that could not be read");
+    let rows = IntCounterVec::new(options, &["table"]);
+    rows.expect("the name and the label are valid")
+}
+
 /// Creates a gauge of the store's era, for the registry of either role.
 pub(crate) fn store_era() -> IntGauge {
     let gauge = IntGauge::new("kingcupbay_store_era", "Returns of the store from an older copy");
--- a/kingcupbayd/src/registered/follow.rs
+++ b/kingcupbayd/src/registered/follow.rs
@@ -346,13 +346,17 @@
             node.catalogue.borrow_mut().on_instance_gone(now, &key.key, version);
             Some(ChangeKind::UpstreamGone(key.key))
         }
-        (Table::Entries, RowChange::Put(row)) => {
-            let member = member(node, &row);
-            if let Some(member) = &member {
+        (Table::Entries, RowChange::Put(row)) => match member(node, &row) {
+            Some(member) => {
                 node.catalogue.borrow_mut().on_member(member.clone());
+                Some(ChangeKind::Entry(member))
             }
-            member.map(ChangeKind::Entry)
-        }
+            // The entry registers again once it does not find itself on the list.
+            None => {
+                node.catalogue.borrow_mut().on_member_gone(&row.key.key);
+                Some(ChangeKind::EntryGone(row.key.key))
+            }
+        },
         (Table::Entries, RowChange::Removed(key, _)) => {
             info!(node.log, ""; "event" => "entry_gone", "host" => &key.key);
             node.catalogue.borrow_mut().on_member_gone(&key.key);
--- a/kingcupbayd/src/registered/store.rs
+++ b/kingcupbayd/src/registered/store.rs
@@ -6,7 +6,7 @@
 use kingcupbay_core::{
     deployment::waits::{STORE_CALL_TIMEOUT, STORE_WRITE_TIMEOUT},
     time::{Instant, Span},
-    wire::rows::{self, RowPage, Txn, TxnAnswer},
+    wire::rows::{self, RowChange, RowPage, Txn, TxnAnswer},
 };
 use kingcupbay_platform::{Call, DecodeError, store as platform};
 use prometheus::{IntCounterVec, IntGauge};
@@ -19,7 +19,7 @@
         link::LinkError,
         pool::{Answer, Pool},
     },
-    metrics::{store_calls, store_era},
+    metrics::{store_calls, store_era, unreadable_rows},
 };
 
 /// Why a call of the store failed.
@@ -59,6 +59,8 @@
     era_gauge: IntGauge,
     /// Calls by kind and table.
     calls: IntCounterVec,
+    /// Rows that could not be read, by table.
+    unreadable: IntCounterVec,
     log: Logger,
 }
 
@@ -72,6 +74,7 @@
             era: Cell::new(None),
             era_gauge: store_era(),
             calls: store_calls(),
+            unreadable: unreadable_rows(),
             log,
         }
     }
@@ -81,6 +84,11 @@
         &self.calls
     }
 
+    /// Returns the counter of rows that could not be read, for this daemon's metrics.
+    pub(crate) fn unreadable(&self) -> &IntCounterVec {
+        &self.unreadable
+    }
+
     /// Returns the era as a metric, for this daemon's metrics.
     pub(crate) fn era_gauge(&self) -> &IntGauge {
         &self.era_gauge
@@ -96,7 +104,7 @@
         self.calls.with_label_values(&["read", table]).inc();
         let call = platform::encode_read(table, from);
         let (era, answer) = self.call(&call, STORE_CALL_TIMEOUT).await?;
-        Ok(platform::decode_page(era, &answer.body)?)
+        self.decode_page(table, era, &answer)
     }
 
     /// Returns the changes of `table` after version `after`. Waits up to `wait` for a
@@ -114,7 +122,28 @@
         if rows::era(after) < era {
             return Err(StoreError::Rewound);
         }
-        Ok(platform::decode_page(era, &answer.body)?)
+        self.decode_page(table, era, &answer)
+    }
+
+    /// Decodes a page of `table`, and logs and counts its rows that cannot be read.
+    fn decode_page(&self, table: &str, era: u64, answer: &Answer) -> Result<RowPage, StoreError> {
+        let page = platform::decode_page(era, &answer.body)?;
+        let unreadable = page.rows.iter().filter_map(|change| match change {
+            RowChange::Put(row) if row.is_unreadable() => Some(row),
+            RowChange::Put(_) | RowChange::Removed(..) => None,
+        });
+        let mut count = page.nameless;
+        for row in unreadable {
+            count += 1;
+            warn!(self.log, ""; "event" => "row_undecoded", "table" => table,
+                "key" => &row.key.key, "version" => row.version);
+        }
+        if page.nameless > 0 {
+            warn!(self.log, ""; "event" => "rows_nameless", "table" => table,
+                "count" => page.nameless);
+        }
+        self.unreadable.with_label_values(&[table]).inc_by(count as u64);
+        Ok(page)
     }
 
     /// Runs a transaction.
--- a/kingcupbayd/src/sidecar/metrics.rs
+++ b/kingcupbayd/src/sidecar/metrics.rs
@@ -35,6 +35,8 @@
         let (calls, era) = (Box::new(store.calls().clone()), Box::new(store.era_gauge().clone()));
         registry.register(calls).expect("no other metric has its name");
         registry.register(era).expect("no other metric has its name");
+        let unreadable = Box::new(store.unreadable().clone());
+        registry.register(unreadable).expect("no other metric has its name");
         control.register(&registry);
         Metrics {
             verdicts: counters(
--- a/kingcupbayd/src/start.rs
+++ b/kingcupbayd/src/start.rs
@@ -209,6 +209,7 @@
             share::hand_over(entry.shares().clone()).await;
         }
         let cut = self.daemon.drain.open_connections();
-        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut);
+        info!(log, ""; "event" => "stopped", "whole" => whole, "cut" => cut,
+            "refused" => self.daemon.drain.refused());
     }
 }
