Read on in the table after a row that cannot be used

Without a registry, a daemon that met a row of another writer in the platform's table never again read the table by itself.

Cause: rows were decoded with expect("only this project writes its rows"), and a patch that did not fit the configuration ended its task likewise. The mark that a read is under way stayed set.

Change: both are errors, logged with each attempt. A report that cannot be read is left out, and no fence number is given out while the last one is unknown.

Conclusion: why it works: another attempt follows an error, and the row may be put right meanwhile.

--- a/kingcupbayd/src/fleet/accept.rs
+++ b/kingcupbayd/src/fleet/accept.rs
@@ -124,7 +124,7 @@
             Ok(answer) => {
                 acceptance.finish_write(Some(&answer));
                 if answer == TxnAnswer::Committed {
-                    self.apply(patch.clone());
+                    self.apply(patch.clone())?;
                 }
                 Ok(())
             }
--- a/kingcupbayd/src/fleet/table.rs
+++ b/kingcupbayd/src/fleet/table.rs
@@ -57,7 +57,10 @@
     /// table is new.
     pub(super) async fn fetch_head(&self) -> Result<(Head, u64), TableError> {
         let rows = self.table.read(&Read::Keys(vec![HEAD_KEY.to_owned()])).await?;
-        Ok(rows.rows.first().map(|row| (decode(row), row.revision)).unwrap_or_default())
+        match rows.rows.first() {
+            Some(row) => Ok((decode(row)?, row.revision)),
+            None => Ok(Default::default()),
+        }
     }
 
     /// Returns the id of the patch that made `number`.
@@ -66,7 +69,7 @@
         number: Number,
     ) -> Result<Option<RequestId>, TableError> {
         let rows = self.table.read(&Read::Keys(vec![delta_key(number)])).await?;
-        Ok(rows.rows.first().map(|row| decode::<Patch>(row).id))
+        rows.rows.first().map(|row| decode::<Patch>(row).map(|patch| patch.id)).transpose()
     }
 
     /// Restores the snapshot of `number` from the object store, if it is there.
@@ -100,22 +103,26 @@
             return Err(TableError::Lost("the head names a patch that is not there".to_owned()));
         }
         for row in &rows.rows {
-            self.apply(decode(row));
+            self.apply(decode(row)?)?;
         }
         Ok(())
     }
 
     /// Applies a patch that is in the table, unless another read or a peer has
-    /// already delivered it.
-    pub(super) fn apply(&self, patch: Patch) {
+    /// already delivered it. Fails if the patch does not fit, as none of this project's writers
+    /// has checked it.
+    pub(super) fn apply(&self, patch: Patch) -> Result<(), TableError> {
         let config = self.config();
         if patch.against != config.number {
-            return;
+            return Ok(());
         }
-        let next = config.patched(&patch);
-        let next = next.expect("the writer checked the patch against the same rows");
+        let next = config.patched(&patch).map_err(|error| TableError::Unreadable {
+            key: delta_key(config.number.next()),
+            error: error.to_string(),
+        })?;
         self.gossip.borrow_mut().add_patch(patch, &next);
         self.adopt(next);
+        Ok(())
     }
 
     /// Stores a snapshot if one is due. After a failure, a daemon that joins only
@@ -148,13 +155,14 @@
         let to = format!("{DELTA_PREFIX}~");
         let rows = self.table.read(&Read::Range { from, to, limit: DELTAS_PER_READ }).await?;
         let patches = rows.rows.iter().map(decode::<Patch>);
-        Ok(patches.map(|patch| (patch.against.next(), patch)).collect())
+        patches.map(|patch| patch.map(|patch| (patch.against.next(), patch))).collect()
     }
 }
 
-/// Decodes the value of a row of the table.
-pub(crate) fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> T {
-    serde_json::from_str(&row.value).expect("only this project writes its rows")
+/// Decodes the value of a row of the table. Fails if another writer has written it.
+pub(crate) fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Result<T, TableError> {
+    serde_json::from_str(&row.value)
+        .map_err(|error| TableError::Unreadable { key: row.key.clone(), error: error.to_string() })
 }
 
 /// Encodes the value of a row of the table.
--- a/kingcupbayd/src/share/epoch.rs
+++ b/kingcupbayd/src/share/epoch.rs
@@ -53,7 +53,7 @@
         let key = report_key(report.holder);
         let rows = self.table.read(&Read::Keys(vec![key.clone()])).await?;
         let row = rows.rows.first();
-        if row.is_some_and(|row| decode::<Report>(row) == *report) {
+        if row.is_some_and(|row| decode(row).is_ok_and(|known: Report| known == *report)) {
             self.unwritten.borrow_mut().take_if(|other| other == report);
             return Ok(());
         }
@@ -69,7 +69,14 @@
     async fn read(self: &Rc<Shares>) -> Result<(), TableError> {
         let (from, to) = (REPORT_PREFIX.to_owned(), format!("{REPORT_PREFIX}~"));
         let rows = self.table.read(&Read::Range { from, to, limit: MAX_REPORTS }).await?;
-        let reports: Vec<Report> = rows.rows.iter().map(decode).collect();
+        let readable = |row: &Row| {
+            let report = decode::<Report>(row);
+            let log = |error: &TableError| {
+                warn!(self.log, ""; "event" => "report_unreadable", "error" => %error);
+            };
+            report.inspect_err(log).ok()
+        };
+        let reports: Vec<Report> = rows.rows.iter().filter_map(readable).collect();
         let actions = self.core.borrow_mut().on_reports(clock::now(), &reports);
         self.execute(actions);
         if self.core.borrow().missing_reports().next().is_none() {
@@ -85,8 +92,9 @@
         let entries = self.fleet.config().entry_incarnations();
         let epoch = self.core.borrow().epoch();
         let gone = |row: &&Row| {
-            let report: Report = decode(row);
-            report.epoch < epoch && !entries.contains(&report.holder.0)
+            let is_gone =
+                |report: Report| report.epoch < epoch && !entries.contains(&report.holder.0);
+            decode(row).is_ok_and(is_gone)
         };
         for row in rows.iter().filter(gone) {
             let condition = Condition { key: row.key.clone(), revision: row.revision };
--- a/kingcupbayd/src/store/table.rs
+++ b/kingcupbayd/src/store/table.rs
@@ -24,6 +24,14 @@
     /// The call may have taken effect.
     #[error("the table's answer was lost: {0}")]
     Lost(String),
+    /// Another writer has left a row that cannot be used.
+    #[error("the row {key} cannot be used: {error}")]
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// What is wrong with it.
+        error: String,
+    },
 }
 
 /// Client of the transactional table.
--- a/kingcupbayd/src/upstream/fence.rs
+++ b/kingcupbayd/src/upstream/fence.rs
@@ -91,7 +91,8 @@
     let key = row_key(engine);
     let rows = upstream.table.read(&Read::Keys(vec![key.clone()])).await?;
     let row = rows.rows.first();
-    let old: Option<Fence> = row.map(decode);
+    // Without the last number, none is known to be higher than those that the engine has seen.
+    let old: Option<Fence> = row.map(decode).transpose()?;
     // An earlier write of this attempt whose answer was lost.
     if let Some(own) = old.as_ref().filter(|fence| fence.attempt == attempt) {
         return Ok(Some(own.number));
--- a/kingcupbayd/src/upstream/once.rs
+++ b/kingcupbayd/src/upstream/once.rs
@@ -239,6 +239,6 @@
     tokio::time::sleep(TABLE_RETRY_PAUSE).await;
     match error {
         TableError::Unreached(_) => Event::StoreRefused,
-        TableError::Lost(_) => Event::StoreLost,
+        TableError::Lost(_) | TableError::Unreadable { .. } => Event::StoreLost,
     }
 }
