--- a/kingcupbay_core/src/origin.rs
+++ b/kingcupbay_core/src/origin.rs
@@ -6,10 +6,10 @@
 //! reports the origin of each stream that it begins to [`KEEPERS`] others, which follow from the
 //! stream's id. The entry that takes the stream up asks those. The sidecars of [`SIDECAR_KEEPERS`]
 //! engines of its software, which follow from the id likewise, keep it for the case that all
-//! entries are lost. While a service has one software
-//! only, origins are kept by the entry alone and cost no message; they are reported once
-//! another software appears. That a service is mixed is noted in the store, so that entries that
-//! start after the loss of all others do not take its streams for those of the software left.
+//! entries are lost. While a service has one software only, origins are kept by the entry alone and
+//! cost no message; they are reported once another software appears. That a service is mixed is
+//! noted in the store, so that entries that start after the loss of all others do not take its
+//! streams for those of the software left.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/kingcupbayd/src/gateway/admit.rs
+++ b/kingcupbayd/src/gateway/admit.rs
@@ -3,9 +3,9 @@
 //!
 //! An upstream may say that it leaves, ask this entry for rest, or limit the requests of all
 //! daemons. Each holds for the process that has said it, by id and start. A request that waits while
-//! its upstream is withdrawn goes elsewhere, if it can. A stream goes on only
-//! at an upstream of the software that began it, and a request with a part that engines crash on
-//! goes to none, nor does one under which upstreams end.
+//! its upstream is withdrawn goes elsewhere, if it can. A stream goes on only at an upstream of the
+//! software that began it, and a request with a part that engines crash on goes to none, nor does
+//! one under which upstreams end.
 
 use std::rc::Rc;
 
@@ -141,8 +141,9 @@
         }
     }
 
-    /// Returns whether `row` is withdrawn from the request that may go to the `eligible` ones. If
-    /// there is no other of these, or the request `may_move` to none, it still gets it for a while.
+    /// Returns why a request for `eligible` upstreams no longer goes to `row`, as that is withdrawn.
+    /// A request that has no other upstream, or may not move to one, still goes there for
+    /// [`LEAVING_GRACE`].
     fn departure(&self, row: &Instance, eligible: Eligible, may_move: bool) -> Option<Hold> {
         let catalogue = self.node.catalogue.borrow();
         let hold = match catalogue.withdrawal(row)? {
