--- a/kingcupbayd/tests/lagging_stop.rs
+++ b/kingcupbayd/tests/lagging_stop.rs
@@ -16,8 +16,9 @@
 use kingcupbay_standin::Registry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-/// Callers, each with a connection that it has used before.
-const CALLERS: usize = 40;
+/// Callers, each with a connection that it has used before; more than tasks of the runtime run
+/// between two looks at its sockets.
+const CALLERS: usize = 100;
 
 /// For how long an entry is paused. Meanwhile the time comes at which it closes idle connections.
 const PAUSE: Duration = Duration::from_millis(2_500);
